Add the request path end to end as separate processes

Cause: nothing ran yet. The smallest whole path comes first, so that later changes are measured against a running system.

Change: entry instance with look-up, request path and heartbeats; stand-ins for the platform and targets; a bounded caller; a script that runs them all on loopback; design page; checks in one script.

--- /dev/null
+++ b/cmd/jacinth-platform/main.go
@@ -0,0 +1,78 @@
+// Command jacinth-platform runs the stand-in for the platform.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/jacinthstall/jacinthstall/entry"
+	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/standin/platformd"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "jacinth-platform:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	fs := flag.NewFlagSet("jacinth-platform", flag.ContinueOnError)
+	address := fs.String("address", "127.0.0.1:7000", "ip:port to listen on")
+	instances := fs.String("instances", "", "JSON file with the list of instances")
+	document := fs.String("document", "", "policy document to store at start")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("JACINTH_PLATFORM")); err != nil {
+		return err
+	}
+	list, err := readInstances(*instances)
+	if err != nil {
+		return err
+	}
+	store := platformd.NewStore(list)
+	if err := storeDocument(store, *document); err != nil {
+		return err
+	}
+	hlog.SetLevel(hlog.LevelError)
+	h := server.New(
+		server.WithHostPorts(*address),
+		server.WithTransport(standard.NewTransporter),
+		server.WithDisablePrintRoute(true),
+	)
+	platformd.Register(h, store)
+	return h.Run()
+}
+
+func readInstances(file string) ([]platform.Instance, error) {
+	if file == "" {
+		return nil, nil
+	}
+	src, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var list []platform.Instance
+	if err := json.Unmarshal(src, &list); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return list, nil
+}
+
+func storeDocument(store *platformd.Store, file string) error {
+	if file == "" {
+		return nil
+	}
+	src, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	_, err = store.Put(entry.KeyDocument, src, 0)
+	return err
+}
--- /dev/null
+++ b/cmd/jacinthd/main.go
@@ -0,0 +1,47 @@
+// Command jacinthd runs one entry instance.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/jacinthstall/jacinthstall/entry"
+	"github.com/jacinthstall/jacinthstall/settings"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "jacinthd:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	fs := flag.NewFlagSet("jacinthd", flag.ContinueOnError)
+	file := fs.String("settings", "settings.json", "settings file of this instance")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("JACINTHD")); err != nil {
+		return err
+	}
+	s, err := settings.Load(*file)
+	if err != nil {
+		return err
+	}
+	hlog.SetLevel(hlog.LevelError)
+	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
+	in, err := entry.New(s, logger.WithField("instance", s.Name))
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return in.Run(ctx)
+}
--- /dev/null
+++ b/demo/run.sh
@@ -0,0 +1,50 @@
+#!/usr/bin/env bash
+# Builds the programs and runs the whole path on loopback: the platform
+# stand-in, targets in two failure domains, four entry instances and a caller.
+# All processes that it starts end with it.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o bin/ ./cmd/...
+mkdir -p demo/run
+pids=()
+cleanup() {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+}
+trap cleanup EXIT
+
+start() {
+  local name=$1
+  shift
+  "$@" >"demo/run/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+start platform bin/jacinth-platform --address 127.0.0.1:17000 --instances demo/instances.json --document demo/policy.json
+port=17100
+for domain in a b; do
+  for kind in catalogue:5 enrolment:3; do
+    for number in 1 2; do
+      name="${kind%%:*}-$domain$number"
+      start "$name" bin/jacinth-target --name "$name" --address "127.0.0.1:$port" --slots "${kind##*:}" --service 20ms
+      port=$((port + 1))
+    done
+  done
+done
+for file in demo/settings/*.json; do
+  start "$(basename "$file" .json)" bin/jacinthd --settings "$file"
+done
+
+wait_ready() {
+  for _ in $(seq 1 100); do
+    if (exec 3<>/dev/tcp/127.0.0.1/"$1") 2>/dev/null &&
+      [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$1/ready")" = 200 ]; then
+      return 0
+    fi
+    sleep 0.1
+  done
+  echo "the instance with operator port $1 is not ready" >&2
+  return 1
+}
+for port in 17400 17401 17402 17403; do wait_ready "$port"; done
+bin/jacinth-load --bootstrap 127.0.0.1:17200 --requests "${REQUESTS:-400}" --concurrency 8
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,98 @@
+// Package entry assembles one entry instance: it answers look-ups, takes
+// requests, chooses a target and carries the request there and back.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/jacinthstall/jacinthstall/forward"
+	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/policy"
+	"github.com/jacinthstall/jacinthstall/settings"
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	settings    settings.Settings
+	incarnation uint64
+	platform    *platform.Client
+	forwarder   *forward.Forwarder
+	document    atomic.Pointer[policy.Document]
+	members     *members
+	leaving     atomic.Bool
+	inFlight    atomic.Int64
+	log         log.Interface
+}
+
+// New returns an instance that is not running yet.
+func New(s settings.Settings, logger log.Interface) (*Instance, error) {
+	p, err := platform.NewClient(s.Platform)
+	if err != nil {
+		return nil, err
+	}
+	return &Instance{
+		settings:    s,
+		incarnation: uint64(time.Now().UnixNano()),
+		platform:    p,
+		forwarder:   forward.New(),
+		members:     newMembers(),
+		log:         logger,
+	}, nil
+}
+
+// Run serves until ctx ends, then stops gracefully: it announces that it is
+// leaving, serves until cached look-up answers have expired, finishes the
+// requests in flight and returns.
+func (in *Instance) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	listener, err := net.Listen("tcp", in.settings.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	callers, operators := in.callerServer(), in.operatorServer()
+	failed := make(chan error, 3)
+	go func() { failed <- callers.Run() }()
+	go func() { failed <- operators.Run() }()
+	go func() { failed <- in.servePeers(background, listener) }()
+	go in.watchDocument(background)
+	go in.watchInstances(background)
+	go in.sendHeartbeats(background)
+
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return fmt.Errorf("listener ended: %w", err)
+	}
+	return in.stop(callers, operators)
+}
+
+const stopTimeout = 30 * time.Second
+
+func (in *Instance) stop(callers, operators *server.Hertz) error {
+	in.log.Info("leaving")
+	in.leaving.Store(true)
+	ttl := time.Second
+	if d := in.document.Load(); d != nil {
+		ttl = d.Timing.LookupTTL()
+	}
+	time.Sleep(ttl)
+	deadline := time.Now().Add(stopTimeout)
+	for in.inFlight.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	_ = operators.Shutdown(ctx)
+	in.forwarder.Close()
+	in.log.Info("stopped")
+	return err
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,28 @@
+package policy_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jacinthstall/jacinthstall/policy"
+)
+
+// A request must not reach a service whose path prefix only shares letters.
+func TestServiceForMatchesWholePathSegments(t *testing.T) {
+	d := &policy.Document{Services: []policy.Service{
+		{Name: "root", PathPrefix: "/"},
+		{Name: "catalogue", PathPrefix: "/catalogue"},
+		{Name: "archive", PathPrefix: "/catalogue/archive"},
+	}}
+	for path, want := range map[string]string{
+		"/catalogue":           "catalogue",
+		"/catalogue/1":         "catalogue",
+		"/catalogues":          "root",
+		"/catalogue/archive/2": "archive",
+	} {
+		s, ok := d.ServiceFor(path)
+		assert.True(t, ok, path)
+		assert.Equal(t, want, s.Name, path)
+	}
+}
