--- a/cmd/jacinth-load/main.go
+++ b/cmd/jacinth-load/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
@@ -24,7 +25,7 @@
 func run(args []string) error {
 	fs := flag.NewFlagSet("jacinth-load", flag.ContinueOnError)
 	var o load.Options
-	fs.StringVar(&o.Bootstrap, "bootstrap", "127.0.0.1:7200", "caller address (ip:port) of any entry instance")
+	bootstrap := fs.String("bootstrap", "127.0.0.1:7200", "caller addresses (ip:port) of entry instances, separated by commas")
 	fs.StringVar(&o.Caller, "caller", "10.0.0.1", "address of the caller for look-ups")
 	fs.IntVar(&o.Requests, "requests", 200, "number of requests, at most 100000")
 	fs.IntVar(&o.Concurrency, "concurrency", 8, "requests in flight, at most 256")
@@ -34,6 +35,7 @@
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("JACINTH_LOAD")); err != nil {
 		return err
 	}
+	o.Bootstrap = strings.Split(*bootstrap, ",")
 	report, err := load.Run(context.Background(), o)
 	if err != nil {
 		return err
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -44,6 +44,8 @@
 	ReasonNotPermitted  Reason = "not-permitted"
 	ReasonRelayFailed   Reason = "relay-failed"
 	ReasonTooManyParked Reason = "too-many-waiting"
+	// ReasonNoAnswer is set by callers when no instance answered.
+	ReasonNoAnswer Reason = "no-answer"
 )
 
 // Headers of requests and answers.
