Report every problem of a JSON input with its place and fix

Cause: a decoding error stopped at the first problem and had no line.

A list keeps at most 1,000 findings and counts the rest.

--- a/finding/finding.go
+++ b/finding/finding.go
@@ -1,13 +1,15 @@
-// Package finding collects the problems of an input and reports them together.
-// Each finding names its file, line, column, JSON pointer and, where it is
-// clear, the fix.
 package finding
 
 import (
 	"fmt"
+	"sort"
 	"strings"
 )
 
+// MaxFindings is the largest number of findings that a List keeps. A document
+// with 570,000 wrong blocks would otherwise give a report of as many lines.
+const MaxFindings = 1000
+
 // Position is a place in an input. Lines and columns count from 1; a zero
 // line means that the place is not known. Columns count bytes.
 type Position struct {
@@ -36,31 +38,87 @@
 // List is a collection of findings. The zero value is empty and ready to use.
 type List struct {
 	Findings []Finding
+	Omitted  int // Findings beyond MaxFindings, which are only counted.
+
+	covered map[string]bool // Pointers of values whose form is wrong.
+}
+
+// Covered reports whether the form of the value at a pointer is already
+// reported, so that checks of the value would only repeat the finding.
+func (l *List) Covered(pointer string) bool {
+	return l.covered[pointer]
 }
 
-// Add appends a finding.
+func (l *List) cover(pointer string) {
+	if l.covered == nil {
+		l.covered = map[string]bool{}
+	}
+	l.covered[pointer] = true
+}
+
+// Add appends a finding, or counts it when the list is full.
 func (l *List) Add(f Finding) {
+	if l.Full() {
+		l.Omitted++
+		return
+	}
 	l.Findings = append(l.Findings, f)
 }
 
+// Full reports whether further findings are only counted.
+func (l *List) Full() bool {
+	return len(l.Findings) >= MaxFindings
+}
+
+// Place fills in the file, line and column of findings that have none, by
+// their pointers, and sorts the list by place. The place of a value that is
+// not in the source is that of the nearest enclosing value that is.
+func (l *List) Place(file string, src []byte) {
+	var pointers []string
+	for _, f := range l.Findings {
+		if f.Line == 0 {
+			pointers = append(pointers, f.Pointer)
+		}
+	}
+	places := locateAll(src, pointers)
+	for i := range l.Findings {
+		f := &l.Findings[i]
+		if f.Line == 0 {
+			f.Position = places[f.Pointer]
+			f.File = file
+		}
+	}
+	sort.SliceStable(l.Findings, func(i, j int) bool {
+		a, b := l.Findings[i], l.Findings[j]
+		if a.Line != b.Line {
+			return a.Line < b.Line
+		}
+		return a.Column < b.Column
+	})
+}
+
 // Err returns nil when the list is empty, else an *Error with all findings.
 func (l *List) Err() error {
 	if len(l.Findings) == 0 {
 		return nil
 	}
-	return &Error{Findings: l.Findings}
+	return &Error{Findings: l.Findings, Omitted: l.Omitted}
 }
 
 // Error reports all findings of an input.
 type Error struct {
-	Findings []Finding
+	Findings []Finding `json:"findings"`
+	Omitted  int       `json:"omitted,omitempty"` // Findings beyond MaxFindings.
 }
 
 // Error returns one line for each finding.
 func (e *Error) Error() string {
-	lines := make([]string, len(e.Findings))
+	lines := make([]string, len(e.Findings), len(e.Findings)+1)
 	for i, f := range e.Findings {
 		lines[i] = f.String()
 	}
+	if e.Omitted > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", e.Omitted))
+	}
 	return strings.Join(lines, "\n")
 }
