--- a/policy/check_targets.go
+++ b/policy/check_targets.go
@@ -82,7 +82,7 @@
 			c.known(at{"blocks", i, "site"}, "site", b.Site, &c.sites)
 		}
 		prefix, err := netip.ParsePrefix(b.Prefix)
-		if err != nil || prefix != prefix.Masked() || prefix.Addr().Is4In6() {
+		if err != nil || !canonical(prefix, b.Prefix) {
 			c.prefix(at{"blocks", i, "prefix"}, b.Prefix)
 			continue
 		}
@@ -94,6 +94,16 @@
 	}
 }
 
+// canonical reports whether text is the one notation of a prefix, so that
+// blocks can be compared as text. IPv4 prefixes have only one that parses.
+func canonical(prefix netip.Prefix, text string) bool {
+	address := prefix.Addr()
+	if address.Is4() {
+		return prefix == prefix.Masked()
+	}
+	return !address.Is4In6() && prefix.Masked().String() == text
+}
+
 // prefix reports a prefix that is not in canonical CIDR notation.
 func (c *checker) prefix(place at, text string) {
 	prefix, err := netip.ParsePrefix(text)
@@ -103,7 +113,7 @@
 	case prefix.Addr().Is4In6():
 		c.add(place, "use the IPv4 prefix", "%q is an IPv4 prefix in IPv6 notation", text)
 	default:
-		c.add(place, "use \""+prefix.Masked().String()+"\"", "%q has bits set after its length", text)
+		c.add(place, "use \""+prefix.Masked().String()+"\"", "%q is not in canonical notation or has bits set after its length", text)
 	}
 }
 
--- /dev/null
+++ b/policy/merge.go
@@ -0,0 +1,110 @@
+package policy
+
+// Conflict is an object that two edits of the same document changed
+// differently. A value is nil where the object does not exist.
+type Conflict struct {
+	Path   string `json:"path"` // As in Change.
+	Base   any    `json:"base,omitempty"`
+	Mine   any    `json:"mine,omitempty"`
+	Theirs any    `json:"theirs,omitempty"`
+}
+
+// Merge applies the changes from base to mine to theirs. Each object (the log
+// level, the timing, and each named object of a list) comes from the edit that
+// changed it; an object that both changed differently is a conflict. The
+// merged document has the version of theirs and is nil when there are
+// conflicts. It may be invalid, such as when one edit removes a service and
+// the other adds a target of it, so the caller checks it with Parse.
+func Merge(base, mine, theirs *Document) (*Document, []Conflict) {
+	m := merger{}
+	d := &Document{Version: theirs.Version}
+	d.LogLevel = mergeValue(&m, "/logLevel", base.LogLevel, mine.LogLevel, theirs.LogLevel)
+	d.Timing = mergeValue(&m, "/timing", base.Timing, mine.Timing, theirs.Timing)
+	d.Regions = mergeList(&m, regionKind, base.Regions, mine.Regions, theirs.Regions)
+	d.Links = mergeList(&m, linkKind, base.Links, mine.Links, theirs.Links)
+	d.Sites = mergeList(&m, siteKind, base.Sites, mine.Sites, theirs.Sites)
+	d.Services = mergeList(&m, serviceKind, base.Services, mine.Services, theirs.Services)
+	d.Targets = mergeList(&m, targetKind, base.Targets, mine.Targets, theirs.Targets)
+	d.Moves = mergeList(&m, moveKind, base.Moves, mine.Moves, theirs.Moves)
+	d.Blocks = mergeList(&m, blockKind, base.Blocks, mine.Blocks, theirs.Blocks)
+	d.LeavingInstances = mergeList(&m, leavingKind, base.LeavingInstances, mine.LeavingInstances, theirs.LeavingInstances)
+	if len(m.conflicts) > 0 {
+		return nil, m.conflicts
+	}
+	return d, nil
+}
+
+type merger struct {
+	conflicts []Conflict
+}
+
+func mergeValue[T comparable](m *merger, path string, base, mine, theirs T) T {
+	switch {
+	case mine == base || mine == theirs:
+		return theirs
+	case theirs == base:
+		return mine
+	}
+	m.conflicts = append(m.conflicts, Conflict{path, base, mine, theirs})
+	return theirs
+}
+
+// version is an object as one document has it; nil where it does not exist.
+type version[T any] struct{ object *T }
+
+func find[T any](list []T, index map[string]int, key string) version[T] {
+	if i, ok := index[key]; ok {
+		return version[T]{&list[i]}
+	}
+	return version[T]{}
+}
+
+func (v version[T]) equal(k kind[T], w version[T]) bool {
+	if v.object == nil || w.object == nil {
+		return v.object == w.object
+	}
+	return k.equal(*v.object, *w.object)
+}
+
+func (v version[T]) value() any {
+	if v.object == nil {
+		return nil
+	}
+	return *v.object
+}
+
+// mergeList keeps the order of theirs and appends the objects that mine adds.
+func mergeList[T any](m *merger, k kind[T], base, mine, theirs []T) []T {
+	inBase, inMine, inTheirs := k.index(base), k.index(mine), k.index(theirs)
+	var out []T
+	merge := func(key string) {
+		chosen := mergeObject(m, k, find(base, inBase, key), find(mine, inMine, key), find(theirs, inTheirs, key))
+		if chosen.object != nil {
+			out = append(out, *chosen.object)
+		}
+	}
+	for _, object := range theirs {
+		merge(k.key(object))
+	}
+	for _, object := range mine {
+		if _, done := inTheirs[k.key(object)]; !done {
+			merge(k.key(object))
+		}
+	}
+	return out
+}
+
+func mergeObject[T any](m *merger, k kind[T], base, mine, theirs version[T]) version[T] {
+	switch {
+	case mine.equal(k, base) || mine.equal(k, theirs):
+		return theirs
+	case theirs.equal(k, base):
+		return mine
+	}
+	some := mine
+	if some.object == nil {
+		some = theirs
+	}
+	m.conflicts = append(m.conflicts, Conflict{k.path(*some.object), base.value(), mine.value(), theirs.value()})
+	return theirs
+}
--- a/policy/parse_test.go
+++ b/policy/parse_test.go
@@ -134,6 +134,7 @@
 		{"block site", func(d *policy.Document) { d.Blocks[0].Site = "nowhere" }, "/blocks/0/site", `no site "nowhere"`},
 		{"block prefix", func(d *policy.Document) { d.Blocks[0].Prefix = "10.0.0.0" }, "/blocks/0/prefix", "not a prefix"},
 		{"IPv4 in IPv6", func(d *policy.Document) { d.Blocks[0].Prefix = "::ffff:10.0.0.0/104" }, "/blocks/0/prefix", "IPv4 prefix in IPv6"},
+		{"IPv6 notation", func(d *policy.Document) { d.Blocks[0].Prefix = "2001:DB8::/32" }, "/blocks/0/prefix", "not in canonical notation"},
 		{"leaving instance twice", func(d *policy.Document) { d.LeavingInstances = []string{"i", "i"} }, "/leavingInstances/1", "already defined"},
 		{"log level", func(d *policy.Document) { d.LogLevel = "loud" }, "/logLevel", "not a log level"},
 	} {
