--- a/finding/decode.go
+++ b/finding/decode.go
@@ -81,7 +81,7 @@
 	}
 	f := Finding{Position: d.lines.position(offset), Pointer: d.pointer(), Message: message, Fix: fix}
 	if member != "" {
-		f.Pointer += Pointer(member)
+		f.Pointer += Pointer(shorten(member))
 	}
 	f.File = d.file
 	d.list.Add(f)
@@ -177,6 +177,7 @@
 }
 
 func (d *decoder) array(v reflect.Value, start, maxItems int) bool {
+	v.Set(reflect.MakeSlice(v.Type(), 0, 0))
 	for i := 0; d.tokens.more(); i++ {
 		if i == maxItems {
 			d.add(start, "", fmt.Sprintf("has more than %d items", maxItems), "")
--- a/finding/finding.go
+++ b/finding/finding.go
@@ -10,6 +10,10 @@
 // with 570,000 wrong blocks would otherwise give a report of as many lines.
 const MaxFindings = 1000
 
+// MaxTextBytes is the length of the longest message, fix or unknown field name
+// that a List keeps whole; a longer one is cut.
+const MaxTextBytes = 512
+
 // Position is a place in an input. Lines and columns count from 1; a zero
 // line means that the place is not known. Columns count bytes.
 type Position struct {
@@ -62,9 +66,18 @@
 		l.Omitted++
 		return
 	}
+	f.Message, f.Fix = shorten(f.Message), shorten(f.Fix)
 	l.Findings = append(l.Findings, f)
 }
 
+// shorten bounds a text that may repeat a value of the input.
+func shorten(s string) string {
+	if len(s) <= MaxTextBytes {
+		return s
+	}
+	return strings.ToValidUTF8(s[:MaxTextBytes], "") + "..."
+}
+
 // Full reports whether further findings are only counted.
 func (l *List) Full() bool {
 	return len(l.Findings) >= MaxFindings
--- a/finding/finding_test.go
+++ b/finding/finding_test.go
@@ -134,10 +134,20 @@
 	src := `{"n\u0061me": "\u00e9\"", "count": "x", "on": true, "items": [{"key": "k"}], "tags": ["a", "b"]}`
 	ok := finding.Decode("f", []byte(src), &v, &list)
 	assert.True(t, ok)
-	assert.Len(t, list.Findings, 1)
+	require.Len(t, list.Findings, 1)
 	assert.Equal(t, shape{Name: "é\"", On: true, Items: []item{{Key: "k"}}, Tags: []string{"a", "b"}}, v)
 }
 
+// An empty array must stay one: a nil slice would be encoded as null.
+func TestDecodeEmptyArray(t *testing.T) {
+	var v shape
+	var list finding.List
+	finding.Decode("f", []byte(`{"name": "x", "count": 1, "items": [], "tags": null}`), &v, &list)
+	require.NoError(t, list.Err())
+	assert.NotNil(t, v.Items)
+	assert.Nil(t, v.Tags)
+}
+
 // Deep nesting must be rejected, not exhaust the stack.
 func TestDecodeDeepNesting(t *testing.T) {
 	src := `{"x": ` + strings.Repeat("[", 1_000_000)
@@ -170,6 +180,17 @@
 	assert.Equal(t, "f:2:20: /a/1/b~1c: m\nf:3:5: /a/2: m\nf:4:28: /~0t: m", list.Err().Error())
 }
 
+// A huge value in the input must not make a huge report.
+func TestTextBound(t *testing.T) {
+	name := strings.Repeat("é", 1<<20)
+	var v shape
+	var list finding.List
+	finding.Decode("f", []byte(`{"name": "x", "count": 1, "`+name+`": 1, "items": [{"key": 1}]}`), &v, &list)
+	require.Len(t, list.Findings, 2)
+	assert.Less(t, len(list.Err().Error()), 2*finding.MaxTextBytes)
+	assert.Empty(t, finding.Nearest(name, []string{name + "x"}))
+}
+
 // A suggestion must be near; a far one would mislead.
 func TestNearest(t *testing.T) {
 	known := []string{"palermo", "catania", "agrigento"}
--- a/finding/nearest.go
+++ b/finding/nearest.go
@@ -2,9 +2,17 @@
 
 import "strconv"
 
+// maxNearestBytes bounds the names that are compared, because the edit distance
+// takes time proportional to the product of the lengths.
+const maxNearestBytes = 128
+
 // Nearest returns the known name with the smallest edit distance to name, or
-// "" when none is within a third of the name's length (at least 2 edits).
+// "" when none is within a third of the name's length (at least 2 edits) or
+// the name is longer than 128 bytes.
 func Nearest(name string, known []string) string {
+	if len(name) > maxNearestBytes {
+		return ""
+	}
 	limit := max(2, len(name)/3)
 	best := ""
 	for _, candidate := range known {
