Add jacinthctl: validate, diff, publish, show, status, drain, sign, keygen

Cause: operators had no tool to check and publish the document.

Change: internal/ctl publishes through a small interface. A lost race shows both edits and merges them when they touch different objects; an uncertain write is settled by reading back and never repeated. Every failure has its own exit code. The connection to the platform is not part of this change: commands that need it end with exit code 6.

--- /dev/null
+++ b/internal/ctl/app.go
@@ -0,0 +1,191 @@
+package ctl
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jacinthstall/jacinthstall/policy"
+)
+
+// Connection tells how to reach the platform and who publishes.
+type Connection struct {
+	Platform string             // ip:port.
+	Key      ed25519.PrivateKey // nil for commands that only read.
+}
+
+// App is the command jacinthctl with its surroundings.
+type App struct {
+	Out     io.Writer // Results, and errors with --output json.
+	Err     io.Writer // Errors and help.
+	Connect func(ctx context.Context, c Connection) (Publisher, error)
+
+	ReadBackWait time.Duration // See Session.
+}
+
+const envPrefix = "JACINTHCTL"
+
+// Run executes the command line without the program's name and returns the
+// exit code.
+func (a *App) Run(ctx context.Context, args []string) int {
+	c := &call{app: a, usageShown: &noted{Writer: a.Err}}
+	root := c.root()
+	if err := root.Parse(args); err != nil {
+		return c.parseFailed(err)
+	}
+	if err := c.checkOutput(); err != nil {
+		return c.fail(err)
+	}
+	err := root.Run(ctx)
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitUsage
+	}
+	if err != nil {
+		return c.fail(err)
+	}
+	return ExitOK
+}
+
+// parseFailed reports wrong flags, unless the flag set has done so. Asking for
+// help is not a failure.
+func (c *call) parseFailed(err error) int {
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitOK
+	}
+	if !c.usageShown.written {
+		fmt.Fprintf(c.app.Err, "jacinthctl: %v\n", err)
+	}
+	return ExitUsage
+}
+
+// noted passes writes on and notes whether there was one.
+type noted struct {
+	io.Writer
+	written bool
+}
+
+func (n *noted) Write(p []byte) (int, error) {
+	n.written = true
+	return n.Writer.Write(p)
+}
+
+// call is one execution with the values of its flags.
+type call struct {
+	app      *App
+	output   string
+	platform string
+	keyFile  string
+
+	usageShown *noted // Output of the flag sets.
+}
+
+func (c *call) root() *ffcli.Command {
+	fs := c.flags("jacinthctl")
+	return &ffcli.Command{
+		Name:       "jacinthctl",
+		ShortUsage: "jacinthctl <subcommand> [flags] [arguments]",
+		ShortHelp:  "Controls jacinthstall through its published document.",
+		LongHelp:   "Controls jacinthstall through its published document.\n\n" + exitHelp,
+		FlagSet:    fs,
+		Subcommands: []*ffcli.Command{
+			c.validateCommand(), c.diffCommand(), c.publishCommand(), c.showCommand(),
+			c.statusCommand(), c.drainCommand(), c.signCommand(), c.keygenCommand(),
+		},
+		Exec: func(context.Context, []string) error {
+			fmt.Fprintln(c.app.Err, "jacinthctl: name a subcommand; see jacinthctl --help")
+			return flag.ErrHelp
+		},
+	}
+}
+
+// flags returns a flag set that reports to the App's Err and never exits.
+func (c *call) flags(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(c.usageShown)
+	return fs
+}
+
+// command builds a subcommand with the flags that all share.
+func (c *call) command(name, arguments, short, long string, fs *flag.FlagSet, exec func(context.Context, []string) error) *ffcli.Command {
+	fs.StringVar(&c.output, "output", "plain", "form of the output: plain or json")
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "jacinthctl " + name + " [flags] " + arguments,
+		ShortHelp:  short,
+		LongHelp:   short + "\n\n" + long + "\n\n" + exitHelp,
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec:       exec,
+	}
+}
+
+func (c *call) platformFlag(fs *flag.FlagSet) {
+	fs.StringVar(&c.platform, "platform", "127.0.0.1:7000", "ip:port of the platform")
+}
+
+// publishFlags returns the value of --merge, whose default differs by command.
+func (c *call) publishFlags(fs *flag.FlagSet, merge bool) *bool {
+	c.platformFlag(fs)
+	fs.StringVar(&c.keyFile, "key", "", "file with the operator's Ed25519 private key, PEM")
+	return fs.Bool("merge", merge, "after a lost race, merge edits that touch different objects")
+}
+
+func (c *call) checkOutput() error {
+	switch c.output {
+	case "", "plain", "json":
+		return nil
+	}
+	return usage(fmt.Sprintf("--output %q is neither plain nor json", c.output))
+}
+
+// session connects for reading.
+func (c *call) session(ctx context.Context) (Session, error) {
+	return c.connect(ctx, nil)
+}
+
+// signingSession connects for publishing; the key is read first.
+func (c *call) signingSession(ctx context.Context) (Session, error) {
+	key, err := LoadKey(c.keyFile)
+	if err != nil {
+		return Session{}, err
+	}
+	return c.connect(ctx, key)
+}
+
+func (c *call) connect(ctx context.Context, key ed25519.PrivateKey) (Session, error) {
+	publisher, err := c.app.Connect(ctx, Connection{Platform: c.platform, Key: key})
+	if err != nil {
+		return Session{}, err
+	}
+	return Session{Publisher: publisher, ReadBackWait: c.app.ReadBackWait}, nil
+}
+
+// readFile reads an input; "-" is the standard input. The read is bounded.
+func readFile(file string) ([]byte, error) {
+	in := os.Stdin
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, err
+		}
+		defer f.Close()
+		in = f
+	}
+	return io.ReadAll(io.LimitReader(in, policy.MaxDocumentBytes+1))
+}
+
+func readDocument(file string) (*policy.Document, error) {
+	src, err := readFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return policy.Parse(file, src)
+}
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,71 @@
+package ctl
+
+import (
+	"errors"
+
+	"github.com/jacinthstall/jacinthstall/finding"
+)
+
+// Exit codes of jacinthctl.
+const (
+	ExitOK          = 0
+	ExitFailure     = 1
+	ExitUsage       = 2
+	ExitInvalid     = 3
+	ExitLostRace    = 4
+	ExitUndecided   = 5
+	ExitUnavailable = 6
+	ExitNoKey       = 7
+	ExitNotInForce  = 8
+)
+
+const exitHelp = `EXIT CODES
+  0  success
+  1  other failure, such as a file that cannot be read
+  2  wrong usage
+  3  the document or settings are not valid
+  4  another operator published first; nothing was published
+  5  the outcome of the write is unknown; look before publishing again
+  6  the platform is unavailable; nothing was published
+  7  no operator key, or it is not accepted; nothing was published
+  8  an instance does not answer or has another version in force`
+
+// usageError reports wrong arguments.
+type usageError struct{ message string }
+
+func (e *usageError) Error() string { return e.message }
+
+func usage(message string) error { return &usageError{message} }
+
+// notInForceError reports instances that lack the published version.
+type notInForceError struct{ message string }
+
+func (e *notInForceError) Error() string { return e.message }
+
+// exitCode returns the exit code of an error.
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return ExitOK
+	case is[*usageError](err):
+		return ExitUsage
+	case is[*LostRaceError](err), is[*staleFileError](err), is[*RaceError](err):
+		return ExitLostRace
+	case is[*UndecidedError](err), is[*UncertainError](err):
+		return ExitUndecided
+	case is[*finding.Error](err):
+		return ExitInvalid
+	case is[*UnavailableError](err):
+		return ExitUnavailable
+	case is[*NoKeyError](err):
+		return ExitNoKey
+	case is[*notInForceError](err):
+		return ExitNotInForce
+	}
+	return ExitFailure
+}
+
+func is[T error](err error) bool {
+	var target T
+	return errors.As(err, &target)
+}
