Add the operators' console

Change: forms for every part of the document, import and export, and a review page with the difference and the digest to sign. Publishing needs an operator's Ed25519 signature of exactly the reviewed document. A lost race shows the other change and keeps the edit; a write of unknown outcome blocks the edit until it is read back or the operator decides. Forms carry a token bound to the session cookie, and foreign origins and host names are rejected. Bodies and the number of edits are bounded.

A finding of a field that appears twice now points at the last one, which is the one that counts, and checks do not repeat a missing or mistyped enclosing value.

--- /dev/null
+++ b/console/console.go
@@ -0,0 +1,128 @@
+package console
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/jacinthstall/jacinthstall/internal/ctl"
+	"github.com/jacinthstall/jacinthstall/policy"
+)
+
+// Bounds.
+const (
+	MaxDrafts      = 8
+	DraftIdle      = 12 * time.Hour
+	MaxFormBytes   = 64 << 10
+	MaxImportBytes = policy.MaxDocumentBytes + 1<<20 // Room for the parts of the form around the document.
+)
+
+// Options are the surroundings of a console.
+type Options struct {
+	Reader       ctl.Publisher                                               // Reads the published document.
+	Publisher    func(context.Context, ctl.Signature) (ctl.Publisher, error) // Publishes with an operator's signature.
+	Keys         []ed25519.PublicKey                                         // Operators who may publish.
+	ReadBackWait time.Duration                                               // Between two reads after an uncertain write.
+	Now          func() time.Time                                            // time.Now when nil.
+	Log          log.Interface                                               // log.Log when nil.
+}
+
+// console is the state behind the handlers.
+type console struct {
+	options  Options
+	secret   [32]byte // Key of the tokens against cross-site requests.
+	drafts   *drafts
+	sections []section
+	imports  chan struct{} // Bounds the imports that are parsed at a time.
+}
+
+// Register adds the console's routes under /console.
+func Register(h *server.Hertz, o Options) error {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Log == nil {
+		o.Log = log.Log
+	}
+	s := &console{options: o, drafts: newDrafts(o.Now), sections: allSections(), imports: make(chan struct{}, 1)}
+	if _, err := rand.Read(s.secret[:]); err != nil {
+		return err
+	}
+	h.GET("/console", s.page(s.overview))
+	h.GET("/console/style.css", style)
+	h.GET("/console/edit/:section", s.page(s.showSection))
+	h.GET("/console/export", s.page(s.export))
+	h.GET("/console/review", s.page(s.review))
+	h.POST("/console/draft", s.form(MaxFormBytes, s.begin))
+	h.POST("/console/discard", s.form(MaxFormBytes, s.discard))
+	h.POST("/console/edit/:section", s.form(MaxFormBytes, s.saveSection))
+	h.POST("/console/import", s.form(MaxImportBytes, s.importDocument))
+	h.POST("/console/publish", s.form(MaxFormBytes, s.publish))
+	h.POST("/console/resolve", s.form(MaxFormBytes, s.resolve))
+	h.POST("/console/readback", s.form(MaxFormBytes, s.readBack))
+	h.POST("/console/abandon", s.form(MaxFormBytes, s.abandon))
+	return nil
+}
+
+// request is one request of a session.
+type request struct {
+	*app.RequestContext
+	session string
+	draft   *draft // nil when the session has none. Locked while a handler runs.
+}
+
+// handler answers a request; an error becomes an error page.
+type handler func(ctx context.Context, r *request) error
+
+// page serves a GET request.
+func (s *console) page(next handler) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		s.secure(c)
+		r := &request{RequestContext: c}
+		if err := checkHost(c); err != nil {
+			s.fail(r, err)
+			return
+		}
+		session, err := s.sessionOf(c)
+		if err != nil {
+			s.fail(r, err)
+			return
+		}
+		r.session = session
+		s.serve(ctx, r, next)
+	}
+}
+
+// form serves a POST request with a body of at most limit bytes.
+func (s *console) form(limit int, next handler) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		s.secure(c)
+		r := &request{RequestContext: c}
+		if err := s.checkForm(r, limit); err != nil {
+			s.fail(r, err)
+			return
+		}
+		s.serve(ctx, r, next)
+	}
+}
+
+func (s *console) serve(ctx context.Context, r *request, next handler) {
+	r.draft = s.drafts.get(r.session)
+	if r.draft != nil {
+		r.draft.mu.Lock()
+		defer r.draft.mu.Unlock()
+	}
+	if err := next(ctx, r); err != nil {
+		s.fail(r, err)
+	}
+}
+
+// session returns the publishing steps for reading.
+func (s *console) reader() ctl.Session {
+	return ctl.Session{Publisher: s.options.Reader, ReadBackWait: s.options.ReadBackWait}
+}
--- /dev/null
+++ b/console/drafts.go
@@ -0,0 +1,105 @@
+package console
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/internal/ctl"
+	"github.com/jacinthstall/jacinthstall/policy"
+)
+
+// draft is an operator's edit that is not published yet.
+type draft struct {
+	mu      sync.Mutex
+	edit    ctl.Edit
+	pending *pending           // A write of unknown outcome; the draft cannot change or be published.
+	race    *ctl.RaceError     // A lost race with conflicts that the operator has to resolve.
+	lost    *ctl.LostRaceError // What the last lost race showed; for the review.
+	final   *final             // The document to sign; nil until it is made.
+}
+
+// pending is a write of unknown outcome.
+type pending struct {
+	doc  []byte
+	base uint64
+}
+
+// final is the encoded document of a draft or why it is not valid.
+type final struct {
+	doc []byte
+	err error
+}
+
+// finalDocument returns the document to sign, made once for each state.
+func (d *draft) finalDocument() ([]byte, error) {
+	if d.final == nil {
+		doc, err := ctl.Final(d.edit.Mine, d.edit.Base.Version)
+		d.final = &final{doc: doc, err: err}
+	}
+	return d.final.doc, d.final.err
+}
+
+// change replaces the operator's document. Its version becomes that of the
+// base, so that an exported file can be published with jacinthctl.
+func (d *draft) change(mine *policy.Document) {
+	mine.Version = d.edit.Base.Version
+	d.edit.Mine = mine
+	d.final = nil
+}
+
+// drafts are the drafts of all sessions.
+type drafts struct {
+	mu        sync.Mutex
+	now       func() time.Time
+	bySession map[string]*kept
+}
+
+type kept struct {
+	draft *draft
+	used  time.Time
+}
+
+func newDrafts(now func() time.Time) *drafts {
+	return &drafts{now: now, bySession: map[string]*kept{}}
+}
+
+// get returns the draft of a session or nil.
+func (s *drafts) get(session string) *draft {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	k := s.bySession[session]
+	if k == nil {
+		return nil
+	}
+	k.used = s.now()
+	return k.draft
+}
+
+// put adds a draft. A full store rejects it instead of dropping the draft of
+// another operator.
+func (s *drafts) put(session string, d *draft) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.bySession[session] == nil && len(s.bySession) >= MaxDrafts {
+		return &pageError{status: 503, message: fmt.Sprintf("%d edits are open at this instance; finish or discard one, or use another instance", MaxDrafts)}
+	}
+	s.bySession[session] = &kept{draft: d, used: s.now()}
+	return nil
+}
+
+func (s *drafts) remove(session string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.bySession, session)
+}
+
+func (s *drafts) expire() {
+	for session, k := range s.bySession {
+		if s.now().Sub(k.used) > DraftIdle {
+			delete(s.bySession, session)
+		}
+	}
+}
--- /dev/null
+++ b/console/render.go
@@ -0,0 +1,109 @@
+package console
+
+import (
+	"bytes"
+	"context"
+	"embed"
+	"errors"
+	"html/template"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/jacinthstall/jacinthstall/finding"
+	"github.com/jacinthstall/jacinthstall/internal/ctl"
+)
+
+//go:embed templates
+var files embed.FS
+
+var templates = parseTemplates("overview", "section", "review", "message")
+
+func parseTemplates(names ...string) map[string]*template.Template {
+	out := map[string]*template.Template{}
+	for _, name := range names {
+		out[name] = template.Must(template.ParseFS(files, "templates/layout.html", "templates/"+name+".html"))
+	}
+	return out
+}
+
+// view is what every page shows.
+type view struct {
+	Title    string
+	Token    string
+	HasDraft bool
+	Base     uint64 // Version that the draft is based on.
+	Sections []section
+	Body     any
+}
+
+func (s *console) render(r *request, status int, name, title string, body any) error {
+	v := view{Title: title, Token: s.token(r.session), HasDraft: r.draft != nil, Sections: s.sections, Body: body}
+	if r.draft != nil {
+		v.Base = r.draft.edit.Base.Version
+	}
+	var b bytes.Buffer
+	if err := templates[name].ExecuteTemplate(&b, "layout", v); err != nil {
+		return err
+	}
+	r.Data(status, "text/html; charset=utf-8", b.Bytes())
+	return nil
+}
+
+// message is the body of a page that only tells something.
+type message struct {
+	Text     string
+	Findings []finding.Finding
+	Omitted  int
+}
+
+func (s *console) message(r *request, status int, title, text string) error {
+	return s.render(r, status, "message", title, message{Text: text})
+}
+
+// pageError is an error with its HTTP status and a text for the operator.
+type pageError struct {
+	status  int
+	message string
+}
+
+// Error implements error.
+func (e *pageError) Error() string { return e.message }
+
+// fail answers with a page for an error.
+func (s *console) fail(r *request, err error) {
+	body := message{Text: err.Error()}
+	var found *finding.Error
+	if errors.As(err, &found) {
+		body = message{Text: "The document is not valid.", Findings: found.Findings, Omitted: found.Omitted}
+	}
+	if renderErr := s.render(r, statusOf(err), "message", "Not done", body); renderErr != nil {
+		r.String(500, "internal error\n")
+	}
+}
+
+func statusOf(err error) int {
+	var page *pageError
+	var found *finding.Error
+	var unavailable *ctl.UnavailableError
+	var noKey *ctl.NoKeyError
+	switch {
+	case errors.As(err, &page):
+		return page.status
+	case errors.As(err, &found):
+		return 422
+	case errors.As(err, &unavailable):
+		return 503
+	case errors.As(err, &noKey):
+		return 403
+	}
+	return 500
+}
+
+func style(_ context.Context, c *app.RequestContext) {
+	css, err := files.ReadFile("templates/style.css")
+	if err != nil {
+		c.String(500, "internal error\n")
+		return
+	}
+	c.Data(200, "text/css; charset=utf-8", css)
+}
--- a/finding/decode.go
+++ b/finding/decode.go
@@ -85,7 +85,6 @@
 	}
 	f.File = d.file
 	d.list.Add(f)
-	d.list.cover(f.Pointer)
 }
 
 // value reads the next value into v; false when the source ends in the value.
@@ -106,6 +105,7 @@
 		return true
 	}
 	d.add(tok.start, "", fmt.Sprintf("must be %s, not %s", kindName(kind), tokenName(tok)), d.typeFix(kind, tok))
+	d.list.cover(d.pointer())
 	return d.tokens.skipRest(tok)
 }
 
@@ -172,6 +172,7 @@
 	for i, f := range fields.list {
 		if f.Required && seen[i] == absent {
 			d.add(start, f.Name, "field is missing", "add "+strconv.Quote(f.Name))
+			d.list.cover(d.pointer() + Pointer(f.Name))
 		}
 	}
 }
@@ -236,6 +237,7 @@
 	}
 	if err != nil {
 		d.add(tok.start, "", fmt.Sprintf("%s is not %s in range", text, kindName(v.Kind())), "")
+		d.list.cover(d.pointer())
 	}
 }
 
--- a/finding/finding.go
+++ b/finding/finding.go
@@ -44,16 +44,27 @@
 	Findings []Finding
 	Omitted  int // Findings beyond MaxFindings, which are only counted.
 
-	covered map[string]bool // Pointers of values whose form is wrong.
+	covered map[string]bool // Pointers of values that are missing or of a wrong type.
 }
 
-// Covered reports whether the form of the value at a pointer is already
-// reported, so that checks of the value would only repeat the finding.
+// Covered reports whether the value at a pointer, or one that encloses it, is
+// already reported as missing or of a wrong type, so that a check of the value
+// would only repeat the finding.
 func (l *List) Covered(pointer string) bool {
-	return l.covered[pointer]
+	for len(l.covered) > 0 && pointer != "" {
+		if l.covered[pointer] {
+			return true
+		}
+		pointer = pointer[:max(0, strings.LastIndexByte(pointer, '/'))]
+	}
+	return false
 }
 
+// cover notes a value, unless the list is full: then checks add no findings.
 func (l *List) cover(pointer string) {
+	if l.Full() {
+		return
+	}
 	if l.covered == nil {
 		l.covered = map[string]bool{}
 	}
--- a/finding/finding_test.go
+++ b/finding/finding_test.go
@@ -50,6 +50,12 @@
 	assert.Equal(t, [2]int{0, 0}, [2]int{line, column})
 }
 
+// Decoding keeps the last of two fields, so a finding must point at that one.
+func TestLocateDuplicate(t *testing.T) {
+	line, column := finding.Locate([]byte("{\"a\": 1,\n \"a\": 2}"), "/a")
+	assert.Equal(t, [2]int{2, 7}, [2]int{line, column})
+}
+
 type shape struct {
 	Name  string   `json:"name"`
 	Count int      `json:"count"`
--- a/finding/locate.go
+++ b/finding/locate.go
@@ -4,7 +4,8 @@
 
 // Locate returns the line and column of the value at a JSON pointer. When the
 // source has no such value, they are those of the nearest enclosing value
-// that it has, and 0, 0 when the source has no value at all.
+// that it has, and 0, 0 when the source has no value at all. Of a field that
+// appears more than once the last counts, as in Decode.
 func Locate(src []byte, pointer string) (line, column int) {
 	p := locateAll(src, []string{pointer})[pointer]
 	return p.Line, p.Column
@@ -78,9 +79,7 @@
 	if !ok {
 		return false
 	}
-	if w.offset < 0 {
-		w.offset = tok.start
-	}
+	w.offset = tok.start
 	switch {
 	case len(w.children) == 0:
 		return l.tokens.skipRest(tok)
--- a/internal/ctl/key.go
+++ b/internal/ctl/key.go
@@ -25,6 +25,12 @@
 	return sha256.Sum256(append([]byte(digestPrefix), doc...))
 }
 
+// Signature is an operator's signature of the digest of a final document.
+type Signature struct {
+	Key   ed25519.PublicKey // The operator's key.
+	Value []byte
+}
+
 // Sign returns the Ed25519 signature of a digest.
 func Sign(key ed25519.PrivateKey, digest [sha256.Size]byte) []byte {
 	return ed25519.Sign(key, digest[:])
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -129,13 +129,22 @@
 	version, err = s.Publisher.Publish(ctx, doc, base)
 	var uncertain *UncertainError
 	if errors.As(err, &uncertain) {
-		version, err = s.readBack(ctx, doc, base, uncertain)
+		version, err = s.settle(ctx, doc, base, uncertain)
 		return version, err == nil, err
 	}
 	return version, false, err
 }
 
-func (s Session) readBack(ctx context.Context, doc []byte, base uint64, cause error) (uint64, error) {
+var errNotYet = errors.New("the published version has not changed")
+
+// Settle reads back whether an earlier write of unknown outcome took effect
+// and returns the published version. It fails with *RaceError when another
+// document replaced version base, and with *UndecidedError when none did.
+func (s Session) Settle(ctx context.Context, doc []byte, base uint64) (uint64, error) {
+	return s.settle(ctx, doc, base, errNotYet)
+}
+
+func (s Session) settle(ctx context.Context, doc []byte, base uint64, cause error) (uint64, error) {
 	for attempt := range readBackAttempts {
 		if attempt > 0 {
 			pause(ctx, s.ReadBackWait)
--- a/policy/diff_test.go
+++ b/policy/diff_test.go
@@ -90,6 +90,8 @@
 			assert.Nil(t, merged)
 			require.Len(t, conflicts, 1)
 			assert.Equal(t, c.want, conflicts[0].Path)
+			assert.Empty(t, policy.Diff(mine, policy.MergePreferring(base, mine, theirs, policy.Mine)))
+			assert.Empty(t, policy.Diff(theirs, policy.MergePreferring(base, mine, theirs, policy.Theirs)))
 		})
 	}
 }
--- a/policy/merge.go
+++ b/policy/merge.go
@@ -17,24 +17,47 @@
 // the other adds a target of it, so the caller checks it with Parse.
 func Merge(base, mine, theirs *Document) (*Document, []Conflict) {
 	m := merger{}
-	d := &Document{Version: theirs.Version}
-	d.LogLevel = mergeValue(&m, "/logLevel", base.LogLevel, mine.LogLevel, theirs.LogLevel)
-	d.Timing = mergeValue(&m, "/timing", base.Timing, mine.Timing, theirs.Timing)
-	d.Regions = mergeList(&m, regionKind, base.Regions, mine.Regions, theirs.Regions)
-	d.Links = mergeList(&m, linkKind, base.Links, mine.Links, theirs.Links)
-	d.Sites = mergeList(&m, siteKind, base.Sites, mine.Sites, theirs.Sites)
-	d.Services = mergeList(&m, serviceKind, base.Services, mine.Services, theirs.Services)
-	d.Targets = mergeList(&m, targetKind, base.Targets, mine.Targets, theirs.Targets)
-	d.Moves = mergeList(&m, moveKind, base.Moves, mine.Moves, theirs.Moves)
-	d.Blocks = mergeList(&m, blockKind, base.Blocks, mine.Blocks, theirs.Blocks)
-	d.LeavingInstances = mergeList(&m, leavingKind, base.LeavingInstances, mine.LeavingInstances, theirs.LeavingInstances)
+	d := m.merge(base, mine, theirs)
 	if len(m.conflicts) > 0 {
 		return nil, m.conflicts
 	}
 	return d, nil
 }
 
+// Side is one of the two edits of a merge.
+type Side int
+
+// Sides.
+const (
+	Mine Side = iota + 1
+	Theirs
+)
+
+// MergePreferring merges like Merge and takes the objects that both edits
+// changed from one side.
+func MergePreferring(base, mine, theirs *Document, side Side) *Document {
+	m := merger{prefer: side}
+	return m.merge(base, mine, theirs)
+}
+
+func (m *merger) merge(base, mine, theirs *Document) *Document {
+	return &Document{
+		Version:          theirs.Version,
+		LogLevel:         mergeValue(m, "/logLevel", base.LogLevel, mine.LogLevel, theirs.LogLevel),
+		Timing:           mergeValue(m, "/timing", base.Timing, mine.Timing, theirs.Timing),
+		Regions:          mergeList(m, regionKind, base.Regions, mine.Regions, theirs.Regions),
+		Links:            mergeList(m, linkKind, base.Links, mine.Links, theirs.Links),
+		Sites:            mergeList(m, siteKind, base.Sites, mine.Sites, theirs.Sites),
+		Services:         mergeList(m, serviceKind, base.Services, mine.Services, theirs.Services),
+		Targets:          mergeList(m, targetKind, base.Targets, mine.Targets, theirs.Targets),
+		Moves:            mergeList(m, moveKind, base.Moves, mine.Moves, theirs.Moves),
+		Blocks:           mergeList(m, blockKind, base.Blocks, mine.Blocks, theirs.Blocks),
+		LeavingInstances: mergeList(m, leavingKind, base.LeavingInstances, mine.LeavingInstances, theirs.LeavingInstances),
+	}
+}
+
 type merger struct {
+	prefer    Side // 0 makes a conflict of an object that both sides changed.
 	conflicts []Conflict
 }
 
@@ -42,8 +65,10 @@
 	switch {
 	case mine == base || mine == theirs:
 		return theirs
-	case theirs == base:
+	case theirs == base || m.prefer == Mine:
 		return mine
+	case m.prefer == Theirs:
+		return theirs
 	}
 	m.conflicts = append(m.conflicts, Conflict{path, base, mine, theirs})
 	return theirs
@@ -98,8 +123,10 @@
 	switch {
 	case mine.equal(k, base) || mine.equal(k, theirs):
 		return theirs
-	case theirs.equal(k, base):
+	case theirs.equal(k, base) || m.prefer == Mine:
 		return mine
+	case m.prefer == Theirs:
+		return theirs
 	}
 	some := mine
 	if some.object == nil {
--- a/policy/objects.go
+++ b/policy/objects.go
@@ -14,13 +14,13 @@
 }
 
 var (
-	regionKind  = kind[Region]{"regions", func(r Region) string { return r.Name }, equalRegions}
-	linkKind    = kind[Link]{"links", func(l Link) string { return l.From + ">" + l.To }, same[Link]}
-	siteKind    = kind[Site]{"sites", func(s Site) string { return s.Name }, equalSites}
-	serviceKind = kind[Service]{"services", func(s Service) string { return s.Name }, same[Service]}
-	targetKind  = kind[Target]{"targets", func(t Target) string { return t.Name }, same[Target]}
-	moveKind    = kind[Move]{"moves", func(m Move) string { return m.Service + ":" + m.From + ">" + m.To }, same[Move]}
-	blockKind   = kind[Block]{"blocks", func(b Block) string { return b.Prefix }, same[Block]}
+	regionKind  = kind[Region]{"regions", Region.Key, equalRegions}
+	linkKind    = kind[Link]{"links", Link.Key, same[Link]}
+	siteKind    = kind[Site]{"sites", Site.Key, equalSites}
+	serviceKind = kind[Service]{"services", Service.Key, same[Service]}
+	targetKind  = kind[Target]{"targets", Target.Key, same[Target]}
+	moveKind    = kind[Move]{"moves", Move.Key, same[Move]}
+	blockKind   = kind[Block]{"blocks", Block.Key, same[Block]}
 	leavingKind = kind[string]{"leavingInstances", func(s string) string { return s }, same[string]}
 )
 
@@ -47,3 +47,24 @@
 	}
 	return m
 }
+
+// Key returns the name by which changes refer to the region.
+func (r Region) Key() string { return r.Name }
+
+// Key returns "FROM>TO", by which changes refer to the link.
+func (l Link) Key() string { return l.From + ">" + l.To }
+
+// Key returns the name by which changes refer to the site.
+func (s Site) Key() string { return s.Name }
+
+// Key returns the name by which changes refer to the service.
+func (s Service) Key() string { return s.Name }
+
+// Key returns the name by which changes refer to the target.
+func (t Target) Key() string { return t.Name }
+
+// Key returns "SERVICE:FROM>TO", by which changes refer to the move.
+func (m Move) Key() string { return m.Service + ":" + m.From + ">" + m.To }
+
+// Key returns the prefix, by which changes refer to the block.
+func (b Block) Key() string { return b.Prefix }
--- a/policy/parse_test.go
+++ b/policy/parse_test.go
@@ -184,6 +184,22 @@
 	require.NoError(t, err)
 }
 
+// Checks of values must not repeat what is already reported about their form,
+// and must not be left out for a field that appears twice.
+func TestParseAddsNoRepetition(t *testing.T) {
+	src, err := twoRegions().Encode()
+	require.NoError(t, err)
+	text := strings.Replace(string(src), `"slots": 5`, `"slots": "x"`, 1)
+	text = strings.Replace(text, `"slots": 3`, `"slots": 0`, 1)
+	text = strings.Replace(text, `"timing": {`, `"timing": 5, "logLevel": "loud", "timings": {`, 1)
+	_, err = policy.Parse("p.json", []byte(text))
+	var got []string
+	for _, f := range findingsOf(t, err) {
+		got = append(got, f.Pointer)
+	}
+	assert.Equal(t, []string{"/timing", "/logLevel", "/logLevel", "/timings", "/targets/0/slots", "/targets/1/slots"}, got)
+}
+
 // A report on hundreds of thousands of wrong blocks must stay bounded.
 func TestParseBoundsTheReport(t *testing.T) {
 	d := twoRegions()
