Read published documents that current rules reject, so that they can be replaced

Cause: an instance or operator with stricter rules could not open the published document to mend it. Two publications of one draft at the same time wrote twice.

Change: the base of an edit is decoded with policy.Decode, which checks only its form; what is published is still checked completely. A draft ends for requests that wait for it.

--- a/console/console.go
+++ b/console/console.go
@@ -112,17 +112,19 @@
 }
 
 func (s *console) serve(ctx context.Context, r *request, next handler) {
-	r.draft = s.drafts.get(r.session)
-	if r.draft != nil {
-		r.draft.mu.Lock()
-		defer r.draft.mu.Unlock()
+	if d := s.drafts.get(r.session); d != nil {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if !d.ended {
+			r.draft = d
+		}
 	}
 	if err := next(ctx, r); err != nil {
 		s.fail(r, err)
 	}
 }
 
-// session returns the publishing steps for reading.
+// reader returns the publishing steps for reading.
 func (s *console) reader() ctl.Session {
 	return ctl.Session{Publisher: s.options.Reader, ReadBackWait: s.options.ReadBackWait}
 }
--- a/console/drafts.go
+++ b/console/drafts.go
@@ -13,6 +13,7 @@
 type draft struct {
 	mu      sync.Mutex
 	edit    ctl.Edit
+	ended   bool               // Published or discarded while another request waited for the draft.
 	pending *pending           // A write of unknown outcome; the draft cannot change or be published.
 	race    *ctl.RaceError     // A lost race with conflicts that the operator has to resolve.
 	lost    *ctl.LostRaceError // What the last lost race showed; for the review.
--- a/console/edit.go
+++ b/console/edit.go
@@ -46,10 +46,19 @@
 }
 
 func (s *console) discard(_ context.Context, r *request) error {
-	s.drafts.remove(r.session)
+	s.end(r)
 	return redirect(r, "/console")
 }
 
+// end removes the session's draft.
+func (s *console) end(r *request) {
+	if r.draft != nil {
+		r.draft.ended = true
+	}
+	s.drafts.remove(r.session)
+	r.draft = nil
+}
+
 func redirect(r *request, to string) error {
 	r.Redirect(303, []byte(to))
 	return nil
--- a/console/publish.go
+++ b/console/publish.go
@@ -131,8 +131,7 @@
 		fields["operatorKey"] = base64.StdEncoding.EncodeToString(key)
 	}
 	s.options.Log.WithFields(fields).Info("document published from the console")
-	s.drafts.remove(r.session)
-	r.draft = nil
+	s.end(r)
 	return s.message(r, 200, "Published", text)
 }
 
@@ -180,7 +179,7 @@
 	if !ok {
 		return &pageError{status: 400, message: "choose either mine or theirs"}
 	}
-	theirs, err := policy.Parse("published document", d.race.Document)
+	theirs, err := policy.Decode("published document", d.race.Document)
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -44,7 +44,7 @@
 // base returns the document that an edit started from.
 func (s Session) base(ctx context.Context, mine *policy.Document, baseFile string) (*policy.Document, error) {
 	if baseFile != "" {
-		return readDocument(baseFile)
+		return readBase(baseFile)
 	}
 	current, err := s.currentOrEmpty(ctx)
 	if err != nil {
@@ -56,6 +56,14 @@
 	return current, nil
 }
 
+func readBase(file string) (*policy.Document, error) {
+	src, err := readFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return policy.Decode(file, src)
+}
+
 // staleFileError reports a file that is based on another version than the
 // published one, without the document of that version to compare with.
 type staleFileError struct {
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -88,7 +88,8 @@
 func (e *UndecidedError) Unwrap() error { return e.Cause }
 
 // Current returns the published document, or nil when nothing has been
-// published. Its version is that of the publication.
+// published. Its version is that of the publication. Only its form is checked:
+// a document that current rules reject can still be replaced.
 func (s Session) Current(ctx context.Context) (*policy.Document, error) {
 	src, version, err := s.Publisher.Current(ctx)
 	if err != nil || version == 0 {
@@ -98,7 +99,7 @@
 }
 
 func parseVersion(src []byte, version uint64) (*policy.Document, error) {
-	d, err := policy.Parse(currentName, src)
+	d, err := policy.Decode(currentName, src)
 	if err != nil {
 		return nil, err
 	}
@@ -168,8 +169,8 @@
 	if bytes.Equal(a, b) {
 		return true
 	}
-	da, errA := policy.Parse(currentName, a)
-	db, errB := policy.Parse(currentName, b)
+	da, errA := policy.Decode(currentName, a)
+	db, errB := policy.Decode(currentName, b)
 	return errA == nil && errB == nil && len(policy.Diff(da, db)) == 0
 }
 
--- a/policy/parse.go
+++ b/policy/parse.go
@@ -14,6 +14,17 @@
 // Parse decodes and checks a document; name is the file in its findings. The
 // error is a *finding.Error with every problem.
 func Parse(name string, src []byte) (*Document, error) {
+	return parse(name, src, check)
+}
+
+// Decode decodes a document and checks only its form. It reads a document that
+// was published under other rules, so that it can be compared and replaced.
+// The error is a *finding.Error.
+func Decode(name string, src []byte) (*Document, error) {
+	return parse(name, src, func(*Document, *finding.List) {})
+}
+
+func parse(name string, src []byte, check func(*Document, *finding.List)) (*Document, error) {
 	var list finding.List
 	if len(src) > MaxDocumentBytes {
 		list.Add(finding.Finding{Position: finding.Position{File: name, Line: 1, Column: 1},
--- a/policy/parse_test.go
+++ b/policy/parse_test.go
@@ -36,6 +36,19 @@
 	assert.Len(t, d.Targets, 8)
 }
 
+// Decode must read what Parse rejects by its values, but not a wrong form.
+func TestDecode(t *testing.T) {
+	d := twoRegions()
+	d.Targets[0].Slots = 0
+	src, err := d.Encode()
+	require.NoError(t, err)
+	decoded, err := policy.Decode("p.json", src)
+	require.NoError(t, err)
+	assert.Equal(t, d, decoded)
+	_, err = policy.Decode("p.json", []byte(`{"version": "1"}`))
+	assert.NotEmpty(t, findingsOf(t, err))
+}
+
 // A reader of the encoding must get the same document: publishing compares them.
 func TestEncodeIsStable(t *testing.T) {
 	d, err := policy.Parse("policy.json", demoSource(t))
@@ -255,6 +268,32 @@
 	return src
 }
 
+func BenchmarkDiffDesignScale(b *testing.B) {
+	x, err := policy.Parse("scale", scaleSource(b))
+	require.NoError(b, err)
+	y := *x
+	y.Blocks = append([]policy.Block{}, x.Blocks...)
+	y.Blocks[1000].Site = "s"
+	b.ReportAllocs()
+	for b.Loop() {
+		if changes := policy.Diff(x, &y); len(changes) != 1 {
+			b.Fatal(changes)
+		}
+	}
+}
+
+func BenchmarkEncodeDesignScale(b *testing.B) {
+	d, err := policy.Parse("scale", scaleSource(b))
+	require.NoError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		src, err := d.Encode()
+		require.NoError(b, err)
+		b.SetBytes(int64(len(src)))
+		b.ReportMetric(float64(len(src)), "document-bytes")
+	}
+}
+
 func BenchmarkParseDesignScale(b *testing.B) {
 	src := scaleSource(b)
 	b.SetBytes(int64(len(src)))
