Bound the client blocks of all edits in the console

Cause: eight edits of a document at the design scale would take several hundred megabytes of an instance.

Change: all edits together hold at most 1.2 million blocks; a further edit or import is rejected.

--- a/console/console.go
+++ b/console/console.go
@@ -17,6 +17,7 @@
 // Bounds.
 const (
 	MaxDrafts      = 8
+	MaxDraftBlocks = 1_200_000 // Client blocks of all drafts; two drafts at the design scale of 570,000.
 	DraftIdle      = 12 * time.Hour
 	MaxFormBytes   = 64 << 10
 	MaxImportBytes = policy.MaxDocumentBytes + 1<<20 // Room for the parts of the form around the document.
--- a/console/doc.go
+++ b/console/doc.go
@@ -9,8 +9,9 @@
 // is settled by reading back and never repeated on its own.
 //
 // Drafts are kept in the memory of the instance and end with it, so a draft can
-// be exported and imported elsewhere. At most MaxDrafts exist at a time; an
-// unused draft ends after DraftIdle. Forms have at most MaxFormBytes, imports
+// be exported and imported elsewhere. At most MaxDrafts exist at a time,
+// with at most MaxDraftBlocks client blocks together; an unused draft ends
+// after DraftIdle. Forms have at most MaxFormBytes, imports
 // MaxImportBytes. The server should be made with
 // server.WithMaxRequestBodySize(MaxImportBytes), which bounds what is read
 // before a handler runs.
--- a/console/drafts.go
+++ b/console/drafts.go
@@ -1,7 +1,6 @@
 package console
 
 import (
-	"fmt"
 	"sync"
 	"time"
 
@@ -57,8 +56,9 @@
 }
 
 type kept struct {
-	draft *draft
-	used  time.Time
+	draft  *draft
+	used   time.Time
+	blocks int // Client blocks of its document, the part that takes memory.
 }
 
 func newDrafts(now func() time.Time) *drafts {
@@ -84,13 +84,37 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	if s.bySession[session] == nil && len(s.bySession) >= MaxDrafts {
-		return &pageError{status: 503, message: fmt.Sprintf("%d edits are open at this instance; finish or discard one, or use another instance", MaxDrafts)}
+	blocks := len(d.edit.Base.Blocks)
+	if len(s.bySession) >= MaxDrafts || s.otherBlocks(session)+blocks > MaxDraftBlocks {
+		return &pageError{status: 503, message: "too many edits are open at this instance; finish or discard one, or use another instance"}
 	}
-	s.bySession[session] = &kept{draft: d, used: s.now()}
+	s.bySession[session] = &kept{draft: d, used: s.now(), blocks: blocks}
 	return nil
 }
 
+// grow accepts a new number of blocks of a session's draft, or rejects it.
+func (s *drafts) grow(session string, blocks int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.otherBlocks(session)+blocks > MaxDraftBlocks {
+		return &pageError{status: 503, message: "the edits at this instance have too many client blocks together; finish or discard one, or use another instance"}
+	}
+	if k := s.bySession[session]; k != nil {
+		k.blocks = max(k.blocks, blocks)
+	}
+	return nil
+}
+
+func (s *drafts) otherBlocks(session string) int {
+	total := 0
+	for other, k := range s.bySession {
+		if other != session {
+			total += k.blocks
+		}
+	}
+	return total
+}
+
 func (s *drafts) remove(session string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/console/edit.go
+++ b/console/edit.go
@@ -160,6 +160,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.drafts.grow(r.session, len(mine.Blocks)); err != nil {
+		return err
+	}
 	d.change(mine)
 	return redirect(r, "/console/review")
 }
