Make two console and key tests fail for the fault that they guard against

Cause: a trial that removed the check of a key file's mode, and one that removed the end of a published draft, passed all tests. The key file in the test had no key, and the second request came after the first had ended.

Change: the test uses a valid key that others may read; the second request is known to wait for the draft before the first one ends.

--- a/console/console_test.go
+++ b/console/console_test.go
@@ -44,6 +44,7 @@
 
 	mu        sync.Mutex
 	now       time.Time
+	onNow     func() // Called when the console reads the time, which is when it looks for a draft.
 	signature ctl.Signature // Of the last publication.
 }
 
@@ -73,6 +74,9 @@
 		Now: func() time.Time {
 			b.mu.Lock()
 			defer b.mu.Unlock()
+			if b.onNow != nil {
+				b.onNow()
+			}
 			return b.now
 		},
 		Log: &log.Logger{Handler: discard.Default},
@@ -347,10 +351,15 @@
 	statuses := make(chan int, 2)
 	var second sync.WaitGroup
 	b.publisher.Before(func() {
+		found := make(chan struct{})
+		b.mu.Lock()
+		b.onNow = sync.OnceFunc(func() { close(found) })
+		b.mu.Unlock()
 		second.Go(func() {
 			status, _ := b.postWith(token, "/console/publish", signed)
 			statuses <- status
 		})
+		<-found // The second request has found the draft and waits for the first.
 	})
 	status, _ := b.post("/console/publish", signed)
 	statuses <- status
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -215,7 +215,9 @@
 func TestPublishNeedsKey(t *testing.T) {
 	b := newBench(t)
 	file := b.edited(leave(0))
-	readable := b.file("readable.pem", []byte("x"))
+	key, err := os.ReadFile(b.key)
+	require.NoError(t, err)
+	readable := b.file("readable.pem", key)
 	require.NoError(t, os.Chmod(readable, 0o644))
 	for _, args := range [][]string{
 		{"publish", file},
