--- a/console/console_test.go
+++ b/console/console_test.go
@@ -44,7 +44,7 @@
 
 	mu        sync.Mutex
 	now       time.Time
-	onNow     func() // Called when the console reads the time, which is when it looks for a draft.
+	onNow     func()        // Called when the console reads the time, which is when it looks for a draft.
 	signature ctl.Signature // Of the last publication.
 }
 
