--- /dev/null
+++ b/schema/schema.go
@@ -0,0 +1,13 @@
+package schema
+
+import _ "embed"
+
+// Policy is the schema of the policy document.
+//
+//go:embed policy.schema.json
+var Policy []byte
+
+// Settings is the schema of the settings of an instance.
+//
+//go:embed settings.schema.json
+var Settings []byte
