--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -76,6 +76,23 @@
 	assert.EqualValues(t, 8, b.Share())
 }
 
+// A member that others counted as gone while it was frozen must not go on with
+// its old share: the others may already use a version that it does not know.
+func TestRetiredHolderUsesNothingAfterAFreeze(t *testing.T) {
+	first := allotment.First(10, map[string]int64{"a": 2, "b": 8})
+	second := first.Next(10, map[string]int64{"a": 10}, func(string) bool { return false })
+	a, b := allotment.NewHolder("a"), allotment.NewHolder("b")
+	require.NoError(t, a.Learn(first))
+	require.NoError(t, b.Learn(first))
+	require.NoError(t, a.Learn(second))
+	a.Gone("b")
+	require.EqualValues(t, 10, a.Share())
+	b.Suspend()
+	b.Retire()
+	b.Resume()
+	assert.Zero(t, b.Share())
+}
+
 // An unknown version inside the range may give the holder any share.
 func TestMissingVersionCountsAsZero(t *testing.T) {
 	never := func(string) bool { return false }
