--- /dev/null
+++ b/dispatch/remote.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import "time"
+
+// remoteChoice is another region with its expected wait, transport included.
+type remoteChoice struct {
+	region string
+	wait   time.Duration
+}
+
+// bestRemote returns the region with the shortest expected wait, and false
+// when no other region has a fresh report and a live instance.
+func (s *Scheduler) bestRemote(now time.Time, v *service) (remoteChoice, bool) {
+	var best remoteChoice
+	for _, region := range s.remoteRegions {
+		r, ok := v.regions[region]
+		if !ok || now.Sub(r.taken) >= s.config.LoadLife || r.Slots == 0 {
+			continue
+		}
+		transport := s.view.Transport[region]
+		backlog := r.Queued + r.Busy + v.unseen(region, r.taken.Add(-transport))*s.regionSize
+		expected := wait(backlog, r.Slots, r.Hold) + 2*transport
+		if best.region == "" || expected < best.wait {
+			best = remoteChoice{region, expected}
+		}
+	}
+	return best, best.region != ""
+}
+
+// unseen returns the number of requests forwarded to a region since a time.
+func (v *service) unseen(region string, since time.Time) int {
+	sent := v.sent[region]
+	first := 0
+	for first < len(sent) && sent[first].Before(since) {
+		first++
+	}
+	v.sent[region] = sent[first:]
+	return len(sent) - first
+}
+
+// forward removes the request from the scheduler and relays it.
+func (s *Scheduler) forward(now time.Time, v *service, r *Request, choice remoteChoice, in Inputs) {
+	v.sent[choice.region] = append(v.sent[choice.region], now)
+	candidates := s.remoteMembers[choice.region]
+	s.turn++
+	r.Hops++
+	s.emit(Forward{Request: *r, Region: choice.region, Instance: candidates[s.turn%len(candidates)], Inputs: in})
+}
+
+// rebalance forwards the newest request of the queue when another region would
+// start it earlier. At most one request moves on each tick, so that the next
+// report can show the effect before more follow.
+func (s *Scheduler) rebalance(now time.Time, v *service) {
+	index := -1
+	for i := v.queue.len() - 1; i >= 0; i-- {
+		if v.queue.items[i].Hops == 0 {
+			index = i
+			break
+		}
+	}
+	if index < 0 {
+		return
+	}
+	choice, ok := s.bestRemote(now, v)
+	if !ok {
+		return
+	}
+	load := s.regionLoad(now, v)
+	here := wait(load.Queued+load.Busy-1, load.Slots, load.Hold)
+	if here <= choice.wait {
+		return
+	}
+	r := v.queue.remove(index)
+	s.forward(now, v, r, choice, Inputs{Age: now.Sub(r.Entered), Queued: v.queue.len(), ExpectedWait: here, RemoteWait: choice.wait})
+}
--- /dev/null
+++ b/dispatch/types.go
@@ -0,0 +1,209 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/outcome"
+	"github.com/jacinthstall/jacinthstall/slots"
+)
+
+// Limits and intervals of a Scheduler.
+const (
+	// TickInterval is the time between calls of Tick.
+	TickInterval = 10 * time.Millisecond
+	// MaxPeers bounds the instances of the region that get wants and loads.
+	MaxPeers = 8
+	// MaxAges bounds the ages in one want.
+	MaxAges = 8
+	// MaxAttempts bounds the targets tried for one request.
+	MaxAttempts = 3
+	// GrantMargin is the time between the latest end of a request and the
+	// expiry of its slot. It covers the cancellation at the target.
+	GrantMargin = time.Second
+	// FreezeAfter is the time between two events after which the instance
+	// counts as frozen in between.
+	FreezeAfter = time.Second
+	// ProbeInterval is the time between probes of a target that is down.
+	ProbeInterval = 100 * time.Millisecond
+	// AdmitShare is the part of a request's time limit in the queue that its
+	// expected wait may take. The rest covers the error of the estimate.
+	AdmitShare = 0.8
+
+	wantRefresh = 100 * time.Millisecond
+	wantLife    = 3 * wantRefresh
+	// initialHold is the assumed time that a request holds a slot until the
+	// first ones have ended.
+	initialHold = 50 * time.Millisecond
+	// holdWeight is the weight of one request in the mean time of a slot.
+	holdWeight = 1.0 / 64
+)
+
+// Config holds the fixed settings of a Scheduler.
+type Config struct {
+	Self        Member
+	Incarnation uint64        // Must differ between all homes of a region.
+	MaxQueued   int           // Bound of the queue of each service, in requests.
+	GrantLife   time.Duration // Time to live of a granted slot: the longest deadline plus GrantMargin.
+	// LoadInterval is the time between load reports. LoadLife is the age at
+	// which a report is ignored.
+	LoadInterval, LoadLife time.Duration
+}
+
+// Member is an entry instance.
+type Member struct {
+	Name   string
+	Region string
+	Domain string
+}
+
+// Service is a kind of request.
+type Service struct {
+	Name     string
+	MaxQueue time.Duration // Longest time in the queue; 0 means that only the deadline counts.
+}
+
+// Target is a target of the scheduler's region.
+type Target struct {
+	slots.Target
+	Home    string // Instance that grants its slots now; empty when there is none.
+	Fresh   bool   // No instance has granted its slots before.
+	Leaving bool
+}
+
+// View is what the instance knows of its surroundings.
+type View struct {
+	Members   []Member // Live instances of all regions, with this one.
+	Services  []Service
+	Targets   []Target                 // Targets of the own region.
+	Transport map[string]time.Duration // One-way delay to each other region.
+}
+
+// Request is a request that waits for a target.
+type Request struct {
+	ID       uint64 // Unique in this instance.
+	Service  string
+	Entered  time.Time // When the request entered the system, by the local clock.
+	Deadline time.Time
+	Hops     int // Times that the request was forwarded.
+	Attempts int // Targets tried so far.
+
+	tried [MaxAttempts]string
+}
+
+func (r *Request) excludes(target string) bool {
+	for _, name := range r.tried[:min(r.Attempts, MaxAttempts)] {
+		if name == target {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Request) before(other *Request) bool {
+	if !r.Entered.Equal(other.Entered) {
+		return r.Entered.Before(other.Entered)
+	}
+	return r.ID < other.ID
+}
+
+// Load is the load of one service, of one instance when it is exchanged inside
+// a region and of the whole region when it is sent to another one.
+type Load struct {
+	Service string
+	Queued  int
+	Busy    int
+	Slots   int           // Slots in service.
+	Hold    time.Duration // Mean time that a request holds a slot.
+	Age     time.Duration // Age of the figures when sent.
+}
+
+// Inputs are the figures that decided an action.
+type Inputs struct {
+	Age          time.Duration // Time since the request entered the system.
+	Queued       int           // Requests in the own queue of the service.
+	ExpectedWait time.Duration // In the own region.
+	RemoteWait   time.Duration // In the chosen region, with the transport; 0 when none was weighed.
+	Limit        time.Duration // Longest wait that the request may expect.
+}
+
+// Action is what the caller must carry out.
+type Action interface{ action() }
+
+// Start sends a request to a target under a granted slot.
+type Start struct {
+	Request Request
+	Target  string
+	Home    string
+	Grant   uint64
+	Until   time.Time // The request must have ended by then.
+	Inputs  Inputs
+}
+
+// Forward relays a request to an instance of another region.
+type Forward struct {
+	Request  Request
+	Region   string
+	Instance string
+	Inputs   Inputs
+}
+
+// Refuse answers a request without executing it.
+type Refuse struct {
+	Request Request
+	Reason  outcome.Reason
+	Waited  bool // The request was in the queue before.
+	Inputs  Inputs
+}
+
+// SendWant announces the ages of the oldest queued requests to a home. An
+// empty list cancels the last want.
+type SendWant struct {
+	To       string
+	Service  string
+	Sequence uint64
+	Ages     []time.Duration
+}
+
+// SendGrant offers a slot to a peer.
+type SendGrant struct {
+	To      string
+	Service string
+	Target  string
+	Grant   uint64
+	Life    time.Duration
+	Age     time.Duration // Age of the request for which the slot is meant.
+}
+
+// SendRelease returns a slot to its home.
+type SendRelease struct {
+	To     string
+	Target string
+	Grant  uint64
+	Cause  slots.Cause
+}
+
+// SendLoad reports the load to a peer.
+type SendLoad struct {
+	To   string
+	Load Load
+}
+
+// Probe checks a target that is down.
+type Probe struct {
+	Target string
+}
+
+// Refresh reads the member table and the list of instances again.
+type Refresh struct {
+	Gap time.Duration // Time between the last two events.
+}
+
+func (Start) action()       {}
+func (Forward) action()     {}
+func (Refuse) action()      {}
+func (SendWant) action()    {}
+func (SendGrant) action()   {}
+func (SendRelease) action() {}
+func (SendLoad) action()    {}
+func (Probe) action()       {}
+func (Refresh) action()     {}
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -288,6 +288,14 @@
 	}
 }
 
+// Rejoin returns a target that was leaving to service with one slot.
+func (l *Ledger) Rejoin(target string) {
+	if e := l.entries[target]; e != nil && e.leaving {
+		e.leaving = false
+		e.limit = 1
+	}
+}
+
 // Expire ends all grants and assumed slots whose time has passed and returns
 // the grants.
 func (l *Ledger) Expire(now time.Time) []Grant {
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -108,6 +108,8 @@
 	l.Release("t1", g.ID, slots.Crashed)
 	require.Equal(t, slots.ReasonDown, refusal(l, start))
 	require.Equal(t, []string{"t1"}, l.Down())
+	_, ok := l.Best("enrolment", none)
+	require.False(t, ok)
 	l.ProbeSucceeded("t1")
 	for allowed := 1; allowed <= target.Slots; allowed++ {
 		var open []slots.Grant
@@ -131,6 +133,9 @@
 	assert.True(t, freed)
 	l.ProbeSucceeded("t1")
 	assert.Equal(t, slots.ReasonLeaving, refusal(l, start))
+	l.Rejoin("t1")
+	assert.Empty(t, refusal(l, start))
+	assert.Equal(t, slots.ReasonBusy, refusal(l, start), "a target that returns is cold")
 }
 
 // A frozen instance may have been replaced as home while it stood still.
