--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -170,7 +170,7 @@
 // leave time to execute the request.
 func (v *service) limit(now time.Time, r *Request) time.Duration {
 	left := r.Deadline.Sub(now) - 2*v.hold
-	if v.MaxQueue > 0 {
+	if v.MaxQueue > 0 && r.Attempts == 0 {
 		left = min(left, v.MaxQueue-now.Sub(r.Entered))
 	}
 	return time.Duration(float64(left) * AdmitShare)
@@ -262,7 +262,9 @@
 
 func (s *Scheduler) retry(now time.Time, run execution, cause slots.Cause) {
 	r := run.request
-	r.tried[r.Attempts] = run.target
+	if r.Attempts < MaxAttempts {
+		r.tried[r.Attempts] = run.target
+	}
 	r.Attempts++
 	if r.Attempts < MaxAttempts {
 		s.admit(now, r)
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/jacinthstall/jacinthstall/outcome"
 	"github.com/jacinthstall/jacinthstall/slots"
 )
 
@@ -77,6 +78,18 @@
 		s.serviceNames = append(s.serviceNames, definition.Name)
 	}
 	slices.Sort(s.serviceNames)
+	for _, name := range sortedKeys(known) {
+		if s.services[name] == nil {
+			s.refuseAll(known[name])
+		}
+	}
+}
+
+// refuseAll refuses the queued requests of a service that was removed.
+func (s *Scheduler) refuseAll(v *service) {
+	for _, r := range v.queue.items {
+		s.emit(Refuse{Request: *r, Reason: outcome.ReasonNoService, Waited: true})
+	}
 }
 
 func (s *Scheduler) setTargets(now time.Time) {
--- /dev/null
+++ b/internal/policybench/driver.go
@@ -0,0 +1,422 @@
+package policybench
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/dispatch"
+	"github.com/jacinthstall/jacinthstall/outcome"
+	"github.com/jacinthstall/jacinthstall/slots"
+)
+
+const (
+	serviceName   = "enrolment"
+	loadInterval  = 50 * time.Millisecond
+	loadLife      = 500 * time.Millisecond
+	maxQueued     = 4096
+	drainAtTheEnd = 20 * time.Second
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+type event struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].order < h[j].order)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return last
+}
+
+// Result counts what callers and targets saw.
+type Result struct {
+	Responses  []time.Duration // Of answered requests after the warm-up.
+	Answered   int
+	InTime     int // Answered before the deadline.
+	Refused    map[outcome.Reason]int
+	RefusedAge []time.Duration // Age of refused requests.
+	Lost       int             // In an instance that was killed, or on a cut connection.
+	Excess     int             // Events after which a target ran more requests than slots.
+	Messages   map[string]int  // Sent between instances.
+	Starts     []Started
+	Span       time.Duration // Time of the last arrival.
+}
+
+// Started is a start of a request at a target.
+type Started struct {
+	At, End time.Duration
+	Target  int
+}
+
+// request is the driver's record of a request.
+type request struct {
+	arrival
+	first  int // Index of the entry instance of the caller.
+	path   time.Duration
+	counts bool
+	ended  bool
+}
+
+type target struct {
+	name    string
+	place   place
+	running int
+	down    bool
+}
+
+type node struct {
+	index     int
+	member    dispatch.Member
+	place     place
+	scheduler *dispatch.Scheduler
+	requests  map[uint64]*request
+	dead      bool
+}
+
+// driver connects schedulers and targets in virtual time.
+type driver struct {
+	c       Case
+	now     time.Duration
+	order   uint64
+	events  eventHeap
+	nodes   []*node
+	targets []*target
+	leaving map[string]bool
+	home    map[string]string
+	fresh   bool
+	nextID  uint64
+	result  Result
+
+	cut        func(a, b place) bool                     // Messages between a and b are lost.
+	falsify    func(dispatch.Load) (dispatch.Load, bool) // Changes a load report; false drops it.
+	dispatcher func(*driver)                             // Schedules the disturbances of the case.
+}
+
+func newDriver(c Case) *driver {
+	d := &driver{c: c, leaving: map[string]bool{}, home: map[string]string{}, fresh: true}
+	d.result.Refused, d.result.Messages = map[outcome.Reason]int{}, map[string]int{}
+	for i, p := range c.places() {
+		n := &node{index: i, place: p, requests: map[uint64]*request{},
+			member: dispatch.Member{Name: fmt.Sprintf("i%02d", i), Region: p.regionName(), Domain: p.name()}}
+		n.scheduler = dispatch.New(dispatch.Config{Self: n.member, Incarnation: uint64(i + 1), MaxQueued: maxQueued,
+			GrantLife: c.Deadline + dispatch.GrantMargin, LoadInterval: loadInterval, LoadLife: loadLife})
+		d.nodes = append(d.nodes, n)
+	}
+	for i := range targets {
+		d.targets = append(d.targets, &target{name: fmt.Sprintf("t%02d", i), place: targetPlace(i)})
+	}
+	d.cut = func(place, place) bool { return false }
+	d.falsify = func(l dispatch.Load) (dispatch.Load, bool) { return l, true }
+	return d
+}
+
+func (d *driver) clock() time.Time { return epoch.Add(d.now) }
+
+func (d *driver) at(when time.Duration, run func()) {
+	d.order++
+	heap.Push(&d.events, event{max(when, d.now), d.order, run})
+}
+
+// run processes all arrivals and returns the result.
+func (d *driver) run() Result {
+	list := d.c.arrivals()
+	d.setViews()
+	d.fresh = false
+	end := list[len(list)-1].at
+	d.result.Span = end
+	for _, n := range d.nodes {
+		d.tick(n, time.Duration(n.index)*dispatch.TickInterval/time.Duration(len(d.nodes)), end+drainAtTheEnd)
+	}
+	if d.dispatcher != nil {
+		d.dispatcher(d)
+	}
+	d.arrive(list, 0)
+	for len(d.events) > 0 {
+		e := heap.Pop(&d.events).(event)
+		d.now = e.at
+		e.run()
+		d.checkTargets()
+	}
+	return d.result
+}
+
+func (d *driver) checkTargets() {
+	for _, t := range d.targets {
+		if t.running > slotsPerTarget {
+			d.result.Excess++
+		}
+	}
+}
+
+func (d *driver) arrive(list []arrival, index int) {
+	if index == len(list) {
+		return
+	}
+	d.at(list[index].at, func() {
+		d.arrive(list, index+1)
+		r := &request{arrival: list[index], first: list[index].instance, counts: index >= int(warmUp*float64(len(list)))}
+		d.enter(d.live(r.first), r, 0)
+	})
+}
+
+// live returns the instance, or another one of the fleet that the caller
+// fails over to when it is dead.
+func (d *driver) live(index int) *node {
+	for i := range d.nodes {
+		if n := d.nodes[(index+i*regions)%len(d.nodes)]; !n.dead {
+			return n
+		}
+	}
+	return d.nodes[index]
+}
+
+func (d *driver) enter(n *node, r *request, hops int) {
+	d.nextID++
+	n.requests[d.nextID] = r
+	d.apply(n, n.scheduler.Arrive(d.clock(), dispatch.Request{ID: d.nextID, Service: serviceName,
+		Entered: epoch.Add(r.at), Deadline: epoch.Add(r.at + d.c.Deadline), Hops: hops}))
+}
+
+func (d *driver) tick(n *node, when, until time.Duration) {
+	if when > until {
+		return
+	}
+	d.at(when, func() {
+		if n.dead {
+			return
+		}
+		d.apply(n, n.scheduler.Tick(d.clock()))
+		d.tick(n, when+dispatch.TickInterval, until)
+	})
+}
+
+// message delivers a message between instances unless the path is cut or the
+// receiver is dead; then undelivered runs, when it is not nil.
+func (d *driver) message(kind string, from *node, to string, deliver func(*node) []dispatch.Action, undelivered func()) {
+	receiver := d.node(to)
+	d.result.Messages[kind]++
+	delay := d.c.Network.between(from.place, receiver.place)
+	d.at(d.now+delay, func() {
+		if d.cut(from.place, receiver.place) {
+			return
+		}
+		if receiver.dead {
+			if undelivered != nil {
+				d.at(d.now+delay, undelivered)
+			}
+			return
+		}
+		d.apply(receiver, deliver(receiver))
+	})
+}
+
+func (d *driver) node(name string) *node {
+	var index int
+	if _, err := fmt.Sscanf(name, "i%d", &index); err != nil {
+		panic("policybench: unknown instance " + name)
+	}
+	return d.nodes[index]
+}
+
+func (d *driver) target(name string) int {
+	var index int
+	if _, err := fmt.Sscanf(name, "t%d", &index); err != nil {
+		panic("policybench: unknown target " + name)
+	}
+	return index
+}
+
+// apply carries out the actions of a scheduler.
+func (d *driver) apply(n *node, actions []dispatch.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case dispatch.Start:
+			d.start(n, a)
+		case dispatch.Forward:
+			d.forward(n, a)
+		case dispatch.Refuse:
+			d.refuse(n, a)
+		case dispatch.Probe:
+			d.probe(n, a)
+		case dispatch.Refresh:
+			d.at(d.now, func() { d.apply(n, n.scheduler.SetView(d.clock(), d.view(n))) })
+		default:
+			d.send(n, a)
+		}
+	}
+}
+
+func (d *driver) send(n *node, action dispatch.Action) {
+	self := n.member
+	switch a := action.(type) {
+	case dispatch.SendWant:
+		w := dispatch.Want{From: self.Name, Incarnation: 1, Service: a.Service, Sequence: a.Sequence, Ages: a.Ages}
+		d.message("want", n, a.To, func(to *node) []dispatch.Action { return to.scheduler.Wanted(d.clock(), w) }, nil)
+	case dispatch.SendGrant:
+		g := dispatch.Grant{Home: self.Name, Service: a.Service, Target: a.Target, ID: a.Grant, Life: a.Life}
+		d.message("grant", n, a.To, func(to *node) []dispatch.Action { return to.scheduler.Granted(d.clock(), g) }, func() {
+			if !n.dead {
+				d.apply(n, n.scheduler.PeerSilent(d.clock(), a.To))
+				d.apply(n, n.scheduler.Released(d.clock(), a.Target, a.Grant, slots.Unused))
+			}
+		})
+	case dispatch.SendRelease:
+		d.message("release", n, a.To, func(to *node) []dispatch.Action {
+			return to.scheduler.Released(d.clock(), a.Target, a.Grant, a.Cause)
+		}, nil)
+	case dispatch.SendLoad:
+		load, ok := d.falsify(a.Load)
+		if !ok {
+			return
+		}
+		d.message("load", n, a.To, func(to *node) []dispatch.Action { return to.scheduler.LoadReported(d.clock(), self, load) }, nil)
+	}
+}
+
+func (d *driver) forward(n *node, a dispatch.Forward) {
+	r := n.requests[a.Request.ID]
+	delete(n.requests, a.Request.ID)
+	receiver := d.node(a.Instance)
+	delay := d.c.Network.between(n.place, receiver.place)
+	r.path += delay
+	d.result.Messages["forward"]++
+	d.at(d.now+delay, func() {
+		switch {
+		case d.cut(n.place, receiver.place):
+			d.result.Lost++
+		case receiver.dead:
+			r.path += delay
+			d.at(d.now+delay, func() { d.enter(d.live(r.first), r, 0) })
+		default:
+			d.enter(receiver, r, a.Request.Hops)
+		}
+	})
+}
+
+func (d *driver) refuse(n *node, a dispatch.Refuse) {
+	r := n.requests[a.Request.ID]
+	delete(n.requests, a.Request.ID)
+	d.result.Refused[a.Reason]++
+	d.result.RefusedAge = append(d.result.RefusedAge, d.now-r.at)
+}
+
+func (d *driver) probe(n *node, a dispatch.Probe) {
+	t := d.targets[d.target(a.Target)]
+	if t.down || d.cut(n.place, t.place) {
+		return
+	}
+	d.at(d.now+6*time.Millisecond, func() { d.apply(n, n.scheduler.ProbeSucceeded(d.clock(), t.name)) })
+}
+
+// start executes a request at its target. The target cancels it at its
+// deadline; the instance gives up at the same time when no answer has come.
+func (d *driver) start(n *node, a dispatch.Start) {
+	r := n.requests[a.Request.ID]
+	index := d.target(a.Target)
+	t := d.targets[index]
+	delay := d.c.Network.between(n.place, t.place)
+	until := a.Until.Sub(epoch)
+	finish := func(cause slots.Cause, retry bool) {
+		if n.dead || n.requests[a.Request.ID] == nil {
+			return
+		}
+		if !retry {
+			delete(n.requests, a.Request.ID)
+		}
+		d.apply(n, n.scheduler.Finished(d.clock(), a.Request.ID, cause, retry))
+	}
+	d.at(d.now+delay, func() {
+		if d.cut(n.place, t.place) {
+			d.at(until, func() { d.result.Lost++; finish(slots.TimedOut, false) })
+			return
+		}
+		if t.down {
+			d.at(d.now+delay, func() { finish(slots.ConnectFailed, true) })
+			return
+		}
+		t.running++
+		end := min(d.now+r.service, max(d.now, until))
+		d.result.Starts = append(d.result.Starts, Started{d.now, end, index})
+		d.at(end, func() {
+			t.running--
+			d.answer(n, t, r, delay, until, finish)
+		})
+	})
+}
+
+func (d *driver) answer(n *node, t *target, r *request, delay, until time.Duration, finish func(slots.Cause, bool)) {
+	if d.cut(n.place, t.place) {
+		d.at(until, func() { d.result.Lost++; finish(slots.TimedOut, false) })
+		return
+	}
+	d.at(d.now+delay, func() {
+		if n.dead {
+			d.result.Lost++
+			return
+		}
+		d.result.Answered++
+		response := d.now - r.at + r.path + 2*d.c.Network.Clients
+		if response <= d.c.Deadline {
+			d.result.InTime++
+		}
+		if r.counts {
+			d.result.Responses = append(d.result.Responses, response)
+		}
+		finish(slots.Answered, false)
+	})
+}
+
+// setViews gives all live instances the view of the current members.
+func (d *driver) setViews() {
+	d.assignHomes()
+	for _, n := range d.nodes {
+		if !n.dead {
+			d.apply(n, n.scheduler.SetView(d.clock(), d.view(n)))
+		}
+	}
+}
+
+func (d *driver) assignHomes() {
+	for _, t := range d.targets {
+		var members []slots.Member
+		for _, n := range d.nodes {
+			if !n.dead && n.place.region() == t.place.region() {
+				members = append(members, slots.Member{Name: n.member.Name, Domain: n.member.Domain})
+			}
+		}
+		d.home[t.name] = slots.Home(t.name, t.place.name(), members)
+	}
+}
+
+func (d *driver) view(n *node) dispatch.View {
+	v := dispatch.View{Services: []dispatch.Service{{Name: serviceName, MaxQueue: d.c.MaxQueue}}, Transport: map[string]time.Duration{}}
+	for _, other := range d.nodes {
+		if !other.dead {
+			v.Members = append(v.Members, other.member)
+		}
+		if other.place.region() != n.place.region() {
+			v.Transport[other.member.Region] = d.c.Network.Regions
+		}
+	}
+	for _, t := range d.targets {
+		if t.place.region() == n.place.region() {
+			v.Targets = append(v.Targets, dispatch.Target{Home: d.home[t.name], Fresh: d.fresh, Leaving: d.leaving[t.name],
+				Target: slots.Target{Name: t.name, Service: serviceName, Domain: t.place.name(), Slots: slotsPerTarget}})
+		}
+	}
+	return v
+}
