--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -6,6 +6,12 @@
 type remoteChoice struct {
 	region string
 	wait   time.Duration
+	queue  time.Duration // Part of wait that is spent in the queue there.
+}
+
+// shorterThan reports whether the wait is clearly shorter than the one here.
+func (c remoteChoice) shorterThan(here time.Duration) bool {
+	return here > c.wait+time.Duration(float64(c.queue)*ForwardMargin)
 }
 
 // bestRemote returns the region with the shortest expected wait, and false
@@ -19,9 +25,10 @@
 		}
 		transport := s.view.Transport[region]
 		backlog := r.Queued + r.Busy + v.unseen(region, r.taken.Add(-transport))*s.regionSize
-		expected := wait(backlog, r.Slots, r.Hold) + 2*transport
+		queued := wait(backlog, r.Slots, r.Hold)
+		expected := queued + 2*transport
 		if best.region == "" || expected < best.wait {
-			best = remoteChoice{region, expected}
+			best = remoteChoice{region: region, wait: expected, queue: queued}
 		}
 	}
 	return best, best.region != ""
@@ -67,7 +74,7 @@
 	}
 	load := s.regionLoad(now, v)
 	here := wait(load.Queued+load.Busy-1, load.Slots, load.Hold)
-	if here <= choice.wait {
+	if !choice.shorterThan(here) {
 		return
 	}
 	r := v.queue.remove(index)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -155,7 +155,7 @@
 	switch {
 	case !now.Before(r.Deadline):
 		s.emit(Refuse{Request: *r, Reason: outcome.ReasonDeadline, Inputs: in})
-	case remote && (noTarget || in.ExpectedWait > choice.wait) && choice.wait <= in.Limit:
+	case remote && (noTarget || choice.shorterThan(in.ExpectedWait)) && choice.wait <= in.Limit:
 		s.forward(now, v, r, choice, in)
 	case noTarget:
 		s.emit(Refuse{Request: *r, Reason: outcome.ReasonNoTarget, Inputs: in})
@@ -167,12 +167,16 @@
 }
 
 // limit returns the longest wait that a request may expect. The deadline must
-// leave time to execute the request.
+// leave time to execute the request. A request that was forwarded here gets the
+// whole time, since it was weighed against AdmitShare where it entered.
 func (v *service) limit(now time.Time, r *Request) time.Duration {
 	left := r.Deadline.Sub(now) - 2*v.hold
 	if v.MaxQueue > 0 && r.Attempts == 0 {
 		left = min(left, v.MaxQueue-now.Sub(r.Entered))
 	}
+	if r.Hops > 0 {
+		return left
+	}
 	return time.Duration(float64(left) * AdmitShare)
 }
 
@@ -249,6 +253,9 @@
 		return s.end()
 	}
 	delete(s.running, id)
+	if cause == slots.Leaving {
+		s.leaving[run.target] = true
+	}
 	s.release(now, run, cause)
 	v := s.services[run.request.Service]
 	if retry {
@@ -297,6 +304,9 @@
 	if !freed || v == nil {
 		return nil
 	}
+	if cause == slots.Leaving {
+		s.leaving[target] = true
+	}
 	if cause == slots.Answered && !g.Issued.IsZero() {
 		v.observe(now.Sub(g.Issued))
 	}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -29,6 +29,12 @@
 	// expected wait may take. The rest covers the error of the estimate.
 	AdmitShare = 0.8
 
+	// ForwardMargin is the part of the wait in the queue of another region by
+	// which forwarding there must be better. The error of the estimates grows
+	// with the wait; without the margin, regions that are all overloaded exchange
+	// requests that are then refused.
+	ForwardMargin = 0.5
+
 	wantRefresh = 100 * time.Millisecond
 	wantLife    = 3 * wantRefresh
 	// initialHold is the assumed time that a request holds a slot until the
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -17,11 +17,13 @@
 	Crashed       Cause = 4
 	TimedOut      Cause = 5
 	Unused        Cause = 6
+	// Leaving means answered, with the news that the target is leaving.
+	Leaving Cause = 7
 )
 
 // String returns the name of the cause in kebab case.
 func (c Cause) String() string {
-	names := [...]string{"unspecified", "answered", "shed", "connect-failed", "crashed", "timed-out", "unused"}
+	names := [...]string{"unspecified", "answered", "shed", "connect-failed", "crashed", "timed-out", "unused", "leaving"}
 	if c < 0 || int(c) >= len(names) {
 		return "unspecified"
 	}
@@ -258,6 +260,8 @@
 		e.limit = max(1, min(e.limit, e.used()))
 	case ConnectFailed, Crashed:
 		e.down = true
+	case Leaving:
+		e.leaving = true
 	}
 }
 
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -124,6 +124,15 @@
 	}
 }
 
+// The home must learn from a peer's answer that its target is leaving.
+func TestReleaseCanReportALeavingTarget(t *testing.T) {
+	l := newLedger(time.Time{})
+	g := acquire(t, l, start)
+	_, freed := l.Release("t1", g.ID, slots.Leaving)
+	require.True(t, freed)
+	assert.Equal(t, slots.ReasonLeaving, refusal(l, start))
+}
+
 func TestLeavingTargetGetsNoGrants(t *testing.T) {
 	l := newLedger(time.Time{})
 	g := acquire(t, l, start)
