--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -17,8 +17,10 @@
 //
 // # Actions
 //
-//   - Start: send the request to the target at once. Cancel it at Until at the
-//     latest, which is GrantMargin before the slot expires, and call Finished.
+//   - Start: send the request to the target at once, with the time until Until as
+//     its deadline, so that the target ends it even when this instance freezes.
+//     Cancel it at Until at the latest, which is GrantMargin before the slot
+//     expires, and call Finished.
 //   - Forward: relay the request to the instance with its age (now minus
 //     Entered) and Hops. That instance calls Arrive with Entered set to its own
 //     clock minus the age and the transport delay.
@@ -26,7 +28,7 @@
 //     unless Attempts was above zero and the last attempt's outcome was unknown.
 //   - SendWant, SendGrant, SendRelease, SendLoad: send the peer message. Wants
 //     and loads may be lost. A release may be repeated to the same instance, never
-//     to another one. When a grant certainly was not delivered (connection
+//     to another one. A grant is sent once. When a grant certainly was not delivered (connection
 //     refused), call Released with slots.Unused; when delivery is unknown, do
 //     nothing, since the slot returns when it expires.
 //   - Probe: probe the target; call ProbeSucceeded after a good probe. The action
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -176,6 +176,7 @@
 	Service string
 	Target  string
 	Grant   uint64
+	Want    uint64 // Sequence of the want that the grant answers.
 	Life    time.Duration
 	Age     time.Duration // Age of the request for which the slot is meant.
 }
--- a/dispatch/wants.go
+++ b/dispatch/wants.go
@@ -21,6 +21,7 @@
 	Service string
 	Target  string
 	ID      uint64
+	Want    uint64 // Sequence of the want that the grant answers.
 	Life    time.Duration
 }
 
@@ -38,6 +39,34 @@
 	head     uint64 // Id of the oldest request.
 	count    int
 	at       time.Time
+	sent     []sentWant // The newest announcements, at most keptWants.
+}
+
+// sentWant is when a want was sent.
+type sentWant struct {
+	sequence uint64
+	at       time.Time
+}
+
+// keptWants bounds the wants whose time of sending is remembered. A grant that
+// answers an older one is returned.
+const keptWants = 256
+
+func (a *announcement) record(sequence uint64, at time.Time) {
+	a.sent = append(a.sent, sentWant{sequence, at})
+	if len(a.sent) > 2*keptWants {
+		a.sent = append([]sentWant(nil), a.sent[keptWants:]...)
+	}
+}
+
+// sentAt returns when a want was sent.
+func (a *announcement) sentAt(sequence uint64) (time.Time, bool) {
+	for i := len(a.sent) - 1; i >= 0; i-- {
+		if a.sent[i].sequence == sequence {
+			return a.sent[i].at, true
+		}
+	}
+	return time.Time{}, false
 }
 
 // Wanted takes a peer's want. An older one than the last is ignored.
@@ -92,28 +121,36 @@
 	}
 	w := v.wants[peer]
 	w.entered = w.entered[1:]
-	s.emit(SendGrant{To: peer, Service: v.Name, Target: target, Grant: g.ID, Life: s.config.GrantLife, Age: now.Sub(entered)})
+	s.emit(SendGrant{To: peer, Service: v.Name, Target: target, Grant: g.ID, Want: w.sequence, Life: s.config.GrantLife, Age: now.Sub(entered)})
 }
 
 // Granted takes a slot from a home and starts the oldest request that may use
-// it, or returns the slot.
+// it, or returns the slot. The slot's life counts from the sending of the want,
+// which is before the home counts it, however late the grant arrives.
 func (s *Scheduler) Granted(now time.Time, g Grant) []Action {
 	s.begin(now)
 	v := s.services[g.Service]
-	if v == nil || s.leaving[g.Target] || s.frozen || s.homeOf[g.Target] != g.Home {
-		s.emit(SendRelease{To: g.Home, Target: g.Target, Grant: g.ID, Cause: slots.Unused})
+	if v == nil {
+		s.giveBack(g)
 		return s.end()
 	}
 	s.dropLate(now, v)
+	wanted, known := v.announced.sentAt(g.Want)
+	expires := wanted.Add(g.Life)
+	usable := known && now.Before(expires.Add(-GrantMargin)) && !s.frozen && !s.leaving[g.Target] && s.homeOf[g.Target] == g.Home
 	index := v.queue.oldest(g.Target)
-	if index < 0 {
-		s.emit(SendRelease{To: g.Home, Target: g.Target, Grant: g.ID, Cause: slots.Unused})
+	if !usable || index < 0 {
+		s.giveBack(g)
 		return s.settle(now, v)
 	}
-	s.start(now, v, v.queue.remove(index), g.Home, slots.Grant{ID: g.ID, Target: g.Target, Expires: now.Add(g.Life)})
+	s.start(now, v, v.queue.remove(index), g.Home, slots.Grant{ID: g.ID, Target: g.Target, Expires: expires})
 	return s.settle(now, v)
 }
 
+func (s *Scheduler) giveBack(g Grant) {
+	s.emit(SendRelease{To: g.Home, Target: g.Target, Grant: g.ID, Cause: slots.Unused})
+}
+
 // announce tells the homes about the oldest queued requests when they changed,
 // and again after wantRefresh.
 func (s *Scheduler) announce(now time.Time, v *service) {
@@ -128,6 +165,7 @@
 	}
 	last.head, last.count, last.at = head, count, now
 	last.sequence++
+	last.record(last.sequence, now)
 	ages := v.queue.ages(now)
 	for _, home := range v.homes {
 		s.emit(SendWant{To: home, Service: v.Name, Sequence: last.sequence, Ages: ages})
--- a/internal/policybench/driver.go
+++ b/internal/policybench/driver.go
@@ -306,7 +306,7 @@
 		w := dispatch.Want{From: self.Name, Incarnation: 1, Service: a.Service, Sequence: a.Sequence, Ages: a.Ages}
 		d.message("want", n, a.To, func(to *node) []dispatch.Action { return to.scheduler.Wanted(d.clock(), w) }, nil)
 	case dispatch.SendGrant:
-		g := dispatch.Grant{Home: self.Name, Service: a.Service, Target: a.Target, ID: a.Grant, Life: a.Life}
+		g := dispatch.Grant{Home: self.Name, Service: a.Service, Target: a.Target, ID: a.Grant, Want: a.Want, Life: a.Life}
 		d.message("grant", n, a.To, func(to *node) []dispatch.Action { return to.scheduler.Granted(d.clock(), g) }, func() {
 			if !n.dead {
 				d.apply(n, n.scheduler.PeerSilent(d.clock(), a.To))
