--- /dev/null
+++ b/membertable/holder.go
@@ -0,0 +1,164 @@
+package membertable
+
+import (
+	"slices"
+
+	"github.com/jacinthstall/jacinthstall/allotment"
+)
+
+// Holder is what one member knows of its region's table and what it may use.
+type Holder struct {
+	self    Member
+	record  Record
+	tables  map[uint64]Table
+	shares  *allotment.Holder
+	gone    map[string]bool
+	isolate bool // Suspended after a freeze, until the record was read again.
+}
+
+// NewHolder returns a holder that knows no table.
+func NewHolder(self Member) *Holder {
+	return &Holder{self: self, tables: map[uint64]Table{}, shares: allotment.NewHolder(self.ID()), gone: map[string]bool{}}
+}
+
+// Self returns the member whose holder this is.
+func (h *Holder) Self() Member { return h.self }
+
+// Version returns the version that this member confirms, 0 when it knows none.
+func (h *Holder) Version() uint64 { return h.shares.Newest() }
+
+// Record returns the newest record known.
+func (h *Holder) Record() Record { return h.record }
+
+// Learn takes a record and reports whether it is newer than the one known.
+func (h *Holder) Learn(r Record) bool {
+	if r.Newest() <= h.record.Newest() {
+		return false
+	}
+	for _, t := range r.Tables {
+		if err := h.shares.Learn(t.allotment()); err != nil {
+			return false
+		}
+		h.tables[t.Version] = t
+	}
+	h.record = r
+	h.dropFinished()
+	h.confirm(h.self, r.Newest())
+	return true
+}
+
+// dropFinished counts members as gone that the newest table lists neither as
+// members nor as former ones.
+func (h *Holder) dropFinished() {
+	last := h.record.last()
+	for _, t := range h.tables {
+		for _, m := range append(slices.Clone(t.Members), t.Former...) {
+			if !slices.Contains(last.Members, m) && !slices.Contains(last.Former, m) {
+				h.markGone(m)
+			}
+		}
+	}
+	oldest, _ := h.shares.Range()
+	for version := range h.tables {
+		if version < oldest {
+			delete(h.tables, version)
+		}
+	}
+}
+
+func (h *Holder) markGone(m Member) {
+	if h.gone[m.ID()] {
+		return
+	}
+	h.gone[m.ID()] = true
+	h.shares.Gone(m.ID())
+}
+
+func (h *Holder) confirm(m Member, version uint64) { h.shares.Confirm(m.ID(), version) }
+
+// Confirm notes the version that another member knows.
+func (h *Holder) Confirm(m Member, version uint64) { h.confirm(m, version) }
+
+// Gone notes that the platform's list calls a member gone, or that a newer
+// incarnation of its instance exists.
+func (h *Holder) Gone(m Member) { h.markGone(m) }
+
+// Suspend stops the use of shares and homes after a freeze, until Refreshed.
+func (h *Holder) Suspend() {
+	h.isolate = true
+	h.shares.Suspend()
+}
+
+// Suspended reports whether the holder waits for Refreshed.
+func (h *Holder) Suspended() bool { return h.isolate }
+
+// Refreshed ends a suspension after the newest record was read from the
+// platform or from a peer of the own domain. It returns false when that record
+// does not list this member any more: the instance must go on with a new
+// Holder of a new incarnation.
+func (h *Holder) Refreshed() bool {
+	if h.record.Newest() > 0 && !slices.Contains(h.record.last().Members, h.self) {
+		h.shares.Retire()
+		return false
+	}
+	h.isolate = false
+	h.shares.Resume()
+	return true
+}
+
+// AloneInDomain reports whether the newest table lists no other member of the
+// own domain. Then nobody but the platform's list can have replaced this
+// member during a freeze.
+func (h *Holder) AloneInDomain() bool {
+	for _, m := range h.record.last().Members {
+		if m.Domain == h.self.Domain && m != h.self {
+			return false
+		}
+	}
+	return true
+}
+
+// Share returns the part of a link's cap that this member may use, from 0 to 1.
+func (h *Holder) Share() float64 { return float64(h.shares.Share()) / Whole }
+
+// Home is the home of a target's slots.
+type Home struct {
+	Member Member
+	// Known is false while the home moves and nobody may grant.
+	Known bool
+	// Fresh is true when no other member was the home in any version since the
+	// first, so that no unknown grants can exist.
+	Fresh bool
+}
+
+// Home returns the home of a target that lies in a failure domain.
+func (h *Holder) Home(target, domain string) Home {
+	oldest, newest := h.shares.Range()
+	if newest == 0 || h.isolate {
+		return Home{}
+	}
+	home, ok := h.tables[newest].home(target, domain)
+	if !ok {
+		return Home{}
+	}
+	for version := oldest; version < newest; version++ {
+		t, known := h.tables[version]
+		before, listed := t.home(target, domain)
+		if !known || !listed || before != home {
+			return Home{}
+		}
+	}
+	return Home{Member: home, Known: true, Fresh: h.neverMoved(home, target, domain)}
+}
+
+func (h *Holder) neverMoved(home Member, target, domain string) bool {
+	if h.record.Tables[0].Version != 1 {
+		return false
+	}
+	for _, t := range h.record.Tables {
+		if before, ok := t.home(target, domain); ok && before != home {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/membertable/propose.go
@@ -0,0 +1,101 @@
+package membertable
+
+import (
+	"cmp"
+	"slices"
+)
+
+// State is what an instance believes of a member.
+type State int
+
+const (
+	// Alive members are added to the table and stay in it.
+	Alive State = iota
+	// Silent members stay, unless an instance of their own domain removes them.
+	Silent
+	// Leaving members are removed; they confirm the table before they stop.
+	Leaving
+	// Gone members are removed.
+	Gone
+)
+
+// Observed is the current view of one instance of the region.
+type Observed struct {
+	Member
+	State   State
+	Version uint64 // Table version that the member confirmed.
+}
+
+// Propose returns the record that should replace the known one, and whether it
+// differs. View lists the instances of the region as self sees them, with self.
+func (h *Holder) Propose(view []Observed) (Record, bool) {
+	last := h.record.last()
+	byName := map[string]Observed{}
+	for _, o := range view {
+		if known, ok := byName[o.Name]; !ok || known.Incarnation < o.Incarnation {
+			byName[o.Name] = o
+		}
+	}
+	members := h.proposedMembers(last, byName)
+	former := last.next(members, func(m Member) bool { return h.finished(m, byName) })
+	if slices.Equal(members, last.Members) && len(former.Former) == len(last.Former) {
+		return Record{}, false
+	}
+	return h.record.with(former), true
+}
+
+func (h *Holder) proposedMembers(last Table, byName map[string]Observed) []Member {
+	var out []Member
+	for _, m := range last.Members {
+		if h.stays(m, byName) {
+			out = append(out, m)
+		}
+	}
+	for _, o := range byName {
+		if o.State == Alive && !slices.Contains(out, o.Member) {
+			out = append(out, o.Member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (h *Holder) stays(m Member, byName map[string]Observed) bool {
+	o, known := byName[m.Name]
+	if !known {
+		return true
+	}
+	if o.Incarnation > m.Incarnation {
+		return false
+	}
+	switch o.State {
+	case Leaving, Gone:
+		return false
+	case Silent:
+		return m.Domain != h.self.Domain
+	}
+	return true
+}
+
+// finished reports whether a removed member can no longer use an older table:
+// it is gone or replaced, it confirmed a table without it, or it is silent in
+// the own domain, where a member that resumes after a freeze refreshes the
+// table before it grants anything.
+func (h *Holder) finished(m Member, byName map[string]Observed) bool {
+	o, known := byName[m.Name]
+	if !known {
+		return false
+	}
+	if o.Incarnation > m.Incarnation || o.State == Gone {
+		return true
+	}
+	if o.State == Silent && m.Domain == h.self.Domain {
+		return true
+	}
+	for _, t := range h.record.Tables {
+		if t.Version <= o.Version && !slices.Contains(t.Members, m) && slices.Contains(t.Former, m) {
+			return true
+		}
+	}
+	return false
+}
