--- a/ring/ring.go
+++ b/ring/ring.go
@@ -14,6 +14,7 @@
 	count   int
 	closed  bool
 	changed chan struct{} // Holds one token when items may be available.
+	space   chan struct{} // Holds one token when there may be room.
 }
 
 // New returns an empty ring that holds at most capacity items. Capacity must
@@ -22,7 +23,7 @@
 	if capacity < 1 {
 		panic("ring: capacity must be at least 1")
 	}
-	return &Ring[T]{items: make([]T, capacity), changed: make(chan struct{}, 1)}
+	return &Ring[T]{items: make([]T, capacity), changed: make(chan struct{}, 1), space: make(chan struct{}, 1)}
 }
 
 // TryPush appends an item. It returns false when the ring is full or closed.
@@ -34,11 +35,38 @@
 	}
 	r.items[(r.head+r.count)%len(r.items)] = item
 	r.count++
+	room := r.count < len(r.items)
 	r.mu.Unlock()
-	r.signal()
+	signal(r.changed)
+	if room {
+		signal(r.space)
+	}
 	return true
 }
 
+// Push appends an item, waiting until there is room. It returns false when ctx
+// ends or the ring is closed.
+func (r *Ring[T]) Push(ctx context.Context, item T) bool {
+	for !r.TryPush(item) {
+		if r.isClosed() {
+			signal(r.space) // Wakes the next waiting producer.
+			return false
+		}
+		select {
+		case <-r.space:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Ring[T]) isClosed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.closed
+}
+
 // Pop removes the oldest item, waiting until there is one. It returns false
 // when ctx ends, or when the ring is closed and empty.
 func (r *Ring[T]) Pop(ctx context.Context) (T, bool) {
@@ -60,7 +88,7 @@
 	defer r.mu.Unlock()
 	if r.count == 0 {
 		if r.closed {
-			r.signal() // Wakes the next waiting consumer.
+			signal(r.changed) // Wakes the next waiting consumer.
 		}
 		return item, false, r.closed
 	}
@@ -69,15 +97,16 @@
 	r.items[r.head] = zero
 	r.head = (r.head + 1) % len(r.items)
 	r.count--
+	signal(r.space)
 	if r.count > 0 {
-		r.signal()
+		signal(r.changed)
 	}
 	return item, true, false
 }
 
-func (r *Ring[T]) signal() {
+func signal(c chan struct{}) {
 	select {
-	case r.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -94,5 +123,6 @@
 	r.mu.Lock()
 	r.closed = true
 	r.mu.Unlock()
-	r.signal()
+	signal(r.changed)
+	signal(r.space)
 }
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthstall/jacinthstall/ring"
 )
@@ -54,8 +55,7 @@
 	for range producers {
 		produced.Go(func() {
 			for i := 1; i <= each; i++ {
-				for !r.TryPush(i) {
-				}
+				r.Push(context.Background(), i)
 			}
 		})
 	}
@@ -65,3 +65,20 @@
 	assert.EqualValues(t, producers*each, got.Load())
 	assert.EqualValues(t, producers*each*(each+1)/2, sum.Load())
 }
+
+// A producer that waits for room must end when the ring closes or its context
+// does; otherwise a stop would hang.
+func TestPushEndsWithCloseAndContext(t *testing.T) {
+	r := ring.New[int](1)
+	require.True(t, r.Push(context.Background(), 1))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.False(t, r.Push(ctx, 2))
+
+	var producers sync.WaitGroup
+	for range 3 {
+		producers.Go(func() { assert.False(t, r.Push(context.Background(), 3)) })
+	}
+	r.Close()
+	producers.Wait()
+}
