Add leases, rate limits and injectable faults to the platform stand-in

Hertz repeats a PUT itself when a kept connection ends without a response, whatever its retry function says; with kept connections a write whose answer was lost was reported as 'revision conflict' although it had taken effect.

--- a/standin/platformd/platformd.go
+++ b/standin/platformd/platformd.go
@@ -1,30 +1,89 @@
 // Package platformd is a stand-in for the platform, for tests and the demo:
-// a key-value service with compare-and-swap and watches, and a list of
-// instances. It keeps everything in memory.
+// a key-value service with compare-and-swap, watches and leases, and a lagging
+// list of instances. It keeps everything in memory, limits the rates of reads
+// and writes, and injects faults.
 package platformd
 
 import (
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/jacinthstall/jacinthstall/platform"
 )
 
-// Store is the state of the stand-in.
+// Limits are the platform's rates in calls per second. Zero means no limit.
+type Limits struct {
+	ReadsPerSecond  int `json:"readsPerSecond"` // Includes watches and the list.
+	WritesPerSecond int `json:"writesPerSecond"`
+}
+
+// DefaultLimits are the rates that the platform promises.
+var DefaultLimits = Limits{ReadsPerSecond: 2000, WritesPerSecond: 300}
+
+// Calls counts the calls that the stand-in received, refused ones included.
+type Calls struct {
+	Reads   uint64 `json:"reads"` // Gets and lists.
+	Watches uint64 `json:"watches"`
+	Writes  uint64 `json:"writes"` // Puts and lease calls.
+	Limited uint64 `json:"limited"`
+}
+
+// Store is the state of the stand-in. It is safe for concurrent use.
 type Store struct {
-	mu        sync.Mutex
-	values    map[string]platform.Value
-	changed   chan struct{}
-	instances []platform.Instance
+	mu          sync.Mutex
+	values      map[string]platform.Value
+	changed     chan struct{}
+	lists       []listing
+	leases      map[string]held
+	token       uint64
+	checkpoints map[string]map[string]platform.Value
+	faults      Faults
+	calls       Calls
+	reads       *rate.Limiter
+	writes      *rate.Limiter
 }
 
-// NewStore returns an empty store.
+// NewStore returns an empty store without rate limits.
 func NewStore(instances []platform.Instance) *Store {
-	return &Store{values: map[string]platform.Value{}, changed: make(chan struct{}), instances: instances}
+	s := &Store{
+		values:      map[string]platform.Value{},
+		changed:     make(chan struct{}),
+		leases:      map[string]held{},
+		checkpoints: map[string]map[string]platform.Value{},
+		lists:       []listing{{list: instances}},
+	}
+	s.SetLimits(Limits{})
+	return s
 }
 
-// Get returns the value of key.
+// SetLimits replaces the rate limits. Bursts of one second are allowed.
+func (s *Store) SetLimits(l Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads, s.writes = limiter(l.ReadsPerSecond), limiter(l.WritesPerSecond)
+}
+
+func limiter(perSecond int) *rate.Limiter {
+	if perSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
+}
+
+// Calls returns the calls counted so far.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Get returns the value of key, or platform.ErrNotFound.
 func (s *Store) Get(key string) (platform.Value, error) {
+	if err := s.admit(&s.calls.Reads, s.readLimit); err != nil {
+		return platform.Value{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v, ok := s.values[key]
@@ -34,28 +93,39 @@
 	return v, nil
 }
 
-// Put stores data if the revision of key is the given one.
+// Put stores data if the revision of key is the given one, else it returns
+// platform.ErrConflict. It returns platform.ErrUncertain when the write took
+// effect and the lost-answer fault is set.
 func (s *Store) Put(key string, data []byte, revision uint64) (uint64, error) {
+	if err := s.admit(&s.calls.Writes, s.writeLimit); err != nil {
+		return 0, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.values[key].Revision != revision {
 		return 0, platform.ErrConflict
 	}
-	s.values[key] = platform.Value{Data: data, Revision: revision + 1}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.values[key] = platform.Value{Data: append([]byte(nil), data...), Revision: revision + 1}
+	s.wake()
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return 0, platform.ErrUncertain
+	}
 	return revision + 1, nil
 }
 
 // Watch waits until the revision of key is above after, at most wait.
 func (s *Store) Watch(key string, after uint64, wait time.Duration) (platform.Value, error) {
+	if err := s.admit(&s.calls.Watches, s.readLimit); err != nil {
+		return platform.Value{}, err
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		s.mu.Lock()
-		v, ok := s.values[key]
-		changed := s.changed
-		s.mu.Unlock()
+		v, ok, changed, down := s.peek(key)
+		if down {
+			return platform.Value{}, platform.ErrUnavailable
+		}
 		if ok && v.Revision > after {
 			return v, nil
 		}
@@ -70,9 +140,42 @@
 	}
 }
 
-// Instances returns the list of instances.
-func (s *Store) Instances() []platform.Instance {
+func (s *Store) peek(key string) (platform.Value, bool, <-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]platform.Instance{}, s.instances...)
+	v, ok := s.values[key]
+	return v, ok, s.changed, s.faults.Outage
+}
+
+// wake wakes all waiting watches. The caller holds the lock.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
+
+// admit counts a call, applies the faults that hold for every call, and then
+// the rate limit.
+func (s *Store) admit(count *uint64, limit func() *rate.Limiter) error {
+	s.mu.Lock()
+	*count++
+	delay := time.Duration(s.faults.DelayMs) * time.Millisecond
+	down := s.faults.Outage
+	allowed := limit().AllowN(time.Now(), 1)
+	if !allowed {
+		s.calls.Limited++
+	}
+	s.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	switch {
+	case down:
+		return platform.ErrUnavailable
+	case !allowed:
+		return platform.ErrRateLimited
+	}
+	return nil
+}
+
+func (s *Store) readLimit() *rate.Limiter  { return s.reads }
+func (s *Store) writeLimit() *rate.Limiter { return s.writes }
--- a/standin/platformd/server.go
+++ b/standin/platformd/server.go
@@ -28,8 +28,46 @@
 		handleWatch(c, s)
 	})
 	h.GET("/v1/instances", func(_ context.Context, c *app.RequestContext) {
-		c.JSON(200, s.Instances())
+		list, err := s.Instances()
+		answer(c, list, err)
 	})
+	registerLeases(h, s)
+}
+
+func registerLeases(h *server.Hertz, s *Store) {
+	h.POST("/v1/lease/acquire", func(_ context.Context, c *app.RequestContext) {
+		ttl, ok := number(c, "ttlMs")
+		if !ok {
+			return
+		}
+		lease, err := s.Acquire(c.Query("name"), c.Query("holder"), time.Duration(ttl)*time.Millisecond)
+		answer(c, lease, err)
+	})
+	h.POST("/v1/lease/renew", func(_ context.Context, c *app.RequestContext) {
+		ttl, ok1 := number(c, "ttlMs")
+		token, ok2 := number(c, "token")
+		if !ok1 || !ok2 {
+			return
+		}
+		lease, err := s.Renew(c.Query("name"), token, time.Duration(ttl)*time.Millisecond)
+		answer(c, lease, err)
+	})
+	h.POST("/v1/lease/release", func(_ context.Context, c *app.RequestContext) {
+		token, ok := number(c, "token")
+		if !ok {
+			return
+		}
+		answer(c, platform.Lease{}, s.Release(c.Query("name"), token))
+	})
+}
+
+// number reads a query parameter, or answers 400.
+func number(c *app.RequestContext, name string) (uint64, bool) {
+	n, err := strconv.ParseUint(c.Query(name), 10, 63)
+	if err != nil {
+		c.JSON(400, map[string]string{"error": name + " must be a number"})
+	}
+	return n, err == nil
 }
 
 func handlePut(c *app.RequestContext, s *Store) {
@@ -59,7 +97,7 @@
 	answer(c, v, err)
 }
 
-func answer(c *app.RequestContext, v platform.Value, err error) {
+func answer(c *app.RequestContext, v any, err error) {
 	switch {
 	case err == nil:
 		c.JSON(200, v)
@@ -67,6 +105,11 @@
 		c.JSON(404, map[string]string{"error": "not found"})
 	case errors.Is(err, platform.ErrConflict):
 		c.JSON(409, map[string]string{"error": "revision conflict"})
+	case errors.Is(err, platform.ErrRateLimited):
+		c.JSON(429, map[string]string{"error": "rate limited"})
+	case errors.Is(err, platform.ErrUncertain):
+		// The answer is lost: the connection closes without a response.
+		_ = c.GetConn().Close()
 	default:
 		c.JSON(503, map[string]string{"error": err.Error()})
 	}
