--- /dev/null
+++ b/configsync/errors.go
@@ -0,0 +1,93 @@
+package configsync
+
+import "fmt"
+
+// FormatError reports a record that cannot be decoded.
+type FormatError struct {
+	Record string // Kind of record, for example "head".
+	Reason string
+}
+
+// Error returns the kind of record and the reason.
+func (e *FormatError) Error() string { return fmt.Sprintf("configsync: %s: %s", e.Record, e.Reason) }
+
+// SignatureError reports a head record that no operator key signed.
+type SignatureError struct {
+	Version uint64
+}
+
+// Error returns the version that is not signed.
+func (e *SignatureError) Error() string {
+	return fmt.Sprintf("configsync: version %d: no operator key signed the head record", e.Version)
+}
+
+// HashError reports content whose hash is not the expected one.
+type HashError struct {
+	Want, Got Hash
+}
+
+// Error returns both hashes.
+func (e *HashError) Error() string {
+	return fmt.Sprintf("configsync: content has hash %s, want %s", e.Got, e.Want)
+}
+
+// MissingError reports segments that are not available.
+type MissingError struct {
+	Count int
+}
+
+// Error returns the number of segments.
+func (e *MissingError) Error() string {
+	return fmt.Sprintf("configsync: %d segments are not available", e.Count)
+}
+
+// ConflictError reports that another operator published first. The document
+// of the caller was not published.
+type ConflictError struct {
+	Base     uint64 // Version that the caller's document was based on.
+	Version  uint64 // Version that is published.
+	Document []byte // Published document.
+}
+
+// Error returns both versions.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("configsync: based on version %d, but version %d is published", e.Base, e.Version)
+}
+
+// StaleError reports that the platform holds an older version than the one in
+// force, so that nothing can be published until it has been written back.
+type StaleError struct {
+	Platform uint64 // Version on the platform.
+	InForce  uint64
+}
+
+// Error returns both versions.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("configsync: platform holds version %d, but version %d is in force", e.Platform, e.InForce)
+}
+
+// UncertainError reports that a publication may or may not have taken effect,
+// because the head record could not be read back.
+type UncertainError struct {
+	Version uint64
+	Cause   error
+}
+
+// Error returns the version and the cause.
+func (e *UncertainError) Error() string {
+	return fmt.Sprintf("configsync: version %d may or may not be published: %v", e.Version, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UncertainError) Unwrap() error { return e.Cause }
+
+// InvalidError reports a document that cannot be published.
+type InvalidError struct {
+	Cause error
+}
+
+// Error returns the cause.
+func (e *InvalidError) Error() string { return "configsync: document is not valid: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *InvalidError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/configsync/watcher.go
@@ -0,0 +1,187 @@
+package configsync
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/platform"
+)
+
+const (
+	// watchWait bounds a waiting watch. A platform that was restored to an
+	// older revision answers a watch only after this time.
+	watchWait = 2 * time.Second
+	// watchTimeout bounds a watch whose response does not arrive.
+	watchTimeout = 2 * watchWait
+	// watchRetry is the pause after a failed watch, and between checks whether
+	// this instance is to watch.
+	watchRetry = 250 * time.Millisecond
+	// writeBackSpread is the time over which the watching instances of all
+	// domains spread their write-backs, so that usually one of them writes.
+	writeBackSpread = time.Second
+	// coldPeers is the number of members that a cold instance asks before it
+	// reads the platform, which may hold an older version.
+	coldPeers = 4
+)
+
+// Watcher keeps one instance up to date from the platform while the instance
+// is one of the watching instances of its domain.
+type Watcher struct {
+	KV    platform.KV
+	Relay *Relay
+
+	revision uint64 // Revision of the head record seen last.
+	seen     []byte // Head record seen last.
+}
+
+// Run works until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	w.coldStart(ctx)
+	for ctx.Err() == nil {
+		r := w.Relay
+		if !newTree(r.self.Domain, r.peers.Members()).watches(r.self.Name) {
+			pause(ctx, watchRetry)
+			continue
+		}
+		if err := w.watch(ctx); err != nil && ctx.Err() == nil {
+			r.log.Emit(events.ConfigPlatformUnread, log.Fields{"reason": err.Error()})
+			pause(ctx, watchRetry)
+		}
+	}
+}
+
+// coldStart asks members, those of the domain first.
+func (w *Watcher) coldStart(ctx context.Context) {
+	r := w.Relay
+	var near, far []string
+	for _, m := range r.peers.Members() {
+		switch {
+		case m.Name == r.self.Name:
+		case m.Domain == r.self.Domain:
+			near = append(near, m.Name)
+		default:
+			far = append(far, m.Name)
+		}
+	}
+	candidates := append(near, far...)
+	for _, name := range candidates[:min(len(candidates), coldPeers)] {
+		r.pullOnce(ctx, name)
+	}
+}
+
+// watch waits for one change of the head record and takes it in.
+func (w *Watcher) watch(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	v, err := w.KV.Watch(callCtx, KeyHead, w.revision, watchWait)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		w.revision, w.seen = 0, nil
+		return w.writeBack(ctx, nil, 0)
+	case err != nil:
+		return err
+	}
+	w.revision = v.Revision
+	return w.take(ctx, v)
+}
+
+func (w *Watcher) take(ctx context.Context, v platform.Value) error {
+	r := w.Relay
+	head, err := r.decode(v.Data)
+	if err != nil {
+		if !bytes.Equal(v.Data, w.seen) {
+			r.rejected(0, "platform", err)
+		}
+		w.seen = v.Data
+		return nil
+	}
+	w.seen = v.Data
+	if head.Version < r.store.Current().Version() {
+		return w.writeBack(ctx, head, v.Revision)
+	}
+	changed, err := r.accept(ctx, v.Data, "platform", w.fetch)
+	if err != nil {
+		w.revision = 0 // The next watch returns the record again.
+		return err
+	}
+	if changed {
+		r.spread()
+	}
+	return nil
+}
+
+func (w *Watcher) fetch(ctx context.Context, hashes []Hash) ([][]byte, error) {
+	return fetchFromPlatform(ctx, w.KV, hashes)
+}
+
+// writeBack replaces an older head record by the one in force, so that no
+// change can be based on the older one. older is nil when the platform has none.
+func (w *Watcher) writeBack(ctx context.Context, older *Head, revision uint64) error {
+	r := w.Relay
+	if r.store.Current() == nil {
+		return nil
+	}
+	if !pause(ctx, w.writeBackDelay()) || w.replaced(ctx, revision) {
+		return nil
+	}
+	current := r.store.Current()
+	var platformVersion uint64
+	if older != nil {
+		platformVersion = older.Version
+	}
+	r.log.Emit(events.ConfigPlatformOlder, log.Fields{"platform": platformVersion, "version": current.Version()})
+	if err := w.store(ctx, current, older, revision); err != nil {
+		r.log.Emit(events.ConfigWriteBackFailed, log.Fields{"version": current.Version(), "reason": err.Error()})
+		return err
+	}
+	r.log.Emit(events.ConfigWrittenBack, log.Fields{"version": current.Version()})
+	return nil
+}
+
+func (w *Watcher) writeBackDelay() time.Duration {
+	return time.Duration(xxhash.Sum64String(w.Relay.self.Name) % uint64(writeBackSpread))
+}
+
+// replaced reports whether the head record no longer has a revision. When it
+// cannot be read, it reports true, and the next watch decides.
+func (w *Watcher) replaced(ctx context.Context, revision uint64) bool {
+	v, err := w.KV.Get(ctx, KeyHead)
+	if errors.Is(err, platform.ErrNotFound) {
+		return revision != 0
+	}
+	return err != nil || v.Revision != revision
+}
+
+func (w *Watcher) store(ctx context.Context, current *Snapshot, older *Head, revision uint64) error {
+	for _, p := range current.patches {
+		if err := storeSegment(ctx, w.KV, p.hash, p.data); err != nil {
+			return err
+		}
+	}
+	if err := storeContent(ctx, w.KV, current.content, w.stored(ctx, older)); err != nil {
+		return err
+	}
+	_, err := w.KV.Put(ctx, KeyHead, current.head.Encode(), revision)
+	if errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
+// stored returns the hashes of the segments that the platform has for an older
+// head record.
+func (w *Watcher) stored(ctx context.Context, older *Head) map[Hash]bool {
+	c := &content{}
+	if older != nil {
+		if manifest, err := fetchOne(ctx, older.Manifest, w.fetch); err == nil {
+			c.hashes, _ = parseManifest(manifest)
+		}
+	}
+	return c.known()
+}
