Use signed configuration distribution in the entry instance

The demo publishes a second version and checks that it is in force at all four instances. The demo's operator key is committed and marked as such.

--- a/cmd/jacinth-platform/main.go
+++ b/cmd/jacinth-platform/main.go
@@ -2,6 +2,8 @@
 package main
 
 import (
+	"context"
+	"crypto/ed25519"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -12,7 +14,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/peterbourgon/ff/v3"
 
-	"github.com/jacinthstall/jacinthstall/entry"
+	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
 )
@@ -28,7 +30,8 @@
 	fs := flag.NewFlagSet("jacinth-platform", flag.ContinueOnError)
 	address := fs.String("address", "127.0.0.1:7000", "ip:port to listen on")
 	instances := fs.String("instances", "", "JSON file with the list of instances")
-	document := fs.String("document", "", "policy document to store at start")
+	document := fs.String("document", "", "policy document to publish at start")
+	key := fs.String("key", "", "file with the operator's private key that signs the document")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("JACINTH_PLATFORM")); err != nil {
 		return err
 	}
@@ -37,7 +40,8 @@
 		return err
 	}
 	store := platformd.NewStore(list)
-	if err := storeDocument(store, *document); err != nil {
+	store.SetLimits(platformd.DefaultLimits)
+	if err := publishDocument(store, *document, *key); err != nil {
 		return err
 	}
 	hlog.SetLevel(hlog.LevelError)
@@ -47,6 +51,7 @@
 		server.WithDisablePrintRoute(true),
 	)
 	platformd.Register(h, store)
+	platformd.RegisterAdmin(h, store)
 	return h.Run()
 }
 
@@ -65,7 +70,7 @@
 	return list, nil
 }
 
-func storeDocument(store *platformd.Store, file string) error {
+func publishDocument(store *platformd.Store, file, keyFile string) error {
 	if file == "" {
 		return nil
 	}
@@ -73,6 +78,12 @@
 	if err != nil {
 		return err
 	}
-	_, err = store.Put(entry.KeyDocument, src, 0)
+	key, err := configsync.LoadPrivateKey(keyFile)
+	if err != nil {
+		return err
+	}
+	keys := []ed25519.PublicKey{configsync.PublicKey(key)}
+	p := configsync.Publisher{KV: platformd.Local{Store: store}, Key: key, Keys: keys}
+	_, err = p.Publish(context.Background(), src, 0)
 	return err
 }
--- a/configsync/head.go
+++ b/configsync/head.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/ed25519"
-	"encoding/base64"
 	"encoding/binary"
 	"fmt"
 )
@@ -99,16 +98,3 @@
 	}
 	return h, nil
 }
-
-// ParseKeys reads Ed25519 public keys in base64.
-func ParseKeys(encoded []string) ([]ed25519.PublicKey, error) {
-	var keys []ed25519.PublicKey
-	for _, text := range encoded {
-		key, err := base64.StdEncoding.DecodeString(text)
-		if err != nil || len(key) != ed25519.PublicKeySize {
-			return nil, &FormatError{Record: "operator key", Reason: fmt.Sprintf("%q is not a public key in base64", text)}
-		}
-		keys = append(keys, key)
-	}
-	return keys, nil
-}
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -4,7 +4,7 @@
 # All processes that it starts end with it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o bin/ ./cmd/...
+go build -o bin/ ./cmd/... ./demo/publish
 mkdir -p demo/run
 pids=()
 cleanup() {
@@ -20,7 +20,7 @@
   pids+=($!)
 }
 
-start platform bin/jacinth-platform --address 127.0.0.1:17000 --instances demo/instances.json --document demo/policy.json
+start platform bin/jacinth-platform --address 127.0.0.1:17000 --instances demo/instances.json --document demo/policy.json --key demo/demo-only-keys/operator.key
 port=17100
 for domain in a b; do
   for kind in catalogue:5 enrolment:3; do
@@ -46,5 +46,20 @@
   echo "the instance with operator port $1 is not ready" >&2
   return 1
 }
+wait_version() {
+  for _ in $(seq 1 100); do
+    if curl -s "http://127.0.0.1:$1/status" | grep -q "\"version\":$2,"; then
+      return 0
+    fi
+    sleep 0.1
+  done
+  echo "the instance with operator port $1 does not have version $2" >&2
+  return 1
+}
 for port in 17400 17401 17402 17403; do wait_ready "$port"; done
 bin/jacinth-load --bootstrap 127.0.0.1:17200 --requests "${REQUESTS:-400}" --concurrency 8
+
+sed 's/"lookupTtlMs": 1000/"lookupTtlMs": 900/' demo/policy.json >demo/run/policy-2.json
+version=$(bin/publish --platform 127.0.0.1:17000 --document demo/run/policy-2.json --key demo/demo-only-keys/operator.key --base 1)
+for port in 17400 17401 17402 17403; do wait_version "$port" "$version"; done
+echo "version $version is in force at all instances"
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	forwarder   *forward.Forwarder
 	document    atomic.Pointer[policy.Document]
 	members     *members
+	config      *config
 	leaving     atomic.Bool
 	inFlight    atomic.Int64
 	log         log.Interface
@@ -37,14 +38,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Instance{
+	in := &Instance{
 		settings:    s,
 		incarnation: uint64(time.Now().UnixNano()),
 		platform:    p,
 		forwarder:   forward.New(),
 		members:     newMembers(),
 		log:         logger,
-	}, nil
+	}
+	in.config, err = newConfig(in)
+	return in, err
 }
 
 // Run serves until ctx ends, then stops gracefully: it announces that it is
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -26,11 +26,12 @@
 }
 
 // Heartbeat answers with the state of this instance.
-func (p *peerServer) Heartbeat(_ context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+func (p *peerServer) Heartbeat(ctx context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
 	if from := r.GetFrom(); from != nil {
 		leaving := from.State == peerpb.MemberState_MEMBER_STATE_LEAVING
 		p.in.members.answered(from.Name, leaving, time.Now())
 	}
+	p.in.heartbeatSeen(ctx, r.GetFrom(), r.GetConfigVersion())
 	return &peerpb.HeartbeatResponse{From: p.in.selfUpdate(), ConfigVersion: p.in.configVersion()}, nil
 }
 
@@ -75,6 +76,7 @@
 	}
 	leaving := answer.GetFrom().GetState() == peerpb.MemberState_MEMBER_STATE_LEAVING
 	in.members.answered(name, leaving, time.Now())
+	in.heartbeatSeen(ctx, answer.GetFrom(), answer.GetConfigVersion())
 }
 
 func (in *Instance) configVersion() uint64 {
