--- a/configsync/watcher.go
+++ b/configsync/watcher.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// watchWait bounds a waiting watch. A platform that was restored to an
-	// older revision answers a watch only after this time.
-	watchWait = 2 * time.Second
+	// WatchWait bounds a waiting watch. A platform that was restored to an
+	// older revision answers a watch only after this time. Each end of a watch
+	// transfers the head record: with 2 s, that alone costs up to 7 KB/s.
+	WatchWait = 5 * time.Second
 	// watchTimeout bounds a watch whose response does not arrive.
-	watchTimeout = 2 * watchWait
+	watchTimeout = WatchWait + 3*time.Second
 	// watchRetry is the pause after a failed watch, and between checks whether
 	// this instance is to watch.
 	watchRetry = 250 * time.Millisecond
@@ -38,6 +39,7 @@
 
 	revision uint64 // Revision of the head record seen last.
 	seen     []byte // Head record seen last.
+	failing  bool   // The last watch failed. Only the first failure is logged.
 }
 
 // Run works until ctx ends.
@@ -49,13 +51,24 @@
 			pause(ctx, watchRetry)
 			continue
 		}
-		if err := w.watch(ctx); err != nil && ctx.Err() == nil {
-			r.log.Emit(events.ConfigPlatformUnread, log.Fields{"reason": err.Error()})
+		err := w.watch(ctx)
+		if ctx.Err() == nil {
+			w.note(err)
+		}
+		if err != nil {
 			pause(ctx, watchRetry)
 		}
 	}
 }
 
+// note logs the first of several failures.
+func (w *Watcher) note(err error) {
+	if err != nil && !w.failing {
+		w.Relay.log.Emit(events.ConfigPlatformUnread, log.Fields{"reason": err.Error()})
+	}
+	w.failing = err != nil
+}
+
 // coldStart asks members, those of the domain first.
 func (w *Watcher) coldStart(ctx context.Context) {
 	r := w.Relay
@@ -79,7 +92,7 @@
 func (w *Watcher) watch(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	v, err := w.KV.Watch(callCtx, KeyHead, w.revision, watchWait)
+	v, err := w.KV.Watch(callCtx, KeyHead, w.revision, WatchWait)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		w.revision, w.seen = 0, nil
