--- a/configsync/content_test.go
+++ b/configsync/content_test.go
@@ -120,6 +120,45 @@
 	return &Snapshot{head: head, content: c}
 }
 
+// A consumer that keeps the core and applies the changes of blocks must end
+// with the same blocks as the document has.
+func TestCoreAndBlockChanges(t *testing.T) {
+	before, after := testDocument(30), testDocument(31)
+	after.Blocks[3].Site = "moved"
+	after.Blocks = after.Blocks[2:]
+	a, b := snapshotOf(t, 1, before), snapshotOf(t, 2, after)
+	blocks := map[string]string{}
+	var from *Snapshot
+	for _, s := range []*Snapshot{a, b} {
+		set, removed, err := s.BlockChanges(from)
+		require.NoError(t, err)
+		for _, prefix := range removed {
+			delete(blocks, prefix)
+		}
+		for _, block := range set {
+			blocks[block.Prefix] = block.Site
+		}
+		from = s
+	}
+	want := map[string]string{}
+	for _, block := range after.Blocks {
+		want[block.Prefix] = block.Site
+	}
+	assert.Equal(t, want, blocks)
+	set, removed, err := b.BlockChanges(a)
+	require.NoError(t, err)
+	assert.Len(t, set, 2)
+	assert.Len(t, removed, 2)
+
+	core, err := b.Core()
+	require.NoError(t, err)
+	got, err := policy.Parse("core", core)
+	require.NoError(t, err)
+	assert.Equal(t, uint64(2), got.Version)
+	assert.Equal(t, after.Regions, got.Regions)
+	assert.Empty(t, got.Blocks)
+}
+
 // Versions must only rise, whatever order snapshots are offered in.
 func TestStoreVersionsOnlyRise(t *testing.T) {
 	var s Store
--- a/configsync/publisher.go
+++ b/configsync/publisher.go
@@ -48,6 +48,13 @@
 	return doc, s.Version(), err
 }
 
+// Snapshot returns the published snapshot, or nil before the first
+// publication.
+func (p *Publisher) Snapshot(ctx context.Context) (*Snapshot, error) {
+	s, _, err := p.read(ctx)
+	return s, err
+}
+
 // read returns the published snapshot, nil when there is none, and the
 // revision of the head record.
 func (p *Publisher) read(ctx context.Context) (*Snapshot, uint64, error) {
--- a/configsync/snapshot.go
+++ b/configsync/snapshot.go
@@ -34,6 +34,14 @@
 // Document returns the document as JSON with its version set.
 func (s *Snapshot) Document() ([]byte, error) { return s.content.assemble(s.head.Version) }
 
+// Core returns the document as JSON with its version set and without client
+// blocks. It costs much less than Document when there are many blocks.
+func (s *Snapshot) Core() ([]byte, error) {
+	core := &content{}
+	core.set(0, s.content.segments[0])
+	return core.assemble(s.head.Version)
+}
+
 // BlockChanges returns the blocks that differ from an earlier snapshot:
 // those added or steered to another site, and the prefixes removed. With a nil
 // snapshot it returns all blocks.
--- /dev/null
+++ b/standin/platformd/admin_test.go
@@ -0,0 +1,56 @@
+package platformd_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/ut"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/standin/platformd"
+)
+
+// The admin routes must set exactly the state that clients then meet, and must
+// keep working during an outage.
+func TestAdminRoutes(t *testing.T) {
+	s := platformd.NewStore(nil)
+	h := server.New()
+	platformd.RegisterAdmin(h, s)
+	do := func(method, path, body string) int {
+		content := ut.Body{Body: bytes.NewBufferString(body), Len: len(body)}
+		return ut.PerformRequest(h.Engine, method, path, &content).Result().StatusCode()
+	}
+	_, err := s.Put("k", []byte("old"), 0)
+	require.NoError(t, err)
+	require.Equal(t, 200, do("POST", "/admin/checkpoint?name=c", ""))
+	_, err = s.Put("k", []byte("new"), 1)
+	require.NoError(t, err)
+
+	require.Equal(t, 200, do("PUT", "/admin/faults", `{"outage":true,"delayMs":1}`))
+	assert.Equal(t, platformd.Faults{Outage: true, DelayMs: 1}, s.Faults())
+	_, err = s.Get("k")
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.Equal(t, 200, do("PUT", "/admin/faults", `{}`))
+
+	require.Equal(t, 200, do("POST", "/admin/restore?name=c", ""))
+	require.Equal(t, 404, do("POST", "/admin/restore?name=unknown", ""))
+	v, err := s.Get("k")
+	require.NoError(t, err)
+	assert.Equal(t, "old", string(v.Data))
+
+	require.Equal(t, 200, do("PUT", "/admin/instances", `[{"name":"a","state":"leaving"}]`))
+	list, err := s.Instances()
+	require.NoError(t, err)
+	assert.Equal(t, []platform.Instance{{Name: "a", State: platform.InstanceLeaving}}, list)
+
+	require.Equal(t, 200, do("PUT", "/admin/limits", `{"readsPerSecond":1}`))
+	require.Equal(t, 400, do("PUT", "/admin/limits", `{`))
+	_, err = s.Get("k")
+	require.NoError(t, err)
+	_, err = s.Get("k")
+	require.ErrorIs(t, err, platform.ErrRateLimited)
+	require.Equal(t, 200, do("GET", "/admin/calls", ""))
+}
