--- a/cmd/jacinthd/main.go
+++ b/cmd/jacinthd/main.go
@@ -10,11 +10,11 @@
 	"syscall"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/jacinthstall/jacinthstall/entry"
+	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/settings"
 )
 
@@ -36,7 +36,9 @@
 		return err
 	}
 	hlog.SetLevel(hlog.LevelError)
-	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
+	handler := events.NewHandler(os.Stderr)
+	defer func() { _ = handler.Close() }()
+	logger := &log.Logger{Handler: handler, Level: log.DebugLevel}
 	in, err := entry.New(s, logger.WithField("instance", s.Name))
 	if err != nil {
 		return err
--- a/events/events.go
+++ b/events/events.go
@@ -48,18 +48,81 @@
 	return list
 }
 
-// Log emits events.
+// Log emits events. It is safe for concurrent use.
 type Log struct {
-	logger log.Interface
+	logger  log.Interface
+	handler *Handler // Nil when the logger has another handler.
+	base    []byte   // Encoded fields of the logger, when there is a handler.
 }
 
-// New returns a Log that writes through logger.
+// New returns a Log that writes through logger. When the logger's handler is a
+// *Handler, EmitFields encodes lines without apex's entries.
 func New(logger log.Interface) *Log {
-	return &Log{logger: logger}
+	l := &Log{logger: logger}
+	switch v := logger.(type) {
+	case *log.Logger:
+		l.handler, _ = v.Handler.(*Handler)
+	case *log.Entry:
+		l.handler, _ = v.Logger.Handler.(*Handler)
+		l.base = encodedFields(v)
+	}
+	return l
+}
+
+// encodedFields returns the fields of an entry, each with a leading comma. An
+// entry shows its fields only to a handler.
+func encodedFields(entry *log.Entry) []byte {
+	var b []byte
+	capture := log.HandlerFunc(func(e *log.Entry) error {
+		for _, name := range e.Fields.Names() {
+			b = append(b, ',')
+			b = appendText(b, name)
+			b = append(b, ':')
+			b = appendAny(b, e.Fields[name])
+		}
+		return nil
+	})
+	copied := *entry
+	copied.Logger = &log.Logger{Handler: capture, Level: log.DebugLevel}
+	copied.Info("")
+	return b
+}
+
+// Enabled reports whether events of the level are written. It is true when
+// the logger has another handler, which then decides.
+func (l *Log) Enabled(level log.Level) bool {
+	return l.handler == nil || l.handler.Enabled(level)
+}
+
+// SetLevel changes the lowest level that is written. It has no effect when the
+// logger has another handler.
+func (l *Log) SetLevel(level log.Level) {
+	if l.handler != nil {
+		l.handler.SetLevel(level)
+	}
+}
+
+// EmitFields writes one line for an event. Fields are those that the event
+// lists, in its order.
+func (l *Log) EmitFields(e *Event, fields ...Field) {
+	if l.handler != nil {
+		if l.handler.Enabled(e.Level) {
+			l.handler.emit(e, l.base, fields)
+		}
+		return
+	}
+	values := make(log.Fields, len(fields))
+	for i := range fields {
+		values[fields[i].name] = fields[i].value()
+	}
+	l.Emit(*e, values)
 }
 
 // Emit writes one line for an event. Fields are those that the event lists.
 func (l *Log) Emit(e Event, fields log.Fields) {
+	if !l.Enabled(e.Level) {
+		return
+	}
 	entry := l.logger.WithFields(fields).WithField("event", e.Number).WithField("name", e.Name)
 	switch e.Level {
 	case log.DebugLevel:
--- /dev/null
+++ b/events/handler_test.go
@@ -0,0 +1,161 @@
+package events
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"math"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// lines decodes the JSON lines of a writer.
+func lines(t *testing.T, text string) []map[string]any {
+	t.Helper()
+	var list []map[string]any
+	for line := range strings.Lines(text) {
+		var m map[string]any
+		require.NoError(t, json.Unmarshal([]byte(line), &m), line)
+		list = append(list, m)
+	}
+	return list
+}
+
+func TestEmitFieldsWritesOneJSONLine(t *testing.T) {
+	var out bytes.Buffer
+	h := NewHandler(&out)
+	l := New((&log.Logger{Handler: h, Level: log.DebugLevel}).WithField("instance", "a-1"))
+	l.EmitFields(&LookupDecided, String("caller", "quote \" and \u00e9 and \xff"), Int("n", -3),
+		Uint("u", math.MaxUint64), Bool("b", true), Strings("s", []string{"x", "y"}))
+	l.Emit(LookupRefused, log.Fields{"reason": "test", "error": errors.New("broken"), "f": math.NaN()})
+	require.NoError(t, h.Close())
+	got := lines(t, out.String())
+	require.Len(t, got, 2)
+	fields := got[0]["fields"].(map[string]any)
+	assert.Equal(t, "a-1", fields["instance"])
+	assert.Equal(t, "quote \" and \u00e9 and \ufffd", fields["caller"])
+	assert.EqualValues(t, 450, fields["event"])
+	assert.EqualValues(t, -3, fields["n"])
+	assert.Equal(t, true, fields["b"])
+	assert.Equal(t, []any{"x", "y"}, fields["s"])
+	assert.Equal(t, "info", got[0]["level"])
+	fields = got[1]["fields"].(map[string]any)
+	assert.Equal(t, "a-1", fields["instance"])
+	assert.Equal(t, "broken", fields["error"])
+	assert.Equal(t, "NaN", fields["f"])
+}
+
+// The same event must have the same fields through another handler.
+func TestEmitFieldsWorksWithOtherHandlers(t *testing.T) {
+	var got *log.Entry
+	handler := log.HandlerFunc(func(e *log.Entry) error { got = e; return nil })
+	New(&log.Logger{Handler: handler}).EmitFields(&LookupDecided, String("caller", "x"), Int("n", 2))
+	assert.Equal(t, log.Fields{"caller": "x", "n": int64(2), "event": 450, "name": "lookup-decided"}, got.Fields)
+}
+
+func TestLevelChangesAtRunTime(t *testing.T) {
+	var out bytes.Buffer
+	h := NewHandler(&out)
+	logger := &log.Logger{Handler: h, Level: log.DebugLevel}
+	l := New(logger)
+	logger.Debug("hidden")
+	l.SetLevel(log.DebugLevel)
+	logger.Debug("shown")
+	l.SetLevel(log.ErrorLevel)
+	l.EmitFields(&LookupDecided)
+	l.Emit(LookupDecided, nil)
+	require.NoError(t, h.Close())
+	got := lines(t, out.String())
+	require.Len(t, got, 1)
+	assert.Equal(t, "shown", got[0]["message"])
+}
+
+// gate blocks writes until it opens.
+type gate struct {
+	open chan struct{}
+	mu   sync.Mutex
+	out  bytes.Buffer
+}
+
+func (g *gate) Write(b []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.out.Write(b)
+}
+
+// Guards against lost lines when the ring is full, and at close.
+func TestNoLineIsLostWhenTheRingIsFull(t *testing.T) {
+	const writers, each = 8, 500
+	g := &gate{open: make(chan struct{})}
+	h := newHandler(g, 4)
+	l := New(&log.Logger{Handler: h, Level: log.DebugLevel})
+	var done sync.WaitGroup
+	for w := range writers {
+		done.Go(func() {
+			for i := range each {
+				l.EmitFields(&LookupDecided, Int("id", int64(w*each+i)))
+			}
+		})
+	}
+	close(g.open)
+	done.Wait()
+	require.NoError(t, h.Close())
+	l.EmitFields(&LookupDecided, Int("id", writers*each))
+	seen := map[float64]bool{}
+	for _, line := range lines(t, g.out.String()) {
+		seen[line["fields"].(map[string]any)["id"].(float64)] = true
+	}
+	assert.Len(t, seen, writers*each+1)
+	assert.Zero(t, h.Failed())
+}
+
+// discard counts bytes without keeping them.
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// Guards the cost of a log line in the decision path.
+func TestEmitFieldsAllocatesNothing(t *testing.T) {
+	if raceEnabled {
+		t.Skip("the race detector makes sync.Pool drop buffers at random")
+	}
+	h := NewHandler(discard{})
+	defer func() { _ = h.Close() }()
+	l := New(&log.Logger{Handler: h, Level: log.DebugLevel})
+	allocations := testing.AllocsPerRun(1000, func() {
+		l.EmitFields(&LookupDecided, String("caller", "10.0.0.1"), Int("n", 1))
+		for h.queue.Len() > 0 {
+			runtime.Gosched() // Lets the writer return the buffer.
+		}
+	})
+	assert.Less(t, allocations, 1.0)
+}
+
+func BenchmarkEmitFields(b *testing.B) {
+	h := NewHandler(discard{})
+	defer func() { _ = h.Close() }()
+	l := New((&log.Logger{Handler: h, Level: log.DebugLevel}).WithField("instance", "a-1"))
+	b.ReportAllocs()
+	for b.Loop() {
+		l.EmitFields(&LookupDecided, String("caller", "10.0.0.1"), String("site", "palermo-a"),
+			String("service", "catalogue"), Uint("policyVersion", 7), Int("chosen", 8))
+	}
+}
+
+func BenchmarkEmitMap(b *testing.B) {
+	h := NewHandler(discard{})
+	defer func() { _ = h.Close() }()
+	l := New((&log.Logger{Handler: h, Level: log.DebugLevel}).WithField("instance", "a-1"))
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Emit(LookupDecided, log.Fields{"caller": "10.0.0.1", "site": "palermo-a",
+			"service": "catalogue", "policyVersion": 7, "chosen": 8})
+	}
+}
--- /dev/null
+++ b/events/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package events
+
+const raceEnabled = false
