--- a/events/field.go
+++ b/events/field.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 	"unicode/utf8"
 )
@@ -17,21 +19,28 @@
 	kindUint
 	kindBool
 	kindStrings
+	kindAddr
 )
 
 // Field is one named value of a log line. Building and encoding one allocates
-// nothing.
+// nothing. Names are plain words without characters that JSON escapes.
 type Field struct {
 	name   string
 	kind   fieldKind
 	text   string
 	number uint64
 	list   []string
+	addr   netip.Addr
 }
 
 // String returns a field with a text.
 func String(name, value string) Field { return Field{name: name, kind: kindString, text: value} }
 
+// Addr returns a field with an IP address, without its zone.
+func Addr(name string, value netip.Addr) Field {
+	return Field{name: name, kind: kindAddr, addr: value.WithZone("")}
+}
+
 // Int returns a field with a signed number.
 func Int(name string, value int64) Field {
 	return Field{name: name, kind: kindInt, number: uint64(value)}
@@ -55,8 +64,9 @@
 	return Field{name: name, kind: kindStrings, list: value}
 }
 
-// value returns the value of the field as an apex/log field value.
-func (f Field) value() any {
+// value returns the value of the field as an apex/log field value. It copies,
+// so that the caller's buffers need not be on the heap.
+func (f *Field) value() any {
 	switch f.kind {
 	case kindInt:
 		return int64(f.number)
@@ -65,16 +75,17 @@
 	case kindBool:
 		return f.number == 1
 	case kindStrings:
-		return f.list
+		return append([]string(nil), f.list...) // slices.Clone would keep the list alive.
+	case kindAddr:
+		return f.addr.String()
 	}
-	return f.text
+	return strings.Clone(f.text)
 }
 
 // append appends the field as a JSON member with a leading comma.
-func (f Field) append(b []byte) []byte {
+func (f *Field) append(b []byte) []byte {
 	b = append(b, ',')
-	b = appendText(b, f.name)
-	b = append(b, ':')
+	b = appendName(b, f.name)
 	switch f.kind {
 	case kindInt:
 		return strconv.AppendInt(b, int64(f.number), 10)
@@ -84,6 +95,10 @@
 		return strconv.AppendBool(b, f.number == 1)
 	case kindStrings:
 		return appendTexts(b, f.list)
+	case kindAddr:
+		b = append(b, '"')
+		b = f.addr.AppendTo(b)
+		return append(b, '"')
 	}
 	return appendText(b, f.text)
 }
@@ -99,26 +114,51 @@
 	return append(b, ']')
 }
 
-// appendText appends a JSON string.
+// appendText appends a JSON string. Bytes that are not UTF-8 become U+FFFD.
 func appendText(b []byte, s string) []byte {
-	if !plain(s) {
-		quoted, _ := json.Marshal(s) // A string always encodes.
-		return append(b, quoted...)
-	}
 	b = append(b, '"')
-	b = append(b, s...)
+	start := 0
+	for i := 0; i < len(s); {
+		if unescaped[s[i]] {
+			i++
+			continue
+		}
+		b = append(b, s[start:i]...)
+		var size int
+		b, size = appendEscaped(b, s[i:])
+		i += size
+		start = i
+	}
+	b = append(b, s[start:]...)
 	return append(b, '"')
 }
 
-// plain reports whether s is a JSON string without escapes.
-func plain(s string) bool {
-	for i := range len(s) {
-		c := s[i]
-		if c < ' ' || c == '"' || c == '\\' || c >= utf8.RuneSelf {
-			return false
-		}
+// unescaped tells which bytes stand for themselves in a JSON string.
+var unescaped = func() (table [256]bool) {
+	for c := byte(' '); c < utf8.RuneSelf; c++ {
+		table[c] = c != '"' && c != '\\'
 	}
-	return true
+	return table
+}()
+
+// appendEscaped appends the first character of s and returns its size in s.
+func appendEscaped(b []byte, s string) ([]byte, int) {
+	const digits = "0123456789abcdef"
+	switch c := s[0]; {
+	case c == '"' || c == '\\':
+		return append(b, '\\', c), 1
+	case c < utf8.RuneSelf:
+		return append(b, '\\', 'u', '0', '0', digits[c>>4], digits[c&15]), 1
+	}
+	r, size := utf8.DecodeRuneInString(s)
+	return utf8.AppendRune(b, r), size
+}
+
+// appendName appends the name of a field, which has no characters to escape.
+func appendName(b []byte, name string) []byte {
+	b = append(b, '"')
+	b = append(b, name...)
+	return append(b, '"', ':')
 }
 
 // appendAny appends any value as JSON. A value that does not encode is written
--- a/events/handler.go
+++ b/events/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,9 @@
 	ringLines = 4096
 	// batchBytes bounds the lines that one write combines.
 	batchBytes = 64 << 10
+	// batchDelay is the pause after a write. It lets lines gather: waking the
+	// writer for each line costs its caller more than encoding the line.
+	batchDelay = time.Millisecond
 	// lineBytes is the initial size of a line buffer.
 	lineBytes = 512
 	// keptLineBytes is the largest line buffer that is used again.
@@ -99,22 +103,19 @@
 func (h *Handler) emit(e *Event, base []byte, fields []Field) {
 	line := h.buffer()
 	b := append(*line, `{"fields":{`...)
-	b = Int("event", int64(e.Number)).append(b)
-	b = String("name", e.Name).append(b)
+	b = append(b, `"event":`...)
+	b = strconv.AppendInt(b, int64(e.Number), 10)
+	b = append(b, `,"name":"`...)
+	b = append(b, e.Name...)
+	b = append(b, '"')
 	b = append(b, base...)
 	for i := range fields {
 		b = fields[i].append(b)
 	}
-	*line = appendEnd(withoutComma(b), e.Level, time.Now(), e.Message)
+	*line = appendEnd(b, e.Level, time.Now(), e.Message)
 	h.put(line)
 }
 
-// withoutComma removes the comma before the first field.
-func withoutComma(b []byte) []byte {
-	const start = len(`{"fields":{`)
-	return append(b[:start], b[start+1:]...)
-}
-
 func appendEnd(b []byte, level log.Level, at time.Time, message string) []byte {
 	b = append(b, `},"level":"`...)
 	b = append(b, level.String()...)
@@ -170,6 +171,9 @@
 			batch = h.take(batch, line)
 		}
 		h.write(batch)
+		if h.queue.Len() < ringLines/2 {
+			time.Sleep(batchDelay)
+		}
 	}
 }
 
--- a/events/handler_test.go
+++ b/events/handler_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math"
+	"net/netip"
 	"runtime"
 	"strings"
 	"sync"
@@ -32,7 +33,8 @@
 	h := NewHandler(&out)
 	l := New((&log.Logger{Handler: h, Level: log.DebugLevel}).WithField("instance", "a-1"))
 	l.EmitFields(&LookupDecided, String("caller", "quote \" and \u00e9 and \xff"), Int("n", -3),
-		Uint("u", math.MaxUint64), Bool("b", true), Strings("s", []string{"x", "y"}))
+		Uint("u", math.MaxUint64), Bool("b", true), Strings("s", []string{"x", "y"}),
+		Addr("a", netip.MustParseAddr("fe80::1%\"")))
 	l.Emit(LookupRefused, log.Fields{"reason": "test", "error": errors.New("broken"), "f": math.NaN()})
 	require.NoError(t, h.Close())
 	got := lines(t, out.String())
@@ -44,6 +46,7 @@
 	assert.EqualValues(t, -3, fields["n"])
 	assert.Equal(t, true, fields["b"])
 	assert.Equal(t, []any{"x", "y"}, fields["s"])
+	assert.Equal(t, "fe80::1", fields["a"])
 	assert.Equal(t, "info", got[0]["level"])
 	fields = got[1]["fields"].(map[string]any)
 	assert.Equal(t, "a-1", fields["instance"])
@@ -76,6 +79,26 @@
 	assert.Equal(t, "shown", got[0]["message"])
 }
 
+// Guards the encoder against output that is not JSON.
+func FuzzAppendText(f *testing.F) {
+	for _, seed := range []string{"", "a", "\"\\\x00\x1f\x7f", "\u00e9\u2028\U0001f600", "\xff\xc3", "\xe2\x80"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		var fromString string
+		require.NoError(t, json.Unmarshal(appendText(nil, text), &fromString))
+		assert.Equal(t, string([]rune(text)), fromString)
+	})
+}
+
+func TestEventFieldNamesNeedNoEscapes(t *testing.T) {
+	for _, e := range Catalogue() {
+		for _, name := range append(e.Fields, e.Name) {
+			assert.Equal(t, "\""+name+"\"", string(appendText(nil, name)), e.Number)
+		}
+	}
+}
+
 // gate blocks writes until it opens.
 type gate struct {
 	open chan struct{}
--- a/lookup/family.go
+++ b/lookup/family.go
@@ -458,3 +458,28 @@
 	raw := address.As16()
 	return key{hi: binary.BigEndian.Uint64(raw[:8]), lo: binary.BigEndian.Uint64(raw[8:])}, false
 }
+
+// prefix returns the prefix of a block.
+func (it item) prefix(is4 bool) netip.Prefix {
+	if is4 {
+		var raw [4]byte
+		binary.BigEndian.PutUint32(raw[:], uint32(it.key.hi>>32))
+		return netip.PrefixFrom(netip.AddrFrom4(raw), int(it.bits))
+	}
+	var raw [16]byte
+	binary.BigEndian.PutUint64(raw[:8], it.key.hi)
+	binary.BigEndian.PutUint64(raw[8:], it.key.lo)
+	return netip.PrefixFrom(netip.AddrFrom16(raw), int(it.bits))
+}
+
+// each calls yield for each block and reports whether it went through all.
+func (f *family) each(is4 bool, yield func(Block) bool) bool {
+	for i := range f.slots {
+		for _, it := range f.slots[i].items() {
+			if !yield(Block{Prefix: it.prefix(is4), Site: it.site}) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/lookup/steering.go
@@ -0,0 +1,190 @@
+package lookup
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"github.com/jacinthstall/jacinthstall/policy"
+)
+
+// maxSites is the number of sites that a Site can name.
+const maxSites = 1 << 16
+
+// siteRule is what a site means for a look-up.
+type siteRule struct {
+	name    string
+	domain  string
+	regions []string // Allowed regions, the domain's own first when it is allowed.
+	local   bool     // Whether the domain's region is allowed.
+}
+
+// skip returns the domain that the step over regions leaves out because its
+// instances are in the answer already.
+func (r *siteRule) skip() string {
+	if r.local {
+		return r.domain
+	}
+	return ""
+}
+
+// Steering holds what look-ups need of one policy document. It is immutable
+// and safe for concurrent use.
+type Steering struct {
+	Version  uint64 // Version of the document.
+	TTLMs    int    // Time in milliseconds that callers may cache an answer.
+	table    *Table
+	sites    []siteRule
+	fallback siteRule // Used for callers outside all blocks.
+	services map[string]offer
+}
+
+// BlockError reports a client block that cannot be used.
+type BlockError struct {
+	Index  int // Place in the document's list.
+	Prefix string
+	Cause  string
+}
+
+// Error names the block and the cause.
+func (e *BlockError) Error() string {
+	return fmt.Sprintf("lookup: block %d (%s): %s", e.Index, e.Prefix, e.Cause)
+}
+
+// NewSteering prepares a document for the look-ups of an instance in a domain.
+// When previous is not nil, only the blocks that differ from it are changed in
+// the table. It returns the number of changed blocks. The error is a
+// *BlockError.
+func NewSteering(d *policy.Document, domain string, previous *Steering) (*Steering, int, error) {
+	s := &Steering{Version: d.Version, TTLMs: d.Timing.LookupTTLMs}
+	s.addSites(d, domain)
+	s.addServices(d)
+	changed, err := s.addBlocks(d, previous)
+	return s, changed, err
+}
+
+// Blocks returns the number of client blocks.
+func (s *Steering) Blocks() int { return s.table.Len() }
+
+func (s *Steering) addSites(d *policy.Document, domain string) {
+	for _, site := range d.Sites {
+		s.sites = append(s.sites, newSiteRule(d, site))
+	}
+	var all []string
+	for _, r := range d.Regions {
+		all = append(all, r.Name)
+	}
+	s.fallback = newSiteRule(d, policy.Site{Domain: domain, Regions: all})
+}
+
+func newSiteRule(d *policy.Document, site policy.Site) siteRule {
+	home := d.RegionOf(site.Domain)
+	rule := siteRule{name: site.Name, domain: site.Domain, local: slices.Contains(site.Regions, home)}
+	if rule.local {
+		rule.regions = append(rule.regions, home)
+	}
+	for _, region := range site.Regions {
+		if region != home {
+			rule.regions = append(rule.regions, region)
+		}
+	}
+	return rule
+}
+
+func (s *Steering) addServices(d *policy.Document) {
+	s.services = map[string]offer{"": {everywhere: true}}
+	for _, service := range d.Services {
+		var o offer
+		for _, t := range d.Targets {
+			region := d.RegionOf(t.Domain)
+			if t.Service == service.Name && !t.Leaving && !slices.Contains(o.regions, region) {
+				o.regions = append(o.regions, region)
+			}
+		}
+		s.services[service.Name] = o
+	}
+}
+
+func (s *Steering) addBlocks(d *policy.Document, previous *Steering) (int, error) {
+	blocks, err := parseBlocks(d)
+	if err != nil {
+		return 0, err
+	}
+	if previous == nil {
+		list := make([]Block, 0, len(blocks))
+		for prefix, site := range blocks {
+			list = append(list, Block{Prefix: prefix, Site: site})
+		}
+		s.table, err = NewTable(list)
+		return len(list), err
+	}
+	delta := difference(previous.table, blocks)
+	s.table, err = previous.table.Apply(delta)
+	return len(delta.Remove) + len(delta.Set), err
+}
+
+func parseBlocks(d *policy.Document) (map[netip.Prefix]Site, error) {
+	if len(d.Sites) > maxSites {
+		return nil, &BlockError{Cause: fmt.Sprintf("the document has more than %d sites", maxSites)}
+	}
+	index := make(map[string]Site, len(d.Sites))
+	for i, site := range d.Sites {
+		index[site.Name] = Site(i)
+	}
+	blocks := make(map[netip.Prefix]Site, len(d.Blocks))
+	for i, b := range d.Blocks {
+		prefix, err := netip.ParsePrefix(b.Prefix)
+		if err != nil {
+			return nil, &BlockError{Index: i, Prefix: b.Prefix, Cause: err.Error()}
+		}
+		if prefix.Addr().Is4In6() {
+			return nil, &BlockError{Index: i, Prefix: b.Prefix, Cause: "IPv4-mapped; write it as an IPv4 prefix"}
+		}
+		site, ok := index[b.Site]
+		if !ok {
+			return nil, &BlockError{Index: i, Prefix: b.Prefix, Cause: fmt.Sprintf("no site %q", b.Site)}
+		}
+		blocks[prefix.Masked()] = site
+	}
+	return blocks, nil
+}
+
+// difference returns the changes that turn the blocks of a table into after.
+func difference(before *Table, after map[netip.Prefix]Site) Delta {
+	var delta Delta
+	for b := range before.All() {
+		if _, kept := after[b.Prefix]; !kept {
+			delta.Remove = append(delta.Remove, b.Prefix)
+		}
+	}
+	for prefix, site := range after {
+		if old, known := before.Get(prefix); !known || old != site {
+			delta.Set = append(delta.Set, Block{Prefix: prefix, Site: site})
+		}
+	}
+	return delta
+}
+
+// WithBlocks returns the steering of a later document version that differs only
+// in client blocks. The error is a *PrefixError.
+func (s *Steering) WithBlocks(version uint64, d Delta) (*Steering, error) {
+	table, err := s.table.Apply(d)
+	if err != nil {
+		return nil, err
+	}
+	next := *s
+	next.Version, next.table = version, table
+	return &next, nil
+}
+
+// WithTable returns the steering of a later document version with other client
+// blocks, in a table built at once. The error is a *PrefixError.
+func (s *Steering) WithTable(version uint64, blocks []Block) (*Steering, error) {
+	table, err := NewTable(blocks)
+	if err != nil {
+		return nil, err
+	}
+	next := *s
+	next.Version, next.table = version, table
+	return &next, nil
+}
--- a/lookup/table.go
+++ b/lookup/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"net/netip"
 	"slices"
 	"sync"
@@ -115,6 +116,13 @@
 	return t.v6.get(it)
 }
 
+// All returns the blocks, IPv4 first, in the order of their first addresses.
+func (t *Table) All() iter.Seq[Block] {
+	return func(yield func(Block) bool) {
+		_ = t.v4.each(true, yield) && t.v6.each(false, yield)
+	}
+}
+
 // Len returns the number of blocks.
 func (t *Table) Len() int { return t.v4.size + t.v6.size }
 
