--- a/entry/callers.go
+++ b/entry/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"strconv"
 	"time"
 
@@ -11,7 +10,6 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"github.com/jacinthstall/jacinthstall/outcome"
-	"github.com/jacinthstall/jacinthstall/policy"
 )
 
 const (
@@ -34,51 +32,6 @@
 	return h
 }
 
-// LookupAnswer tells a caller which entry instances to use.
-type LookupAnswer struct {
-	Version   uint64           `json:"version"` // Version of the document in force.
-	TTLMs     int              `json:"ttlMs"`   // Time that the answer may be cached.
-	Site      string           `json:"site"`
-	KeyPrefix string           `json:"keyPrefix"` // Prefix of idempotency keys.
-	Instances []LookupInstance `json:"instances"` // Preferred first.
-}
-
-// LookupInstance is one entry instance of a look-up answer.
-type LookupInstance struct {
-	Name    string `json:"name"`
-	Address string `json:"address"` // ip:port.
-	Domain  string `json:"domain"`
-}
-
-func (in *Instance) handleLookup(_ context.Context, c *app.RequestContext) {
-	d := in.document.Load()
-	if d == nil {
-		in.refuse(c, outcome.Outcome{Status: 503, Reason: outcome.ReasonNoConfig, Executed: outcome.No})
-		return
-	}
-	answer := LookupAnswer{Version: d.Version, TTLMs: d.Timing.LookupTTLMs, KeyPrefix: in.keyPrefix()}
-	if address, err := netip.ParseAddr(c.Query("caller")); err == nil {
-		answer.Site = siteOf(d, address)
-	}
-	answer.Instances = in.members.preferred(in.settings.Domain, in.settings.Region)
-	if !in.leaving.Load() {
-		self := LookupInstance{Name: in.settings.Name, Address: in.settings.CallerAddress, Domain: in.settings.Domain}
-		answer.Instances = append([]LookupInstance{self}, answer.Instances...)
-	}
-	c.JSON(200, answer)
-}
-
-func siteOf(d *policy.Document, address netip.Addr) string {
-	best, site := -1, ""
-	for _, b := range d.Blocks {
-		p, err := netip.ParsePrefix(b.Prefix)
-		if err == nil && p.Contains(address) && p.Bits() > best {
-			best, site = p.Bits(), b.Site
-		}
-	}
-	return site
-}
-
 func (in *Instance) keyPrefix() string {
 	return in.settings.Name + "." + strconv.FormatUint(in.incarnation, 36) + ".0"
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,7 +12,9 @@
 	"github.com/apex/log"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
+	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
+	"github.com/jacinthstall/jacinthstall/membership"
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/settings"
@@ -26,6 +28,8 @@
 	forwarder   *forward.Forwarder
 	document    atomic.Pointer[policy.Document]
 	members     *members
+	lookups     *lookups
+	events      *events.Log
 	leaving     atomic.Bool
 	inFlight    atomic.Int64
 	log         log.Interface
@@ -37,16 +41,31 @@
 	if err != nil {
 		return nil, err
 	}
+	incarnation := uint64(time.Now().UnixNano())
+	emitted := events.New(logger)
 	return &Instance{
 		settings:    s,
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: incarnation,
 		platform:    p,
 		forwarder:   forward.New(),
-		members:     newMembers(),
+		members:     newMembers(selfUpdate(s, incarnation), emitted),
+		lookups:     newLookups(s.Domain, emitted),
+		events:      emitted,
 		log:         logger,
 	}, nil
 }
 
+func selfUpdate(s settings.Settings, incarnation uint64) membership.Update {
+	return membership.Update{
+		Name:          s.Name,
+		Domain:        s.Domain,
+		Region:        s.Region,
+		PeerAddress:   s.PeerAddress,
+		CallerAddress: s.CallerAddress,
+		Incarnation:   incarnation,
+	}
+}
+
 // Run serves until ctx ends, then stops gracefully: it announces that it is
 // leaving, serves until cached look-up answers have expired, finishes the
 // requests in flight and returns.
@@ -63,8 +82,8 @@
 	go func() { failed <- operators.Run() }()
 	go func() { failed <- in.servePeers(background, listener) }()
 	go in.watchDocument(background)
-	go in.watchInstances(background)
-	go in.sendHeartbeats(background)
+	go in.runMembers(background)
+	go every(background, lookupRefresh, in.refreshLookups)
 
 	select {
 	case <-ctx.Done():
@@ -79,6 +98,7 @@
 func (in *Instance) stop(callers, operators *server.Hertz) error {
 	in.log.Info("leaving")
 	in.leaving.Store(true)
+	in.lookups.waiters.Stop()
 	ttl := time.Second
 	if d := in.document.Load(); d != nil {
 		ttl = d.Timing.LookupTTL()
--- /dev/null
+++ b/entry/lookup.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/lookup"
+	"github.com/jacinthstall/jacinthstall/outcome"
+	"github.com/jacinthstall/jacinthstall/policy"
+)
+
+// lookupRefresh is the interval at which changes of the document and of the
+// instances are put in force for look-ups, and waiting look-ups are woken.
+const lookupRefresh = 50 * time.Millisecond
+
+// LookupAnswer tells a caller which entry instances to use.
+type LookupAnswer struct {
+	// Version changes with the answer; it is below 2^53. A caller passes it
+	// with the next look-up to wait for a change.
+	Version       uint64           `json:"version"`
+	PolicyVersion uint64           `json:"policyVersion"` // Version of the document in force.
+	TTLMs         int              `json:"ttlMs"`         // Time that the answer may be cached.
+	Site          string           `json:"site"`          // Empty when no client block contains the caller.
+	KeyPrefix     string           `json:"keyPrefix"`     // Prefix of idempotency keys.
+	Instances     []LookupInstance `json:"instances"`     // Preferred first, at most lookup.MaxInstances.
+}
+
+// LookupInstance is one entry instance of a look-up answer.
+type LookupInstance struct {
+	Name    string `json:"name"`
+	Address string `json:"address"` // ip:port.
+	Domain  string `json:"domain"`
+}
+
+// LookupRefusal is the body of a look-up that is not answered.
+type LookupRefusal struct {
+	Reason    outcome.Reason   `json:"reason"`
+	Executed  outcome.Executed `json:"executed"` // Always "no".
+	Parameter string           `json:"parameter,omitempty"`
+	Cause     string           `json:"cause,omitempty"`
+}
+
+// lookups answers the look-ups of an instance.
+type lookups struct {
+	domain   string
+	events   *events.Log
+	waiters  *lookup.Waiters
+	after    func(time.Duration) <-chan time.Time // time.After, or a test's clock.
+	steering atomic.Pointer[lookup.Steering]
+	fleet    atomic.Pointer[lookup.Fleet]
+
+	refreshing sync.Mutex // Held while the fields below change.
+	document   *policy.Document
+	revision   uint64 // Revision of the members that fleet shows.
+}
+
+func newLookups(domain string, l *events.Log) *lookups {
+	s := &lookups{domain: domain, events: l, waiters: lookup.NewWaiters(lookup.MaxParked), after: time.After}
+	s.fleet.Store(lookup.NewFleet(nil))
+	return s
+}
+
+// useDocument puts a document in force for look-ups. It reports whether it did.
+func (s *lookups) useDocument(d *policy.Document) bool {
+	s.refreshing.Lock()
+	defer s.refreshing.Unlock()
+	if d == nil || d == s.document {
+		return false
+	}
+	s.document = d
+	steering, changed, err := lookup.NewSteering(d, s.domain, s.steering.Load())
+	if err != nil {
+		s.events.EmitFields(&events.LookupTableRejected, events.Uint("policyVersion", d.Version),
+			events.String("error", err.Error()))
+		return false
+	}
+	s.steering.Store(steering)
+	s.events.EmitFields(&events.LookupTableBuilt, events.Uint("policyVersion", d.Version),
+		events.Int("blocks", int64(steering.Blocks())), events.Int("changed", int64(changed)))
+	return true
+}
+
+// useInstances puts a state of the instances in force for look-ups. It reports
+// whether it did; a revision that is in force already has no effect.
+func (s *lookups) useInstances(revision uint64, list func() []lookup.Instance) bool {
+	s.refreshing.Lock()
+	defer s.refreshing.Unlock()
+	if revision == s.revision {
+		return false
+	}
+	s.revision = revision
+	s.fleet.Store(lookup.NewFleet(list()))
+	return true
+}
+
+// errNotReady reports that there is no document yet.
+var errNotReady = errors.New("entry: no document in force")
+
+// answer decides a look-up. When the caller asks to wait and has the current
+// answer, it waits for another one until the wait ends, the instance stops or
+// the caller disconnects (ctx).
+func (s *lookups) answer(ctx context.Context, q lookup.Query, a *lookup.Answer) (*lookup.Steering, error) {
+	changed := s.waiters.Changed()
+	steering, err := s.decide(q, a)
+	if err != nil || q.Wait == 0 || q.Version != a.Version {
+		s.log(q, steering, a, err, false)
+		return steering, err
+	}
+	if err := s.waiters.Enter(); err != nil {
+		s.log(q, steering, a, err, false)
+		return steering, err
+	}
+	defer s.waiters.Leave()
+	expired := s.after(q.Wait)
+	for waiting := true; waiting && err == nil && q.Version == a.Version; {
+		select {
+		case <-changed:
+		case <-expired:
+			waiting = false
+		case <-s.waiters.Ended():
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
+		changed = s.waiters.Changed()
+		steering, err = s.decide(q, a)
+	}
+	s.log(q, steering, a, err, true)
+	return steering, err
+}
+
+func (s *lookups) decide(q lookup.Query, a *lookup.Answer) (*lookup.Steering, error) {
+	steering := s.steering.Load()
+	if steering == nil {
+		return nil, errNotReady
+	}
+	return steering, steering.Decide(s.fleet.Load(), q.Service, q.Caller, a)
+}
+
+func (s *lookups) log(q lookup.Query, steering *lookup.Steering, a *lookup.Answer, err error, waited bool) {
+	if err == nil {
+		lookup.LogDecision(s.events, q, steering, a, waited)
+	}
+}
+
+// refuse logs a refused look-up and returns its status and body.
+func (s *lookups) refuse(err error) (int, LookupRefusal) {
+	status, r := 503, LookupRefusal{Reason: outcome.ReasonNoConfig, Executed: outcome.No, Cause: err.Error()}
+	var parameter *lookup.ParameterError
+	var wait *lookup.WaitError
+	switch {
+	case errors.As(err, &parameter):
+		status, r.Reason = 400, outcome.ReasonBadRequest
+		r.Parameter, r.Cause = parameter.Parameter, parameter.Cause
+	case errors.As(err, &wait) && wait.Reason == lookup.WaitTooMany:
+		status, r.Reason = 429, outcome.ReasonTooManyParked
+	case errors.As(err, &wait):
+		r.Reason = outcome.ReasonStopping
+	}
+	s.events.EmitFields(&events.LookupRefused, events.String("reason", string(r.Reason)),
+		events.String("parameter", r.Parameter), events.String("cause", r.Cause))
+	return status, r
+}
+
+func (in *Instance) handleLookup(ctx context.Context, c *app.RequestContext) {
+	q, err := lookup.ParseQuery(lookup.Parameters{
+		Caller:  c.Query(lookup.ParameterCaller),
+		Service: c.Query(lookup.ParameterService),
+		Wait:    c.Query(lookup.ParameterWait),
+		Version: c.Query(lookup.ParameterVersion),
+	}, remoteAddress(c.RemoteAddr()))
+	var a lookup.Answer
+	var steering *lookup.Steering
+	if err == nil {
+		steering, err = in.lookups.answer(ctx, q, &a)
+	}
+	if err != nil {
+		status, body := in.lookups.refuse(err)
+		c.Response.Header.Set(outcome.HeaderExecuted, string(body.Executed))
+		c.Response.Header.Set(outcome.HeaderReason, string(body.Reason))
+		c.JSON(status, body)
+		return
+	}
+	c.JSON(200, in.lookupAnswer(steering, &a))
+}
+
+func (in *Instance) lookupAnswer(s *lookup.Steering, a *lookup.Answer) LookupAnswer {
+	answer := LookupAnswer{
+		Version:       a.Version,
+		PolicyVersion: s.Version,
+		TTLMs:         s.TTLMs,
+		Site:          a.Site,
+		KeyPrefix:     in.keyPrefix(),
+		Instances:     make([]LookupInstance, a.Count),
+	}
+	for i, chosen := range a.Instances[:a.Count] {
+		answer.Instances[i] = LookupInstance{Name: chosen.Name, Address: chosen.Address, Domain: chosen.Domain}
+	}
+	return answer
+}
+
+func remoteAddress(a net.Addr) netip.Addr {
+	if a == nil {
+		return netip.Addr{}
+	}
+	p, err := netip.ParseAddrPort(a.String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return p.Addr()
+}
+
+// refreshLookups puts the document and the instances in force for look-ups and
+// wakes waiting look-ups after a change.
+func (in *Instance) refreshLookups() {
+	d := in.document.Load()
+	documentChanged := in.lookups.useDocument(d)
+	if documentChanged {
+		if level, err := log.ParseLevel(d.LogLevel); err == nil {
+			in.lookups.events.SetLevel(level)
+		}
+	}
+	instancesChanged := in.lookups.useInstances(in.members.revision(), in.lookupInstances)
+	if documentChanged || instancesChanged {
+		in.lookups.waiters.Notify()
+	}
+}
--- a/entry/members.go
+++ b/entry/members.go
@@ -2,115 +2,234 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/lookup"
+	"github.com/jacinthstall/jacinthstall/membership"
+	"github.com/jacinthstall/jacinthstall/peer/peerpb"
 	"github.com/jacinthstall/jacinthstall/platform"
 )
 
 const (
-	listInterval      = time.Second
-	heartbeatInterval = time.Second
-	heartbeatTimeout  = 500 * time.Millisecond
-	// silentAfter is the time without an answer after which a member is not
-	// named to callers any more.
-	silentAfter = 2500 * time.Millisecond
+	// memberTick is the interval of the membership tracker's ticks.
+	memberTick = 100 * time.Millisecond
+	// listTimeout bounds one read of the platform's list.
+	listTimeout = 5 * time.Second
 )
 
-type member struct {
-	info    platform.Instance
-	seen    time.Time
-	leaving bool
+// PeerHooks connect the other parts of an instance to its heartbeats. Each may
+// be nil. They are called from several goroutines and must not block.
+type PeerHooks struct {
+	// Loads returns the loads of the own region to send.
+	Loads func() []*peerpb.ServiceLoad
+	// OnHeartbeat takes what a peer sent with a heartbeat or its answer.
+	OnHeartbeat func(peer *peerpb.MemberUpdate, configVersion uint64, loads []*peerpb.ServiceLoad)
+	// OnFrozen is called when the own instance was frozen, before it handles
+	// anything else. Grants are to be given up until Refreshed.
+	OnFrozen func()
 }
 
+// members holds the membership tracker of an instance. It is safe for
+// concurrent use.
 type members struct {
-	mu   sync.Mutex
-	list map[string]*member
+	mu      sync.Mutex
+	tracker *membership.Tracker
+	events  *events.Log
+	shown   map[string]membership.Member // Members as last logged.
+	seen    uint64                       // Revision of shown.
+	listed  membership.State             // Own state in the list as last logged.
+	reading atomic.Bool                  // Whether the platform's list is being read.
+	hooks   atomic.Pointer[PeerHooks]
 }
 
-func newMembers() *members {
-	return &members{list: map[string]*member{}}
+func newMembers(self membership.Update, l *events.Log) *members {
+	m := &members{tracker: membership.NewTracker(self), events: l, shown: map[string]membership.Member{}}
+	m.hooks.Store(&PeerHooks{})
+	return m
 }
 
-func (m *members) apply(list []platform.Instance, self string) {
+// SetPeerHooks sets what heartbeats are connected to.
+func (in *Instance) SetPeerHooks(h PeerHooks) { in.members.hooks.Store(&h) }
+
+// MemberView returns the state of all instances.
+func (in *Instance) MemberView() *membership.View { return in.members.view() }
+
+// MembersRefreshed reports whether the view is current; it is not after the own
+// instance was frozen.
+func (in *Instance) MembersRefreshed() bool {
+	in.members.mu.Lock()
+	defer in.members.mu.Unlock()
+	return in.members.tracker.Refreshed()
+}
+
+// ChangeSelf edits what the instance tells of itself in heartbeats, for example
+// the member table version that it applies.
+func (in *Instance) ChangeSelf(change func(*membership.Update)) { in.members.changeSelf(change) }
+
+func (m *members) changeSelf(change func(*membership.Update)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, info := range list {
-		if info.Name == self {
-			continue
-		}
-		if known, ok := m.list[info.Name]; ok {
-			known.info = info
-			continue
-		}
-		m.list[info.Name] = &member{info: info}
-	}
+	m.tracker.ChangeSelf(time.Now(), change)
 }
 
-func (m *members) addresses() map[string]string {
+func (m *members) view() *membership.View {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make(map[string]string, len(m.list))
-	for name, member := range m.list {
-		out[name] = member.info.PeerAddress
-	}
-	return out
+	return m.tracker.View()
 }
 
-func (m *members) answered(name string, leaving bool, now time.Time) {
+func (m *members) revision() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if member, ok := m.list[name]; ok {
-		member.seen, member.leaving = now, leaving
-	}
+	return m.tracker.Revision()
 }
 
-// preferred lists the members that answer, those of the domain first, then
-// those of the region.
-func (m *members) preferred(domain, region string) []LookupInstance {
+func (m *members) self() membership.Update {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var usable []*member
-	for _, member := range m.list {
-		live := member.info.State == platform.InstanceLive && !member.leaving
-		if live && time.Since(member.seen) < silentAfter {
-			usable = append(usable, member)
-		}
+	return m.tracker.Self()
+}
+
+func (m *members) tick(now time.Time) membership.Actions {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.Tick(now)
+}
+
+func (m *members) updatesFor(name string) []membership.Update {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.UpdatesFor(name)
+}
+
+func (m *members) apply(list []platform.Instance, now time.Time) {
+	listed := make([]membership.Listed, len(list))
+	for i, info := range list {
+		listed[i] = membership.Listed{Name: info.Name, Domain: info.Domain, Region: info.Region,
+			PeerAddress: info.PeerAddress, CallerAddress: info.CallerAddress, State: listedState(info.State)}
 	}
-	rank := func(x *member) int {
-		switch {
-		case x.info.Domain == domain:
-			return 0
-		case x.info.Region == region:
-			return 1
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tracker.List(now, listed)
+}
+
+func listedState(s platform.InstanceState) membership.State {
+	switch s {
+	case platform.InstanceLeaving:
+		return membership.Leaving
+	case platform.InstanceGone:
+		return membership.Gone
+	}
+	return membership.Alive
+}
+
+// logChanges writes a line for each member that changed since the last call.
+func (m *members) logChanges() {
+	m.mu.Lock()
+	view, listed := m.tracker.View(), m.tracker.SelfListed()
+	m.mu.Unlock()
+	if listed != m.listed {
+		m.listed = listed
+		m.events.EmitFields(&events.ListedAsLeaving, events.String("state", listed.String()))
+	}
+	if view.Revision == m.seen {
+		return
+	}
+	m.seen = view.Revision
+	present := make(map[string]membership.Member, len(view.Members))
+	for _, member := range view.Members {
+		present[member.Name] = member
+		if old, known := m.shown[member.Name]; !known || changedForLog(old, member) {
+			m.logMember(member)
 		}
-		return 2
 	}
-	sort.Slice(usable, func(i, j int) bool {
-		if ri, rj := rank(usable[i]), rank(usable[j]); ri != rj {
-			return ri < rj
+	for name := range m.shown {
+		if _, kept := present[name]; !kept {
+			m.events.EmitFields(&events.MemberForgotten, events.String("member", name))
 		}
-		return usable[i].info.Name < usable[j].info.Name
-	})
-	out := make([]LookupInstance, len(usable))
-	for i, x := range usable {
-		out[i] = LookupInstance{Name: x.info.Name, Address: x.info.CallerAddress, Domain: x.info.Domain}
 	}
-	return out
+	m.shown = present
 }
 
-func (in *Instance) watchInstances(ctx context.Context) {
-	every(ctx, listInterval, func() {
-		list, err := in.platform.Instances(ctx)
-		if err != nil {
-			in.log.WithError(err).Warn("list of instances not read")
-			return
+func changedForLog(a, b membership.Member) bool {
+	return a.State != b.State || a.Suspected != b.Suspected || a.Incarnation != b.Incarnation
+}
+
+func (m *members) logMember(member membership.Member) {
+	m.events.EmitFields(&events.MemberChanged,
+		events.String("member", member.Name),
+		events.String("domain", member.Domain),
+		events.String("state", member.State.String()),
+		events.Bool("suspected", member.Suspected),
+		events.Uint("incarnation", member.Incarnation),
+		events.Uint("counter", member.Counter),
+	)
+}
+
+// lookupInstances returns the instances as look-ups see them.
+func (in *Instance) lookupInstances() []lookup.Instance {
+	view := in.members.view()
+	list := make([]lookup.Instance, len(view.Members))
+	for i, member := range view.Members {
+		list[i] = lookup.Instance{Name: member.Name, Address: member.CallerAddress,
+			Domain: member.Domain, Region: member.Region, State: lookupState(member.State)}
+	}
+	return list
+}
+
+func lookupState(s membership.State) lookup.InstanceState {
+	return [...]lookup.InstanceState{
+		membership.Alive:   lookup.InstanceLive,
+		membership.Slow:    lookup.InstanceSlow,
+		membership.Leaving: lookup.InstanceLeaving,
+		membership.Gone:    lookup.InstanceGone,
+	}[s]
+}
+
+// runMembers drives the membership tracker until ctx ends.
+func (in *Instance) runMembers(ctx context.Context) {
+	links := newHeartbeatLinks(in)
+	defer links.close()
+	every(ctx, memberTick, func() {
+		if in.leaving.Load() {
+			in.members.changeSelf(func(u *membership.Update) { u.State = max(u.State, membership.Leaving) })
+		}
+		actions := in.members.tick(time.Now())
+		if actions.Frozen {
+			in.events.EmitFields(&events.InstanceWasFrozen)
+			if f := in.members.hooks.Load().OnFrozen; f != nil {
+				f()
+			}
 		}
-		in.members.apply(list, in.settings.Name)
+		if actions.ReadList {
+			go in.readList(ctx)
+		}
+		if len(actions.Heartbeats) > 0 {
+			links.send(ctx, actions.Heartbeats)
+		}
+		in.members.logChanges()
 	})
 }
 
+// readList reads the platform's list, unless a read is under way.
+func (in *Instance) readList(ctx context.Context) {
+	if !in.members.reading.CompareAndSwap(false, true) {
+		return
+	}
+	defer in.members.reading.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, err := in.platform.Instances(ctx)
+	if err != nil {
+		in.events.EmitFields(&events.InstanceListNotRead, events.String("error", err.Error()))
+		return
+	}
+	in.members.apply(list, time.Now())
+}
+
 // every calls f at once and then at each interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, f func()) {
 	ticker := time.NewTicker(interval)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -9,7 +9,19 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/jacinthstall/jacinthstall/membership"
 	"github.com/jacinthstall/jacinthstall/peer/peerpb"
+	"github.com/jacinthstall/jacinthstall/ring"
+)
+
+const (
+	// heartbeatTimeout bounds one heartbeat, connecting included. It is below
+	// membership.SlowAfter, so that a late answer is not mistaken for the
+	// answer to a later heartbeat.
+	heartbeatTimeout = 800 * time.Millisecond
+	// linkIdle is the time without a heartbeat after which the connection to a
+	// former peer is closed.
+	linkIdle = 30 * time.Second
 )
 
 type peerServer struct {
@@ -25,56 +37,202 @@
 	return drpcserver.New(mux).Serve(ctx, listener)
 }
 
-// Heartbeat answers with the state of this instance.
+// Heartbeat takes the state of a peer and answers with the own one.
 func (p *peerServer) Heartbeat(_ context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
-	if from := r.GetFrom(); from != nil {
-		leaving := from.State == peerpb.MemberState_MEMBER_STATE_LEAVING
-		p.in.members.answered(from.Name, leaving, time.Now())
+	in, from := p.in, r.GetFrom()
+	if from != nil {
+		in.members.heartbeat(updateOf(from), updatesOf(r.GetUpdates()))
+		in.received(from, r.GetConfigVersion(), r.GetLoads())
 	}
-	return &peerpb.HeartbeatResponse{From: p.in.selfUpdate(), ConfigVersion: p.in.configVersion()}, nil
+	return &peerpb.HeartbeatResponse{
+		From:          messageOf(in.members.self()),
+		Updates:       messagesOf(in.members.updatesFor(from.GetName())),
+		ConfigVersion: in.configVersion(),
+		Loads:         in.loads(),
+	}, nil
 }
 
-func (in *Instance) selfUpdate() *peerpb.MemberUpdate {
-	state := peerpb.MemberState_MEMBER_STATE_ALIVE
-	if in.leaving.Load() {
-		state = peerpb.MemberState_MEMBER_STATE_LEAVING
+func (in *Instance) loads() []*peerpb.ServiceLoad {
+	if f := in.members.hooks.Load().Loads; f != nil {
+		return f()
 	}
-	return &peerpb.MemberUpdate{
-		Name:          in.settings.Name,
-		Incarnation:   in.incarnation,
-		State:         state,
-		Domain:        in.settings.Domain,
-		Region:        in.settings.Region,
-		PeerAddress:   in.settings.PeerAddress,
-		CallerAddress: in.settings.CallerAddress,
+	return nil
+}
+
+func (in *Instance) received(from *peerpb.MemberUpdate, configVersion uint64, loads []*peerpb.ServiceLoad) {
+	if f := in.members.hooks.Load().OnHeartbeat; f != nil {
+		f(from, configVersion, loads)
+	}
+}
+
+func (m *members) heartbeat(from membership.Update, updates []membership.Update) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tracker.Heartbeat(time.Now(), from, updates)
+}
+
+func (m *members) answer(from membership.Update, updates []membership.Update) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tracker.Answer(time.Now(), from, updates)
+}
+
+// heartbeatLinks keeps one connection and one goroutine for each heartbeat
+// peer. A drpc connection carries one call at a time, so heartbeats have
+// connections of their own. It is used by one goroutine.
+type heartbeatLinks struct {
+	in    *Instance
+	links map[string]*heartbeatLink // By peer address.
+}
+
+type heartbeatLink struct {
+	address string
+	due     *ring.Ring[string] // Names of the peer to send a heartbeat to.
+	used    time.Time
+	conn    *drpcconn.Conn // Owned by the link's goroutine.
+}
+
+func newHeartbeatLinks(in *Instance) *heartbeatLinks {
+	return &heartbeatLinks{in: in, links: map[string]*heartbeatLink{}}
+}
+
+// send asks for a heartbeat to each peer. A peer whose last heartbeat is still
+// under way is left out.
+func (h *heartbeatLinks) send(ctx context.Context, peers []membership.Update) {
+	now := time.Now()
+	for _, p := range peers {
+		link, ok := h.links[p.PeerAddress]
+		if !ok {
+			link = &heartbeatLink{address: p.PeerAddress, due: ring.New[string](1)}
+			h.links[p.PeerAddress] = link
+			go h.in.runLink(ctx, link)
+		}
+		link.used = now
+		link.due.TryPush(p.Name)
+	}
+	for address, link := range h.links {
+		if now.Sub(link.used) >= linkIdle {
+			link.due.Close()
+			delete(h.links, address)
+		}
 	}
 }
 
-func (in *Instance) sendHeartbeats(ctx context.Context) {
-	every(ctx, heartbeatInterval, func() {
-		for name, address := range in.members.addresses() {
-			go in.heartbeat(ctx, name, address)
+func (h *heartbeatLinks) close() {
+	for _, link := range h.links {
+		link.due.Close()
+	}
+}
+
+// runLink sends heartbeats to one peer until its link is closed.
+func (in *Instance) runLink(ctx context.Context, link *heartbeatLink) {
+	defer link.disconnect()
+	for {
+		name, ok := link.due.Pop(ctx)
+		if !ok {
+			return
 		}
-	})
+		if err := in.heartbeat(ctx, link, name); err != nil {
+			link.disconnect()
+		}
+	}
 }
 
-func (in *Instance) heartbeat(ctx context.Context, name, address string) {
+func (in *Instance) heartbeat(ctx context.Context, link *heartbeatLink, name string) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err := link.connect(ctx); err != nil {
+		return err
+	}
+	answer, err := peerpb.NewDRPCPeerClient(link.conn).Heartbeat(ctx, &peerpb.HeartbeatRequest{
+		From:          messageOf(in.members.self()),
+		Updates:       messagesOf(in.members.updatesFor(name)),
+		ConfigVersion: in.configVersion(),
+		Loads:         in.loads(),
+	})
 	if err != nil {
-		return
+		return err
+	}
+	if from := answer.GetFrom(); from != nil {
+		in.members.answer(updateOf(from), updatesOf(answer.GetUpdates()))
+		in.received(from, answer.GetConfigVersion(), answer.GetLoads())
+	}
+	return nil
+}
+
+func (l *heartbeatLink) connect(ctx context.Context) error {
+	if l.conn != nil {
+		select {
+		case <-l.conn.Closed():
+			l.disconnect()
+		default:
+			return nil
+		}
 	}
-	conn := drpcconn.New(raw)
-	defer func() { _ = conn.Close() }()
-	request := &peerpb.HeartbeatRequest{From: in.selfUpdate(), ConfigVersion: in.configVersion()}
-	answer, err := peerpb.NewDRPCPeerClient(conn).Heartbeat(ctx, request)
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(ctx, "tcp", l.address)
 	if err != nil {
-		return
+		return err
+	}
+	l.conn = drpcconn.New(raw)
+	return nil
+}
+
+func (l *heartbeatLink) disconnect() {
+	if l.conn != nil {
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+}
+
+func messageOf(u membership.Update) *peerpb.MemberUpdate {
+	return &peerpb.MemberUpdate{
+		Name:          u.Name,
+		Incarnation:   u.Incarnation,
+		Counter:       u.Counter,
+		State:         peerpb.MemberState(u.State) + peerpb.MemberState_MEMBER_STATE_ALIVE,
+		Domain:        u.Domain,
+		Region:        u.Region,
+		PeerAddress:   u.PeerAddress,
+		CallerAddress: u.CallerAddress,
+		KeyEpoch:      u.KeyEpoch,
+		TableVersion:  u.TableVersion,
+		Successor:     u.Successor,
+	}
+}
+
+func messagesOf(list []membership.Update) []*peerpb.MemberUpdate {
+	messages := make([]*peerpb.MemberUpdate, len(list))
+	for i, u := range list {
+		messages[i] = messageOf(u)
+	}
+	return messages
+}
+
+// updateOf returns the update of a message. An unknown state becomes one that
+// the tracker ignores.
+func updateOf(m *peerpb.MemberUpdate) membership.Update {
+	return membership.Update{
+		Name:          m.GetName(),
+		Incarnation:   m.GetIncarnation(),
+		Counter:       m.GetCounter(),
+		State:         membership.State(m.GetState() - peerpb.MemberState_MEMBER_STATE_ALIVE),
+		Domain:        m.GetDomain(),
+		Region:        m.GetRegion(),
+		PeerAddress:   m.GetPeerAddress(),
+		CallerAddress: m.GetCallerAddress(),
+		KeyEpoch:      m.GetKeyEpoch(),
+		TableVersion:  m.GetTableVersion(),
+		Successor:     m.GetSuccessor(),
+	}
+}
+
+func updatesOf(list []*peerpb.MemberUpdate) []membership.Update {
+	updates := make([]membership.Update, len(list))
+	for i, m := range list {
+		updates[i] = updateOf(m)
 	}
-	leaving := answer.GetFrom().GetState() == peerpb.MemberState_MEMBER_STATE_LEAVING
-	in.members.answered(name, leaving, time.Now())
+	return updates
 }
 
 func (in *Instance) configVersion() uint64 {
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,422 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	stepTime = 100 * time.Millisecond
+	second   = int(time.Second / stepTime)
+)
+
+// message is a heartbeat or its answer.
+type message struct {
+	from, to string
+	answer   bool
+	self     Update
+	updates  []Update
+}
+
+// node is one instance under virtual time.
+type node struct {
+	tracker *Tracker
+	down    bool // Killed or frozen: handles nothing.
+	sent    int  // Heartbeats and answers sent.
+}
+
+// group passes messages between trackers under virtual time. Messages arrive
+// in the next step, in the order of sending.
+type group struct {
+	now    time.Time
+	names  []string
+	nodes  map[string]*node
+	list   []Listed
+	noted  bool // Whether the platform's list can be read.
+	queue  []message
+	cut    func(from, to string) bool
+	random *rand.Rand
+}
+
+func newGroup(seed uint64, regions, domains, each int) *group {
+	g := &group{now: time.Unix(1_700_000_000, 0), nodes: map[string]*node{}, noted: true,
+		random: rand.New(rand.NewPCG(seed, 1)), cut: func(string, string) bool { return false }}
+	for r := range regions {
+		for d := range domains {
+			for i := range each {
+				l := Listed{Name: fmt.Sprintf("r%d-d%d-%03d", r, d, i), Domain: fmt.Sprintf("r%d-d%d", r, d), Region: fmt.Sprint("r", r)}
+				g.list = append(g.list, l)
+				g.start(l, 1)
+			}
+		}
+	}
+	g.run(5 * second)
+	return g
+}
+
+func (g *group) start(l Listed, incarnation uint64) {
+	if g.nodes[l.Name] == nil {
+		g.names = append(g.names, l.Name)
+	}
+	self := Update{Name: l.Name, Domain: l.Domain, Region: l.Region, Incarnation: incarnation}
+	g.nodes[l.Name] = &node{tracker: NewTracker(self)}
+}
+
+func (g *group) run(steps int) {
+	for range steps {
+		g.step()
+	}
+}
+
+func (g *group) step() {
+	g.now = g.now.Add(stepTime)
+	queue := g.queue
+	g.queue = nil
+	for _, m := range queue {
+		g.deliver(m)
+	}
+	for _, i := range g.random.Perm(len(g.names)) {
+		if n := g.nodes[g.names[i]]; !n.down {
+			g.tick(g.names[i], n)
+		}
+	}
+}
+
+func (g *group) deliver(m message) {
+	n := g.nodes[m.to]
+	if n.down || g.cut(m.from, m.to) {
+		return
+	}
+	if m.answer {
+		n.tracker.Answer(g.now, m.self, m.updates)
+		return
+	}
+	n.tracker.Heartbeat(g.now, m.self, m.updates)
+	g.send(n, m.to, m.from, true)
+}
+
+func (g *group) send(n *node, from, to string, answer bool) {
+	n.sent++
+	g.queue = append(g.queue, message{from: from, to: to, answer: answer, self: n.tracker.Self(), updates: n.tracker.UpdatesFor(to)})
+}
+
+func (g *group) tick(name string, n *node) {
+	a := n.tracker.Tick(g.now)
+	for _, to := range a.Heartbeats {
+		g.send(n, name, to.Name, false)
+	}
+	if a.ReadList && g.noted {
+		n.tracker.List(g.now, g.list)
+	}
+}
+
+func (g *group) member(at, name string) Member {
+	for _, m := range g.nodes[at].tracker.View().Members {
+		if m.Name == name {
+			return m
+		}
+	}
+	return Member{}
+}
+
+// count returns how many running nodes see a member as wanted.
+func (g *group) count(name string, wanted func(Member) bool) (seen, of int) {
+	for at, n := range g.nodes {
+		if n.down || at == name {
+			continue
+		}
+		of++
+		if wanted(g.member(at, name)) {
+			seen++
+		}
+	}
+	return seen, of
+}
+
+// untilAll runs until all running nodes see a member as wanted and returns the
+// time it took.
+func (g *group) untilAll(t *testing.T, name string, limit time.Duration, wanted func(Member) bool) time.Duration {
+	t.Helper()
+	start := g.now
+	for {
+		seen, of := g.count(name, wanted)
+		if seen == of {
+			return g.now.Sub(start)
+		}
+		if g.now.Sub(start) >= limit {
+			require.Failf(t, "too slow", "%d of %d see %s after %s", seen, of, name, limit)
+		}
+		g.step()
+	}
+}
+
+func slow(m Member) bool      { return m.State == Slow }
+func suspected(m Member) bool { return m.Suspected }
+func alive(m Member) bool     { return m.State == Alive }
+func leaving(m Member) bool   { return m.State == Leaving }
+func gone(m Member) bool      { return m.State == Gone }
+
+// unusable counts pairs of running nodes of which one sees the other as not
+// alive.
+func (g *group) unusable() int {
+	wrong := 0
+	for at := range g.nodes {
+		for _, m := range g.nodes[at].tracker.View().Members {
+			if !g.nodes[at].down && !g.nodes[m.Name].down && m.State != Alive {
+				wrong++
+			}
+		}
+	}
+	return wrong
+}
+
+// Guards against members called slow without a failure.
+func TestNoFailureNoSlowMember(t *testing.T) {
+	for seed := range uint64(3) {
+		g := newGroup(seed, 3, 2, 2)
+		for range 60 * second {
+			g.step()
+			require.Zero(t, g.unusable(), "seed %d", seed)
+		}
+	}
+}
+
+// Guards against a killed instance that callers are still sent to, and against
+// one that is declared gone without the platform's word.
+func TestKilledMemberBecomesSlowThenSuspected(t *testing.T) {
+	for seed := range uint64(3) {
+		g := newGroup(seed, 3, 2, 2)
+		name := g.names[seed]
+		g.nodes[name].down = true
+		toSlow := g.untilAll(t, name, 4*time.Second, slow)
+		toSuspected := g.untilAll(t, name, 6*time.Second, suspected)
+		t.Logf("seed %d: slow everywhere after %s, suspected %s later", seed, toSlow, toSuspected)
+		g.run(60 * second)
+		seen, of := g.count(name, slow)
+		assert.Equal(t, of, seen)
+	}
+}
+
+// Guards against a frozen instance that blames its peers for its own silence,
+// or that goes on without a refreshed view.
+func TestFrozenMemberResumes(t *testing.T) {
+	for seed := range uint64(3) {
+		g := newGroup(seed, 3, 2, 2)
+		name := g.names[3]
+		n := g.nodes[name]
+		n.down = true
+		g.run(10 * second)
+		n.down = false
+		g.now = g.now.Add(stepTime)
+		a := n.tracker.Tick(g.now)
+		assert.True(t, a.Frozen)
+		assert.False(t, n.tracker.Refreshed())
+		for _, m := range n.tracker.View().Members {
+			assert.Equal(t, Alive, m.State, m.Name)
+		}
+		took := g.untilAll(t, name, 4*time.Second, alive)
+		assert.True(t, n.tracker.Refreshed())
+		assert.Zero(t, g.unusable())
+		t.Logf("seed %d: alive everywhere after %s", seed, took)
+	}
+}
+
+func TestTickDetectsFreezeOnlyAboveItsBound(t *testing.T) {
+	start := time.Unix(1, 0)
+	for _, c := range []struct {
+		gap  time.Duration
+		want bool
+	}{{FrozenAfter, false}, {FrozenAfter + time.Millisecond, true}} {
+		tracker := NewTracker(Update{Name: "a"})
+		assert.False(t, tracker.Tick(start).Frozen)
+		assert.Equal(t, c.want, tracker.Tick(start.Add(c.gap)).Frozen)
+	}
+}
+
+// Guards against two sides that stay apart after a partition has healed.
+func TestPartitionHeals(t *testing.T) {
+	for seed := range uint64(3) {
+		g := newGroup(seed, 3, 2, 2)
+		inside := func(name string) bool { return g.nodes[name].tracker.Self().Domain == "r0-d0" }
+		g.cut = func(from, to string) bool { return inside(from) != inside(to) }
+		g.noted = false
+		g.run(60 * second)
+		for at := range g.nodes {
+			for _, m := range g.nodes[at].tracker.View().Members {
+				want := Alive
+				if inside(at) != inside(m.Name) {
+					want = Slow
+				}
+				require.Equal(t, want, m.State, "%s at %s", m.Name, at)
+			}
+		}
+		g.cut = func(string, string) bool { return false }
+		start := g.now
+		for g.unusable() > 0 {
+			g.step()
+			require.Less(t, g.now.Sub(start), 15*time.Second, "seed %d", seed)
+		}
+		t.Logf("seed %d: healed after %s", seed, g.now.Sub(start))
+	}
+}
+
+// Guards against members that disappear with the list.
+func TestMissingAndEmptyListsChangeNothing(t *testing.T) {
+	g := newGroup(1, 1, 2, 3)
+	revision := g.nodes[g.names[0]].tracker.Revision()
+	g.list = g.list[:2]
+	g.run(5 * second)
+	g.list = nil
+	g.run(5 * second)
+	tracker := NewTracker(Update{Name: "a"})
+	tracker.Tick(g.now)
+	tracker.Tick(g.now.Add(2 * FrozenAfter))
+	tracker.List(g.now, nil)
+	assert.False(t, tracker.Refreshed(), "an empty list is no view")
+	assert.Equal(t, revision, g.nodes[g.names[0]].tracker.Revision())
+	assert.Zero(t, g.unusable())
+}
+
+// Guards against a restarted instance that is dropped because the list still
+// shows its earlier incarnation.
+func TestRestartWithLaggingList(t *testing.T) {
+	for seed := range uint64(3) {
+		g := newGroup(seed, 3, 2, 2)
+		at := 4
+		name := g.names[at]
+		g.nodes[name].down = true
+		g.run(4 * second)
+		g.start(g.list[at], 2)
+		g.untilAll(t, name, 6*time.Second, func(m Member) bool { return m.Incarnation == 2 && m.State == Alive })
+		g.list[at].State = Gone
+		g.run(10 * second)
+		seen, of := g.count(name, alive)
+		assert.Equal(t, of, seen, "seed %d: the list is about incarnation 1", seed)
+		g.list[at].State = Alive
+		g.run(40 * second)
+		g.nodes[name].down = true
+		g.list[at].State = Gone
+		g.untilAll(t, name, 5*time.Second, gone)
+	}
+}
+
+// Guards against an instance that comes back after the platform called it gone.
+func TestGoneIsFinalForAnIncarnation(t *testing.T) {
+	g := newGroup(2, 3, 2, 2)
+	name := g.names[5]
+	g.list[5].State = Gone
+	g.untilAll(t, name, 5*time.Second, gone)
+	g.run(30 * second)
+	seen, of := g.count(name, gone)
+	assert.Equal(t, of, seen)
+	g.start(g.list[5], 3)
+	g.untilAll(t, name, 6*time.Second, alive)
+}
+
+// Guards against slow spreading of a planned stop, in a small deployment and
+// in a domain of the design's size.
+func TestAllOfADomainKnowThatAMemberLeft(t *testing.T) {
+	for _, c := range []struct {
+		regions, domains, each int
+		limit                  time.Duration
+	}{{3, 2, 2, time.Second}, {1, 1, 143, 2 * time.Second}} {
+		for seed := range uint64(3) {
+			g := newGroup(seed, c.regions, c.domains, c.each)
+			name := g.names[seed]
+			g.nodes[name].tracker.ChangeSelf(g.now, func(u *Update) { u.State = Leaving })
+			took := g.untilAll(t, name, c.limit, leaving)
+			t.Logf("%d members, seed %d: all know after %s", len(g.names), seed, took)
+			require.LessOrEqual(t, took, c.limit)
+		}
+	}
+}
+
+// Guards against lost messages that keep members apart.
+func TestLostMessagesDoNotKeepMembersApart(t *testing.T) {
+	g := newGroup(3, 3, 2, 2)
+	losses := rand.New(rand.NewPCG(9, 9))
+	g.cut = func(string, string) bool { return losses.IntN(10) == 0 }
+	g.run(60 * second)
+	g.cut = func(string, string) bool { return false }
+	g.run(15 * second)
+	assert.Zero(t, g.unusable())
+}
+
+// Guards against control traffic that grows with the fleet.
+func TestMessagesOfAnInstanceAreBounded(t *testing.T) {
+	const rounds = 60
+	var counts []int
+	for _, members := range []int{100, 1000, 8000} {
+		tracker := NewTracker(Update{Name: "self", Domain: "d0", Region: "r0", Incarnation: 1})
+		now := time.Unix(1, 0)
+		tracker.Tick(now)
+		var list []Listed
+		for i := range members {
+			list = append(list, Listed{Name: fmt.Sprint("m", i), Domain: fmt.Sprint("d", i%56), Region: fmt.Sprint("r", i%17)})
+		}
+		tracker.List(now, list)
+		sent := 0
+		for range rounds * second {
+			now = now.Add(stepTime)
+			for _, to := range tracker.Tick(now).Heartbeats {
+				sent++
+				updates := tracker.UpdatesFor(to.Name)
+				require.LessOrEqual(t, len(updates), MaxUpdates)
+				to.Incarnation = 1
+				tracker.Answer(now, to, nil)
+			}
+		}
+		counts = append(counts, sent)
+	}
+	assert.LessOrEqual(t, counts[0], MaxPeers*(rounds+1))
+	assert.Equal(t, counts[0], counts[1])
+	assert.Equal(t, counts[0], counts[2])
+}
+
+// Guards against an update that is sent for ever.
+func TestEachUpdateIsSentABoundedNumberOfTimes(t *testing.T) {
+	tracker := NewTracker(Update{Name: "self", Incarnation: 1})
+	now := time.Unix(1, 0)
+	for i := range 100 {
+		tracker.Heartbeat(now, Update{Name: fmt.Sprint("m", i), Incarnation: 1}, nil)
+	}
+	sent := 0
+	for range 1000 {
+		sent += len(tracker.UpdatesFor("other"))
+	}
+	assert.LessOrEqual(t, sent, 100*sendsPerLevel*7)
+	assert.Empty(t, tracker.UpdatesFor("other"))
+}
+
+// Guards against memory that peers can fill.
+func TestMembersAreBounded(t *testing.T) {
+	tracker := NewTracker(Update{Name: "self", Incarnation: 1})
+	for i := range MaxMembers + 100 {
+		tracker.Heartbeat(time.Unix(1, 0), Update{Name: fmt.Sprint("m", i), Incarnation: 1}, nil)
+	}
+	assert.Len(t, tracker.View().Members, MaxMembers)
+}
+
+func TestUpdateOrder(t *testing.T) {
+	older := Update{Incarnation: 2, Counter: 3, State: Slow}
+	for _, c := range []struct {
+		name string
+		u    Update
+		want bool
+	}{
+		{"older incarnation", Update{Incarnation: 1, Counter: 9, State: Gone}, false},
+		{"newer incarnation", Update{Incarnation: 3}, true},
+		{"older counter", Update{Incarnation: 2, Counter: 2, State: Gone}, false},
+		{"newer counter", Update{Incarnation: 2, Counter: 4}, true},
+		{"earlier state", Update{Incarnation: 2, Counter: 3}, false},
+		{"later state", Update{Incarnation: 2, Counter: 3, State: Leaving}, true},
+	} {
+		assert.Equal(t, c.want, c.u.supersedes(older), c.name)
+	}
+	assert.False(t, Update{Incarnation: 2, Counter: 9}.supersedes(Update{Incarnation: 2, State: Gone}))
+}
