--- /dev/null
+++ b/cmd/jacinth-capacity/main.go
@@ -0,0 +1,31 @@
+// Command jacinth-capacity prints what each role of an instance costs at several
+// sizes of the system, and the figures of look-ups and control traffic with
+// their bounds.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jacinthstall/jacinthstall/internal/capacity"
+	"github.com/jacinthstall/jacinthstall/internal/figures"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "jacinth-capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	if err := capacity.Run(os.Stdout); err != nil {
+		return err
+	}
+	list, err := capacity.Figures()
+	if err != nil {
+		return err
+	}
+	figures.Print(os.Stdout, list)
+	return nil
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -45,7 +45,7 @@
 		in.received(from, r.GetConfigVersion(), r.GetLoads())
 	}
 	return &peerpb.HeartbeatResponse{
-		From:          messageOf(in.members.self()),
+		From:          MemberMessage(in.members.self()),
 		Updates:       messagesOf(in.members.updatesFor(from.GetName())),
 		ConfigVersion: in.configVersion(),
 		Loads:         in.loads(),
@@ -145,7 +145,7 @@
 		return err
 	}
 	answer, err := peerpb.NewDRPCPeerClient(link.conn).Heartbeat(ctx, &peerpb.HeartbeatRequest{
-		From:          messageOf(in.members.self()),
+		From:          MemberMessage(in.members.self()),
 		Updates:       messagesOf(in.members.updatesFor(name)),
 		ConfigVersion: in.configVersion(),
 		Loads:         in.loads(),
@@ -185,7 +185,8 @@
 	}
 }
 
-func messageOf(u membership.Update) *peerpb.MemberUpdate {
+// MemberMessage returns the message of a member update as heartbeats carry it.
+func MemberMessage(u membership.Update) *peerpb.MemberUpdate {
 	return &peerpb.MemberUpdate{
 		Name:          u.Name,
 		Incarnation:   u.Incarnation,
@@ -204,7 +205,7 @@
 func messagesOf(list []membership.Update) []*peerpb.MemberUpdate {
 	messages := make([]*peerpb.MemberUpdate, len(list))
 	for i, u := range list {
-		messages[i] = messageOf(u)
+		messages[i] = MemberMessage(u)
 	}
 	return messages
 }
--- a/linkcap/link.go
+++ b/linkcap/link.go
@@ -37,7 +37,7 @@
 // Link is the bucket of one holder on a directed link, with its loans.
 type Link struct {
 	bucket   *Bucket
-	loans    []loan             // In the order of their ends.
+	loans    []loan    // In the order of their ends.
 	asked    []Request // Requests without an answer, oldest first.
 	lastAsk  time.Time
 	numbers  uint64
