--- a/entry/config.go
+++ b/entry/config.go
@@ -31,8 +31,8 @@
 	self := configsync.Member{Name: in.settings.Name, Domain: in.settings.Domain}
 	c := &config{
 		store: &configsync.Store{},
-		peers: &configPeers{self: self, members: in.members, addresses: map[string]string{}, domains: map[string]string{}},
-		log:   events.New(in.log),
+		peers: &configPeers{self: self, members: in.members},
+		log:   in.events,
 	}
 	if len(keys) == 0 {
 		c.log.Emit(events.ConfigNoKeys, log.Fields{})
@@ -43,39 +43,40 @@
 
 // watchDocument keeps the document in force up to date until ctx ends.
 func (in *Instance) watchDocument(ctx context.Context) {
-	in.refreshList(ctx)
+	in.readList(ctx)
 	w := configsync.Watcher{KV: in.platform, Relay: in.config.relay}
 	w.Run(ctx)
 }
 
-// refreshList reads the platform's list once, so that a cold instance knows
-// its peers. Without the platform it learns them from their heartbeats.
-func (in *Instance) refreshList(ctx context.Context) {
-	if list, err := in.platform.Instances(ctx); err == nil {
-		in.members.apply(list, in.settings.Name)
+// useSnapshot puts a snapshot in force. It is called in the order of versions.
+// The document that the instance keeps has no client blocks; they are in the
+// look-up table, which takes only the blocks that changed.
+func (in *Instance) useSnapshot(s *configsync.Snapshot) {
+	d, err := documentOf(s)
+	if err == nil {
+		err = in.lookups.useSnapshot(d, s)
+	}
+	if err != nil {
+		fields := log.Fields{"version": s.Version(), "source": "store", "reason": err.Error()}
+		in.config.log.Emit(events.ConfigRejected, fields)
+		return
 	}
+	in.document.Store(d)
 }
 
-// useSnapshot replaces the document. It is called in the order of versions.
-func (in *Instance) useSnapshot(s *configsync.Snapshot) {
-	src, err := s.Document()
-	if err == nil {
-		var d *policy.Document
-		if d, err = policy.Parse(documentLabel, src); err == nil {
-			in.document.Store(d)
-			return
-		}
+func documentOf(s *configsync.Snapshot) (*policy.Document, error) {
+	core, err := s.Core()
+	if err != nil {
+		return nil, err
 	}
-	fields := log.Fields{"version": s.Version(), "source": "store", "reason": err.Error()}
-	in.config.log.Emit(events.ConfigRejected, fields)
+	return policy.Parse(documentLabel, core)
 }
 
-// heartbeatSeen takes in the version that a heartbeat carries.
-func (in *Instance) heartbeatSeen(ctx context.Context, from *peerpb.MemberUpdate, version uint64) {
-	if from == nil || from.GetName() == in.settings.Name {
+// versionSeen takes in the configuration version that a heartbeat carries.
+func (in *Instance) versionSeen(from *peerpb.MemberUpdate, version uint64) {
+	if from.GetName() == in.settings.Name {
 		return
 	}
-	in.config.peers.heard(from)
 	member := configsync.Member{Name: from.GetName(), Domain: from.GetDomain()}
-	go in.config.relay.Observed(context.WithoutCancel(ctx), member, version)
+	go in.config.relay.Observed(context.Background(), member, version)
 }
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthstall/jacinthstall/configsync"
+	"github.com/jacinthstall/jacinthstall/lookup"
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/policy/policytest"
@@ -59,8 +61,7 @@
 	t.Cleanup(cancel)
 	go func() { _ = in.servePeers(ctx, listener) }()
 	go in.watchDocument(ctx)
-	go in.watchInstances(ctx)
-	go in.sendHeartbeats(ctx)
+	go in.runMembers(ctx)
 	return in
 }
 
@@ -102,7 +103,11 @@
 		require.NoError(t, err)
 		requireVersion(t, base+1, instances...)
 	}
-	assert.Equal(t, "site-1", instances[2].document.Load().Blocks[0].Site)
+	var a lookup.Answer
+	steering, err := instances[2].lookups.decide(lookup.Query{Caller: netip.MustParseAddr("10.1.2.3")}, &a)
+	require.NoError(t, err)
+	assert.Equal(t, "site-1", a.Site)
+	assert.Equal(t, 1, steering.Blocks())
 
 	store.SetFaults(platformd.Faults{Outage: true})
 	requireVersion(t, 2, runConfig(t, all[3], listeners[3]))
--- a/entry/configpeer.go
+++ b/entry/configpeer.go
@@ -2,14 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
-	"sync"
+	"slices"
+	"strings"
 
 	"storj.io/drpc/drpcconn"
 
 	"github.com/jacinthstall/jacinthstall/configsync"
+	"github.com/jacinthstall/jacinthstall/membership"
 	"github.com/jacinthstall/jacinthstall/peer/peerpb"
-	"github.com/jacinthstall/jacinthstall/platform"
 )
 
 // PushConfig takes in a configuration that another instance offers.
@@ -22,43 +24,20 @@
 	return p.in.config.relay.HandleFetch(ctx, r)
 }
 
-// configPeers reaches other instances for the configuration. Addresses come
-// from the platform's list and from heartbeats, so that an instance that
-// starts while the platform is down reaches those that send it heartbeats.
+// configPeers reaches other instances for the configuration.
 type configPeers struct {
 	self    configsync.Member
 	members *members
-
-	mu        sync.Mutex
-	addresses map[string]string // From heartbeats, by name.
-	domains   map[string]string // From heartbeats, by name.
-}
-
-// heard notes the sender of a heartbeat.
-func (p *configPeers) heard(from *peerpb.MemberUpdate) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.addresses[from.GetName()] = from.GetPeerAddress()
-	p.domains[from.GetName()] = from.GetDomain()
 }
 
 // Members implements configsync.Peers.
 func (p *configPeers) Members() []configsync.Member {
 	list := []configsync.Member{p.self}
-	listed := p.members.configMembers()
-	for _, m := range listed {
-		if m.State == platform.InstanceLive {
+	for _, m := range p.members.view().Members {
+		if m.Name != p.self.Name && m.State < membership.Leaving {
 			list = append(list, configsync.Member{Name: m.Name, Domain: m.Domain})
 		}
 	}
-	if len(listed) > 0 {
-		return list
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for name, domain := range p.domains {
-		list = append(list, configsync.Member{Name: name, Domain: domain})
-	}
 	return list
 }
 
@@ -83,11 +62,9 @@
 }
 
 func (p *configPeers) dial(ctx context.Context, name string) (*drpcconn.Conn, error) {
-	address, ok := p.members.addresses()[name]
+	address, ok := p.members.address(name)
 	if !ok {
-		p.mu.Lock()
-		address = p.addresses[name]
-		p.mu.Unlock()
+		return nil, fmt.Errorf("entry: no address of instance %q", name)
 	}
 	var dialer net.Dialer
 	raw, err := dialer.DialContext(ctx, "tcp", address)
@@ -97,14 +74,14 @@
 	return drpcconn.New(raw), nil
 }
 
-// configMembers returns the members of the platform's list, this instance not
-// included.
-func (m *members) configMembers() []platform.Instance {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	list := make([]platform.Instance, 0, len(m.list))
-	for _, member := range m.list {
-		list = append(list, member.info)
+// address returns the peer address of an instance.
+func (m *members) address(name string) (string, bool) {
+	view := m.view()
+	i, ok := slices.BinarySearchFunc(view.Members, name, func(member membership.Member, name string) int {
+		return strings.Compare(member.Name, name)
+	})
+	if !ok || view.Members[i].PeerAddress == "" {
+		return "", false
 	}
-	return list
+	return view.Members[i].PeerAddress, true
 }
