--- /dev/null
+++ b/once/result.go
@@ -0,0 +1,99 @@
+package once
+
+import "github.com/jacinthstall/jacinthstall/outcome"
+
+// MaxBodyBytes bounds the body that a record keeps for replay.
+const MaxBodyBytes = 4 << 10
+
+// Fingerprint identifies the content of a request.
+type Fingerprint [16]byte
+
+// Result is what became of an execution.
+type Result struct {
+	Executed    outcome.Executed
+	Status      int // HTTP status code of the answer; 0 unless Executed is yes.
+	Reason      outcome.Reason
+	ContentType string
+	Body        []byte
+	// BodyDropped is true when the answer's body was longer than MaxBodyBytes
+	// and is not kept.
+	BodyDropped bool
+}
+
+// bounded returns the result without a body that is too long to keep.
+func (r Result) bounded() Result {
+	if len(r.Body) > MaxBodyBytes {
+		r.Body, r.BodyDropped = nil, true
+		return r
+	}
+	r.Body = append([]byte(nil), r.Body...)
+	return r
+}
+
+var unknownResult = Result{Executed: outcome.Unknown, Reason: outcome.ReasonIssuerGone}
+
+// Verdict says what may be done with a request that carries a key.
+type Verdict int
+
+const (
+	// Run means that the caller of Begin must execute the request and call
+	// Ticket.Finish exactly once.
+	Run Verdict = iota + 1
+	// Wait means that the first request with the key is in flight.
+	Wait
+	// Replay means that the recorded result answers the request.
+	Replay
+	// Foreign means that another instance issued the key.
+	Foreign
+	// HandedOver means that the successor decides about the key.
+	HandedOver
+	// RefuseUnknown means that the key's prefix was never issued. No target
+	// executed the request.
+	RefuseUnknown
+	// RefuseExpired means that the key's record may have been dropped.
+	// Whether a target executed the request is unknown.
+	RefuseExpired
+	// RefuseGone means that the issuing incarnation has ended or that its
+	// hand-over is not complete. Whether a target executed the request is
+	// unknown.
+	RefuseGone
+	// RefuseFull means that the registry holds its maximum of records. No
+	// target executed the request.
+	RefuseFull
+	// RefuseReused means that the key belongs to a request with other content.
+	// No target executed this one.
+	RefuseReused
+)
+
+var verdictNames = map[Verdict]string{
+	Run: "run", Wait: "wait", Replay: "replay", Foreign: "foreign", HandedOver: "handed-over",
+	RefuseUnknown: "refuse-unknown", RefuseExpired: "refuse-expired", RefuseGone: "refuse-gone",
+	RefuseFull: "refuse-full", RefuseReused: "refuse-reused",
+}
+
+// String returns the verdict in kebab case.
+func (v Verdict) String() string { return verdictNames[v] }
+
+var refusals = map[Verdict]outcome.Outcome{
+	RefuseUnknown: {Status: 409, Reason: outcome.ReasonKeyUnknown, Executed: outcome.No},
+	RefuseExpired: {Status: 409, Reason: outcome.ReasonKeyExpired, Executed: outcome.Unknown},
+	RefuseGone:    {Status: 409, Reason: outcome.ReasonIssuerGone, Executed: outcome.Unknown},
+	RefuseFull:    {Status: 503, Reason: outcome.ReasonRecordsFull, Executed: outcome.No},
+	RefuseReused:  {Status: 422, Reason: outcome.ReasonKeyReused, Executed: outcome.No},
+}
+
+// Refusal returns the outcome of a refusing verdict, and false for a verdict
+// that does not refuse.
+func (v Verdict) Refusal() (outcome.Outcome, bool) {
+	o, ok := refusals[v]
+	return o, ok
+}
+
+// Decision is the answer of Begin.
+type Decision struct {
+	Verdict   Verdict
+	Ticket    *Ticket         // Run only.
+	Done      <-chan struct{} // Wait only; closed when the request in flight has finished.
+	Result    Result          // Replay only.
+	Successor Issuer          // HandedOver only.
+}
