--- a/entry/callers.go
+++ b/entry/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -16,6 +15,12 @@
 
 const (
 	maxRequestBytes = 8 << 20
+	maxHeaderBytes  = 64 << 10
+	// prefetchBytes is read of a streamed body before the handler is called.
+	prefetchBytes = 4 << 10
+	// readTimeout bounds the arrival of a request's head and prefetched body.
+	readTimeout = 10 * time.Second
+	idleTimeout = time.Minute
 	// pathLookup is the look-up for callers; paths under "/-/" are never
 	// carried to targets.
 	pathLookup = "/-/lookup"
@@ -25,7 +30,14 @@
 	h := server.New(
 		server.WithHostPorts(in.settings.CallerAddress),
 		server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(maxRequestBytes),
+		server.WithMaxRequestBodySize(prefetchBytes),
+		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithStreamBody(true),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithSenseClientDisconnection(true),
+		server.WithDisableDefaultContentType(true),
+		server.WithReadTimeout(readTimeout),
+		server.WithIdleTimeout(idleTimeout),
 		server.WithExitWaitTime(time.Second),
 		server.WithDisablePrintRoute(true),
 	)
@@ -79,24 +91,13 @@
 	return site
 }
 
+// keyPrefix is empty once the records have been sealed for a hand-over.
 func (in *Instance) keyPrefix() string {
-	return in.settings.Name + "." + strconv.FormatUint(in.incarnation, 36) + ".0"
-}
-
-func (in *Instance) handleRequest(ctx context.Context, c *app.RequestContext) {
-	in.inFlight.Add(1)
-	defer in.inFlight.Add(-1)
-	o := in.serve(ctx, c)
-	if o.Reason != outcome.ReasonAnswered {
-		in.refuse(c, o)
-	}
-	c.Response.Header.Set(outcome.HeaderExecuted, string(o.Executed))
-	c.Response.Header.Set(outcome.HeaderReason, string(o.Reason))
-	c.Response.Header.Set(outcome.HeaderTarget, o.Target)
-	c.Response.Header.Set(outcome.HeaderInstance, in.settings.Name)
-	if in.leaving.Load() {
-		c.SetConnectionClose()
+	p, ok := in.once.Prefix(time.Now())
+	if !ok {
+		return ""
 	}
+	return p.String()
 }
 
 func (in *Instance) refuse(c *app.RequestContext, o outcome.Outcome) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,9 +12,12 @@
 	"github.com/apex/log"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
+	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
+	"github.com/jacinthstall/jacinthstall/once"
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
+	"github.com/jacinthstall/jacinthstall/quarantine"
 	"github.com/jacinthstall/jacinthstall/settings"
 )
 
@@ -26,6 +29,10 @@
 	forwarder   *forward.Forwarder
 	document    atomic.Pointer[policy.Document]
 	members     *members
+	once        *once.Registry
+	guard       *quarantine.Guard
+	chooser     Chooser
+	events      *events.Log
 	leaving     atomic.Bool
 	inFlight    atomic.Int64
 	log         log.Interface
@@ -37,9 +44,19 @@
 	if err != nil {
 		return nil, err
 	}
+	now := time.Now()
+	incarnation := uint64(now.UnixNano())
+	records, err := once.New(once.Issuer{Instance: s.Name, Incarnation: incarnation}, now)
+	if err != nil {
+		return nil, err
+	}
 	return &Instance{
 		settings:    s,
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: incarnation,
+		once:        records,
+		guard:       quarantine.New(),
+		chooser:     randomChooser{domain: s.Domain, region: s.Region},
+		events:      events.New(logger),
 		platform:    p,
 		forwarder:   forward.New(),
 		members:     newMembers(),
--- a/entry/request.go
+++ b/entry/request.go
@@ -3,120 +3,196 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
 	"github.com/jacinthstall/jacinthstall/outcome"
 	"github.com/jacinthstall/jacinthstall/policy"
+	"github.com/jacinthstall/jacinthstall/quarantine"
 )
 
 // maxAttempts bounds the targets tried for one request.
 const maxAttempts = 3
 
-func (in *Instance) serve(ctx context.Context, c *app.RequestContext) outcome.Outcome {
-	d := in.document.Load()
-	if d == nil {
-		return outcome.Outcome{Status: 503, Reason: outcome.ReasonNoConfig, Executed: outcome.No}
-	}
-	service, ok := d.ServiceFor(string(c.Path()))
-	if !ok {
-		return outcome.Outcome{Status: 404, Reason: outcome.ReasonNoService, Executed: outcome.No}
-	}
-	deadline := requestDeadline(d, string(c.Request.Header.Peek(outcome.HeaderDeadline)))
-	ctx, cancel := context.WithTimeout(ctx, deadline)
-	defer cancel()
-	return in.attempt(ctx, c, d, service)
-}
+var errNotRead = errors.New("answer was not read to its end")
 
 func requestDeadline(d *policy.Document, header string) time.Duration {
 	ms, err := strconv.Atoi(header)
-	if err != nil || ms <= 0 {
+	if err != nil || ms <= 0 || ms > d.Timing.MaxDeadlineMs {
+		if err == nil && ms > 0 {
+			return d.Timing.MaxDeadline()
+		}
 		return d.Timing.DefaultDeadline()
 	}
-	return min(time.Duration(ms)*time.Millisecond, d.Timing.MaxDeadline())
+	return time.Duration(ms) * time.Millisecond
+}
+
+// serve finds a reply for a request. Only a service that is not idempotent
+// takes keys.
+func (in *Instance) serve(ctx context.Context, r *incoming) *reply {
+	if r.key == "" || r.service.Idempotent {
+		return in.attempts(ctx, r)
+	}
+	return in.serveKey(ctx, r)
 }
 
-// attempt tries targets until one answers. A request that is not idempotent
+// attempts tries targets until one answers. A request that is not idempotent
 // is sent to another target only when the last one provably did not execute it.
-func (in *Instance) attempt(ctx context.Context, c *app.RequestContext, d *policy.Document, s policy.Service) outcome.Outcome {
-	last := outcome.Outcome{Status: 503, Reason: outcome.ReasonNoTarget, Executed: outcome.No}
+func (in *Instance) attempts(ctx context.Context, r *incoming) *reply {
+	var last *reply
 	tried := map[string]bool{}
-	for range maxAttempts {
-		target, ok := in.chooseTarget(d, s, tried)
-		if !ok {
-			return last
-		}
-		tried[target.Name] = true
-		in.log.WithFields(log.Fields{"service": s.Name, "target": target.Name, "version": d.Version}).Debug("target chosen")
-		last = in.send(ctx, c, target)
-		if last.Reason == outcome.ReasonAnswered {
-			return last
+	for number := 1; number <= maxAttempts; number++ {
+		next := in.attempt(ctx, r, tried, number)
+		if next.body != nil || last == nil || next.Reason != outcome.ReasonNoTarget {
+			last = next.after(last)
 		}
-		if last.Executed == outcome.Unknown && !s.Idempotent {
+		again := next.Executed == outcome.No || (r.service.Idempotent && next.Executed == outcome.Unknown)
+		if next.body != nil || next.Target == "" || !again || !r.repeatable() || ctx.Err() != nil {
 			return last
 		}
 	}
 	return last
 }
 
-// chooseTarget picks a random target of the domain, else of the region, else any.
-func (in *Instance) chooseTarget(d *policy.Document, s policy.Service, tried map[string]bool) (policy.Target, bool) {
-	var near, region, far []policy.Target
-	for _, t := range d.Targets {
-		if t.Service != s.Name || t.Leaving || tried[t.Name] {
-			continue
+// after keeps "unknown" of an earlier attempt: a later one that was not
+// executed does not take it back.
+func (r *reply) after(earlier *reply) *reply {
+	if earlier != nil && earlier.Executed == outcome.Unknown && r.Executed == outcome.No {
+		r.Executed = outcome.Unknown
+	}
+	return r
+}
+
+func (in *Instance) attempt(ctx context.Context, r *incoming, tried map[string]bool, number int) *reply {
+	f := r.fingerprint()
+	targets := r.targets()
+	for {
+		excluded, refusal := in.permitted(ctx, f, targets, tried)
+		if refusal != nil {
+			return refused(*refusal)
+		}
+		grant, refusal := in.chooser.Acquire(ctx, Want{Document: r.document, Service: r.service,
+			Arrived: r.arrived, Deadline: r.deadline, Excluded: excluded})
+		if refusal != nil {
+			return refused(*refusal)
 		}
-		switch {
-		case t.Domain == in.settings.Domain:
-			near = append(near, t)
-		case d.RegionOf(t.Domain) == in.settings.Region:
-			region = append(region, t)
-		default:
-			far = append(far, t)
+		flight := in.guard.Start(time.Now(), f, r.service.Name, grant.Target.Name, targets)
+		if flight == nil {
+			grant.Release(CauseUnused)
+			continue
 		}
+		tried[grant.Target.Name] = true
+		in.events.Emit(events.RequestRouted, log.Fields{"service": r.service.Name, "target": grant.Target.Name, "attempt": number,
+			"excluded": len(excluded), "remainingMs": time.Until(r.deadline).Milliseconds(), "version": r.document.Version})
+		return in.send(ctx, r, grant, flight)
 	}
-	for _, candidates := range [][]policy.Target{near, region, far} {
-		if len(candidates) > 0 {
-			return candidates[rand.IntN(len(candidates))], true
+}
+
+// permitted returns the targets that must not be chosen. It waits while an
+// identical request is in flight that binds this one.
+func (in *Instance) permitted(ctx context.Context, f quarantine.Fingerprint, targets []quarantine.Target, tried map[string]bool) (map[string]bool, *outcome.Outcome) {
+	for {
+		d := in.guard.Check(time.Now(), f, targets)
+		switch d.Verdict {
+		case quarantine.Refuse:
+			return nil, &outcome.Outcome{Status: 422, Reason: outcome.ReasonQuarantined, Executed: outcome.No}
+		case quarantine.Wait:
+			select {
+			case <-d.Changed:
+				continue
+			case <-ctx.Done():
+				return nil, &outcome.Outcome{Status: 504, Reason: outcome.ReasonDeadline, Executed: outcome.No}
+			}
+		}
+		excluded := map[string]bool{}
+		for _, t := range targets {
+			if tried[t.Name] || !d.Allows(t.Name) {
+				excluded[t.Name] = true
+			}
 		}
+		return excluded, nil
 	}
-	return policy.Target{}, false
 }
 
-func (in *Instance) send(ctx context.Context, c *app.RequestContext, t policy.Target) outcome.Outcome {
-	request, answer := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(request)
-	defer protocol.ReleaseResponse(answer)
-	c.Request.CopyTo(request)
-	request.SetHost(t.Address)
-	if deadline, ok := ctx.Deadline(); ok {
-		request.Header.Set(outcome.HeaderDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+// send carries the request to the target. The grant and the flight end with
+// the answer's body.
+func (in *Instance) send(ctx context.Context, r *incoming, grant Grant, flight *quarantine.Flight) *reply {
+	out := r.outgoing()
+	out.Header.Set(outcome.HeaderDeadline, strconv.FormatInt(max(1, time.Until(r.deadline).Milliseconds()), 10))
+	to := forward.Target{Address: grant.Target.Address, Connections: grant.Target.Connections}
+	answer, err := in.forwarder.Do(ctx, to, out)
+	if err != nil {
+		return in.failed(ctx, r, grant, flight, err)
 	}
-	if err := in.forwarder.Do(ctx, t.Address, request, answer); err != nil {
-		return failed(ctx, t, err)
+	executed := answer.Header.Get(outcome.HeaderExecuted)
+	forward.CleanAnswer(answer.Header)
+	if executed == string(outcome.No) {
+		_ = answer.Body.Close()
+		in.guard.Ended(flight)
+		grant.Release(CauseShed)
+		return refused(outcome.Outcome{Status: 503, Reason: outcome.ReasonShed, Executed: outcome.No, Target: grant.Target.Name})
 	}
-	shed := string(answer.Header.Peek(outcome.HeaderExecuted)) == string(outcome.No)
-	if shed {
-		return outcome.Outcome{Status: 503, Reason: outcome.ReasonShed, Executed: outcome.No, Target: t.Name}
+	o := outcome.Outcome{Status: answer.Status, Reason: outcome.ReasonAnswered, Executed: outcome.Yes, Target: grant.Target.Name}
+	body := &answerBody{ReadCloser: answer.Body}
+	body.done = func(_ *answerBody, err error) { in.answered(r, grant, flight, err) }
+	return &reply{Outcome: o, header: answer.Header, length: answer.Length, body: body}
+}
+
+// answered ends an exchange whose answer's head was read.
+func (in *Instance) answered(r *incoming, grant Grant, flight *quarantine.Flight, err error) {
+	var failure *forward.Error
+	switch {
+	case err == nil:
+		in.guard.Succeeded(time.Now(), flight)
+		grant.Release(CauseAnswered)
+		return
+	case errors.As(err, &failure) && failure.Crashed:
+		in.crashed(r, grant, flight)
+		grant.Release(CauseCrashed)
+	default:
+		in.guard.Ended(flight)
+		grant.Release(CauseTimedOut)
 	}
-	answer.CopyTo(&c.Response)
-	return outcome.Outcome{Status: answer.StatusCode(), Reason: outcome.ReasonAnswered, Executed: outcome.Yes, Target: t.Name}
+	in.events.Emit(events.AnswerCut, log.Fields{"service": r.service.Name, "target": grant.Target.Name, "error": err.Error()})
 }
 
-func failed(ctx context.Context, t policy.Target, err error) outcome.Outcome {
-	o := outcome.Outcome{Status: 502, Reason: outcome.ReasonTargetFailed, Executed: outcome.Unknown, Target: t.Name}
+// failed ends an exchange without an answer.
+func (in *Instance) failed(ctx context.Context, r *incoming, grant Grant, flight *quarantine.Flight, err error) *reply {
+	o := outcome.Outcome{Status: 502, Reason: outcome.ReasonTargetFailed, Executed: outcome.Unknown, Target: grant.Target.Name}
+	cause := CauseTimedOut
 	var failure *forward.Error
 	if errors.As(err, &failure) && failure.Stage == forward.StageConnect {
-		o.Executed = outcome.No
+		o.Executed, cause = outcome.No, CauseConnectFailed
 	}
-	if ctx.Err() != nil {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		o.Status, o.Reason = 413, outcome.ReasonBodyTooLarge
+	case errors.Is(err, forward.ErrSource), errors.Is(err, forward.ErrRequest):
+		o.Status, o.Reason = 400, outcome.ReasonBadRequest
+	case errors.Is(ctx.Err(), context.Canceled):
+		o.Status, o.Reason = 499, outcome.ReasonCanceled
+	case ctx.Err() != nil:
 		o.Status, o.Reason = 504, outcome.ReasonDeadline
 	}
-	return o
+	if failure != nil && failure.Crashed {
+		cause = CauseCrashed
+		in.crashed(r, grant, flight)
+	} else {
+		in.guard.Ended(flight)
+	}
+	grant.Release(cause)
+	in.events.Emit(events.AttemptFailed, log.Fields{"service": r.service.Name, "target": grant.Target.Name,
+		"executed": o.Executed, "reason": o.Reason, "error": err.Error()})
+	return refused(o)
+}
+
+func (in *Instance) crashed(r *incoming, grant Grant, flight *quarantine.Flight) {
+	for _, report := range in.guard.Crashed(time.Now(), flight) {
+		in.events.Emit(events.TargetCrashSuspected, log.Fields{"service": r.service.Name, "target": grant.Target.Name,
+			"fingerprint": report.Fingerprint.String(), "quarantineMs": report.Quarantine.Milliseconds()})
+	}
 }
--- /dev/null
+++ b/entry/requests.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/outcome"
+)
+
+// maxInFlight bounds the requests of callers that are served at a time; each
+// holds at most 64 KB of its body.
+const maxInFlight = 1024
+
+// closeDetector is a connection that can watch for the caller's disconnect
+// while nothing else reads from it.
+type closeDetector interface {
+	DetectConnectionClose()
+	AbortBlockingRead()
+}
+
+// handleRequest serves a request of a caller. The work ends when the answer's
+// body has been passed on, which is after the handler returns.
+func (in *Instance) handleRequest(ctx context.Context, c *app.RequestContext) {
+	if in.inFlight.Add(1) > maxInFlight {
+		in.inFlight.Add(-1)
+		c.SetConnectionClose()
+		in.writeRefusal(c, "", outcome.Outcome{Status: 503, Reason: outcome.ReasonOverloaded, Executed: outcome.No})
+		return
+	}
+	end := func() { in.inFlight.Add(-1) }
+	r, refusal := in.receive(c)
+	if refusal != nil {
+		// The body was not read to its end.
+		c.SetConnectionClose()
+		in.writeRefusal(c, "", *refusal)
+		end()
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	stopWatching := watchDisconnect(c, r)
+	got := in.serve(ctx, r)
+	if r.rest != nil {
+		c.SetConnectionClose()
+	}
+	done := func() {
+		cancel()
+		stopWatching()
+		end()
+	}
+	in.writeReply(c, r, got, done)
+}
+
+// watchDisconnect cancels the request's context when the caller disconnects.
+// Requests without a body are watched by the server itself.
+func watchDisconnect(c *app.RequestContext, r *incoming) (stop func()) {
+	conn, ok := c.GetConn().(closeDetector)
+	if !ok || !c.Request.IsBodyStream() || r.rest != nil {
+		return func() {}
+	}
+	conn.DetectConnectionClose()
+	return conn.AbortBlockingRead
+}
+
+// receive reads the head and the first part of the body.
+func (in *Instance) receive(c *app.RequestContext) (*incoming, *outcome.Outcome) {
+	d := in.document.Load()
+	if d == nil {
+		return nil, &outcome.Outcome{Status: 503, Reason: outcome.ReasonNoConfig, Executed: outcome.No}
+	}
+	service, ok := d.ServiceFor(string(c.Path()))
+	if !ok {
+		return nil, &outcome.Outcome{Status: 404, Reason: outcome.ReasonNoService, Executed: outcome.No}
+	}
+	now := time.Now()
+	r := &incoming{
+		method: string(c.Method()), uri: string(c.Request.Header.RequestURI()), path: string(c.Path()),
+		header: http.Header{}, key: string(c.Request.Header.Peek(outcome.HeaderKey)),
+		arrived: now, document: d, service: service,
+	}
+	c.Request.Header.VisitAll(func(key, value []byte) { r.header.Add(string(key), string(value)) })
+	r.deadline = now.Add(requestDeadline(d, r.header.Get(outcome.HeaderDeadline)))
+	if !c.Request.IsBodyStream() {
+		return r, nil
+	}
+	r.length = max(int64(c.Request.Header.ContentLength()), -1)
+	// A slow caller is cut at its own deadline and holds no target until the
+	// first part of its body has arrived.
+	if err := c.GetConn().SetReadDeadline(r.deadline); err != nil {
+		return nil, &outcome.Outcome{Status: 400, Reason: outcome.ReasonBadRequest, Executed: outcome.No}
+	}
+	return r, r.readPrefix(c.Request.BodyStream())
+}
+
+func (in *Instance) writeReply(c *app.RequestContext, r *incoming, got *reply, done func()) {
+	if got.body == nil {
+		in.writeRefusal(c, r.service.Name, got.Outcome)
+		done()
+		return
+	}
+	c.Response.Reset()
+	c.SetStatusCode(got.Status)
+	for name, values := range got.header {
+		for _, value := range values {
+			c.Response.Header.Add(name, value)
+		}
+	}
+	in.writeOutcome(c, got.Outcome)
+	c.Response.ImmediateHeaderFlush = true
+	c.SetBodyStream(&passOn{ReadCloser: got.body, abort: func() { _ = c.GetConn().Close() }, done: done}, int(got.length))
+}
+
+func (in *Instance) writeRefusal(c *app.RequestContext, service string, o outcome.Outcome) {
+	closing := c.Response.ConnectionClose()
+	in.refuse(c, o)
+	if closing {
+		c.SetConnectionClose()
+	}
+	in.writeOutcome(c, o)
+	in.events.Emit(events.RequestRefused, log.Fields{"service": service, "status": o.Status, "reason": o.Reason, "executed": o.Executed})
+}
+
+func (in *Instance) writeOutcome(c *app.RequestContext, o outcome.Outcome) {
+	c.Response.Header.Set(outcome.HeaderExecuted, string(o.Executed))
+	c.Response.Header.Set(outcome.HeaderReason, string(o.Reason))
+	if o.Target != "" {
+		c.Response.Header.Set(outcome.HeaderTarget, o.Target)
+	}
+	c.Response.Header.Set(outcome.HeaderInstance, in.settings.Name)
+	if o.Reason == outcome.ReasonKeyUnknown || o.Reason == outcome.ReasonKeyExpired {
+		c.Response.Header.Set(outcome.HeaderKeyPrefix, in.keyPrefix())
+	}
+	if in.leaving.Load() {
+		c.SetConnectionClose()
+	}
+}
+
+// passOn is the body of an answer on its way to the caller. When it breaks off,
+// the caller's connection is closed before the error is returned: the server
+// ends a chunked body with the final chunk also after an error, which would
+// present a truncated answer as whole.
+type passOn struct {
+	io.ReadCloser
+	abort func()
+	done  func()
+}
+
+// Read passes on what has arrived.
+func (p *passOn) Read(b []byte) (int, error) {
+	n, err := p.ReadCloser.Read(b)
+	if err != nil && err != io.EOF {
+		p.abort()
+	}
+	return n, err
+}
+
+// Close ends the request.
+func (p *passOn) Close() error {
+	err := p.ReadCloser.Close()
+	if p.done != nil {
+		p.done()
+		p.done = nil
+	}
+	return err
+}
--- /dev/null
+++ b/forward/errors.go
@@ -0,0 +1,53 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Stage says how far a failed exchange came.
+type Stage int
+
+const (
+	// StageConnect means that no byte was written.
+	StageConnect Stage = iota
+	// StageWritten means that at least one byte may have been written and that
+	// no complete answer head was read.
+	StageWritten
+	// StageAnswered means that the answer's head was read and its body was not
+	// complete.
+	StageAnswered
+)
+
+var (
+	// ErrConnectionLimit means that the target's bound of connections is reached.
+	ErrConnectionLimit = errors.New("connection limit of the target is reached")
+	// ErrSource means that the body of the request could not be read.
+	ErrSource = errors.New("request body ended early")
+	// ErrRequest means that the request cannot be written as HTTP/1.1.
+	ErrRequest = errors.New("request is not valid")
+	// ErrUnframed means that an answer without a declared length ended.
+	ErrUnframed = errors.New("answer without a declared length ended with the connection")
+
+	errHeadTooLarge = errors.New("answer head is too large")
+	errInterim      = errors.New("too many interim answers")
+	errSwitched     = errors.New("target switched protocols")
+)
+
+// Error is a failed exchange with a target.
+type Error struct {
+	Target string // ip:port.
+	Stage  Stage
+	// Crashed is true when the target closed or reset the connection before
+	// its answer was complete.
+	Crashed bool
+	Err     error
+}
+
+// Error describes the failure.
+func (e *Error) Error() string {
+	return fmt.Sprintf("target %s: %v", e.Target, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -1,187 +1,162 @@
-// Package forward carries a request to a target over HTTP/1.1 and reads its
-// answer. It opens and pools its own connections, so that it knows for each
-// failure whether any byte of the request may have reached the target.
-//
-// A connection carries one request at a time. It is used again only after the
-// answer was read to its end without error and neither side asked to close.
 package forward
 
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
-	"sync"
-	"time"
-
-	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"net/http"
 )
 
-const (
-	dialTimeout     = 500 * time.Millisecond
-	maxIdlePerHost  = 64
-	maxIdleDuration = 5 * time.Second
-	// maxAnswerBytes bounds an answer that is held in memory.
-	maxAnswerBytes = 8 << 20
-)
-
-// Stage says how far a failed request came.
-type Stage int
-
-const (
-	// StageConnect means that no byte was written.
-	StageConnect Stage = iota
-	// StageWritten means that at least one byte may have been written.
-	StageWritten
-)
-
-// Error is a failed exchange with a target.
-type Error struct {
-	Target string // ip:port.
-	Stage  Stage
-	// Crashed is true when the target closed or reset the connection before
-	// its answer was complete.
-	Crashed bool
-	Err     error
-}
+const maxInterim = 8
 
-// Error describes the failure.
-func (e *Error) Error() string {
-	return fmt.Sprintf("target %s: %v", e.Target, e.Err)
+// Forwarder sends requests over its own connections. It is safe for concurrent
+// use.
+type Forwarder struct {
+	pool *pool
 }
 
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.Err }
-
-type idleConn struct {
-	conn  network.Conn
-	since time.Time
+// New returns a Forwarder without connections.
+func New() *Forwarder {
+	return &Forwarder{pool: newPool()}
 }
 
-// Forwarder pools connections to targets. It is safe for concurrent use.
-type Forwarder struct {
-	dialer network.Dialer
-
-	mu   sync.Mutex
-	idle map[string][]idleConn
+// Close closes the idle connections. Connections in use are closed when their
+// exchange ends.
+func (f *Forwarder) Close() { f.pool.close() }
+
+// Answer is the head of a target's answer and its body while it arrives. Body
+// must be closed. CleanAnswer has not been applied to Header.
+type Answer struct {
+	Status int
+	Header http.Header
+	Length int64 // Bytes of the body; -1 when unknown.
+	Body   io.ReadCloser
 }
 
-// New returns a Forwarder without connections.
-func New() *Forwarder {
-	return &Forwarder{dialer: standard.NewDialer(), idle: map[string][]idleConn{}}
+// exchange is one request and its answer on a connection.
+type exchange struct {
+	forwarder *Forwarder
+	ctx       context.Context
+	target    Target
+	conn      *conn
+	stop      func() bool   // Ends the closing of the connection by ctx.
+	written   chan struct{} // Closed when the request is not written any more.
+	writeErr  error         // Valid after written is closed.
 }
 
-// Do sends the request to an ip:port address and reads the whole answer. The
-// error is an *Error. The deadline of ctx bounds the exchange; cancellation
-// closes the connection.
-func (f *Forwarder) Do(ctx context.Context, address string, request *protocol.Request, answer *protocol.Response) error {
-	conn, err := f.connect(address)
-	if err != nil {
-		return &Error{Target: address, Stage: StageConnect, Err: err}
-	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	err = exchange(ctx, conn, request, answer)
-	if !stop() && err == nil {
-		err = ctx.Err()
+// Do sends the request and reads the answer's head. The error is an *Error.
+// The end of ctx closes the connection, also while the body is read. The
+// request's body is not read any more after Do has failed or the answer's body
+// is closed.
+func (f *Forwarder) Do(ctx context.Context, t Target, r *Request) (*Answer, error) {
+	if err := r.check(); err != nil {
+		return nil, &Error{Target: t.Address, Stage: StageConnect, Err: err}
 	}
+	c, err := f.pool.take(ctx, t)
 	if err != nil {
-		_ = conn.Close()
-		return &Error{Target: address, Stage: StageWritten, Crashed: crashed(ctx, err), Err: err}
+		return nil, &Error{Target: t.Address, Stage: StageConnect, Err: err}
 	}
-	if answer.ConnectionClose() || request.Header.ConnectionClose() {
-		_ = conn.Close()
-		return nil
+	x := &exchange{forwarder: f, ctx: ctx, target: t, conn: c, written: make(chan struct{})}
+	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.start(r)
+	response, err := x.readHead(r.Method)
+	if err != nil {
+		return nil, x.fail(err)
 	}
-	f.release(address, conn)
-	return nil
+	return x.answer(response), nil
 }
 
-func exchange(ctx context.Context, conn network.Conn, request *protocol.Request, answer *protocol.Response) error {
-	if deadline, ok := ctx.Deadline(); ok {
-		if err := conn.SetDeadline(deadline); err != nil {
-			return err
-		}
-	}
-	if err := req.Write(request, conn); err != nil {
-		return err
-	}
-	if err := conn.Flush(); err != nil {
-		return err
+// start sends the request. A body that is streamed is sent while the answer is
+// awaited, since a target may answer before it has read all of it.
+func (x *exchange) start(r *Request) {
+	if r.Body == nil || r.held() {
+		x.write(r)
+		return
 	}
-	return resp.ReadHeaderAndLimitBody(answer, conn, maxAnswerBytes)
+	go x.write(r)
 }
 
-func crashed(ctx context.Context, err error) bool {
-	if ctx.Err() != nil {
-		return false
+// write sends the request. When the source fails, the target must not take
+// what it has for a whole request, so the connection is closed.
+func (x *exchange) write(r *Request) {
+	defer close(x.written)
+	x.writeErr = r.write(x.conn, x.target.Address)
+	if errors.Is(x.writeErr, ErrSource) {
+		_ = x.conn.Close()
 	}
-	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return false
-	}
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isReset(err)
 }
 
-func (f *Forwarder) connect(address string) (network.Conn, error) {
-	if c := f.takeIdle(address); c != nil {
-		return c, nil
+func (x *exchange) readHead(method string) (*http.Response, error) {
+	x.conn.expectHead()
+	defer x.conn.expectBody()
+	for range maxInterim {
+		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSwitched
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
 	}
-	return f.dialer.DialConnection("tcp", address, dialTimeout, nil)
+	return nil, errInterim
 }
 
-// takeIdle returns a pooled connection that the target has not closed.
-func (f *Forwarder) takeIdle(address string) network.Conn {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	conns := f.idle[address]
-	for len(conns) > 0 {
-		last := conns[len(conns)-1]
-		conns = conns[:len(conns)-1]
-		f.idle[address] = conns
-		if time.Since(last.since) < maxIdleDuration && quiet(last.conn) {
-			return last.conn
-		}
-		_ = last.conn.Close()
+// fail ends the exchange without an answer.
+func (x *exchange) fail(err error) error {
+	x.end(false)
+	if errors.Is(x.writeErr, ErrSource) {
+		err = x.writeErr
+	}
+	failure := &Error{Target: x.target.Address, Stage: StageWritten, Err: err}
+	if !x.conn.wrote.Load() {
+		failure.Stage = StageConnect
+	}
+	failure.Crashed = failure.Stage == StageWritten && x.crashed() && !errors.Is(err, ErrSource)
+	if cause := x.ctx.Err(); cause != nil {
+		failure.Err = cause
 	}
-	return nil
+	return failure
 }
 
-// quiet reports whether a pooled connection is open and has no unread bytes.
-// A byte that arrives between two requests belongs to no request.
-func quiet(conn network.Conn) bool {
-	if err := conn.SetReadDeadline(time.Now().Add(50 * time.Microsecond)); err != nil {
-		return false
+// end gives the connection back or closes it.
+func (x *exchange) end(reuse bool) {
+	if !x.stop() {
+		reuse = false
 	}
-	_, err := conn.Peek(1)
-	var timeout interface{ Timeout() bool }
-	if err == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
-		return false
+	if !reuse {
+		_ = x.conn.Close()
 	}
-	return conn.SetDeadline(time.Time{}) == nil
+	<-x.written
+	if !reuse || x.writeErr != nil || !x.conn.quiet() {
+		x.forwarder.pool.drop(x.target.Address, x.conn)
+		return
+	}
+	x.forwarder.pool.put(x.target.Address, x.conn)
 }
 
-func (f *Forwarder) release(address string, conn network.Conn) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.idle[address]) >= maxIdlePerHost {
-		_ = conn.Close()
-		return
+// crashed reports whether the target ended the connection.
+func (x *exchange) crashed() bool {
+	return x.ctx.Err() == nil && x.conn.limit.ended
+}
+
+// requestWritten reports whether the whole request has been written.
+func (x *exchange) requestWritten() bool {
+	select {
+	case <-x.written:
+		return x.writeErr == nil
+	default:
+		return false
 	}
-	f.idle[address] = append(f.idle[address], idleConn{conn: conn, since: time.Now()})
 }
 
-// Close closes all idle connections.
-func (f *Forwarder) Close() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, conns := range f.idle {
-		for _, c := range conns {
-			_ = c.conn.Close()
-		}
+func (x *exchange) answer(r *http.Response) *Answer {
+	b := &body{exchange: x, from: r.Body, close: r.Close}
+	b.unframed = r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	if r.ContentLength == 0 || r.Body == http.NoBody {
+		b.complete()
 	}
-	f.idle = map[string][]idleConn{}
+	return &Answer{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, Body: b}
 }
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,473 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/outcome"
+)
+
+// longDeadline only ends a test that hangs.
+const longDeadline = time.Minute
+
+func get(uri string) *Request { return &Request{Method: "GET", URI: uri, Header: http.Header{}} }
+
+func exchangeOnce(t *testing.T, f *Forwarder, to Target, r *Request) (int, string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), longDeadline)
+	defer cancel()
+	answer, err := f.Do(ctx, to, r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	content, err := io.ReadAll(answer.Body)
+	return answer.Status, string(content), err
+}
+
+func ok(content string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(content), content)
+}
+
+// Guards against an answer that is given as whole, or an outcome that claims
+// less than what may have happened, when a target fails at each point.
+func TestFailurePoints(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		script  func(c *rawConn)
+		status  int
+		content string
+		stage   Stage
+		crashed bool
+		fails   bool
+	}{
+		{name: "whole, length", script: func(c *rawConn) { c.send(ok("whole")) }, status: 200, content: "whole"},
+		{name: "whole, chunks", script: func(c *rawConn) {
+			c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+		}, status: 200, content: "whole"},
+		{name: "whole, no body", script: func(c *rawConn) { c.send("HTTP/1.1 204 No Content\r\n\r\n") }, status: 204},
+		{name: "interim answers", script: func(c *rawConn) {
+			c.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + ok("whole"))
+		}, status: 200, content: "whole"},
+		{name: "closed before the head", script: func(*rawConn) {}, stage: StageWritten, crashed: true, fails: true},
+		{name: "reset before the head", script: func(c *rawConn) { c.reset() }, stage: StageWritten, crashed: true, fails: true},
+		{name: "closed within the head", script: func(c *rawConn) { c.send("HTTP/1.1 200 OK\r\nContent-Le") },
+			stage: StageWritten, crashed: true, fails: true},
+		{name: "closed after interim", script: func(c *rawConn) { c.send("HTTP/1.1 100 Continue\r\n\r\n") },
+			stage: StageWritten, crashed: true, fails: true},
+		{name: "not HTTP", script: func(c *rawConn) { c.send("SSH-2.0-server\r\n\r\n") }, stage: StageWritten, fails: true},
+		{name: "endless interim", script: func(c *rawConn) {
+			c.send(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100))
+			c.untilClosed()
+		}, stage: StageWritten, fails: true},
+		{name: "endless head", script: func(c *rawConn) {
+			c.send("HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Filler: 0123456789\r\n", 10000))
+			c.untilClosed()
+		}, stage: StageWritten, fails: true},
+		{name: "switches protocols", script: func(c *rawConn) {
+			c.send("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n")
+			c.untilClosed()
+		}, stage: StageWritten, fails: true},
+		{name: "two lengths", script: func(c *rawConn) {
+			c.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nwhole")
+			c.untilClosed()
+		}, stage: StageWritten, fails: true},
+		{name: "closed after the head", script: func(c *rawConn) { c.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n") },
+			status: 200, stage: StageAnswered, crashed: true, fails: true},
+		{name: "closed within the length", script: func(c *rawConn) { c.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart") },
+			status: 200, content: "part", stage: StageAnswered, crashed: true, fails: true},
+		{name: "closed within a chunk", script: func(c *rawConn) {
+			c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\npart")
+		}, status: 200, content: "part", stage: StageAnswered, crashed: true, fails: true},
+		{name: "closed between chunks", script: func(c *rawConn) {
+			c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")
+		}, status: 200, content: "part", stage: StageAnswered, crashed: true, fails: true},
+		{name: "closed before the last line end", script: func(c *rawConn) {
+			c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n")
+		}, status: 200, content: "part", stage: StageAnswered, crashed: true, fails: true},
+		{name: "bad chunk", script: func(c *rawConn) {
+			c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\nxyz\r\n")
+			c.untilClosed()
+		}, status: 200, content: "part", stage: StageAnswered, fails: true},
+		{name: "closed without a declared length", script: func(c *rawConn) { c.send("HTTP/1.1 200 OK\r\n\r\npart") },
+			status: 200, content: "part", stage: StageAnswered, crashed: true, fails: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			to := newRawTarget(t, func(_ int, conn *rawConn) {
+				conn.request()
+				c.script(conn)
+			})
+			f := New()
+			defer f.Close()
+			status, content, err := exchangeOnce(t, f, to.target(), get("/x"))
+			assert.Equal(t, c.status, status)
+			assert.Equal(t, c.content, content)
+			if !c.fails {
+				require.NoError(t, err)
+				return
+			}
+			var failure *Error
+			require.ErrorAs(t, err, &failure)
+			assert.Equal(t, c.stage, failure.Stage, err)
+			assert.Equal(t, c.crashed, failure.Crashed, err)
+			assert.Empty(t, f.pool.idle, "a connection is closed after a failure")
+			assert.Empty(t, f.pool.open)
+		})
+	}
+}
+
+// Guards against "nothing written" for a request of which a byte was written,
+// and the reverse.
+func TestNothingWritten(t *testing.T) {
+	f := New()
+	defer f.Close()
+	closed := newRawTarget(t, func(int, *rawConn) {})
+	closed.close()
+	full := newRawTarget(t, func(_ int, c *rawConn) { c.untilClosed() })
+	limited := full.target()
+	limited.Connections = 1
+	ctx, cancel := context.WithCancel(context.Background())
+	held := make(chan error)
+	go func() {
+		_, err := f.Do(ctx, limited, get("/held"))
+		held <- err
+	}()
+	require.Eventually(t, func() bool { return full.connections() == 1 }, longDeadline, time.Millisecond)
+	broken := &Request{Method: "POST", URI: "/x", Body: iotest.ErrReader(errors.New("caller gone")), Length: 10}
+	ended, end := context.WithCancel(context.Background())
+	end()
+	for _, c := range []struct {
+		name string
+		ctx  context.Context
+		to   Target
+		r    *Request
+		want error
+	}{
+		{"refused", context.Background(), closed.target(), get("/x"), nil},
+		{"connection limit", context.Background(), limited, get("/x"), ErrConnectionLimit},
+		{"context ended", ended, full.target(), get("/x"), context.Canceled},
+		{"body fails at once", context.Background(), full.target(), broken, ErrSource},
+		{"blank in the path", context.Background(), full.target(), get("/x HTTP/1.1\r\nHost: y"), ErrRequest},
+		{"line end in the method", context.Background(), full.target(), &Request{Method: "GET\r\n", URI: "/"}, ErrRequest},
+	} {
+		_, err := f.Do(c.ctx, c.to, c.r)
+		var failure *Error
+		require.ErrorAs(t, err, &failure, c.name)
+		assert.Equal(t, StageConnect, failure.Stage, c.name)
+		assert.False(t, failure.Crashed, c.name)
+		if c.want != nil {
+			assert.ErrorIs(t, err, c.want, c.name)
+		}
+	}
+	cancel()
+	var failure *Error
+	require.ErrorAs(t, <-held, &failure)
+	assert.Equal(t, StageWritten, failure.Stage)
+	assert.False(t, failure.Crashed, "a cancelled request does not accuse the target")
+}
+
+// Guards against a late answer that reaches the next request.
+func TestLateAnswerIsNotGivenToTheNextRequest(t *testing.T) {
+	asked, timedOut := make(chan struct{}), make(chan struct{})
+	to := newRawTarget(t, func(number int, c *rawConn) {
+		for r := c.request(); r != nil; r = c.request() {
+			if number == 1 {
+				close(asked)
+				<-timedOut
+			}
+			c.send(ok(r.URL.Path))
+		}
+	})
+	f := New()
+	defer f.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-asked
+		cancel()
+	}()
+	_, err := f.Do(ctx, to.target(), get("/first"))
+	require.ErrorIs(t, err, context.Canceled)
+	close(timedOut)
+	for range 10 {
+		_, content, err := exchangeOnce(t, f, to.target(), get("/second"))
+		require.NoError(t, err)
+		assert.Equal(t, "/second", content)
+	}
+}
+
+// Guards against bytes that belong to no request and are read as the next
+// answer.
+func TestBytesThatNobodyAskedFor(t *testing.T) {
+	for name, extra := range map[string]string{
+		"second answer":      ok("stolen"),
+		"one byte":           "x",
+		"body of an empty":   "stolen",
+		"interim answer":     "HTTP/1.1 100 Continue\r\n\r\n",
+		"head of an answer":  "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n",
+		"line ends, no more": "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			to := newRawTarget(t, func(_ int, c *rawConn) {
+				for r := c.request(); r != nil; r = c.request() {
+					c.send(ok(r.URL.Path) + extra)
+				}
+			})
+			f := New()
+			defer f.Close()
+			for i := range 10 {
+				uri := fmt.Sprintf("/%d", i)
+				_, content, err := exchangeOnce(t, f, to.target(), get(uri))
+				require.NoError(t, err)
+				assert.Equal(t, uri, content)
+			}
+			assert.Equal(t, 10, to.connections(), "each connection must be closed")
+		})
+	}
+}
+
+// Guards against bytes that arrive while the connection is idle.
+func TestBytesOnAnIdleConnection(t *testing.T) {
+	more, sent := make(chan struct{}), make(chan struct{})
+	to := newRawTarget(t, func(number int, c *rawConn) {
+		r := c.request()
+		c.send(ok(r.URL.Path))
+		if number == 1 {
+			<-more
+			c.send(ok("stolen"))
+			close(sent)
+		}
+		c.untilClosed()
+	})
+	f := New()
+	defer f.Close()
+	_, _, err := exchangeOnce(t, f, to.target(), get("/1"))
+	require.NoError(t, err)
+	idle := f.pool.idle[to.target().Address][0].conn
+	close(more)
+	<-sent
+	require.Eventually(t, func() bool { return !idle.quiet() }, longDeadline, time.Millisecond)
+	_, content, err := exchangeOnce(t, f, to.target(), get("/2"))
+	require.NoError(t, err)
+	assert.Equal(t, "/2", content)
+}
+
+func TestReuse(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer string
+		reused bool
+	}{
+		{"length", ok("x"), true},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", true},
+		{"empty", "HTTP/1.1 204 No Content\r\n\r\n", true},
+		{"asked to close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx", false},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			to := newRawTarget(t, func(_ int, conn *rawConn) {
+				for conn.request() != nil {
+					conn.send(c.answer)
+				}
+			})
+			f := New()
+			defer f.Close()
+			for range 3 {
+				_, _, err := exchangeOnce(t, f, to.target(), get("/"))
+				require.NoError(t, err)
+			}
+			want := 3
+			if c.reused {
+				want = 1
+			}
+			assert.Equal(t, want, to.connections())
+		})
+	}
+}
+
+// Guards against a body that is held as a whole before it is passed on, in
+// either direction, and against one that is cut.
+func TestBodiesAreStreamed(t *testing.T) {
+	const size = 3 << 20
+	for _, length := range []int64{size, -1} {
+		to := newRawTarget(t, func(_ int, c *rawConn) {
+			r, err := http.ReadRequest(c.reader)
+			if err != nil {
+				return
+			}
+			c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			buffer := make([]byte, 1000)
+			for {
+				n, err := r.Body.Read(buffer)
+				if n > 0 {
+					c.send(fmt.Sprintf("%x\r\n%s\r\n", n, buffer[:n]))
+				}
+				if err != nil {
+					break
+				}
+			}
+			c.send("0\r\n\r\n")
+		})
+		f := New()
+		source, sink := io.Pipe()
+		piece := bytes.Repeat([]byte("0123456789abcdef"), 1024)
+		echoed := make([]byte, len(piece))
+		next := make(chan struct{}, 1)
+		go func() {
+			for range next {
+				_, _ = sink.Write(piece)
+			}
+			_ = sink.Close()
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), longDeadline)
+		next <- struct{}{}
+		answer, err := f.Do(ctx, to.target(), &Request{Method: "POST", URI: "/echo", Body: source, Length: length})
+		require.NoError(t, err, "the head arrives while the body is sent")
+		for i := range size / len(piece) {
+			_, err = io.ReadFull(answer.Body, echoed)
+			require.NoError(t, err)
+			require.True(t, bytes.Equal(piece, echoed))
+			if i+1 < size/len(piece) {
+				next <- struct{}{}
+			}
+		}
+		close(next)
+		rest, err := io.ReadAll(answer.Body)
+		require.NoError(t, err)
+		assert.Empty(t, rest)
+		require.NoError(t, answer.Body.Close())
+		cancel()
+		f.Close()
+	}
+}
+
+// Guards against a target that takes a request whose caller has gone for a
+// whole one.
+func TestSourceThatEndsEarly(t *testing.T) {
+	for name, r := range map[string]*Request{
+		"length": {Method: "POST", URI: "/x", Body: strings.NewReader(strings.Repeat("x", 50000)), Length: 60000},
+		"chunks": {Method: "POST", URI: "/x", Length: -1,
+			Body: io.MultiReader(strings.NewReader(strings.Repeat("x", 50000)), iotest.ErrReader(errors.New("caller gone")))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			whole := make(chan bool, 1)
+			to := newRawTarget(t, func(_ int, c *rawConn) { whole <- c.request() != nil })
+			f := New()
+			defer f.Close()
+			_, _, err := exchangeOnce(t, f, to.target(), r)
+			var failure *Error
+			require.ErrorAs(t, err, &failure)
+			assert.Equal(t, StageWritten, failure.Stage)
+			assert.ErrorIs(t, err, ErrSource)
+			assert.False(t, failure.Crashed)
+			assert.False(t, <-whole)
+		})
+	}
+}
+
+// Guards against cancellation that does not reach the target while the answer
+// is awaited or read.
+func TestCancellationClosesTheConnection(t *testing.T) {
+	for _, head := range []string{"", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"} {
+		closed := make(chan struct{})
+		started := make(chan struct{})
+		to := newRawTarget(t, func(_ int, c *rawConn) {
+			c.request()
+			c.send(head)
+			close(started)
+			c.untilClosed()
+			close(closed)
+		})
+		f := New()
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-started
+			cancel()
+		}()
+		answer, err := f.Do(ctx, to.target(), get("/x"))
+		if err == nil {
+			_, err = io.ReadAll(answer.Body)
+			require.NoError(t, answer.Body.Close())
+		}
+		require.ErrorIs(t, err, context.Canceled)
+		<-closed
+		f.Close()
+	}
+}
+
+// Guards against more connections than the target's bound, and against a
+// bound that leaks with failed exchanges.
+func TestConnectionBound(t *testing.T) {
+	to := newRawTarget(t, func(number int, c *rawConn) {
+		for c.request() != nil {
+			if number%2 == 0 {
+				return
+			}
+			c.send(ok("x"))
+		}
+	})
+	target := to.target()
+	target.Connections = 2
+	f := New()
+	defer f.Close()
+	for range 50 {
+		_, _, err := exchangeOnce(t, f, target, get("/"))
+		require.NotErrorIs(t, err, ErrConnectionLimit)
+	}
+	assert.LessOrEqual(t, f.pool.open[target.Address], 2)
+}
+
+// Guards against headers of one connection, or of the system itself, that are
+// passed on.
+func TestHeadersThatAreNotPassedOn(t *testing.T) {
+	header := func() http.Header {
+		return http.Header{
+			"Connection": {"close, X-Private", "X-Second"}, "X-Private": {"1"}, "X-Second": {"1"}, "Keep-Alive": {"1"},
+			"Proxy-Connection": {"1"}, "Proxy-Authorization": {"1"}, "Te": {"trailers"}, "Trailer": {"X"},
+			"Transfer-Encoding": {"chunked"}, "Upgrade": {"h2c"}, "Content-Length": {"99"}, "Expect": {"100-continue"},
+			"Host": {"elsewhere"}, "Accept": {"text/plain"}, "Set-Cookie": {"a=1", "b=2"},
+			outcome.HeaderExecuted: {"no"}, outcome.HeaderReason: {"forged"}, outcome.HeaderKeyPrefix: {"forged"},
+			outcome.HeaderTargetState: {"leaving"}, outcome.HeaderTarget: {"forged"}, outcome.HeaderInstance: {"forged"},
+			outcome.HeaderKey: {"a.1.2.3"}, outcome.HeaderDeadline: {"100"},
+		}
+	}
+	request := header()
+	CleanRequest(request)
+	assert.Equal(t, http.Header{"Accept": {"text/plain"}, "Set-Cookie": {"a=1", "b=2"},
+		outcome.HeaderKey: {"a.1.2.3"}, outcome.HeaderDeadline: {"100"}}, request)
+	answer := header()
+	CleanAnswer(answer)
+	assert.Equal(t, http.Header{"Accept": {"text/plain"}, "Set-Cookie": {"a=1", "b=2"},
+		"Expect": {"100-continue"}, "Host": {"elsewhere"}}, answer)
+}
+
+// Guards against a request that a target reads as two.
+func TestRequestOnTheWire(t *testing.T) {
+	for _, c := range []struct {
+		r    *Request
+		want string
+	}{
+		{&Request{Method: "GET", URI: "/a%20b?c=d", Header: http.Header{"Accept": {"x\r\nInjected: y"}}},
+			"GET /a%20b?c=d HTTP/1.1\r\nHost: h\r\nAccept: x  Injected: y\r\n\r\n"},
+		{&Request{Method: "POST", URI: "/", Header: http.Header{"Content-Length": {"1"}, "Transfer-Encoding": {"chunked"}}},
+			"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"},
+		{&Request{Method: "PUT", URI: "/", Body: strings.NewReader("abcdef"), Length: 3},
+			"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"},
+		{&Request{Method: "PUT", URI: "/", Body: strings.NewReader("abc"), Length: -1},
+			"PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"},
+	} {
+		var out bytes.Buffer
+		require.NoError(t, c.r.write(&out, "h"))
+		assert.Equal(t, c.want, out.String())
+	}
+}
--- /dev/null
+++ b/forward/write.go
@@ -0,0 +1,144 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+)
+
+const (
+	writeBufferBytes = 4 << 10
+	copyBufferBytes  = 32 << 10
+)
+
+// Request is a request for a target. CleanRequest is applied to its header.
+type Request struct {
+	Method string
+	URI    string // Path and query as the caller sent them.
+	Header http.Header
+	Body   io.Reader // Nil when there is none. A Read must not block for ever.
+	Length int64     // Bytes of the body; -1 when unknown, sent as chunks.
+}
+
+func (r *Request) check() error {
+	if !token(r.Method) {
+		return fmt.Errorf("%w: method %q", ErrRequest, r.Method)
+	}
+	if r.URI == "" || r.URI[0] != '/' {
+		return fmt.Errorf("%w: path does not begin with a slash", ErrRequest)
+	}
+	for i := range len(r.URI) {
+		if r.URI[i] <= ' ' || r.URI[i] == 0x7f {
+			return fmt.Errorf("%w: path holds a control character or blank", ErrRequest)
+		}
+	}
+	return nil
+}
+
+func token(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; (c < 'A' || c > 'Z') && (c < 'a' || c > 'z') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// write sends the whole request.
+func (r *Request) write(to io.Writer, host string) error {
+	w := bufio.NewWriterSize(to, writeBufferBytes)
+	if err := r.writeHead(w, host); err != nil {
+		return err
+	}
+	if err := r.writeBody(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+func (r *Request) writeHead(w *bufio.Writer, host string) error {
+	header := r.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	CleanRequest(header)
+	switch {
+	case r.Body == nil && (r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch):
+		header.Set("Content-Length", "0")
+	case r.Body != nil && r.Length >= 0:
+		header.Set("Content-Length", strconv.FormatInt(r.Length, 10))
+	case r.Body != nil:
+		header.Set("Transfer-Encoding", "chunked")
+	}
+	if _, err := fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, host); err != nil {
+		return err
+	}
+	if err := header.Write(w); err != nil {
+		return err
+	}
+	_, err := w.WriteString("\r\n")
+	return err
+}
+
+func (r *Request) writeBody(w *bufio.Writer) error {
+	if r.Body == nil {
+		return nil
+	}
+	flush := w.Flush
+	if r.held() {
+		flush = func() error { return nil }
+	}
+	if r.Length >= 0 {
+		n, err := copyBody(w, io.LimitReader(r.Body, r.Length), flush)
+		if err == nil && n != r.Length {
+			return fmt.Errorf("%w: %d of %d bytes", ErrSource, n, r.Length)
+		}
+		return err
+	}
+	chunks := httputil.NewChunkedWriter(w)
+	if _, err := copyBody(chunks, r.Body, flush); err != nil {
+		return err
+	}
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	_, err := w.WriteString("\r\n")
+	return err
+}
+
+// held reports whether the whole body is in memory.
+func (r *Request) held() bool {
+	_, held := r.Body.(*bytes.Reader)
+	return held
+}
+
+// copyBody is io.Copy with a bounded buffer that is flushed after each read. It
+// marks errors of the source. Nothing is flushed before the first read, so a
+// source that fails at once leaves nothing written.
+func copyBody(to io.Writer, from io.Reader, flush func() error) (int64, error) {
+	buffer := make([]byte, copyBufferBytes)
+	var total int64
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			written, failed := to.Write(buffer[:n])
+			total += int64(written)
+			if failed != nil {
+				return total, failed
+			}
+			if failed := flush(); failed != nil {
+				return total, failed
+			}
+		}
+		if err == io.EOF {
+			return total, nil
+		}
+		if err != nil {
+			return total, fmt.Errorf("%w: %w", ErrSource, err)
+		}
+	}
+}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 )
 
 // FingerprintBody is the length in bytes of the part of a body that a
@@ -43,3 +44,6 @@
 	copy(f[:], h.Sum(nil))
 	return f
 }
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
