Test the request path of an instance over sockets

Covers whole and truncated answers, outcomes at each failure point, retries, keys sent again and at once, crashing requests, disconnects and slow bodies.

--- /dev/null
+++ b/entry/request_test.go
@@ -0,0 +1,445 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/once"
+	"github.com/jacinthstall/jacinthstall/outcome"
+	"github.com/jacinthstall/jacinthstall/policy"
+	"github.com/jacinthstall/jacinthstall/settings"
+)
+
+// longWait only ends a test that hangs.
+const longWait = time.Minute
+
+func TestMain(m *testing.M) {
+	hlog.SetOutput(io.Discard)
+	m.Run()
+}
+
+// startInstance runs the callers' server of an instance with two services,
+// "reads" (idempotent) and "writes", on the given targets.
+func startInstance(t *testing.T, name string, targets ...string) *Instance {
+	t.Helper()
+	logger := &log.Logger{Handler: discard.New(), Level: log.DebugLevel}
+	s := settings.Settings{Name: name, Region: "r", Domain: "d", CallerAddress: freeAddress(t), Platform: "127.0.0.1:1"}
+	in, err := New(s, logger)
+	require.NoError(t, err)
+	d := &policy.Document{Version: 1,
+		Timing:   policy.Timing{LookupTTLMs: 1000, DefaultDeadlineMs: 20000, MaxDeadlineMs: 60000},
+		Regions:  []policy.Region{{Name: "r", Domains: []string{"d"}}},
+		Services: []policy.Service{{Name: "reads", PathPrefix: "/reads", Idempotent: true}, {Name: "writes", PathPrefix: "/writes"}}}
+	for i, address := range targets {
+		for _, service := range []string{"reads", "writes"} {
+			d.Targets = append(d.Targets, policy.Target{Name: fmt.Sprintf("%s-%d", service, i), Service: service, Domain: "d", Address: address})
+		}
+	}
+	in.document.Store(d)
+	server := in.callerServer()
+	go func() { _ = server.Run() }()
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", s.CallerAddress)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	}, longWait, time.Millisecond)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+		in.forwarder.Close()
+	})
+	return in
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// scriptTarget answers each request on a connection by a script. The
+// connection is closed when the script returns false.
+func scriptTarget(t *testing.T, script func(r *http.Request, body []byte, c net.Conn) bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	var conns []net.Conn
+	wait.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
+			wait.Go(func() { serveScript(c, script) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		mu.Lock()
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		mu.Unlock()
+		wait.Wait()
+	})
+	return l.Addr().String()
+}
+
+func serveScript(c net.Conn, script func(r *http.Request, body []byte, c net.Conn) bool) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !script(r, body, c) {
+			return
+		}
+	}
+}
+
+func write(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+func wholeAnswer(status, extra, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, extra, len(body), body)
+}
+
+type callerAnswer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // Of the transfer of the body.
+}
+
+func (a callerAnswer) String() string {
+	return fmt.Sprintf("%d %s %s", a.status, a.header.Get(outcome.HeaderReason), a.header.Get(outcome.HeaderExecuted))
+}
+
+func call(t *testing.T, in *Instance, method, path, key string, body io.Reader) callerAnswer {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+in.settings.CallerAddress+path, body)
+	require.NoError(t, err)
+	if key != "" {
+		r.Header.Set(outcome.HeaderKey, key)
+	}
+	client := &http.Client{Timeout: longWait, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	answer, err := client.Do(r)
+	require.NoError(t, err)
+	defer func() { _ = answer.Body.Close() }()
+	content, err := io.ReadAll(answer.Body)
+	return callerAnswer{status: answer.StatusCode, header: answer.Header, body: string(content), err: err}
+}
+
+// Requirement R3: guards against a truncated answer that the caller takes for
+// whole, and against the system's headers set by a target.
+func TestCallerSeesWhetherAnAnswerIsWhole(t *testing.T) {
+	forged := outcome.HeaderInstance + ": forged\r\n" + outcome.HeaderReason + ": forged\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+	for _, c := range []struct {
+		name, answer string
+		status       int
+		body         string
+		whole        bool
+	}{
+		{"length", wholeAnswer("201 Created", forged+"X-Kept: 1\r\n", "whole"), 201, "whole", true},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", 200, "whole", true},
+		{"empty", "HTTP/1.1 204 No Content\r\n\r\n", 204, "", true},
+		{"length, cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", 200, "part", false},
+		{"length, cut before the body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", 200, "", false},
+		{"chunks, cut between", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", 200, "part", false},
+		{"chunks, cut before the first", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 200, "", false},
+		{"neither, closed", "HTTP/1.1 200 OK\r\n\r\npart", 200, "part", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in := startInstance(t, "a-1", scriptTarget(t, func(_ *http.Request, _ []byte, conn net.Conn) bool {
+				write(conn, c.answer)
+				return false
+			}))
+			got := call(t, in, "GET", "/reads/x", "", nil)
+			assert.Equal(t, c.status, got.status)
+			assert.Equal(t, c.whole, got.err == nil, "transfer: %v", got.err)
+			if c.whole {
+				assert.Equal(t, c.body, got.body)
+			} else {
+				assert.True(t, strings.HasPrefix(c.body, got.body), got.body)
+			}
+			assert.Equal(t, []string{"a-1"}, got.header.Values(outcome.HeaderInstance))
+			assert.Equal(t, []string{"answered"}, got.header.Values(outcome.HeaderReason))
+			assert.Empty(t, got.header.Get("X-Hop"))
+			require.Eventually(t, func() bool { return in.inFlight.Load() == 0 }, longWait, time.Millisecond)
+		})
+	}
+}
+
+// Requirement R4: what the caller is told is compared with what targets
+// executed, for a failure at each point of the path.
+func TestOutcomeAtEachFailurePoint(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		script string // Answer of the target; the connection is closed after it.
+		write  string
+		read   string
+		runs   int // Executions of a write.
+	}{
+		{"answered", wholeAnswer("200 OK", "", "x"), "200 answered yes", "200 answered yes", 1},
+		{"shed with proof", wholeAnswer("503 Busy", "Request-Executed: no\r\n", ""), "503 target-shed no", "503 target-shed no", 0},
+		{"shed without proof", wholeAnswer("503 Busy", "", ""), "503 answered yes", "503 answered yes", 1},
+		{"closed before the answer", "", "502 target-failed unknown", "502 target-failed unknown", 1},
+		{"closed within the head", "HTTP/1.1 200", "502 target-failed unknown", "502 target-failed unknown", 1},
+		{"not HTTP", "hello\r\n\r\n", "502 target-failed unknown", "502 target-failed unknown", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int64
+			target := scriptTarget(t, func(_ *http.Request, _ []byte, conn net.Conn) bool {
+				if c.runs > 0 {
+					runs.Add(1)
+				}
+				write(conn, c.script)
+				return false
+			})
+			in := startInstance(t, "a-1", target)
+			assert.Equal(t, c.write, call(t, in, "POST", "/writes/x", "", strings.NewReader("body")).String())
+			assert.EqualValues(t, c.runs, runs.Load())
+			assert.Equal(t, c.read, call(t, in, "GET", "/reads/x", "", nil).String())
+		})
+	}
+	in := startInstance(t, "a-1", freeAddress(t))
+	assert.Equal(t, "502 target-failed no", call(t, in, "POST", "/writes/x", "", strings.NewReader("body")).String())
+	assert.Equal(t, "404 no-service no", call(t, in, "GET", "/other", "", nil).String())
+	none := startInstance(t, "a-1")
+	assert.Equal(t, "503 no-target no", call(t, none, "GET", "/reads/x", "", nil).String())
+	none.document.Store(nil)
+	assert.Equal(t, "503 no-configuration no", call(t, none, "GET", "/reads/x", "", nil).String())
+}
+
+// Guards against a retry of a request that may have been executed, and against
+// giving up on one that was not.
+func TestRetries(t *testing.T) {
+	var runs atomic.Int64
+	answering := func(_ *http.Request, body []byte, c net.Conn) bool {
+		runs.Add(1)
+		return write(c, wholeAnswer("200 OK", "", string(body)))
+	}
+	down := freeAddress(t)
+	in := startInstance(t, "a-1", down, scriptTarget(t, answering))
+	for i := range 20 {
+		body := fmt.Sprint(i)
+		got := call(t, in, "POST", "/writes/x", "", strings.NewReader(body))
+		assert.Equal(t, "200 answered yes", got.String(), "a refused connection is retried")
+		assert.Equal(t, body, got.body)
+	}
+	assert.EqualValues(t, 20, runs.Load())
+
+	shedding := scriptTarget(t, func(_ *http.Request, _ []byte, c net.Conn) bool {
+		return write(c, wholeAnswer("503 Busy", "Request-Executed: no\r\n", ""))
+	})
+	in = startInstance(t, "a-1", shedding, scriptTarget(t, answering))
+	for i := range 20 {
+		got := call(t, in, "POST", "/writes/x", "", strings.NewReader(fmt.Sprint(i)))
+		assert.Equal(t, "200 answered yes", got.String(), "a provable refusal is retried")
+	}
+}
+
+// Requirement R5 over sockets: guards against a second execution of a key and
+// against execution by an instance that did not issue it.
+func TestKeyIsExecutedOnce(t *testing.T) {
+	var mu sync.Mutex
+	runs := map[string]int{}
+	target := scriptTarget(t, func(r *http.Request, body []byte, c net.Conn) bool {
+		mu.Lock()
+		runs[r.Header.Get(outcome.HeaderKey)]++
+		mu.Unlock()
+		if strings.HasPrefix(string(body), "crash") {
+			return false
+		}
+		return write(c, wholeAnswer("201 Created", "Content-Type: text/plain\r\n", "seat "+string(body)))
+	})
+	issuer, other := startInstance(t, "a-1", target), startInstance(t, "b-1", target)
+	prefix := issuer.keyPrefix()
+	for i := range 50 {
+		key := fmt.Sprintf("%s.%d", prefix, i)
+		body := fmt.Sprint(i)
+		first := call(t, issuer, "POST", "/writes/x", key, strings.NewReader(body))
+		assert.Equal(t, "201 answered yes", first.String())
+		again := call(t, issuer, "POST", "/writes/x", key, strings.NewReader(body))
+		assert.Equal(t, first.String(), again.String())
+		assert.Equal(t, first.body, again.body)
+		assert.Equal(t, first.header.Get("Content-Type"), again.header.Get("Content-Type"))
+		assert.Equal(t, "422 key-reused no", call(t, issuer, "POST", "/writes/x", key, strings.NewReader("else")).String())
+		elsewhere := call(t, other, "POST", "/writes/x", key, strings.NewReader(body))
+		assert.Equal(t, string(outcome.Unknown), elsewhere.header.Get(outcome.HeaderExecuted))
+	}
+	lost := prefix + ".lost"
+	assert.Equal(t, "502 target-failed unknown", call(t, issuer, "POST", "/writes/x", lost, strings.NewReader("crash")).String())
+	assert.Equal(t, "502 target-failed unknown", call(t, issuer, "POST", "/writes/x", lost, strings.NewReader("crash")).String())
+	for _, c := range []struct{ key, want string }{
+		{"nonsense", "409 key-unknown no"},
+		{"a-1.0.0.x", "409 issuer-gone unknown"},
+	} {
+		got := call(t, issuer, "POST", "/writes/x", c.key, strings.NewReader("x"))
+		assert.Equal(t, c.want, got.String())
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Len(t, runs, 51)
+	for key, n := range runs {
+		assert.Equal(t, 1, n, key)
+	}
+}
+
+// Guards against concurrent sends of a key of which more than one is executed.
+func TestConcurrentSendsOfAKey(t *testing.T) {
+	var runs atomic.Int64
+	release := make(chan struct{})
+	target := scriptTarget(t, func(_ *http.Request, _ []byte, c net.Conn) bool {
+		runs.Add(1)
+		<-release
+		return write(c, wholeAnswer("200 OK", "", "x"))
+	})
+	in := startInstance(t, "a-1", target)
+	key := in.keyPrefix() + ".k"
+	parsed, err := once.ParseKey(key)
+	require.NoError(t, err)
+	require.Equal(t, in.incarnation, parsed.Incarnation)
+	answers := make(chan string, 20)
+	for range 20 {
+		go func() { answers <- call(t, in, "POST", "/writes/x", key, strings.NewReader("b")).String() }()
+	}
+	require.Eventually(t, func() bool { return in.inFlight.Load() == 20 }, longWait, time.Millisecond)
+	close(release)
+	for range 20 {
+		assert.Equal(t, "200 answered yes", <-answers)
+	}
+	assert.EqualValues(t, 1, runs.Load())
+}
+
+// Requirement R9 over sockets, one instance: guards against a request that
+// crashes a third target.
+func TestCrashingRequestIsContained(t *testing.T) {
+	var crashed [6]atomic.Int64
+	var addresses []string
+	for i := range crashed {
+		addresses = append(addresses, scriptTarget(t, func(r *http.Request, _ []byte, c net.Conn) bool {
+			if r.URL.Path == "/reads/poison" {
+				crashed[i].Add(1)
+				return false
+			}
+			return write(c, wholeAnswer("200 OK", "", "x"))
+		}))
+	}
+	in := startInstance(t, "a-1", addresses...)
+	last := ""
+	for range 30 {
+		last = call(t, in, "GET", "/reads/poison", "", nil).String()
+		assert.Equal(t, "200 answered yes", call(t, in, "GET", "/reads/good", "", nil).String())
+	}
+	assert.Equal(t, "422 quarantined no", last)
+	targets, crashes := 0, int64(0)
+	for i := range crashed {
+		if n := crashed[i].Load(); n > 0 {
+			targets++
+			crashes += n
+		}
+	}
+	assert.LessOrEqual(t, targets, 2)
+	assert.EqualValues(t, 2, crashes)
+}
+
+// Guards against work that goes on at a target after the caller has gone.
+func TestDisconnectCancelsTheTarget(t *testing.T) {
+	for _, request := range []string{
+		"GET /reads/x HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST /writes/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody",
+		"POST /writes/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		started, cancelled := make(chan struct{}, 8), make(chan struct{}, 8)
+		target := scriptTarget(t, func(_ *http.Request, _ []byte, c net.Conn) bool {
+			started <- struct{}{}
+			_, _ = c.Read(make([]byte, 1))
+			cancelled <- struct{}{}
+			return false
+		})
+		in := startInstance(t, "a-1", target)
+		c, err := net.Dial("tcp", in.settings.CallerAddress)
+		require.NoError(t, err)
+		write(c, request)
+		<-started
+		require.NoError(t, c.Close())
+		<-cancelled
+		require.Eventually(t, func() bool { return in.inFlight.Load() == 0 }, longWait, time.Millisecond)
+	}
+}
+
+// Guards against bodies that are altered on the way, in memory or streamed.
+func TestBodiesArriveUnchanged(t *testing.T) {
+	target := scriptTarget(t, func(_ *http.Request, body []byte, c net.Conn) bool {
+		return write(c, wholeAnswer("200 OK", "", string(body)))
+	})
+	in := startInstance(t, "a-1", target)
+	for _, size := range []int{0, 1, prefetchBytes, 64<<10 - 1, 64 << 10, 64<<10 + 1, 1 << 20} {
+		content := bytes.Repeat([]byte("x1"), size/2+1)[:size]
+		for _, chunked := range []bool{false, true} {
+			body := io.Reader(bytes.NewReader(content))
+			if chunked {
+				body = io.MultiReader(body)
+			}
+			got := call(t, in, "POST", "/writes/x", "", body)
+			require.NoError(t, got.err)
+			assert.Equal(t, "200 answered yes", got.String(), "%d bytes, chunked %v", size, chunked)
+			assert.True(t, string(content) == got.body, "%d bytes, chunked %v", size, chunked)
+		}
+	}
+	tooMuch := bytes.Repeat([]byte("x"), maxRequestBytes+1)
+	assert.Equal(t, "413 body-too-large no", call(t, in, "POST", "/writes/x", "", bytes.NewReader(tooMuch)).String())
+}
+
+// Guards against callers with slow bodies that occupy targets: others are
+// served meanwhile.
+func TestSlowBodiesHoldNoTarget(t *testing.T) {
+	var running atomic.Int64
+	target := scriptTarget(t, func(_ *http.Request, _ []byte, c net.Conn) bool {
+		running.Add(1)
+		return write(c, wholeAnswer("200 OK", "", "x"))
+	})
+	in := startInstance(t, "a-1", target)
+	for range 200 {
+		c, err := net.Dial("tcp", in.settings.CallerAddress)
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		write(c, "POST /writes/x HTTP/1.1\r\nHost: h\r\nContent-Length: 10000\r\n\r\n"+strings.Repeat("x", 5000))
+	}
+	require.Eventually(t, func() bool { return in.inFlight.Load() == 200 }, longWait, time.Millisecond)
+	for range 20 {
+		assert.Equal(t, "200 answered yes", call(t, in, "POST", "/writes/x", "", strings.NewReader("b")).String())
+	}
+	assert.EqualValues(t, 20, running.Load())
+}
