Relay requests to the issuer of their key and hand records over

An instance that did not issue a key passes the request on over the Relay stream and never executes it. A planned stop hands the records to one incarnation of one successor; HandOverRequest carries that incarnation, the message's number and the oldest kept epoch. Crash reports go to the other instances of the domain.

A request with a key that is refused before the records are asked is reported as unknown: an earlier send of the key may have been executed.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,9 +15,11 @@
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
 	"github.com/jacinthstall/jacinthstall/once"
+	"github.com/jacinthstall/jacinthstall/peer"
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/quarantine"
+	"github.com/jacinthstall/jacinthstall/ring"
 	"github.com/jacinthstall/jacinthstall/settings"
 )
 
@@ -35,6 +37,9 @@
 	events      *events.Log
 	leaving     atomic.Bool
 	inFlight    atomic.Int64
+	relays      atomic.Int64 // Requests of other instances.
+	peers       *peer.Pool
+	reports     *ring.Ring[quarantine.Report]
 	log         log.Interface
 }
 
@@ -55,6 +60,8 @@
 		incarnation: incarnation,
 		once:        records,
 		guard:       quarantine.New(),
+		peers:       peer.NewPool(),
+		reports:     ring.New[quarantine.Report](maxQueuedReports),
 		chooser:     randomChooser{domain: s.Domain, region: s.Region},
 		events:      events.New(logger),
 		platform:    p,
@@ -82,6 +89,7 @@
 	go in.watchDocument(background)
 	go in.watchInstances(background)
 	go in.sendHeartbeats(background)
+	go in.sendReports(background)
 
 	select {
 	case <-ctx.Done():
@@ -107,9 +115,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
+	in.handOver(ctx)
 	err := callers.Shutdown(ctx)
 	_ = operators.Shutdown(ctx)
 	in.forwarder.Close()
+	_ = in.peers.Close()
 	in.log.Info("stopped")
 	return err
 }
--- /dev/null
+++ b/entry/handover.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/once"
+	"github.com/jacinthstall/jacinthstall/outcome"
+	"github.com/jacinthstall/jacinthstall/peer/peerpb"
+)
+
+const (
+	handOverTimeout  = 2 * time.Second // Of one message.
+	handOverAttempts = 2
+)
+
+// States of a record in a hand-over message.
+const (
+	recordAnswered    = 1
+	recordUnknown     = 2
+	recordBodyDropped = 3 // Answered, body too long to keep.
+)
+
+// handOver moves the at-most-once records to one successor. When it fails, the
+// keys that were not handed over stay "unknown".
+func (in *Instance) handOver(ctx context.Context) {
+	addresses := in.members.addresses()
+	for _, member := range in.members.preferred(in.settings.Domain, in.settings.Region) {
+		client := in.peers.Client(ctx, addresses[member.Name])
+		successor, ok := in.askSuccessor(ctx, client)
+		if !ok {
+			continue
+		}
+		in.sendBatches(ctx, client, in.once.HandOver(time.Now(), successor))
+		return
+	}
+	in.log.Warn("records not handed over: no successor")
+}
+
+// askSuccessor returns the incarnation of an instance that is not leaving.
+func (in *Instance) askSuccessor(ctx context.Context, client peerpb.DRPCPeerClient) (once.Issuer, bool) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	answer, err := client.Heartbeat(ctx, &peerpb.HeartbeatRequest{From: in.selfUpdate(), ConfigVersion: in.configVersion()})
+	from := answer.GetFrom()
+	if err != nil || from == nil || from.State != peerpb.MemberState_MEMBER_STATE_ALIVE {
+		return once.Issuer{}, false
+	}
+	return once.Issuer{Instance: from.Name, Incarnation: from.Incarnation}, true
+}
+
+// sendBatches stops for an issuer at the first message that is not accepted.
+func (in *Instance) sendBatches(ctx context.Context, client peerpb.DRPCPeerClient, batches []once.Batch) {
+	failed := map[once.Issuer]bool{}
+	for _, b := range batches {
+		if !failed[b.Issuer] && !sendBatch(ctx, client, b) {
+			failed[b.Issuer] = true
+			in.log.WithField("issuer", b.Issuer.Instance).Warn("records not handed over")
+		}
+	}
+}
+
+func sendBatch(ctx context.Context, client peerpb.DRPCPeerClient, b once.Batch) bool {
+	for range handOverAttempts {
+		limited, cancel := context.WithTimeout(ctx, handOverTimeout)
+		answer, err := client.HandOver(limited, toHandOver(b))
+		cancel()
+		if err == nil {
+			return answer.Accepted
+		}
+	}
+	return false
+}
+
+func toHandOver(b once.Batch) *peerpb.HandOverRequest {
+	m := &peerpb.HandOverRequest{Issuer: b.Issuer.Instance, Incarnation: b.Issuer.Incarnation, KeyEpoch: b.KeyEpoch,
+		Last: b.Last, SuccessorIncarnation: b.Successor.Incarnation, Sequence: b.Sequence, OldestEpoch: b.Oldest}
+	for _, rec := range b.Records {
+		m.Records = append(m.Records, toRecord(rec))
+	}
+	return m
+}
+
+func toRecord(rec once.Record) *peerpb.OnceRecord {
+	state := uint32(recordUnknown)
+	switch {
+	case rec.Result.Executed == outcome.Yes && rec.Result.BodyDropped:
+		state = recordBodyDropped
+	case rec.Result.Executed == outcome.Yes:
+		state = recordAnswered
+	}
+	return &peerpb.OnceRecord{Key: rec.Key.String(), State: state, Status: uint32(rec.Result.Status),
+		Reason: string(rec.Result.Reason), Body: rec.Result.Body, ContentType: rec.Result.ContentType,
+		Fingerprint: rec.Fingerprint[:]}
+}
+
+// HandOver takes records of an instance that stops.
+func (p *peerServer) HandOver(_ context.Context, m *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
+	b := once.Batch{
+		Issuer:    once.Issuer{Instance: m.Issuer, Incarnation: m.Incarnation},
+		Successor: once.Issuer{Instance: p.in.settings.Name, Incarnation: m.SuccessorIncarnation},
+		Oldest:    m.OldestEpoch, KeyEpoch: m.KeyEpoch, Sequence: m.Sequence, Last: m.Last,
+	}
+	for _, rec := range m.Records {
+		record, ok := fromRecord(rec)
+		if !ok {
+			return &peerpb.HandOverResponse{}, nil
+		}
+		b.Records = append(b.Records, record)
+	}
+	return &peerpb.HandOverResponse{Accepted: p.in.once.Accept(time.Now(), b)}, nil
+}
+
+func fromRecord(m *peerpb.OnceRecord) (once.Record, bool) {
+	key, err := once.ParseKey(m.Key)
+	rec := once.Record{Key: key, Result: once.Result{Executed: outcome.Unknown, Status: int(m.Status),
+		Reason: outcome.Reason(m.Reason), ContentType: m.ContentType, Body: m.Body}}
+	if err != nil || len(m.Fingerprint) != len(rec.Fingerprint) {
+		return once.Record{}, false
+	}
+	copy(rec.Fingerprint[:], m.Fingerprint)
+	if m.State == recordAnswered || m.State == recordBodyDropped {
+		rec.Result.Executed = outcome.Yes
+		rec.Result.BodyDropped = m.State == recordBodyDropped
+	}
+	return rec, true
+}
--- a/entry/incoming.go
+++ b/entry/incoming.go
@@ -17,12 +17,13 @@
 
 // incoming is one request, independent of how it arrived.
 type incoming struct {
-	method, uri, path string
-	header            http.Header
-	key               string
-	length            int64 // Bytes of the body; -1 when unknown.
-	arrived           time.Time
-	deadline          time.Time
+	method, uri string
+	header      http.Header
+	key         string
+	hops        uint32 // Relays so far.
+	length      int64  // Bytes of the body; -1 when unknown.
+	arrived     time.Time
+	deadline    time.Time
 
 	document *policy.Document
 	service  policy.Service
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -33,9 +33,10 @@
 			return in.runKey(ctx, r, d.Ticket)
 		case once.Replay:
 			return replay(d.Result)
-		case once.Foreign, once.HandedOver:
-			// The authority is another instance, which may have executed it.
-			return refused(outcome.Outcome{Status: 502, Reason: outcome.ReasonRelayFailed, Executed: outcome.Unknown})
+		case once.Foreign:
+			return in.relay(ctx, r, key.Instance)
+		case once.HandedOver:
+			return in.relay(ctx, r, d.Successor.Instance)
 		}
 		select {
 		case <-d.Done:
--- /dev/null
+++ b/entry/relay.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/forward"
+	"github.com/jacinthstall/jacinthstall/outcome"
+	"github.com/jacinthstall/jacinthstall/peer/peerpb"
+)
+
+const (
+	// maxHops is reached when a key's issuer passes a request on to its
+	// successor.
+	maxHops         = 2
+	maxRelays       = 256 // Requests of other instances that are served at a time.
+	relayFrameBytes = 32 << 10
+)
+
+var (
+	errRelayCut   = errors.New("relayed transfer ended early")
+	errRelayFrame = errors.New("relayed transfer is not valid")
+)
+
+func relayFailed() *reply {
+	// The authority may have executed the key, now or earlier.
+	return refused(outcome.Outcome{Status: 502, Reason: outcome.ReasonRelayFailed, Executed: outcome.Unknown})
+}
+
+// relay sends a request to the instance that decides about its key.
+func (in *Instance) relay(ctx context.Context, r *incoming, instance string) *reply {
+	address := in.members.addresses()[instance]
+	if address == "" {
+		return refused(outcome.Outcome{Status: 409, Reason: outcome.ReasonIssuerGone, Executed: outcome.Unknown})
+	}
+	if r.hops >= maxHops {
+		return relayFailed()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stream, err := in.peers.Client(ctx, address).Relay(ctx)
+	if err != nil {
+		cancel()
+		return relayFailed()
+	}
+	// An authority that refuses early ends the stream before the body is sent;
+	// its answer is read all the same.
+	if sendRequest(stream, r) == nil {
+		_ = stream.CloseSend()
+	}
+	frame, err := stream.Recv()
+	if err != nil || frame.GetHead() == nil {
+		cancel()
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) || time.Now().After(r.deadline) {
+			return refused(outcome.Outcome{Status: 504, Reason: outcome.ReasonDeadline, Executed: outcome.Unknown})
+		}
+		return relayFailed()
+	}
+	return relayedReply(frame.GetHead(), stream, cancel)
+}
+
+func sendRequest(stream peerpb.DRPCPeer_RelayClient, r *incoming) error {
+	head := &peerpb.RelayHead{
+		Method: r.method, Uri: r.uri, Headers: toHeaders(r.header), OnceKey: r.key,
+		DeadlineMillis: uint32(max(1, time.Until(r.deadline).Milliseconds())),
+		AgeMillis:      uint32(time.Since(r.arrived).Milliseconds()),
+		Hops:           r.hops + 1, ContentLength: r.length,
+	}
+	if err := stream.Send(&peerpb.RelayFrame{Frame: &peerpb.RelayFrame_Head{Head: head}}); err != nil {
+		return err
+	}
+	body := r.outgoing().Body
+	if body == nil {
+		body = http.NoBody
+	}
+	return sendBody(stream, body)
+}
+
+type frameSender interface {
+	Send(*peerpb.RelayFrame) error
+}
+
+// sendBody sends a body and whether it was complete.
+func sendBody(stream frameSender, body io.Reader) error {
+	buffer := make([]byte, relayFrameBytes)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			frame := &peerpb.RelayFrame{Frame: &peerpb.RelayFrame_Body{Body: buffer[:n]}}
+			if failed := stream.Send(frame); failed != nil {
+				return failed
+			}
+		}
+		if err != nil {
+			end := &peerpb.RelayEnd{Complete: err == io.EOF}
+			return stream.Send(&peerpb.RelayFrame{Frame: &peerpb.RelayFrame_End{End: end}})
+		}
+	}
+}
+
+// frameBody reads a body from the frames of a stream. It ends with io.EOF only
+// after a frame that says that the body is complete.
+type frameBody struct {
+	recv  func() (*peerpb.RelayFrame, error)
+	piece []byte
+	err   error
+	close func()
+}
+
+// Read passes on what has arrived.
+func (b *frameBody) Read(p []byte) (int, error) {
+	for len(b.piece) == 0 && b.err == nil {
+		b.next()
+	}
+	n := copy(p, b.piece)
+	b.piece = b.piece[n:]
+	if n > 0 {
+		return n, nil
+	}
+	return 0, b.err
+}
+
+func (b *frameBody) next() {
+	frame, err := b.recv()
+	if err != nil {
+		b.err = errRelayCut
+		return
+	}
+	switch f := frame.Frame.(type) {
+	case *peerpb.RelayFrame_Body:
+		b.piece = f.Body
+	case *peerpb.RelayFrame_End:
+		b.err = errRelayCut
+		if f.End.GetComplete() {
+			b.err = io.EOF
+		}
+	default:
+		b.err = errRelayFrame
+	}
+}
+
+// Close ends the stream.
+func (b *frameBody) Close() error {
+	if b.close != nil {
+		b.close()
+	}
+	return nil
+}
+
+func relayedReply(head *peerpb.RelayHead, stream peerpb.DRPCPeer_RelayClient, cancel context.CancelFunc) *reply {
+	header := fromHeaders(head.Headers)
+	o := outcome.Outcome{Status: int(head.Status), Reason: outcome.Reason(head.Reason),
+		Executed: outcome.Executed(head.Executed), Target: header.Get(outcome.HeaderTarget)}
+	forward.CleanAnswer(header)
+	if head.ContentLength == noBody {
+		cancel()
+		return refused(o)
+	}
+	body := &frameBody{recv: stream.Recv, close: cancel}
+	return &reply{Outcome: o, header: header, length: head.ContentLength, body: body}
+}
+
+func toHeaders(h http.Header) []*peerpb.Header {
+	var list []*peerpb.Header
+	for name, values := range h {
+		for _, value := range values {
+			list = append(list, &peerpb.Header{Name: name, Value: value})
+		}
+	}
+	return list
+}
+
+func fromHeaders(list []*peerpb.Header) http.Header {
+	h := http.Header{}
+	for _, header := range list {
+		h.Add(header.Name, header.Value)
+	}
+	return h
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -147,7 +147,7 @@
 	var failure *forward.Error
 	switch {
 	case err == nil:
-		in.guard.Succeeded(time.Now(), flight)
+		in.queueReports(in.guard.Succeeded(time.Now(), flight))
 		grant.Release(CauseAnswered)
 		return
 	case errors.As(err, &failure) && failure.Crashed:
@@ -191,7 +191,9 @@
 }
 
 func (in *Instance) crashed(r *incoming, grant Grant, flight *quarantine.Flight) {
-	for _, report := range in.guard.Crashed(time.Now(), flight) {
+	reports := in.guard.Crashed(time.Now(), flight)
+	in.queueReports(reports)
+	for _, report := range reports {
 		in.events.Emit(events.TargetCrashSuspected, log.Fields{"service": r.service.Name, "target": grant.Target.Name,
 			"fingerprint": report.Fingerprint.String(), "quarantineMs": report.Quarantine.Milliseconds()})
 	}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -30,7 +31,8 @@
 	if in.inFlight.Add(1) > maxInFlight {
 		in.inFlight.Add(-1)
 		c.SetConnectionClose()
-		in.writeRefusal(c, "", outcome.Outcome{Status: 503, Reason: outcome.ReasonOverloaded, Executed: outcome.No})
+		o := outcome.Outcome{Status: 503, Reason: outcome.ReasonOverloaded, Executed: outcome.No}
+		in.writeRefusal(c, "", beforeDecision(string(c.Request.Header.Peek(outcome.HeaderKey)), o))
 		return
 	}
 	end := func() { in.inFlight.Add(-1) }
@@ -38,7 +40,7 @@
 	if refusal != nil {
 		// The body was not read to its end.
 		c.SetConnectionClose()
-		in.writeRefusal(c, "", *refusal)
+		in.writeRefusal(c, "", beforeDecision(string(c.Request.Header.Peek(outcome.HeaderKey)), *refusal))
 		end()
 		return
 	}
@@ -73,13 +75,15 @@
 	if d == nil {
 		return nil, &outcome.Outcome{Status: 503, Reason: outcome.ReasonNoConfig, Executed: outcome.No}
 	}
-	service, ok := d.ServiceFor(string(c.Path()))
+	// The target sees the path as it was sent, so the service is chosen by that
+	// path and not by the server's normalized one.
+	service, ok := d.ServiceFor(pathOf(string(c.Request.Header.RequestURI())))
 	if !ok {
 		return nil, &outcome.Outcome{Status: 404, Reason: outcome.ReasonNoService, Executed: outcome.No}
 	}
 	now := time.Now()
 	r := &incoming{
-		method: string(c.Method()), uri: string(c.Request.Header.RequestURI()), path: string(c.Path()),
+		method: string(c.Method()), uri: string(c.Request.Header.RequestURI()),
 		header: http.Header{}, key: string(c.Request.Header.Peek(outcome.HeaderKey)),
 		arrived: now, document: d, service: service,
 	}
@@ -97,6 +101,12 @@
 	return r, r.readPrefix(c.Request.BodyStream())
 }
 
+// pathOf returns the part of a request URI before its query.
+func pathOf(uri string) string {
+	path, _, _ := strings.Cut(uri, "?")
+	return path
+}
+
 func (in *Instance) writeReply(c *app.RequestContext, r *incoming, got *reply, done func()) {
 	if got.body == nil {
 		in.writeRefusal(c, r.service.Name, got.Outcome)
--- /dev/null
+++ b/entry/suspects.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/peer/peerpb"
+	"github.com/jacinthstall/jacinthstall/quarantine"
+)
+
+const (
+	maxQueuedReports = 256
+	reportTimeout    = 500 * time.Millisecond
+)
+
+// queueReports hands reports to sendReports. When its queue is full, they are
+// dropped: the bound on crashed targets does not depend on them.
+func (in *Instance) queueReports(reports []quarantine.Report) {
+	for _, r := range reports {
+		in.reports.TryPush(r)
+	}
+}
+
+// sendReports sends queued reports to the other instances of the domain.
+func (in *Instance) sendReports(ctx context.Context) {
+	for {
+		r, ok := in.reports.Pop(ctx)
+		if !ok {
+			return
+		}
+		addresses := in.members.addresses()
+		for _, member := range in.members.preferred(in.settings.Domain, in.settings.Region) {
+			if member.Domain == in.settings.Domain {
+				go in.sendReport(ctx, addresses[member.Name], r)
+			}
+		}
+	}
+}
+
+func (in *Instance) sendReport(ctx context.Context, address string, r quarantine.Report) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	request := &peerpb.ReportSuspectRequest{Fingerprint: r.Fingerprint[:], Service: r.Service, Target: r.Target,
+		Reporter: in.settings.Name, Cleared: r.Cleared, QuarantineMillis: uint32(r.Quarantine.Milliseconds())}
+	if _, err := in.peers.Client(ctx, address).ReportSuspect(ctx, request); err != nil {
+		in.log.WithError(err).WithField("peer", address).Warn("crash report not delivered")
+	}
+}
+
+// ReportSuspect takes a report of another instance of the domain.
+func (p *peerServer) ReportSuspect(_ context.Context, r *peerpb.ReportSuspectRequest) (*peerpb.ReportSuspectResponse, error) {
+	report := quarantine.Report{Service: r.Service, Target: r.Target, Cleared: r.Cleared,
+		Quarantine: time.Duration(r.QuarantineMillis) * time.Millisecond}
+	if len(r.Fingerprint) == len(report.Fingerprint) {
+		copy(report.Fingerprint[:], r.Fingerprint)
+		p.in.guard.Receive(time.Now(), report)
+	}
+	return &peerpb.ReportSuspectResponse{}, nil
+}
