Bound requests whose body is awaited and the pace of bodies

A caller with 1,074 slow bodies took all 1,024 requests that an instance serves at a time; others got 503. Requests whose body is awaited are now bounded to 256, the longest wait is cut first, and a body must keep 16 KB/s after 2 s.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,7 @@
 	inFlight    atomic.Int64
 	relays      atomic.Int64 // Requests of other instances.
 	peers       *peer.Pool
+	receiving   receiving
 	reports     *ring.Ring[quarantine.Report]
 	log         log.Interface
 }
--- a/entry/incoming.go
+++ b/entry/incoming.go
@@ -13,7 +13,10 @@
 	"github.com/jacinthstall/jacinthstall/quarantine"
 )
 
-var errBodyTooLarge = errors.New("request body is too large")
+var (
+	errBodyTooLarge = errors.New("request body is too large")
+	errBodyTooSlow  = errors.New("request body arrives too slowly")
+)
 
 // incoming is one request, independent of how it arrived.
 type incoming struct {
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -93,12 +93,10 @@
 		return r, nil
 	}
 	r.length = max(int64(c.Request.Header.ContentLength()), -1)
-	// A slow caller is cut at its own deadline and holds no target until the
-	// first part of its body has arrived.
-	if err := c.GetConn().SetReadDeadline(r.deadline); err != nil {
-		return nil, &outcome.Outcome{Status: 400, Reason: outcome.ReasonBadRequest, Executed: outcome.No}
-	}
-	return r, r.readPrefix(c.Request.BodyStream())
+	body := &pacedBody{from: c.Request.BodyStream(), conn: c.GetConn(), now: time.Now, started: now, deadline: r.deadline}
+	leave := in.receiving.enter(body.cut)
+	defer leave()
+	return r, r.readPrefix(body)
 }
 
 // pathOf returns the part of a request URI before its query.
