Drain planned stops and prove that they cut nothing

A stopping instance announces itself to the others before the look-up lifetime is counted, serves until it has passed and nothing is in flight, hands its records over, and then leaves 250 ms for idle connections instead of up to 30 s.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"time"
 
@@ -27,8 +28,15 @@
 )
 
 func (in *Instance) callerServer() *server.Hertz {
+	accepted := func(conn net.Conn) context.Context {
+		if in.onAccept != nil {
+			in.onAccept(conn)
+		}
+		return context.Background()
+	}
 	h := server.New(
 		server.WithHostPorts(in.settings.CallerAddress),
+		server.WithOnAccept(accepted),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(prefetchBytes),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cloudwego/hertz/pkg/app/server"
 
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
@@ -36,6 +35,8 @@
 	chooser     Chooser
 	events      *events.Log
 	leaving     atomic.Bool
+	stopAtOnce  bool           // Tests only: stops without draining.
+	onAccept    func(net.Conn) // Tests only: sees each connection of a caller.
 	inFlight    atomic.Int64
 	relays      atomic.Int64 // Requests of other instances.
 	peers       *peer.Pool
@@ -99,28 +100,3 @@
 	}
 	return in.stop(callers, operators)
 }
-
-const stopTimeout = 30 * time.Second
-
-func (in *Instance) stop(callers, operators *server.Hertz) error {
-	in.log.Info("leaving")
-	in.leaving.Store(true)
-	ttl := time.Second
-	if d := in.document.Load(); d != nil {
-		ttl = d.Timing.LookupTTL()
-	}
-	time.Sleep(ttl)
-	deadline := time.Now().Add(stopTimeout)
-	for in.inFlight.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(10 * time.Millisecond)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	in.handOver(ctx)
-	err := callers.Shutdown(ctx)
-	_ = operators.Shutdown(ctx)
-	in.forwarder.Close()
-	_ = in.peers.Close()
-	in.log.Info("stopped")
-	return err
-}
--- /dev/null
+++ b/entry/stop.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+)
+
+const (
+	stopTimeout = 30 * time.Second
+	drainPoll   = 5 * time.Millisecond
+	// closeGrace is left for the last bytes of answers and for idle
+	// connections, once no request is in flight.
+	closeGrace = 250 * time.Millisecond
+)
+
+// stop ends the instance without cutting a request: it announces that it is
+// leaving, serves until cached look-up answers have expired and no request is
+// in flight, hands its records over and closes its listeners.
+func (in *Instance) stop(callers, operators *server.Hertz) error {
+	in.log.Info("leaving")
+	in.leaving.Store(true)
+	if in.stopAtOnce {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	in.announce(ctx)
+	pause(ctx, in.lookupTTL())
+	in.drain(ctx)
+	in.handOver(ctx)
+	cut := in.inFlight.Load()
+	closing, end := context.WithTimeout(context.Background(), closeGrace)
+	defer end()
+	// The end of closeGrace is no failure: what is left are idle connections.
+	_ = callers.Shutdown(closing)
+	_ = operators.Shutdown(closing)
+	in.forwarder.Close()
+	_ = in.peers.Close()
+	in.log.WithField("cut", cut).Info("stopped")
+	return nil
+}
+
+// announce tells the other instances at once, so that their look-up answers do
+// not name this one any more. Its end is the start of the look-up lifetime.
+func (in *Instance) announce(ctx context.Context) {
+	var wait sync.WaitGroup
+	for name, address := range in.members.addresses() {
+		wait.Go(func() { in.heartbeat(ctx, name, address) })
+	}
+	wait.Wait()
+}
+
+func (in *Instance) lookupTTL() time.Duration {
+	if d := in.document.Load(); d != nil {
+		return d.Timing.LookupTTL()
+	}
+	return time.Second
+}
+
+func (in *Instance) drain(ctx context.Context) {
+	for in.inFlight.Load() > 0 && ctx.Err() == nil {
+		pause(ctx, drainPoll)
+	}
+}
