Interpret state charts from files for the life of an instance

The charts of an instance and of a target are JSON files, checked at load with placed findings, run with qmuntal/stateless and drawn in docs/state-charts.md. An instance fires its triggers through the chart; the target's chart is loaded and tested, and not yet used for routing.

--- /dev/null
+++ b/charts/charts.go
@@ -0,0 +1,16 @@
+// Package charts holds the state charts that package lifecycle interprets, one
+// JSON file each.
+package charts
+
+import "embed"
+
+// Names of the charts.
+const (
+	EntryInstance = "entry-instance.json"
+	Target        = "target.json"
+)
+
+// Files holds all charts.
+//
+//go:embed *.json
+var Files embed.FS
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,8 +11,10 @@
 
 	"github.com/apex/log"
 
+	"github.com/jacinthstall/jacinthstall/charts"
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
+	"github.com/jacinthstall/jacinthstall/lifecycle"
 	"github.com/jacinthstall/jacinthstall/once"
 	"github.com/jacinthstall/jacinthstall/peer"
 	"github.com/jacinthstall/jacinthstall/platform"
@@ -34,7 +36,8 @@
 	guard       *quarantine.Guard
 	chooser     Chooser
 	events      *events.Log
-	leaving     atomic.Bool
+	life        *lifecycle.Machine
+	leaving     atomic.Bool    // Set in every state after "serving".
 	stopAtOnce  bool           // Tests only: stops without draining.
 	onAccept    func(net.Conn) // Tests only: sees each connection of a caller.
 	inFlight    atomic.Int64
@@ -57,7 +60,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Instance{
+	chart, err := lifecycle.Load(charts.Files, charts.EntryInstance)
+	if err != nil {
+		return nil, err
+	}
+	in := &Instance{
 		settings:    s,
 		incarnation: incarnation,
 		once:        records,
@@ -70,7 +77,9 @@
 		forwarder:   forward.New(),
 		members:     newMembers(),
 		log:         logger,
-	}, nil
+	}
+	in.life = chart.NewMachine(in.lifeChanged)
+	return in, nil
 }
 
 // Run serves until ctx ends, then stops gracefully: it announces that it is
@@ -93,9 +102,11 @@
 	go in.sendHeartbeats(background)
 	go in.sendReports(background)
 
+	in.fire("opened")
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
+		in.fire("failed")
 		return fmt.Errorf("listener ended: %w", err)
 	}
 	return in.stop(callers, operators)
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/jacinthstall/jacinthstall/events"
 )
 
 const (
@@ -20,8 +23,7 @@
 // leaving, serves until cached look-up answers have expired and no request is
 // in flight, hands its records over and closes its listeners.
 func (in *Instance) stop(callers, operators *server.Hertz) error {
-	in.log.Info("leaving")
-	in.leaving.Store(true)
+	in.fire("stop")
 	if in.stopAtOnce {
 		return nil
 	}
@@ -29,9 +31,9 @@
 	defer cancel()
 	in.announce(ctx)
 	pause(ctx, in.lookupTTL())
+	in.fire("lookups-expired")
 	in.drain(ctx)
 	in.handOver(ctx)
-	cut := in.inFlight.Load()
 	closing, end := context.WithTimeout(context.Background(), closeGrace)
 	defer end()
 	// The end of closeGrace is no failure: what is left are idle connections.
@@ -39,10 +41,31 @@
 	_ = operators.Shutdown(closing)
 	in.forwarder.Close()
 	_ = in.peers.Close()
-	in.log.WithField("cut", cut).Info("stopped")
+	in.fire("drained")
 	return nil
 }
 
+// fire follows a transition of the instance's state chart. One that the chart
+// does not permit is a fault in the program; it is logged and changes nothing.
+func (in *Instance) fire(trigger string) {
+	if err := in.life.Fire(trigger); err != nil {
+		in.log.WithError(err).Error("state chart")
+	}
+}
+
+// lifeChanged runs after each transition.
+func (in *Instance) lifeChanged(_, _, to string) {
+	switch to {
+	case "serving":
+		in.events.Emit(events.InstanceStarted, log.Fields{"incarnation": in.incarnation})
+	case "leaving":
+		in.leaving.Store(true)
+		in.events.Emit(events.InstanceLeaving, log.Fields{})
+	case "stopped":
+		in.events.Emit(events.InstanceStopped, log.Fields{"cut": in.inFlight.Load()})
+	}
+}
+
 // announce tells the other instances at once, so that their look-up answers do
 // not name this one any more. Its end is the start of the look-up lifetime.
 func (in *Instance) announce(ctx context.Context) {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -124,6 +124,9 @@
 	require.Eventually(t, func() bool { return slow.Load() > 100 }, longWait, time.Millisecond)
 	whole.cancel()
 	require.NoError(t, <-whole.ended)
+	if !atOnce {
+		assert.Equal(t, "stopped", whole.in.life.State())
+	}
 	whole.exit()
 	close(stopped)
 	wait.Wait()
--- /dev/null
+++ b/lifecycle/machine.go
@@ -0,0 +1,71 @@
+package lifecycle
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/qmuntal/stateless"
+)
+
+// TransitionError reports a trigger that a state does not permit.
+type TransitionError struct {
+	Chart   string
+	State   string
+	Trigger string
+}
+
+// Error describes the problem.
+func (e *TransitionError) Error() string {
+	return fmt.Sprintf("state chart %s: trigger %q is not permitted in state %q", e.Chart, e.Trigger, e.State)
+}
+
+// Machine is one run of a chart. It is safe for concurrent use.
+type Machine struct {
+	chart   *Chart
+	changed func(from, trigger, to string)
+
+	mu      sync.Mutex
+	machine *stateless.StateMachine
+}
+
+// NewMachine returns a machine in the initial state. Changed is called after
+// each transition, in order; it may be nil and must not fire a trigger.
+func (c *Chart) NewMachine(changed func(from, trigger, to string)) *Machine {
+	m := &Machine{chart: c, changed: changed, machine: stateless.NewStateMachine(c.Initial)}
+	for _, t := range c.Transitions {
+		if t.From == t.To {
+			m.machine.Configure(t.From).PermitReentry(t.Trigger)
+			continue
+		}
+		m.machine.Configure(t.From).Permit(t.Trigger, t.To)
+	}
+	m.machine.OnTransitioned(func(_ context.Context, t stateless.Transition) {
+		if m.changed != nil {
+			m.changed(t.Source.(string), t.Trigger.(string), t.Destination.(string))
+		}
+	})
+	return m
+}
+
+// State returns the current state.
+func (m *Machine) State() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.MustState().(string)
+}
+
+// Fire follows the transition of a trigger. The error is a *TransitionError,
+// and the state is unchanged, when the current state does not permit it.
+func (m *Machine) Fire(trigger string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	permitted, err := m.machine.CanFire(trigger)
+	if err != nil {
+		return err
+	}
+	if !permitted {
+		return &TransitionError{Chart: m.chart.Name, State: m.machine.MustState().(string), Trigger: trigger}
+	}
+	return m.machine.Fire(trigger)
+}
