Extend the stand-in target with faults

Crashes that reset all connections and refuse new ones for a time, truncated and late answers, shedding without proof, cold start, deadlines, cancellation, a connection bound, lagging or false health and load, and a report of executions by key that counts unfinished ones.

--- a/cmd/jacinth-target/main.go
+++ b/cmd/jacinth-target/main.go
@@ -7,9 +7,7 @@
 	"os"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/jacinthstall/jacinthstall/standin/targetd"
@@ -25,18 +23,27 @@
 func run(args []string) error {
 	fs := flag.NewFlagSet("jacinth-target", flag.ContinueOnError)
 	address := fs.String("address", "127.0.0.1:7100", "ip:port to listen on")
-	name := fs.String("name", "target", "name of the target")
-	slots := fs.Int("slots", 3, "requests executed at the same time")
-	service := fs.Duration("service", 20*time.Millisecond, "execution time of a request")
+	connections := fs.Int("connections", 0, "bound of open connections; 0 means no bound")
+	o := targetd.Options{Faults: targetd.DefaultFaults()}
+	fs.StringVar(&o.Name, "name", "target", "name of the target")
+	fs.IntVar(&o.Slots, "slots", 3, "requests executed at the same time")
+	fs.DurationVar(&o.Service, "service", 20*time.Millisecond, "execution time of a request")
+	fs.IntVar(&o.ColdRequests, "cold-requests", 0, "slow requests after a start")
+	fs.IntVar(&o.ColdFactor, "cold-factor", 5, "times as long that a slow request takes")
+	fs.BoolVar(&o.Faults.ShedWithoutProof, "shed-without-proof", false, "shed without saying that nothing was executed")
+	fs.StringVar(&o.Faults.HealthState, "health-state", "", "state to report whatever it is")
+	fs.IntVar(&o.Faults.LoadLagMs, "load-lag-ms", 0, "delay of the reported load, in milliseconds")
+	fs.IntVar(&o.Faults.Busy, "busy", -1, "load to report whatever it is; negative reports the true one")
+	fs.IntVar(&o.Faults.DownMs, "down-ms", 1000, "time that a crash lasts, in milliseconds")
+	fs.IntVar(&o.Faults.LateMs, "late-ms", 1000, "delay of requests that are marked as late, in milliseconds")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("JACINTH_TARGET")); err != nil {
 		return err
 	}
 	hlog.SetLevel(hlog.LevelError)
-	h := server.New(
-		server.WithHostPorts(*address),
-		server.WithTransport(standard.NewTransporter),
-		server.WithDisablePrintRoute(true),
-	)
-	targetd.New(targetd.Options{Name: *name, Slots: *slots, Service: *service}).Register(h)
+	listener, err := targetd.Listen(*address, *connections)
+	if err != nil {
+		return err
+	}
+	_, h := targetd.NewServer(o, listener)
 	return h.Run()
 }
--- a/standin/targetd/targetd.go
+++ b/standin/targetd/targetd.go
@@ -1,6 +1,9 @@
 // Package targetd is a stand-in for a target, for tests and the demo. It
 // executes a bounded number of requests at a time and sheds the rest with a
-// proof that they were not executed.
+// proof that they were not executed. It starts cold, drains, stops work whose
+// caller has gone or whose deadline has passed, and counts executions by
+// idempotency key, those that were not finished included. Faults are set by
+// options, by admin routes and by marks on requests.
 package targetd
 
 import (
@@ -11,118 +14,205 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"github.com/jacinthstall/jacinthstall/outcome"
 )
 
-// Options configure a target.
-type Options struct {
-	Name    string
-	Slots   int           // Requests executed at the same time.
-	Service time.Duration // Execution time of a request.
+// execution counts the executions of one key.
+type execution struct {
+	started, finished int
+}
+
+type loadSample struct {
+	at   time.Time
+	busy int
 }
 
 // Target is the state of a stand-in target.
 type Target struct {
-	opts Options
+	opts     Options
+	listener *Listener // Nil when the target cannot crash.
 
 	mu       sync.Mutex
+	faults   Faults
 	busy     int
 	leaving  bool
-	executed map[string]int // Executions by idempotency key.
-	total    int
+	cold     int          // Requests left that are slow.
+	samples  []loadSample // Changes of the load, oldest first.
+	executed map[string]*execution
+	report   Report
 }
 
-// New returns a target.
+// New returns a target without a listener; it cannot crash.
 func New(opts Options) *Target {
-	return &Target{opts: opts, executed: map[string]int{}}
+	if opts.Faults == (Faults{}) {
+		opts.Faults = DefaultFaults()
+	}
+	return &Target{opts: opts, faults: opts.Faults, cold: opts.ColdRequests, executed: map[string]*execution{}}
+}
+
+// NewServer returns a target and its server on a listener.
+func NewServer(opts Options, l *Listener) (*Target, *server.Hertz) {
+	t := New(opts)
+	t.listener = l
+	h := server.New(
+		server.WithListener(l),
+		server.WithTransport(standard.NewTransporter),
+		server.WithSenseClientDisconnection(true),
+		server.WithExitWaitTime(time.Millisecond),
+		server.WithDisablePrintRoute(true),
+	)
+	t.Register(h)
+	return t, h
 }
 
 // Register adds the target's routes to a server.
 func (t *Target) Register(h *server.Hertz) {
 	h.GET("/-/health", t.health)
 	h.POST("/-/leave", t.leave)
-	h.GET("/-/executed", t.report)
+	h.POST("/-/return", t.comeBack)
+	h.POST("/-/crash", t.crashNow)
+	h.GET("/-/faults", t.getFaults)
+	h.POST("/-/faults", t.setFaults)
+	h.GET("/-/executed", t.getReport)
 	h.NoRoute(t.serve)
 }
 
 func (t *Target) serve(ctx context.Context, c *app.RequestContext) {
-	if !t.begin(string(c.Request.Header.Peek(outcome.HeaderKey))) {
-		c.Response.Header.Set(outcome.HeaderExecuted, string(outcome.No))
-		c.JSON(503, map[string]string{"error": "all slots are busy"})
+	key := string(c.Request.Header.Peek(outcome.HeaderKey))
+	duration, ok := t.begin(key)
+	if !ok {
+		t.shed(c)
 		return
 	}
-	defer t.end()
-	t.markLeaving(c)
+	if string(c.Request.Header.Peek(HeaderFault)) == "crash" && t.listener != nil {
+		t.end(key, false)
+		t.crash()
+		return
+	}
+	if string(c.Request.Header.Peek(HeaderFault)) == "late" {
+		duration += time.Duration(t.currentFaults().LateMs) * time.Millisecond
+	}
+	finished := t.execute(ctx, c, duration)
+	t.end(key, finished)
+	t.answer(c, finished)
+}
+
+// execute waits for the execution time. It returns false when the caller has
+// gone or the deadline has passed before.
+func (t *Target) execute(ctx context.Context, c *app.RequestContext, duration time.Duration) bool {
+	var deadline <-chan time.Time
+	if ms, err := strconv.Atoi(string(c.Request.Header.Peek(outcome.HeaderDeadline))); err == nil {
+		deadline = time.After(time.Duration(ms) * time.Millisecond)
+	}
 	select {
-	case <-time.After(t.opts.Service):
+	case <-time.After(duration):
+		return true
+	case <-deadline:
 	case <-ctx.Done():
 	}
+	return false
+}
+
+func (t *Target) answer(c *app.RequestContext, finished bool) {
+	t.markLeaving(c)
+	switch string(c.Request.Header.Peek(HeaderFault)) {
+	case "truncate":
+		breakOff(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
+		return
+	case "truncate-chunks":
+		breakOff(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")
+		return
+	}
+	if !finished {
+		c.JSON(504, map[string]string{"error": "not finished"})
+		return
+	}
 	c.JSON(200, map[string]string{"target": t.opts.Name, "path": string(c.Path())})
 }
 
-func (t *Target) begin(key string) bool {
+// breakOff writes a part of an answer and closes the connection.
+func breakOff(c *app.RequestContext, part string) {
+	conn := c.GetConn()
+	_, _ = conn.WriteBinary([]byte(part))
+	_ = conn.Flush()
+	_ = conn.Close()
+}
+
+func (t *Target) shed(c *app.RequestContext) {
+	t.markLeaving(c)
+	if !t.currentFaults().ShedWithoutProof {
+		c.Response.Header.Set(outcome.HeaderExecuted, string(outcome.No))
+	}
+	c.JSON(503, map[string]string{"error": "all slots are busy"})
+}
+
+func (t *Target) begin(key string) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.busy >= t.opts.Slots {
-		return false
+		t.report.Shed++
+		return 0, false
 	}
-	t.busy++
-	t.total++
+	t.setBusy(t.busy + 1)
+	t.report.Total++
 	if key != "" {
-		t.executed[key]++
+		if t.executed[key] == nil {
+			t.executed[key] = &execution{}
+		}
+		t.executed[key].started++
+	}
+	duration := t.opts.Service
+	if t.cold > 0 {
+		t.cold--
+		duration *= time.Duration(max(1, t.opts.ColdFactor))
 	}
-	return true
+	return duration, true
 }
 
-func (t *Target) end() {
+func (t *Target) end(key string, finished bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.busy--
+	t.setBusy(t.busy - 1)
+	if !finished {
+		t.report.Partial++
+	} else if key != "" {
+		t.executed[key].finished++
+	}
 }
 
-func (t *Target) markLeaving(c *app.RequestContext) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.leaving {
-		c.Response.Header.Set(outcome.HeaderTargetState, "leaving")
+// maxSamples bounds the history from which a lagging load is read.
+const maxSamples = 4096
+
+func (t *Target) setBusy(busy int) {
+	t.busy = busy
+	t.samples = append(t.samples, loadSample{at: time.Now(), busy: busy})
+	if len(t.samples) > maxSamples {
+		t.samples = append(t.samples[:0], t.samples[maxSamples/2:]...)
 	}
 }
 
-func (t *Target) health(_ context.Context, c *app.RequestContext) {
-	t.markLeaving(c)
+// crash ends as a process does; the target is cold when it is back.
+func (t *Target) crash() {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	c.JSON(200, map[string]string{"busy": strconv.Itoa(t.busy), "slots": strconv.Itoa(t.opts.Slots)})
+	down := time.Duration(t.faults.DownMs) * time.Millisecond
+	t.cold = t.opts.ColdRequests
+	t.report.Crashes++
+	t.mu.Unlock()
+	t.listener.Crash(down)
 }
 
-func (t *Target) leave(_ context.Context, c *app.RequestContext) {
+func (t *Target) currentFaults() Faults {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.leaving = true
-	c.JSON(200, map[string]string{"state": "leaving"})
+	return t.faults
 }
 
-// Report counts the executions of a target.
-type Report struct {
-	Total      int `json:"total"`
-	Keys       int `json:"keys"`       // Different idempotency keys executed.
-	Duplicates int `json:"duplicates"` // Keys executed more than once.
-}
-
-// Report returns the counts so far.
-func (t *Target) Report() Report {
+func (t *Target) markLeaving(c *app.RequestContext) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := Report{Total: t.total, Keys: len(t.executed)}
-	for _, n := range t.executed {
-		if n > 1 {
-			r.Duplicates++
-		}
+	if t.leaving {
+		c.Response.Header.Set(outcome.HeaderTargetState, "leaving")
 	}
-	return r
-}
-
-func (t *Target) report(_ context.Context, c *app.RequestContext) {
-	c.JSON(200, t.Report())
 }
