Compare what callers are told with what targets executed

400 keys sent 1 to 3 times through three instances to four targets that crash, truncate, shed and answer late: no key was executed twice, and no key whose last answer was "not executed" was executed. With keys ignored, some run twice.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,7 @@
 	events      *events.Log
 	life        *lifecycle.Machine
 	leaving     atomic.Bool    // Set in every state after "serving".
+	ignoreKeys  bool           // Tests only: executes requests without asking the records.
 	stopAtOnce  bool           // Tests only: stops without draining.
 	onAccept    func(net.Conn) // Tests only: sees each connection of a caller.
 	inFlight    atomic.Int64
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/once"
 	"github.com/jacinthstall/jacinthstall/outcome"
 	"github.com/jacinthstall/jacinthstall/peer/peerpb"
@@ -31,10 +34,10 @@
 		if !ok {
 			continue
 		}
-		in.sendBatches(ctx, client, in.once.HandOver(time.Now(), successor))
+		in.sendBatches(ctx, client, successor, in.once.HandOver(time.Now(), successor))
 		return
 	}
-	in.log.Warn("records not handed over: no successor")
+	in.events.Emit(events.RecordsNotHandedOver, log.Fields{"successor": "", "issuer": in.settings.Name})
 }
 
 // askSuccessor returns the incarnation of an instance that is not leaving.
@@ -50,14 +53,17 @@
 }
 
 // sendBatches stops for an issuer at the first message that is not accepted.
-func (in *Instance) sendBatches(ctx context.Context, client peerpb.DRPCPeerClient, batches []once.Batch) {
+func (in *Instance) sendBatches(ctx context.Context, client peerpb.DRPCPeerClient, successor once.Issuer, batches []once.Batch) {
 	failed := map[once.Issuer]bool{}
 	for _, b := range batches {
 		if !failed[b.Issuer] && !sendBatch(ctx, client, b) {
 			failed[b.Issuer] = true
-			in.log.WithField("issuer", b.Issuer.Instance).Warn("records not handed over")
+			in.events.Emit(events.RecordsNotHandedOver, log.Fields{"successor": successor.Instance, "issuer": b.Issuer.Instance})
 		}
 	}
+	if len(failed) == 0 {
+		in.events.Emit(events.RecordsHandedOver, log.Fields{"successor": successor.Instance, "batches": len(batches)})
+	}
 }
 
 func sendBatch(ctx context.Context, client peerpb.DRPCPeerClient, b once.Batch) bool {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
 	"github.com/jacinthstall/jacinthstall/outcome"
 	"github.com/jacinthstall/jacinthstall/peer/peerpb"
@@ -39,6 +42,7 @@
 	if r.hops >= maxHops {
 		return relayFailed()
 	}
+	in.events.Emit(events.RequestRelayed, log.Fields{"service": r.service.Name, "key": r.key, "instance": instance, "hops": r.hops})
 	ctx, cancel := context.WithCancel(ctx)
 	stream, err := in.peers.Client(ctx, address).Relay(ctx)
 	if err != nil {
@@ -151,8 +155,12 @@
 
 func relayedReply(head *peerpb.RelayHead, stream peerpb.DRPCPeer_RelayClient, cancel context.CancelFunc) *reply {
 	header := fromHeaders(head.Headers)
+	if head.Status < 200 || head.Status > 599 {
+		cancel()
+		return relayFailed()
+	}
 	o := outcome.Outcome{Status: int(head.Status), Reason: outcome.Reason(head.Reason),
-		Executed: outcome.Executed(head.Executed), Target: header.Get(outcome.HeaderTarget)}
+		Executed: outcome.ParseExecuted(head.Executed), Target: header.Get(outcome.HeaderTarget)}
 	forward.CleanAnswer(header)
 	if head.ContentLength == noBody {
 		cancel()
--- a/entry/request.go
+++ b/entry/request.go
@@ -34,7 +34,7 @@
 // serve finds a reply for a request. Only a service that is not idempotent
 // takes keys.
 func (in *Instance) serve(ctx context.Context, r *incoming) *reply {
-	if r.key == "" || r.service.Idempotent {
+	if r.key == "" || r.service.Idempotent || in.ignoreKeys {
 		return in.attempts(ctx, r)
 	}
 	return in.serveKey(ctx, r)
@@ -128,9 +128,9 @@
 	if err != nil {
 		return in.failed(ctx, r, grant, flight, err)
 	}
-	executed := answer.Header.Get(outcome.HeaderExecuted)
+	executed := answer.Header.Values(outcome.HeaderExecuted)
 	forward.CleanAnswer(answer.Header)
-	if executed == string(outcome.No) {
+	if len(executed) == 1 && outcome.ParseExecuted(executed[0]) == outcome.No {
 		_ = answer.Body.Close()
 		in.guard.Ended(flight)
 		grant.Release(CauseShed)
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/peer/peerpb"
 	"github.com/jacinthstall/jacinthstall/quarantine"
 )
@@ -43,7 +46,7 @@
 	request := &peerpb.ReportSuspectRequest{Fingerprint: r.Fingerprint[:], Service: r.Service, Target: r.Target,
 		Reporter: in.settings.Name, Cleared: r.Cleared, QuarantineMillis: uint32(r.Quarantine.Milliseconds())}
 	if _, err := in.peers.Client(ctx, address).ReportSuspect(ctx, request); err != nil {
-		in.log.WithError(err).WithField("peer", address).Warn("crash report not delivered")
+		in.events.Emit(events.CrashReportLost, log.Fields{"peer": address, "fingerprint": r.Fingerprint.String(), "error": err.Error()})
 	}
 }
 
--- /dev/null
+++ b/entry/truth_test.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/outcome"
+	"github.com/jacinthstall/jacinthstall/standin/targetd"
+)
+
+func startTarget(t *testing.T, o targetd.Options) (*targetd.Target, string) {
+	t.Helper()
+	l, err := targetd.Listen("127.0.0.1:0", 0)
+	require.NoError(t, err)
+	target, h := targetd.NewServer(o, l)
+	go func() { _ = h.Run() }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		_ = h.Shutdown(ctx)
+		_ = l.Close()
+	})
+	return target, l.Addr().String()
+}
+
+// told is what callers heard about one key.
+type told struct {
+	mu   sync.Mutex
+	keys map[string][]outcome.Executed
+}
+
+func (k *told) add(key string, executed outcome.Executed) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keys[key] = append(k.keys[key], executed)
+}
+
+// sendFaulty sends one request with a key; an aborted transfer counts as what
+// its head said.
+func sendFaulty(t *testing.T, in *Instance, key, fault, deadline string) outcome.Executed {
+	r, err := http.NewRequest("POST", "http://"+in.settings.CallerAddress+"/writes/"+key, strings.NewReader(key))
+	if !assert.NoError(t, err) {
+		return outcome.Unknown
+	}
+	r.Header.Set(outcome.HeaderKey, key)
+	r.Header.Set(outcome.HeaderDeadline, deadline)
+	r.Header.Set(targetd.HeaderFault, fault)
+	client := &http.Client{Timeout: longWait, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Do(r)
+	if err != nil {
+		return outcome.Unknown
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	return outcome.Executed(answer.Header.Get(outcome.HeaderExecuted))
+}
+
+// truthRun sends 400 keys several times through three instances to targets
+// that crash, shed, truncate and answer late, and returns what callers were
+// told and what targets executed.
+func truthRun(t *testing.T, off bool) (heard map[string][]outcome.Executed, runs map[string]int) {
+	faults := targetd.DefaultFaults()
+	faults.DownMs, faults.LateMs = 50, 300
+	var targets []*targetd.Target
+	var addresses []string
+	for i := range 4 {
+		target, address := startTarget(t, targetd.Options{Name: fmt.Sprint(i), Slots: 3, Service: 5 * time.Millisecond, Faults: faults})
+		targets, addresses = append(targets, target), append(addresses, address)
+	}
+	var instances []*Instance
+	for _, name := range []string{"a-1", "b-1", "c-1"} {
+		in := startInstance(t, name, addresses...)
+		in.ignoreKeys = off
+		instances = append(instances, in)
+	}
+	connect(t, instances...)
+	k := &told{keys: map[string][]outcome.Executed{}}
+	var wait sync.WaitGroup
+	for worker := range 8 {
+		random := rand.New(rand.NewPCG(7, uint64(worker)))
+		wait.Go(func() {
+			for i := range 50 {
+				key := fmt.Sprintf("%s.%d-%d", instances[random.IntN(3)].keyPrefix(), worker, i)
+				marks := []string{"", "", "", "crash", "truncate", "truncate-chunks", "late"}
+				mark := marks[random.IntN(len(marks))]
+				for range 1 + random.IntN(3) {
+					k.add(key, sendFaulty(t, instances[random.IntN(3)], key, mark, "200"))
+				}
+			}
+		})
+	}
+	wait.Wait()
+	runs = map[string]int{}
+	for _, target := range targets {
+		for key, n := range target.Report().Executions {
+			runs[key] += n
+		}
+	}
+	return k.keys, runs
+}
+
+func twice(runs map[string]int) int {
+	n := 0
+	for _, times := range runs {
+		if times > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// Requirements R4 and R5 over sockets: a key that any caller was told was not
+// executed was not executed before, one that was answered was, and none was
+// executed twice. With keys ignored, some are.
+func TestWhatCallersAreToldIsTrue(t *testing.T) {
+	_, runs := truthRun(t, true)
+	t.Logf("keys ignored: %d of 400 executed more than once", twice(runs))
+	require.NotZero(t, twice(runs), "the test must see keys executed twice when keys are ignored")
+	heard, runs := truthRun(t, false)
+	assert.Zero(t, twice(runs))
+	counts := map[outcome.Executed]int{}
+	for key, answers := range heard {
+		last := answers[len(answers)-1]
+		for _, executed := range answers {
+			counts[executed]++
+		}
+		assert.LessOrEqual(t, runs[key], 1, key)
+		if last == outcome.No {
+			assert.Zero(t, runs[key], "%s: told %v", key, answers)
+		}
+		for _, executed := range answers {
+			if executed == outcome.Yes {
+				assert.Equal(t, 1, runs[key], "%s: told %v", key, answers)
+			}
+		}
+	}
+	assert.Len(t, heard, 400)
+	for _, executed := range []outcome.Executed{outcome.Yes, outcome.Unknown} {
+		assert.NotZero(t, counts[executed], executed)
+	}
+	t.Log(counts)
+}
--- a/events/request.go
+++ b/events/request.go
@@ -14,9 +14,18 @@
 	AnswerCut = define(Event{Number: 503, Name: "answer-cut", Level: log.WarnLevel,
 		Message: "answer ended early and was passed on as an aborted transfer", Fields: []string{"service", "target", "error"},
 		Action: "look at the target when it is named often"})
+	RequestRelayed = define(Event{Number: 504, Name: "request-relayed", Level: log.DebugLevel,
+		Message: "request passed on to the instance that decides about its key", Fields: []string{"service", "key", "instance", "hops"}, Action: "none"})
 	KeyDecided = define(Event{Number: 600, Name: "key-decided", Level: log.DebugLevel,
 		Message: "idempotency key decided", Fields: []string{"service", "key", "verdict"}, Action: "none"})
+	RecordsHandedOver = define(Event{Number: 601, Name: "records-handed-over", Level: log.InfoLevel,
+		Message: "at-most-once records moved to the successor", Fields: []string{"successor", "batches"}, Action: "none"})
+	RecordsNotHandedOver = define(Event{Number: 602, Name: "records-not-handed-over", Level: log.WarnLevel,
+		Message: "at-most-once records of an issuer were not handed over; its keys stay unknown", Fields: []string{"successor", "issuer"},
+		Action: "none; callers that retry such a key are told that its result is unknown"})
 	TargetCrashSuspected = define(Event{Number: 700, Name: "crash-suspected", Level: log.WarnLevel,
 		Message: "request was in flight when a target ended the connection", Fields: []string{"service", "target", "fingerprint", "quarantineMs"},
 		Action: "look at the target; when quarantineMs is above 0, look at the request"})
+	CrashReportLost = define(Event{Number: 701, Name: "crash-report-lost", Level: log.WarnLevel,
+		Message: "crash report was not delivered to an instance of the domain", Fields: []string{"peer", "fingerprint", "error"}, Action: "none"})
 )
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -15,6 +15,16 @@
 	Unknown Executed = "unknown"
 )
 
+// ParseExecuted reads the value of a Request-Executed header. Everything but an
+// exact "yes" or "no" is Unknown: a value that is not understood proves nothing.
+func ParseExecuted(value string) Executed {
+	switch e := Executed(value); e {
+	case Yes, No:
+		return e
+	}
+	return Unknown
+}
+
 // Reason is the machine-readable cause of an outcome.
 type Reason string
 
