--- a/dispatch/describe.go
+++ b/dispatch/describe.go
@@ -19,7 +19,7 @@
 		return events.RequestForwarded, log.Fields{"request": a.Request.ID, "service": a.Request.Service, "region": a.Region, "to": a.Instance,
 			"age": millis(a.Inputs.Age), "queued": a.Inputs.Queued, "wait": millis(a.Inputs.ExpectedWait), "remoteWait": millis(a.Inputs.RemoteWait)}, true
 	case Refuse:
-		return events.RequestRefused, log.Fields{"request": a.Request.ID, "service": a.Request.Service, "reason": a.Reason, "waited": a.Waited,
+		return events.RequestNotScheduled, log.Fields{"request": a.Request.ID, "service": a.Request.Service, "reason": a.Reason, "waited": a.Waited,
 			"age": millis(a.Inputs.Age), "attempts": a.Request.Attempts, "queued": a.Inputs.Queued, "wait": millis(a.Inputs.ExpectedWait),
 			"remoteWait": millis(a.Inputs.RemoteWait), "limit": millis(a.Inputs.Limit)}, true
 	case SendGrant:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,13 +10,18 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cloudwego/hertz/pkg/app/server"
 
+	"github.com/jacinthstall/jacinthstall/charts"
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
+	"github.com/jacinthstall/jacinthstall/lifecycle"
 	"github.com/jacinthstall/jacinthstall/membership"
+	"github.com/jacinthstall/jacinthstall/once"
+	"github.com/jacinthstall/jacinthstall/peer"
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
+	"github.com/jacinthstall/jacinthstall/quarantine"
+	"github.com/jacinthstall/jacinthstall/ring"
 	"github.com/jacinthstall/jacinthstall/settings"
 )
 
@@ -30,9 +35,20 @@
 	members     *members
 	config      *config
 	lookups     *lookups
+	once        *once.Registry
+	guard       *quarantine.Guard
+	chooser     Chooser
 	events      *events.Log
-	leaving     atomic.Bool
+	life        *lifecycle.Machine
+	leaving     atomic.Bool    // Set in every state after "serving".
+	ignoreKeys  bool           // Tests only: executes requests without asking the records.
+	stopAtOnce  bool           // Tests only: stops without draining.
+	onAccept    func(net.Conn) // Tests only: sees each connection of a caller.
 	inFlight    atomic.Int64
+	relays      atomic.Int64 // Requests of other instances.
+	peers       *peer.Pool
+	receiving   receiving
+	reports     *ring.Ring[quarantine.Report]
 	log         log.Interface
 }
 
@@ -42,18 +58,33 @@
 	if err != nil {
 		return nil, err
 	}
-	incarnation := uint64(time.Now().UnixNano())
+	now := time.Now()
+	incarnation := uint64(now.UnixNano())
+	records, err := once.New(once.Issuer{Instance: s.Name, Incarnation: incarnation}, now)
+	if err != nil {
+		return nil, err
+	}
+	chart, err := lifecycle.Load(charts.Files, charts.EntryInstance)
+	if err != nil {
+		return nil, err
+	}
 	emitted := events.New(logger)
 	in := &Instance{
 		settings:    s,
 		incarnation: incarnation,
-		platform:    p,
+		once:        records,
+		guard:       quarantine.New(),
+		peers:       peer.NewPool(),
+		reports:     ring.New[quarantine.Report](maxQueuedReports),
+		chooser:     randomChooser{domain: s.Domain, region: s.Region},
+			platform:    p,
 		forwarder:   forward.New(),
 		members:     newMembers(selfUpdate(s, incarnation), emitted),
 		lookups:     newLookups(s.Domain, emitted),
 		events:      emitted,
 		log:         logger,
 	}
+	in.life = chart.NewMachine(in.lifeChanged)
 	in.config, err = newConfig(in)
 	return in, err
 }
@@ -87,35 +118,14 @@
 	go in.watchDocument(background)
 	go in.runMembers(background)
 	go every(background, lookupRefresh, in.refreshLookups)
+	go in.sendReports(background)
 
+	in.fire("opened")
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
+		in.fire("failed")
 		return fmt.Errorf("listener ended: %w", err)
 	}
 	return in.stop(callers, operators)
 }
-
-const stopTimeout = 30 * time.Second
-
-func (in *Instance) stop(callers, operators *server.Hertz) error {
-	in.log.Info("leaving")
-	in.leaving.Store(true)
-	in.lookups.waiters.Stop()
-	ttl := time.Second
-	if d := in.document.Load(); d != nil {
-		ttl = d.Timing.LookupTTL()
-	}
-	time.Sleep(ttl)
-	deadline := time.Now().Add(stopTimeout)
-	for in.inFlight.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(10 * time.Millisecond)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	_ = operators.Shutdown(ctx)
-	in.forwarder.Close()
-	in.log.Info("stopped")
-	return err
-}
--- a/entry/members.go
+++ b/entry/members.go
@@ -243,3 +243,11 @@
 		}
 	}
 }
+
+// pause waits for a duration or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/entry/stop.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/membership"
+	"github.com/jacinthstall/jacinthstall/peer/peerpb"
+)
+
+const (
+	stopTimeout = 30 * time.Second
+	drainPoll   = 5 * time.Millisecond
+	// closeGrace is left for the last bytes of answers and for idle
+	// connections, once no request is in flight.
+	closeGrace = 250 * time.Millisecond
+	// maxNearest bounds the instances that are told of a planned stop directly.
+	maxNearest = 16
+)
+
+// stop ends the instance without cutting a request: it announces that it is
+// leaving, serves until cached look-up answers have expired and no request is
+// in flight, hands its records over and closes its listeners.
+func (in *Instance) stop(callers, operators *server.Hertz) error {
+	in.fire("stop")
+	if in.stopAtOnce {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	in.announce(ctx)
+	pause(ctx, in.lookupTTL())
+	in.fire("lookups-expired")
+	in.drain(ctx)
+	in.handOver(ctx)
+	closing, end := context.WithTimeout(context.Background(), closeGrace)
+	defer end()
+	// The end of closeGrace is no failure: what is left are idle connections.
+	_ = callers.Shutdown(closing)
+	_ = operators.Shutdown(closing)
+	in.forwarder.Close()
+	_ = in.peers.Close()
+	in.fire("drained")
+	return nil
+}
+
+// fire follows a transition of the instance's state chart. One that the chart
+// does not permit is a fault in the program; it is logged and changes nothing.
+func (in *Instance) fire(trigger string) {
+	if err := in.life.Fire(trigger); err != nil {
+		in.log.WithError(err).Error("state chart")
+	}
+}
+
+// lifeChanged runs after each transition.
+func (in *Instance) lifeChanged(_, _, to string) {
+	switch to {
+	case "serving":
+		in.events.Emit(events.InstanceStarted, log.Fields{"incarnation": in.incarnation})
+	case "leaving":
+		in.leaving.Store(true)
+		in.events.Emit(events.InstanceLeaving, log.Fields{})
+	case "stopped":
+		in.events.Emit(events.InstanceStopped, log.Fields{"cut": in.inFlight.Load()})
+	}
+}
+
+// announce tells the nearest instances at once, so that their look-up answers
+// do not name this one any more; heartbeats tell the others. Its end is the
+// start of the look-up lifetime.
+func (in *Instance) announce(ctx context.Context) {
+	in.lookups.waiters.Stop()
+	in.members.changeSelf(func(u *membership.Update) { u.State = membership.Leaving })
+	var wait sync.WaitGroup
+	for _, m := range in.nearest() {
+		wait.Go(func() { _, _ = in.askState(ctx, m) })
+	}
+	wait.Wait()
+}
+
+// nearest returns at most maxNearest usable instances, those of the own domain
+// first, then those of the own region.
+func (in *Instance) nearest() []membership.Member {
+	var list []membership.Member
+	for _, m := range in.members.view().Members {
+		if m.Name != in.settings.Name && m.Usable() {
+			list = append(list, m)
+		}
+	}
+	rank := func(m membership.Member) int {
+		switch {
+		case m.Domain == in.settings.Domain:
+			return 0
+		case m.Region == in.settings.Region:
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(list, func(a, b membership.Member) int { return rank(a) - rank(b) })
+	return list[:min(len(list), maxNearest)]
+}
+
+// askState exchanges a heartbeat with an instance and returns its state.
+func (in *Instance) askState(ctx context.Context, m membership.Member) (*peerpb.MemberUpdate, error) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	answer, err := in.peers.Client(ctx, m.PeerAddress).Heartbeat(ctx, &peerpb.HeartbeatRequest{
+		From: MemberMessage(in.members.self()), ConfigVersion: in.configVersion()})
+	return answer.GetFrom(), err
+}
+
+func (in *Instance) lookupTTL() time.Duration {
+	if d := in.document.Load(); d != nil {
+		return d.Timing.LookupTTL()
+	}
+	return time.Second
+}
+
+func (in *Instance) drain(ctx context.Context) {
+	for in.inFlight.Load() > 0 && ctx.Err() == nil {
+		pause(ctx, drainPoll)
+	}
+}
--- a/events/dispatch.go
+++ b/events/dispatch.go
@@ -9,8 +9,8 @@
 		Message: "request starts at a target", Fields: []string{"request", "service", "target", "home", "grant", "age", "attempts", "hops", "queued"}, Action: "none"})
 	RequestForwarded = define(Event{Number: 401, Name: "request-forwarded", Level: log.InfoLevel,
 		Message: "request goes to another region", Fields: []string{"request", "service", "region", "to", "age", "queued", "wait", "remoteWait"}, Action: "none"})
-	RequestRefused = define(Event{Number: 402, Name: "request-refused", Level: log.InfoLevel,
-		Message: "request is refused", Fields: []string{"request", "service", "reason", "waited", "age", "attempts", "queued", "wait", "remoteWait", "limit"},
+	RequestNotScheduled = define(Event{Number: 402, Name: "request-not-scheduled", Level: log.InfoLevel,
+		Message: "request is refused by the scheduler", Fields: []string{"request", "service", "reason", "waited", "age", "attempts", "queued", "wait", "remoteWait", "limit"},
 		Action: "add targets or move traffic when refusals for overload last"})
 	SlotGranted = define(Event{Number: 403, Name: "slot-granted", Level: log.InfoLevel,
 		Message: "home slot goes to a peer", Fields: []string{"service", "target", "grant", "to", "age"}, Action: "none"})
