Pace bulk writes and wait out the platform's rate limit

Bulk writes are now paced at 100/s. The naive case of the racing operators depended on scheduling; rounds now start at fixed times.

--- a/configsync/publisher.go
+++ b/configsync/publisher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
@@ -18,7 +19,14 @@
 	// keySegment is the prefix of the keys of segments, manifests and patches.
 	keySegment = "config/segment/"
 
-	retryPause   = 100 * time.Millisecond
+	retryPause = 100 * time.Millisecond
+	// limitedAttempts is the number of attempts of a call that the platform's
+	// rate limit refuses: a minute, in which other callers take turns.
+	limitedAttempts = 600
+	// bulkWrites is the rate per second at which many segments are written. It
+	// leaves two thirds of the platform's writes to others. Without it, the
+	// writers of a large move starved each other until one gave up.
+	bulkWrites   = 100
 	callAttempts = 20 // Attempts of a call that failed without an effect.
 	swapAttempts = 3  // Attempts to replace the head record.
 	// parallelCalls bounds the calls in flight while many segments are read or
@@ -211,12 +219,17 @@
 func storeContent(ctx context.Context, kv platform.KV, c *content, known map[Hash]bool) error {
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelCalls)
+	pace := rate.NewLimiter(bulkWrites, parallelCalls)
 	for i, h := range c.hashes {
-		if !known[h] {
-			group.Go(func() error { return storeSegment(groupCtx, kv, h, c.segments[i]) })
+		if known[h] {
+			continue
+		}
+		if err := pace.Wait(groupCtx); err != nil {
+			break // Another write failed, or ctx ended.
 		}
+		group.Go(func() error { return storeSegment(groupCtx, kv, h, c.segments[i]) })
 	}
-	if err := group.Wait(); err != nil {
+	if err := errors.Join(group.Wait(), ctx.Err()); err != nil {
 		return err
 	}
 	manifest := c.manifest()
@@ -239,7 +252,7 @@
 func (p *Publisher) swap(ctx context.Context, head *Head, revision uint64) (uint64, error) {
 	var err, uncertain error
 	for range swapAttempts {
-		_, err = p.KV.Put(ctx, KeyHead, head.Encode(), revision)
+		_, err = unlimited(ctx, func() (uint64, error) { return p.KV.Put(ctx, KeyHead, head.Encode(), revision) })
 		if err == nil {
 			return head.Version, nil
 		}
@@ -307,7 +320,7 @@
 	var value T
 	var err error
 	for range callAttempts {
-		value, err = do()
+		value, err = unlimited(ctx, do)
 		if err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) {
 			return value, err
 		}
@@ -318,6 +331,18 @@
 	return value, err
 }
 
+// unlimited repeats a call while the platform's rate limit refuses it, at most
+// limitedAttempts times. Refused calls have no effect.
+func unlimited[T any](ctx context.Context, do func() (T, error)) (T, error) {
+	for range limitedAttempts {
+		value, err := do()
+		if !errors.Is(err, platform.ErrRateLimited) || !pause(ctx, retryPause) {
+			return value, err
+		}
+	}
+	return do()
+}
+
 // pause waits for d and reports whether ctx is still valid.
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
--- a/configsync/publisher_test.go
+++ b/configsync/publisher_test.go
@@ -81,9 +81,11 @@
 // are missing in the end.
 func raceEdits(t *testing.T, p *Publisher, publish func(ctx context.Context, doc []byte, base uint64) error) (lost []string) {
 	var group sync.WaitGroup
+	start := time.Now()
 	for operator := range 2 {
 		group.Go(func() {
 			for i := range 5 {
+				time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second)))
 				for {
 					doc, base, err := p.Current(t.Context())
 					require.NoError(t, err)
