--- a/configsync/publisher_test.go
+++ b/configsync/publisher_test.go
@@ -41,40 +41,46 @@
 
 // A small change must cost one segment, one manifest and one head record.
 func TestPublishWritesThreeValues(t *testing.T) {
-	p, store := testPublisher(t)
-	doc, base, err := p.Current(t.Context())
-	require.NoError(t, err)
-	before := store.Calls().Writes
-	_, err = p.Publish(t.Context(), edit(t, doc, 3, "new"), base)
-	require.NoError(t, err)
-	assert.Equal(t, uint64(3), store.Calls().Writes-before)
+	synctest.Test(t, func(t *testing.T) {
+		p, store := testPublisher(t)
+		doc, base, err := p.Current(t.Context())
+		require.NoError(t, err)
+		before := store.Calls().Writes
+		_, err = p.Publish(t.Context(), edit(t, doc, 3, "new"), base)
+		require.NoError(t, err)
+		assert.Equal(t, uint64(3), store.Calls().Writes-before)
+	})
 }
 
 // A document that is not valid must not be published.
 func TestPublishRefusesInvalidDocuments(t *testing.T) {
-	p, store := testPublisher(t)
-	before := store.Calls().Writes
-	for _, doc := range []string{"", "[]", `{"unknown":1}`, `{"blocks":[{"prefix":"","site":""}]}`} {
-		_, err := p.Publish(t.Context(), []byte(doc), 1)
-		var invalid *InvalidError
-		require.ErrorAs(t, err, &invalid, doc)
-	}
-	assert.Equal(t, before, store.Calls().Writes)
+	synctest.Test(t, func(t *testing.T) {
+		p, store := testPublisher(t)
+		before := store.Calls().Writes
+		for _, doc := range []string{"", "[]", `{"unknown":1}`, `{"blocks":[{"prefix":"","site":""}]}`} {
+			_, err := p.Publish(t.Context(), []byte(doc), 1)
+			var invalid *InvalidError
+			require.ErrorAs(t, err, &invalid, doc)
+		}
+		assert.Equal(t, before, store.Calls().Writes)
+	})
 }
 
 // An operator whose base is outdated must get the other document, and that
 // document must stay.
 func TestPublishOnOutdatedBase(t *testing.T) {
-	p, _ := testPublisher(t)
-	doc, base, err := p.Current(t.Context())
-	require.NoError(t, err)
-	_, err = p.Publish(t.Context(), edit(t, doc, 3, "first"), base)
-	require.NoError(t, err)
-	_, err = p.Publish(t.Context(), edit(t, doc, 4, "second"), base)
-	var conflict *ConflictError
-	require.ErrorAs(t, err, &conflict)
-	assert.Equal(t, uint64(2), conflict.Version)
-	assert.Contains(t, string(conflict.Document), "first")
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := testPublisher(t)
+		doc, base, err := p.Current(t.Context())
+		require.NoError(t, err)
+		_, err = p.Publish(t.Context(), edit(t, doc, 3, "first"), base)
+		require.NoError(t, err)
+		_, err = p.Publish(t.Context(), edit(t, doc, 4, "second"), base)
+		var conflict *ConflictError
+		require.ErrorAs(t, err, &conflict)
+		assert.Equal(t, uint64(2), conflict.Version)
+		assert.Contains(t, string(conflict.Document), "first")
+	})
 }
 
 // raceEdits lets operators add their edits concurrently and returns those that
@@ -307,48 +313,52 @@
 
 // No change must be based on a platform that is behind what is in force.
 func TestPublishOnRestoredPlatform(t *testing.T) {
-	p, store := testPublisher(t)
-	store.Checkpoint("old")
-	doc, _, err := p.Current(t.Context())
-	require.NoError(t, err)
-	_, err = p.Publish(t.Context(), edit(t, doc, 3, "new"), 1)
-	require.NoError(t, err)
-	inForce, _, err := p.read(t.Context())
-	require.NoError(t, err)
-	require.True(t, store.Restore("old"))
+	synctest.Test(t, func(t *testing.T) {
+		p, store := testPublisher(t)
+		store.Checkpoint("old")
+		doc, _, err := p.Current(t.Context())
+		require.NoError(t, err)
+		_, err = p.Publish(t.Context(), edit(t, doc, 3, "new"), 1)
+		require.NoError(t, err)
+		inForce, _, err := p.read(t.Context())
+		require.NoError(t, err)
+		require.True(t, store.Restore("old"))
 
-	naive := *p
-	_, err = naive.Publish(t.Context(), edit(t, doc, 4, "based on old state"), 1)
-	require.NoError(t, err, "without the version in force the stale base is not noticed")
-	require.True(t, store.Restore("old"))
+		naive := *p
+		_, err = naive.Publish(t.Context(), edit(t, doc, 4, "based on old state"), 1)
+		require.NoError(t, err, "without the version in force the stale base is not noticed")
+		require.True(t, store.Restore("old"))
 
-	p.InForce = func() *Snapshot { return inForce }
-	_, err = p.Publish(t.Context(), edit(t, doc, 4, "based on old state"), 1)
-	var stale *StaleError
-	require.ErrorAs(t, err, &stale)
-	assert.Equal(t, StaleError{Platform: 1, InForce: 2}, *stale)
+		p.InForce = func() *Snapshot { return inForce }
+		_, err = p.Publish(t.Context(), edit(t, doc, 4, "based on old state"), 1)
+		var stale *StaleError
+		require.ErrorAs(t, err, &stale)
+		assert.Equal(t, StaleError{Platform: 1, InForce: 2}, *stale)
+	})
 }
 
 // A large move must not make the head record or a message too large: its delta
 // is stored as a patch. Inline it would exceed the size of a value.
 func TestLargeMoveIsStoredAsPatch(t *testing.T) {
-	p, store := testPublisher(t)
-	big := testDocument(40000)
-	_, err := p.Publish(t.Context(), encodeDocument(t, big), 1)
-	require.NoError(t, err)
-	for i := range big.Blocks {
-		big.Blocks[i].Site = "evacuated"
-	}
-	_, err = p.Publish(t.Context(), encodeDocument(t, big), 2)
-	require.NoError(t, err)
-	v, err := store.Get(KeyHead)
-	require.NoError(t, err)
-	head, err := DecodeHead(v.Data)
-	require.NoError(t, err)
-	require.Len(t, head.deltas, 2)
-	assert.NotZero(t, head.deltas[1].patch)
-	assert.Less(t, len(v.Data), 1<<10)
-	patch, err := store.Get(keySegment + head.deltas[1].patch.String())
-	require.NoError(t, err)
-	assert.Greater(t, len(patch.Data), platform.MaxValueBytes/2, "inline, two such moves exceed the size of a value")
+	synctest.Test(t, func(t *testing.T) {
+		p, store := testPublisher(t)
+		big := testDocument(40000)
+		_, err := p.Publish(t.Context(), encodeDocument(t, big), 1)
+		require.NoError(t, err)
+		for i := range big.Blocks {
+			big.Blocks[i].Site = "evacuated"
+		}
+		_, err = p.Publish(t.Context(), encodeDocument(t, big), 2)
+		require.NoError(t, err)
+		v, err := store.Get(KeyHead)
+		require.NoError(t, err)
+		head, err := DecodeHead(v.Data)
+		require.NoError(t, err)
+		require.Len(t, head.deltas, 2)
+		assert.NotZero(t, head.deltas[1].patch)
+		assert.Less(t, len(v.Data), 1<<10)
+		patch, err := store.Get(keySegment + head.deltas[1].patch.String())
+		require.NoError(t, err)
+		assert.Greater(t, len(patch.Data), platform.MaxValueBytes/2, "inline, two such moves exceed the size of a value")
+	})
 }
