--- a/entry/stop.go
+++ b/entry/stop.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	stopTimeout = 30 * time.Second
-	drainPoll   = 5 * time.Millisecond
+	// stopMargin is added to the longest deadline of a request.
+	stopMargin = 5 * time.Second
+	drainPoll  = 5 * time.Millisecond
 	// closeGrace is left for the last bytes of answers and for idle
 	// connections, once no request is in flight.
 	closeGrace = 250 * time.Millisecond
@@ -27,7 +28,7 @@
 	if in.stopAtOnce {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), in.stopTimeout())
 	defer cancel()
 	in.announce(ctx)
 	pause(ctx, in.lookupTTL())
@@ -83,6 +84,16 @@
 	return time.Second
 }
 
+// stopTimeout bounds a planned stop. Every request that is in flight when it
+// begins, or that arrives before cached look-up answers expire, ends before.
+func (in *Instance) stopTimeout() time.Duration {
+	longest := time.Duration(0)
+	if d := in.document.Load(); d != nil {
+		longest = d.Timing.MaxDeadline()
+	}
+	return longest + in.lookupTTL() + stopMargin
+}
+
 func (in *Instance) drain(ctx context.Context) {
 	for in.inFlight.Load() > 0 && ctx.Err() == nil {
 		pause(ctx, drainPoll)
