--- /dev/null
+++ b/cmd/jacinth-bench/main.go
@@ -0,0 +1,30 @@
+// Command jacinth-bench measures and prints all figures of the system with
+// their bounds. It exits with status 1 when one misses its bound.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/jacinthstall/jacinthstall/internal/benchmarks"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "jacinth-bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	fs := flag.NewFlagSet("jacinth-bench", flag.ContinueOnError)
+	only := fs.String("only", "", "group of figures to measure; empty measures all")
+	output := fs.String("output", string(benchmarks.Text), "format: text or json")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("JACINTH_BENCH")); err != nil {
+		return err
+	}
+	return benchmarks.Run(os.Stdout, benchmarks.Groups(), *only, benchmarks.Output(*output))
+}
--- a/events/dispatch.go
+++ b/events/dispatch.go
@@ -11,7 +11,7 @@
 		Message: "request goes to another region", Fields: []string{"request", "service", "region", "to", "age", "queued", "wait", "remoteWait"}, Action: "none"})
 	RequestRefused = define(Event{Number: 402, Name: "request-refused", Level: log.InfoLevel,
 		Message: "request is refused", Fields: []string{"request", "service", "reason", "waited", "age", "attempts", "queued", "wait", "remoteWait", "limit"},
-		Action:  "add targets or move traffic when refusals for overload last"})
+		Action: "add targets or move traffic when refusals for overload last"})
 	SlotGranted = define(Event{Number: 403, Name: "slot-granted", Level: log.InfoLevel,
 		Message: "home slot goes to a peer", Fields: []string{"service", "target", "grant", "to", "age"}, Action: "none"})
 	SlotReleased = define(Event{Number: 404, Name: "slot-released", Level: log.DebugLevel,
--- /dev/null
+++ b/internal/benchmarks/benchmarks.go
@@ -0,0 +1,22 @@
+// Package benchmarks lists the groups of measured figures of all packages. A
+// package that measures figures exports func Figures() []figures.Figure; one
+// line in Groups adds it to the benchmark command.
+package benchmarks
+
+import (
+	"github.com/jacinthstall/jacinthstall/internal/figures"
+	"github.com/jacinthstall/jacinthstall/internal/policybench"
+)
+
+// Group is a set of figures that are measured together.
+type Group struct {
+	Name    string // For the command line.
+	Figures func() []figures.Figure
+}
+
+// Groups returns all groups in the order in which they are printed.
+func Groups() []Group {
+	return []Group{
+		{Name: "policy", Figures: policybench.Figures},
+	}
+}
--- /dev/null
+++ b/internal/benchmarks/run_test.go
@@ -0,0 +1,50 @@
+package benchmarks_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/internal/benchmarks"
+	"github.com/jacinthstall/jacinthstall/internal/figures"
+)
+
+func groups(value float64) []benchmarks.Group {
+	return []benchmarks.Group{
+		{Name: "one", Figures: func() []figures.Figure {
+			return []figures.Figure{{Name: "first", Value: value, Unit: "s", Bound: 2}}
+		}},
+		{Name: "two", Figures: func() []figures.Figure {
+			return []figures.Figure{{Name: "second", Value: 1, Unit: "s", Bound: 1, AtLeast: true}}
+		}},
+	}
+}
+
+// The command's exit status depends on this error.
+func TestRunFailsWhenAFigureMissesItsBound(t *testing.T) {
+	for _, output := range []benchmarks.Output{benchmarks.Text, benchmarks.JSON} {
+		var b bytes.Buffer
+		require.NoError(t, benchmarks.Run(&b, groups(2), "", output))
+		var missed *benchmarks.MissedError
+		require.ErrorAs(t, benchmarks.Run(&b, groups(2.1), "", output), &missed)
+		assert.Equal(t, 1, missed.Count)
+	}
+}
+
+func TestRunMeasuresOnlyTheNamedGroup(t *testing.T) {
+	var b bytes.Buffer
+	require.NoError(t, benchmarks.Run(&b, groups(9), "two", benchmarks.JSON))
+	var got map[string]any
+	require.NoError(t, json.Unmarshal(b.Bytes(), &got))
+	assert.Equal(t, "second", got["name"])
+	assert.Equal(t, true, got["met"])
+}
+
+func TestRunRejectsUnknownOptions(t *testing.T) {
+	var unknown *benchmarks.OptionError
+	assert.ErrorAs(t, benchmarks.Run(&bytes.Buffer{}, groups(1), "three", benchmarks.Text), &unknown)
+	assert.ErrorAs(t, benchmarks.Run(&bytes.Buffer{}, groups(1), "", "xml"), &unknown)
+}
--- a/internal/policybench/policybench_test.go
+++ b/internal/policybench/policybench_test.go
@@ -1,64 +1,74 @@
 package policybench
 
 import (
-	"fmt"
-	"os"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
-func TestExplore(t *testing.T) {
-	if os.Getenv("EXPLORE") == "" {
-		t.Skip()
+// small is the size for tests. Its cases are the same as those of the command.
+var small = Size{Requests: 20_000, Seeds: []uint64{1}, Parallel: 2}
+
+// Guards the bounds of the design page against changes of the policy.
+func TestFiguresMeetTheirBounds(t *testing.T) {
+	list := small.Figures()
+	require.NotEmpty(t, list)
+	for _, f := range list {
+		assert.True(t, f.Met(), "%s: %.4f %s, bound %.4f", f.Name, f.Value, f.Unit, f.Bound)
 	}
-	for _, network := range []Network{Consorzio, Reelstep} {
-		for _, shares := range [][]float64{nil, {0.6, 0.2, 0.2}} {
-			for _, instances := range []int{12} {
-				c := Case{Network: network, Instances: instances, Load: 0.9, Shares: shares, Requests: 200000, Seed: 1, Deadline: 20 * time.Second}
-				ideal := percentile(c.ideal(), 0.99)
-				began := time.Now()
-				r := newDriver(c).run()
-				p := percentile(r.Responses, 0.99)
-				per := percentile(c.perRegion(), 0.99)
-				rnd := percentile(c.randomTarget(), 0.99)
-				st := percentile(c.leastLoadedStale(), 0.99)
-				fmt.Println(network.Regions, shares, instances, "ideal", ideal, "ours", p, float64(p)/float64(ideal), "region", float64(per)/float64(ideal), "random", float64(rnd)/float64(ideal), "stale", float64(st)/float64(ideal), "p50", percentile(r.Responses, 0.5), percentile(c.ideal(), .5), r.Messages, "refused", r.Refused, "lost", r.Lost, "excess", r.Excess, time.Since(began))
-			}
+}
+
+// Two runs must agree, or a verdict of CI could change without a change of code.
+func TestRunsAreDeterministic(t *testing.T) {
+	c := Case{Network: Consorzio, Instances: 10, Load: 0.9, Shares: []float64{0.6, 0.2, 0.2}, Requests: 3000, Seed: 5, Deadline: steadyDeadline}
+	first, second := c.run(nil), c.run(nil)
+	assert.Equal(t, first.Responses, second.Responses)
+	assert.Equal(t, first.Messages, second.Messages)
+}
+
+// A driver that loses requests would report too good a percentile.
+func TestEveryRequestIsAccountedFor(t *testing.T) {
+	for _, x := range disturbedCases {
+		c := disturbedCase(x.load, 2)
+		r := c.run(x.disturb)
+		refused := 0
+		for _, count := range r.Refused {
+			refused += count
 		}
+		assert.Equal(t, c.Requests, r.Answered+refused+r.Lost+r.TimedOut, x.name)
 	}
 }
 
-func TestExploreScenarios(t *testing.T) {
-	if os.Getenv("EXPLORE") == "" {
-		t.Skip()
-	}
-	for _, skew := range [][]float64{nil, {0.6, 0.2, 0.2}} {
-		c := Case{Network: Consorzio, Instances: 12, Load: 1.5, Requests: 60000, Seed: 1, Shares: skew, Deadline: 2 * time.Second, MaxQueue: 500 * time.Millisecond}
-		r := c.run(nil)
-		fmt.Println("overload", skew, r.usefulShare(10*time.Second, r.Span, capacitySlots), r.Refused, "late", r.RefusedLate, "timed out", r.TimedOut, r.Messages, "refusal age p50 p99", percentile(r.RefusedAge, 0.5), percentile(r.RefusedAge, 0.99), "p99", percentile(r.Responses, .99), r.Excess)
+// The simplest queue has a known mean wait: M/M/36 at 90% load waits
+// C/(36 - 32.4) x 100 ms with C the probability of waiting by Erlang's formula.
+func TestIdealQueueAgreesWithErlang(t *testing.T) {
+	c := Case{Network: Network{}, Instances: 12, Load: 0.9, Requests: 400_000, Seed: 1}
+	sum := 0.0
+	responses := c.ideal()
+	for _, response := range responses {
+		sum += response.Seconds()
 	}
-	if os.Getenv("EXPLORE") == "overload" {
-		return
-	}
-	for _, x := range []struct {
-		name  string
-		f     func(*driver)
-		load  float64
-		slots float64
-	}{{"instance", lossOfInstance, 0.7, 36 * .7}, {"instance 0.9", lossOfInstance, 0.9, 36 * .9}, {"domain", lossOfDomain, 0.7, 36 * .7}, {"region", lossOfRegion, 0.9, 24}, {"partition", partitionOfDomain, 0.7, 36 * .7},
-		{"loads stopped", loadsStopped, 0.9, 36 * .9}, {"loads false", loadsFalse, 0.9, 36 * .9}, {"crash", crashOfTarget, .7, 36 * .7}, {"freeze", freezeOfInstance, .7, 36 * .7}} {
-		c := disturbedCase(x.load, 1)
-		r := c.run(x.f)
-		fmt.Println(x.name, "total", len(c.arrivals()), "answered", r.Answered, "lost", r.Lost, "timeout", r.TimedOut, r.Refused, "excess", r.Excess, "p99", percentile(r.Responses, .99))
-		fmt.Print("   ")
-		for s := 18; s < 60; s += 2 {
-			fmt.Printf(" %.2f", r.usefulShare(time.Duration(s)*time.Second, time.Duration(s+2)*time.Second, x.slots))
-		}
-		fmt.Println()
+	want := 0.1 + erlangC(capacitySlots, 0.9*capacitySlots)*0.1/(0.1*capacitySlots)
+	assert.InDelta(t, want, sum/float64(len(responses)), 0.003)
+}
+
+func erlangC(servers int, load float64) float64 {
+	blocking := 1.0
+	for n := 1; n <= servers; n++ {
+		blocking = load * blocking / (float64(n) + load*blocking)
 	}
-	for seed := range uint64(4) {
-		c := disturbedCase(0.9, seed+1)
-		r, n := c.run(drainOfTarget), c.run(naiveDrain)
-		fmt.Println("drain", r.drain(0, disturbAt), "naive", n.drain(0, disturbAt))
+	utilization := load / float64(servers)
+	return blocking / (1 - utilization*(1-blocking))
+}
+
+func TestPercentile(t *testing.T) {
+	values := make([]time.Duration, 100)
+	for i := range values {
+		values[i] = time.Duration(100 - i)
 	}
+	assert.EqualValues(t, 100, percentile(values, 0.99))
+	assert.EqualValues(t, 51, percentile(values, 0.5))
+	assert.Zero(t, percentile(nil, 0.5))
 }
