Count only a part of the transport against a forward

Cause: with 60% of the arrivals in one region, its queue stood at the wait that equals the transport, and every request there paid it.

--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -49,7 +49,8 @@
 // # Other regions
 //
 // A request is forwarded when the expected wait here exceeds that in another
-// region plus the transport there and back. Forwards that the last report of
+// region, enlarged by ForwardMargin, plus TransportShare of the transport there
+// and back. Forwards that the last report of
 // the other region cannot show yet are added to that report, multiplied by the
 // number of instances of this region, since all of them see the same report. A
 // request is forwarded at most once.
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// remoteChoice is another region with its expected wait, transport included.
+// remoteChoice is another region with its expected wait, which includes
+// TransportShare of the transport.
 type remoteChoice struct {
 	region string
 	wait   time.Duration
@@ -26,7 +27,7 @@
 		transport := s.view.Transport[region]
 		backlog := r.Queued + r.Busy + v.unseen(region, r.taken.Add(-transport))*s.regionSize
 		queued := wait(backlog, r.Slots, r.Hold)
-		expected := queued + 2*transport
+		expected := queued + time.Duration(TransportShare*float64(2*transport))
 		if best.region == "" || expected < best.wait {
 			best = remoteChoice{region: region, wait: expected, queue: queued}
 		}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -29,6 +29,10 @@
 	// expected wait may take. The rest covers the error of the estimate.
 	AdmitShare = 0.8
 
+	// TransportShare is the part of the transport there and back that counts
+	// against a forward. It is below 1 since a forward also shortens the wait of
+	// all requests queued behind.
+	TransportShare = 0.6
 	// ForwardMargin is the part of the wait in the queue of another region by
 	// which forwarding there must be better. The error of the estimates grows
 	// with the wait; without the margin, regions that are all overloaded exchange
