Serve uneven traffic when load reports stop

Cause: without reports, peers counted as without a queue, so the expected wait was too short, and no region without a fresh report got a request. Change: peers without a report count with the mean of the known queues, and a request that would be refused goes to a live region that sends no reports.

--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -53,7 +53,8 @@
 // and back. Forwards that the last report of
 // the other region cannot show yet are added to that report, multiplied by the
 // number of instances of this region, since all of them see the same report. A
-// request is forwarded at most once.
+// request that would be refused here is forwarded to a live region that sends no
+// reports, since its load is not known. A request is forwarded at most once.
 //
 // # Admission
 //
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -28,13 +28,11 @@
 }
 
 // regionLoad is the load of the own region. Peers without a fresh report count
-// as busy with the slots that the view gives them and without a queue. When
-// the region has more peers than exchange loads, the figures are scaled up.
+// as busy with the slots that the view gives them, and with the mean queue of
+// the known instances. When the region has more peers than exchange loads, the
+// figures are scaled up.
 func (s *Scheduler) regionLoad(now time.Time, v *service) Load {
 	total := s.ownLoad(v)
-	if len(v.reports) == 0 {
-		return s.withoutReports(v, total)
-	}
 	known := 1
 	for _, peer := range s.peers {
 		if r, ok := v.reports[peer]; ok && now.Sub(r.taken) < s.config.LoadLife {
@@ -46,26 +44,15 @@
 		}
 		total.Busy += v.homeSlots[peer]
 		total.Slots += v.homeSlots[peer]
-		known++
 	}
-	if scale := float64(s.regionSize) / float64(known); scale > 1 {
-		total.Queued = int(float64(total.Queued) * scale)
+	total.Queued = total.Queued * s.regionSize / known
+	if scale := float64(s.regionSize) / float64(1+len(s.peers)); scale > 1 {
 		total.Busy = int(float64(total.Busy) * scale)
 		total.Slots = int(float64(total.Slots) * scale)
 	}
 	return total
 }
 
-func (s *Scheduler) withoutReports(v *service, total Load) Load {
-	for home, count := range v.homeSlots {
-		if home != s.config.Self.Name {
-			total.Busy += count
-			total.Slots += count
-		}
-	}
-	return total
-}
-
 // LoadReported takes a load report. A report from the own region is about the
 // instance that sent it, one from another region about that whole region.
 func (s *Scheduler) LoadReported(now time.Time, from Member, load Load) []Action {
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -20,8 +20,8 @@
 func (s *Scheduler) bestRemote(now time.Time, v *service) (remoteChoice, bool) {
 	var best remoteChoice
 	for _, region := range s.remoteRegions {
-		r, ok := v.regions[region]
-		if !ok || now.Sub(r.taken) >= s.config.LoadLife || r.Slots == 0 {
+		r, fresh := s.fresh(now, v, region)
+		if !fresh || r.Slots == 0 {
 			continue
 		}
 		transport := s.view.Transport[region]
@@ -35,6 +35,25 @@
 	return best, best.region != ""
 }
 
+// fresh returns the last report of a region unless it is too old.
+func (s *Scheduler) fresh(now time.Time, v *service, region string) (report, bool) {
+	r, ok := v.regions[region]
+	return r, ok && now.Sub(r.taken) < s.config.LoadLife
+}
+
+// unknownRemote returns a live region that sends no reports, in turn, when the
+// transport leaves time within the limit.
+func (s *Scheduler) unknownRemote(now time.Time, v *service, limit time.Duration) (remoteChoice, bool) {
+	for i := range s.remoteRegions {
+		region := s.remoteRegions[(s.turn+1+i)%len(s.remoteRegions)]
+		transport := 2 * s.view.Transport[region]
+		if _, fresh := s.fresh(now, v, region); !fresh && transport < limit {
+			return remoteChoice{region: region, wait: transport}, true
+		}
+	}
+	return remoteChoice{}, false
+}
+
 // unseen returns the number of requests forwarded to a region since a time.
 func (v *service) unseen(region string, since time.Time) int {
 	sent := v.sent[region]
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -158,14 +158,26 @@
 	case remote && (noTarget || choice.shorterThan(in.ExpectedWait)) && choice.wait <= in.Limit:
 		s.forward(now, v, r, choice, in)
 	case noTarget:
-		s.emit(Refuse{Request: *r, Reason: outcome.ReasonNoTarget, Inputs: in})
+		s.overflow(now, v, r, outcome.ReasonNoTarget, in)
 	case in.ExpectedWait > in.Limit || v.queue.len() >= s.config.MaxQueued:
-		s.emit(Refuse{Request: *r, Reason: outcome.ReasonOverloaded, Inputs: in})
+		s.overflow(now, v, r, outcome.ReasonOverloaded, in)
 	default:
 		v.queue.add(r)
 	}
 }
 
+// overflow refuses a request that cannot be queued here, unless it may be
+// forwarded to a live region whose load is not known.
+func (s *Scheduler) overflow(now time.Time, v *service, r *Request, reason outcome.Reason, in Inputs) {
+	if r.Hops == 0 {
+		if choice, ok := s.unknownRemote(now, v, in.Limit); ok {
+			s.forward(now, v, r, choice, in)
+			return
+		}
+	}
+	s.emit(Refuse{Request: *r, Reason: reason, Inputs: in})
+}
+
 // limit returns the longest wait that a request may expect. The deadline must
 // leave time to execute the request. A request that was forwarded here gets the
 // whole time, since it was weighed against AdmitShare where it entered.
--- a/internal/policybench/baselines.go
+++ b/internal/policybench/baselines.go
@@ -77,7 +77,9 @@
 // knowledge of all service times.
 func (c Case) foresight() []time.Duration {
 	s := newStation(func(int) bool { return true })
-	return c.each(func(a arrival, from place) time.Duration { return s.runAt(s.earliest(a.at, from, c.Network), a, from, c.Network) })
+	return c.each(func(a arrival, from place) time.Duration {
+		return s.runAt(s.earliest(a.at, from, c.Network), a, from, c.Network)
+	})
 }
 
 // reference is the lower p99 of ideal and foresight. The ideal queue alone is
