--- a/internal/policybench/driver.go
+++ b/internal/policybench/driver.go
@@ -79,7 +79,6 @@
 	first  int // Index of the entry instance of the caller.
 	path   time.Duration
 	counts bool
-	ended  bool
 }
 
 type target struct {
--- a/internal/policybench/policybench_test.go
+++ b/internal/policybench/policybench_test.go
@@ -72,3 +72,16 @@
 	assert.EqualValues(t, 51, percentile(values, 0.5))
 	assert.Zero(t, percentile(nil, 0.5))
 }
+
+// Guards against a driver or a reference that makes every policy look good: the
+// baselines must show their known faults, and nothing may beat the references
+// by more than the noise of the percentile.
+func TestBaselinesAreWorse(t *testing.T) {
+	for _, c := range (Size{Requests: 20_000, Seeds: []uint64{3}}).Compare() {
+		reference := min(c.Ideal, c.Foresight)
+		assert.Less(t, c.Ours, c.PerRegion, c.Name)
+		assert.Greater(t, ratio(c.Random, reference), 2.0, c.Name)
+		assert.Greater(t, ratio(c.StaleLow, reference), 3.0, c.Name)
+		assert.Greater(t, ratio(c.Ours, reference), 0.97, c.Name)
+	}
+}
