--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// remoteChoice is another region with its expected wait, transport included.
+// remoteChoice is another region with its expected wait, which includes
+// TransportShare of the transport.
 type remoteChoice struct {
 	region string
 	wait   time.Duration
@@ -19,14 +20,14 @@
 func (s *Scheduler) bestRemote(now time.Time, v *service) (remoteChoice, bool) {
 	var best remoteChoice
 	for _, region := range s.remoteRegions {
-		r, ok := v.regions[region]
-		if !ok || now.Sub(r.taken) >= s.config.LoadLife || r.Slots == 0 {
+		r, fresh := s.fresh(now, v, region)
+		if !fresh || r.Slots == 0 {
 			continue
 		}
 		transport := s.view.Transport[region]
 		backlog := r.Queued + r.Busy + v.unseen(region, r.taken.Add(-transport))*s.regionSize
 		queued := wait(backlog, r.Slots, r.Hold)
-		expected := queued + 2*transport
+		expected := queued + time.Duration(TransportShare*float64(2*transport))
 		if best.region == "" || expected < best.wait {
 			best = remoteChoice{region: region, wait: expected, queue: queued}
 		}
@@ -34,6 +35,25 @@
 	return best, best.region != ""
 }
 
+// fresh returns the last report of a region unless it is too old.
+func (s *Scheduler) fresh(now time.Time, v *service, region string) (report, bool) {
+	r, ok := v.regions[region]
+	return r, ok && now.Sub(r.taken) < s.config.LoadLife
+}
+
+// unknownRemote returns a live region that sends no reports, in turn, when the
+// transport leaves time within the limit.
+func (s *Scheduler) unknownRemote(now time.Time, v *service, limit time.Duration) (remoteChoice, bool) {
+	for i := range s.remoteRegions {
+		region := s.remoteRegions[(s.turn+1+i)%len(s.remoteRegions)]
+		transport := 2 * s.view.Transport[region]
+		if _, fresh := s.fresh(now, v, region); !fresh && transport < limit {
+			return remoteChoice{region: region, wait: transport}, true
+		}
+	}
+	return remoteChoice{}, false
+}
+
 // unseen returns the number of requests forwarded to a region since a time.
 func (v *service) unseen(region string, since time.Time) int {
 	sent := v.sent[region]
