Choose targets through the scheduler under the member table

Cause: the daemon chose targets at random and did not count slots. Change: the scheduler runs in each instance; homes of slots come from the member table of the region; wants, grants, releases and loads travel as one stream; requests can be forwarded to an instance of another region.

--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -96,11 +96,16 @@
 	Deadline time.Time
 	Hops     int // Times that the request was forwarded.
 	Attempts int // Targets tried so far.
+	// Excluded names targets that must not be chosen; it must not change.
+	Excluded map[string]bool
 
 	tried [MaxAttempts]string
 }
 
 func (r *Request) excludes(target string) bool {
+	if r.Excluded[target] {
+		return true
+	}
 	for _, name := range r.tried[:min(r.Attempts, MaxAttempts)] {
 		if name == target {
 			return true
--- a/entry/chooser.go
+++ b/entry/chooser.go
@@ -20,6 +20,8 @@
 	CauseConnectFailed
 	CauseCrashed
 	CauseTimedOut
+	// CauseLeaving means answered, with the news that the target is leaving.
+	CauseLeaving
 )
 
 // Want asks for a target.
@@ -29,13 +31,30 @@
 	Arrived  time.Time       // Start of the request's age.
 	Deadline time.Time       // End of the wait.
 	Excluded map[string]bool // Names of targets that must not be chosen.
+	Attempts int             // Targets tried so far.
+	Forwards int             // Times that the request was forwarded to another region.
 }
 
-// Grant is the right to send one request to a target. Release must be called
-// exactly once.
+// Grant is the right to send one request to a target, or the decision to
+// forward it to an instance of another region. Release must be called exactly
+// once for the right to a target, and not for a forward.
 type Grant struct {
 	Target  policy.Target
+	Until   time.Time // The exchange must have ended by then; zero means no limit.
 	Release func(Cause)
+	Forward string // Instance to forward to; empty for a target.
+
+	leaving bool // The target's answer said that it is leaving.
+}
+
+// targetLeaving is the state that a target names in its answers while it leaves.
+const targetLeaving = "leaving"
+
+func (g Grant) answeredCause() Cause {
+	if g.leaving {
+		return CauseLeaving
+	}
+	return CauseAnswered
 }
 
 // Chooser chooses targets.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,10 +18,12 @@
 	"github.com/jacinthstall/jacinthstall/membership"
 	"github.com/jacinthstall/jacinthstall/once"
 	"github.com/jacinthstall/jacinthstall/peer"
+	"github.com/jacinthstall/jacinthstall/peer/peerpb"
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/quarantine"
 	"github.com/jacinthstall/jacinthstall/ring"
+	"github.com/jacinthstall/jacinthstall/scheduling"
 	"github.com/jacinthstall/jacinthstall/settings"
 )
 
@@ -38,6 +40,12 @@
 	once        *once.Registry
 	guard       *quarantine.Guard
 	chooser     Chooser
+	runner      *scheduling.Runner
+	notifier    *notifier
+	probes      *probes
+	table       *table
+	transport   *transport
+	viewSet     atomic.Bool // The scheduler has a view with homes.
 	events      *events.Log
 	life        *lifecycle.Machine
 	leaving     atomic.Bool    // Set in every state after "serving".
@@ -76,8 +84,9 @@
 		guard:       quarantine.New(),
 		peers:       peer.NewPool(),
 		reports:     ring.New[quarantine.Report](maxQueuedReports),
-		chooser:     randomChooser{domain: s.Domain, region: s.Region},
-			platform:    p,
+		probes:      &probes{running: map[string]bool{}},
+		transport:   &transport{mean: map[string]time.Duration{}},
+		platform:    p,
 		forwarder:   forward.New(),
 		members:     newMembers(selfUpdate(s, incarnation), emitted),
 		lookups:     newLookups(s.Domain, emitted),
@@ -85,6 +94,11 @@
 		log:         logger,
 	}
 	in.life = chart.NewMachine(in.lifeChanged)
+	in.table = newTable(in)
+	in.notifier = &notifier{in: in, loads: map[string]*peerpb.LoadReport{}}
+	in.runner = in.newRunner(in.notifier)
+	in.chooser = &scheduledChooser{runner: in.runner}
+	in.probes.check, in.probes.good = in.probeTarget, in.runner.Probed
 	in.config, err = newConfig(in)
 	return in, err
 }
@@ -110,12 +124,16 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	in.SetPeerHooks(PeerHooks{OnFrozen: in.frozen})
 	callers, operators := in.callerServer(), in.operatorServer()
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Run() }()
 	go func() { failed <- operators.Run() }()
 	go func() { failed <- in.servePeers(background, listener) }()
 	go in.watchDocument(background)
+	in.notifier.outbox = peer.NewOutbox(background, in.members.address)
+	go in.runner.Run(background)
+	go in.runTable(background)
 	go in.runMembers(background)
 	go every(background, lookupRefresh, in.refreshLookups)
 	go in.sendReports(background)
--- a/entry/incoming.go
+++ b/entry/incoming.go
@@ -24,6 +24,7 @@
 	header      http.Header
 	key         string
 	hops        uint32 // Relays so far.
+	forwards    uint32 // Times that the request was forwarded to another region.
 	length      int64  // Bytes of the body; -1 when unknown.
 	arrived     time.Time
 	deadline    time.Time
--- /dev/null
+++ b/entry/notify.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/dispatch"
+	"github.com/jacinthstall/jacinthstall/peer"
+	"github.com/jacinthstall/jacinthstall/peer/peerpb"
+	"github.com/jacinthstall/jacinthstall/slots"
+)
+
+// notifier sends the scheduler's messages. Loads for one peer share a message.
+type notifier struct {
+	in     *Instance
+	outbox *peer.Outbox
+	loads  map[string]*peerpb.LoadReport
+}
+
+// SendWant implements scheduling.Peers.
+func (n *notifier) SendWant(w dispatch.SendWant) {
+	m := &peerpb.Want{Requester: n.in.settings.Name, Incarnation: n.in.incarnation, Service: w.Service, Sequence: w.Sequence}
+	for _, age := range w.Ages {
+		m.AgesMicros = append(m.AgesMicros, uint32(age.Microseconds()))
+	}
+	n.outbox.Send(w.To, &peerpb.Notification{Message: &peerpb.Notification_Want{Want: m}}, nil)
+}
+
+// SendGrant implements scheduling.Peers.
+func (n *notifier) SendGrant(g dispatch.SendGrant, undelivered func()) {
+	m := &peerpb.Grant{Home: n.in.settings.Name, Incarnation: n.in.incarnation, Service: g.Service, Target: g.Target,
+		Grant: g.Grant, TtlMillis: uint32(g.Life.Milliseconds()), Want: g.Want}
+	n.outbox.Send(g.To, &peerpb.Notification{Message: &peerpb.Notification_Grant{Grant: m}}, undelivered)
+}
+
+// SendRelease implements scheduling.Peers.
+func (n *notifier) SendRelease(r dispatch.SendRelease) {
+	m := &peerpb.Release{Target: r.Target, Grant: r.Grant, Cause: peerpb.ReleaseCause(r.Cause)}
+	n.outbox.Send(r.To, &peerpb.Notification{Message: &peerpb.Notification_Release{Release: m}}, nil)
+}
+
+// SendLoad implements scheduling.Peers.
+func (n *notifier) SendLoad(l dispatch.SendLoad) {
+	report := n.loads[l.To]
+	if report == nil {
+		report = &peerpb.LoadReport{From: n.in.settings.Name, Region: n.in.settings.Region}
+		n.loads[l.To] = report
+	}
+	report.Loads = append(report.Loads, &peerpb.ServiceLoad{Service: l.Load.Service, Queued: uint32(l.Load.Queued),
+		Busy: uint32(l.Load.Busy), Slots: uint32(l.Load.Slots), HoldMicros: uint32(l.Load.Hold.Microseconds()),
+		AgeMillis: uint32(l.Load.Age.Milliseconds())})
+}
+
+// Flush implements scheduling.Peers.
+func (n *notifier) Flush() {
+	for to, report := range n.loads {
+		n.outbox.Send(to, &peerpb.Notification{Message: &peerpb.Notification_Load{Load: report}}, nil)
+	}
+	clear(n.loads)
+}
+
+// Notify takes the scheduler messages of another instance.
+func (p *peerServer) Notify(stream peerpb.DRPCPeer_NotifyStream) error {
+	for {
+		n, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		p.in.notified(n)
+	}
+}
+
+func (in *Instance) notified(n *peerpb.Notification) {
+	switch m := n.Message.(type) {
+	case *peerpb.Notification_Want:
+		in.runner.Wanted(wantOf(m.Want))
+	case *peerpb.Notification_Grant:
+		g := m.Grant
+		in.runner.Granted(dispatch.Grant{Home: g.Home, Service: g.Service, Target: g.Target, ID: g.Grant, Want: g.Want,
+			Life: min(time.Duration(g.TtlMillis)*time.Millisecond, maxRequestTime+dispatch.GrantMargin)})
+	case *peerpb.Notification_Release:
+		in.runner.Released(m.Release.Target, m.Release.Grant, slots.Cause(m.Release.Cause))
+	case *peerpb.Notification_Load:
+		from := dispatch.Member{Name: m.Load.From, Region: m.Load.Region}
+		for _, l := range m.Load.Loads {
+			in.runner.LoadReported(from, loadOf(l))
+		}
+	}
+}
+
+func wantOf(m *peerpb.Want) dispatch.Want {
+	w := dispatch.Want{From: m.Requester, Incarnation: m.Incarnation, Service: m.Service, Sequence: m.Sequence}
+	for _, age := range m.AgesMicros {
+		w.Ages = append(w.Ages, time.Duration(age)*time.Microsecond)
+	}
+	return w
+}
+
+func loadOf(m *peerpb.ServiceLoad) dispatch.Load {
+	return dispatch.Load{Service: m.Service, Queued: int(m.Queued), Busy: int(m.Busy), Slots: int(m.Slots),
+		Hold: time.Duration(m.HoldMicros) * time.Microsecond, Age: time.Duration(m.AgeMillis) * time.Millisecond}
+}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -32,7 +32,7 @@
 }
 
 func (in *Instance) handleReady(_ context.Context, c *app.RequestContext) {
-	if in.document.Load() == nil || in.leaving.Load() {
+	if in.document.Load() == nil || !in.viewSet.Load() || in.leaving.Load() {
 		c.String(503, "not ready\n")
 		return
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -145,6 +145,7 @@
 	if err := link.connect(ctx); err != nil {
 		return err
 	}
+	sent := time.Now()
 	answer, err := peerpb.NewDRPCPeerClient(link.conn).Heartbeat(ctx, &peerpb.HeartbeatRequest{
 		From:          MemberMessage(in.members.self()),
 		Updates:       messagesOf(in.members.updatesFor(name)),
@@ -156,6 +157,9 @@
 	}
 	if from := answer.GetFrom(); from != nil {
 		in.members.answer(updateOf(from), updatesOf(answer.GetUpdates()))
+		if from.Region != in.settings.Region {
+			in.transport.observe(from.Region, time.Since(sent))
+		}
 		in.received(from, answer.GetConfigVersion(), answer.GetLoads())
 	}
 	return nil
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -33,6 +33,16 @@
 	return refused(outcome.Outcome{Status: 502, Reason: outcome.ReasonRelayFailed, Executed: outcome.Unknown})
 }
 
+// notRelayed is the reply when nothing of the request was sent. With a key, the
+// authority may have executed an earlier send.
+func notRelayed(r *incoming) *reply {
+	got := relayFailed()
+	if r.key == "" {
+		got.Executed = outcome.No
+	}
+	return got
+}
+
 // relay sends a request to the instance that decides about its key.
 func (in *Instance) relay(ctx context.Context, r *incoming, instance string) *reply {
 	address, known := in.members.address(instance)
@@ -47,7 +57,7 @@
 	stream, err := in.peers.Client(ctx, address).Relay(ctx)
 	if err != nil {
 		cancel()
-		return relayFailed()
+		return notRelayed(r)
 	}
 	// An authority that refuses early ends the stream before the body is sent;
 	// its answer is read all the same.
@@ -65,12 +75,26 @@
 	return relayedReply(frame.GetHead(), stream, cancel)
 }
 
+// forwardTo sends a request to an instance of another region, which executes it
+// at a target there. The key stays here: its record takes the result.
+func (in *Instance) forwardTo(ctx context.Context, r *incoming, instance string) *reply {
+	if _, known := in.members.address(instance); !known {
+		return notRelayed(&incoming{})
+	}
+	forwarded := *r
+	forwarded.key, forwarded.hops = "", 0
+	forwarded.forwards++
+	got := in.relay(ctx, &forwarded, instance)
+	r.used = r.used || forwarded.used
+	return got
+}
+
 func sendRequest(stream peerpb.DRPCPeer_RelayClient, r *incoming) error {
 	head := &peerpb.RelayHead{
 		Method: r.method, Uri: r.uri, Headers: toHeaders(r.header), OnceKey: r.key,
 		DeadlineMillis: uint32(max(1, time.Until(r.deadline).Milliseconds())),
 		AgeMillis:      uint32(time.Since(r.arrived).Milliseconds()),
-		Hops:           r.hops + 1, ContentLength: r.length,
+		Hops:           r.hops + 1, ContentLength: r.length, Forwards: r.forwards,
 	}
 	if err := stream.Send(&peerpb.RelayFrame{Frame: &peerpb.RelayFrame_Head{Head: head}}); err != nil {
 		return err
--- a/entry/relayed.go
+++ b/entry/relayed.go
@@ -64,7 +64,7 @@
 	r := &incoming{
 		method: head.Method, uri: head.Uri, header: fromHeaders(head.Headers), key: head.OnceKey,
 		length: head.ContentLength, arrived: now.Add(-time.Duration(head.AgeMillis) * time.Millisecond),
-		deadline: now.Add(limit), document: d, service: service, hops: head.Hops,
+		deadline: now.Add(limit), document: d, service: service, hops: head.Hops, forwards: head.Forwards,
 	}
 	return r, r.readPrefix(&frameBody{recv: stream.Recv})
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -22,13 +22,14 @@
 
 func requestDeadline(d *policy.Document, header string) time.Duration {
 	ms, err := strconv.Atoi(header)
+	limit := min(d.Timing.MaxDeadline(), maxRequestTime)
 	if err != nil || ms <= 0 || ms > d.Timing.MaxDeadlineMs {
 		if err == nil && ms > 0 {
-			return d.Timing.MaxDeadline()
+			return limit
 		}
-		return d.Timing.DefaultDeadline()
+		return min(d.Timing.DefaultDeadline(), limit)
 	}
-	return time.Duration(ms) * time.Millisecond
+	return min(time.Duration(ms)*time.Millisecond, limit)
 }
 
 // serve finds a reply for a request. Only a service that is not idempotent
@@ -51,6 +52,10 @@
 			last = next.after(last)
 		}
 		again := next.Executed == outcome.No || (r.service.Idempotent && next.Executed == outcome.Unknown)
+		if next.Reason == outcome.ReasonRelayFailed && again && r.repeatable() && ctx.Err() == nil {
+			r.forwards = 1 // The other region does not answer; stay in this one.
+			continue
+		}
 		if next.body != nil || next.Target == "" || !again || !r.repeatable() || ctx.Err() != nil {
 			return last
 		}
@@ -75,11 +80,14 @@
 		if refusal != nil {
 			return refused(*refusal)
 		}
-		grant, refusal := in.chooser.Acquire(ctx, Want{Document: r.document, Service: r.service,
-			Arrived: r.arrived, Deadline: r.deadline, Excluded: excluded})
+		grant, refusal := in.chooser.Acquire(ctx, Want{Document: r.document, Service: r.service, Arrived: r.arrived,
+			Deadline: r.deadline, Excluded: excluded, Attempts: number - 1, Forwards: int(r.forwards)})
 		if refusal != nil {
 			return refused(*refusal)
 		}
+		if grant.Forward != "" {
+			return in.forwardTo(ctx, r, grant.Forward)
+		}
 		flight := in.guard.Start(time.Now(), f, r.service.Name, grant.Target.Name, targets)
 		if flight == nil {
 			grant.Release(CauseUnused)
@@ -124,13 +132,19 @@
 	out := r.outgoing()
 	out.Header.Set(outcome.HeaderDeadline, strconv.FormatInt(max(1, time.Until(r.deadline).Milliseconds()), 10))
 	to := forward.Target{Address: grant.Target.Address, Connections: grant.Target.Connections}
+	ctx, cancel := untilSlotExpires(ctx, grant)
 	answer, err := in.forwarder.Do(ctx, to, out)
 	if err != nil {
+		defer cancel()
 		return in.failed(ctx, r, grant, flight, err)
 	}
+	if answer.Header.Get(outcome.HeaderTargetState) == targetLeaving {
+		grant.leaving = true
+	}
 	executed := answer.Header.Values(outcome.HeaderExecuted)
 	forward.CleanAnswer(answer.Header)
 	if len(executed) == 1 && outcome.ParseExecuted(executed[0]) == outcome.No {
+		defer cancel()
 		_ = answer.Body.Close()
 		in.guard.Ended(flight)
 		grant.Release(CauseShed)
@@ -138,17 +152,28 @@
 	}
 	o := outcome.Outcome{Status: answer.Status, Reason: outcome.ReasonAnswered, Executed: outcome.Yes, Target: grant.Target.Name}
 	body := &answerBody{ReadCloser: answer.Body}
-	body.done = func(_ *answerBody, err error) { in.answered(r, grant, flight, err) }
+	body.done = func(_ *answerBody, err error) {
+		in.answered(r, grant, flight, err)
+		cancel()
+	}
 	return &reply{Outcome: o, header: answer.Header, length: answer.Length, body: body}
 }
 
+// untilSlotExpires bounds an exchange by the life of its slot.
+func untilSlotExpires(ctx context.Context, grant Grant) (context.Context, context.CancelFunc) {
+	if grant.Until.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, grant.Until)
+}
+
 // answered ends an exchange whose answer's head was read.
 func (in *Instance) answered(r *incoming, grant Grant, flight *quarantine.Flight, err error) {
 	var failure *forward.Error
 	switch {
 	case err == nil:
 		in.queueReports(in.guard.Succeeded(time.Now(), flight))
-		grant.Release(CauseAnswered)
+		grant.Release(grant.answeredCause())
 		return
 	case errors.As(err, &failure) && failure.Crashed:
 		in.crashed(r, grant, flight)
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -52,6 +52,7 @@
 		}
 	}
 	in.document.Store(d)
+	in.chooser = randomChooser{domain: s.Domain, region: s.Region}
 	server := in.callerServer()
 	go func() { _ = server.Run() }()
 	require.Eventually(t, func() bool {
--- /dev/null
+++ b/entry/scheduler.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/dispatch"
+	"github.com/jacinthstall/jacinthstall/outcome"
+	"github.com/jacinthstall/jacinthstall/policy"
+	"github.com/jacinthstall/jacinthstall/scheduling"
+	"github.com/jacinthstall/jacinthstall/slots"
+)
+
+const (
+	// maxRequestTime bounds one request. A new home must assume slots busy for
+	// as long as a request of the old home may run.
+	maxRequestTime = 30 * time.Second
+	maxQueued      = 4096 // Requests queued for one service.
+	// loadInterval keeps load reports within the control traffic of an
+	// instance; shorter ones improve the choice of region only slightly.
+	loadInterval = 200 * time.Millisecond
+	loadLife     = 5 * loadInterval
+)
+
+// scheduledChooser chooses targets through the scheduler.
+type scheduledChooser struct {
+	runner *scheduling.Runner
+}
+
+func (in *Instance) newRunner(peers scheduling.Peers) *scheduling.Runner {
+	s := dispatch.New(dispatch.Config{
+		Self:        dispatch.Member{Name: in.settings.Name, Region: in.settings.Region, Domain: in.settings.Domain},
+		Incarnation: in.incarnation, MaxQueued: maxQueued, GrantLife: maxRequestTime + dispatch.GrantMargin,
+		LoadInterval: loadInterval, LoadLife: loadLife,
+	})
+	return scheduling.New(s, peers, scheduling.Hooks{
+		Decided: in.logDecision,
+		Probe:   in.probes.start,
+		Refresh: in.frozen,
+	})
+}
+
+func (in *Instance) logDecision(a dispatch.Action) {
+	if e, fields, ok := dispatch.Describe(a); ok {
+		in.events.Emit(e, fields)
+	}
+}
+
+// Acquire implements Chooser.
+func (c *scheduledChooser) Acquire(ctx context.Context, w Want) (Grant, *outcome.Outcome) {
+	if !anyTarget(w) && w.Attempts > 0 {
+		return Grant{}, noTarget()
+	}
+	action := c.runner.Acquire(ctx, dispatch.Request{
+		Service: w.Service.Name, Entered: w.Arrived, Deadline: w.Deadline,
+		Attempts: w.Attempts, Hops: w.Forwards, Excluded: w.Excluded,
+	})
+	switch a := action.(type) {
+	case dispatch.Start:
+		return c.granted(w, a)
+	case dispatch.Forward:
+		return Grant{Forward: a.Instance}, nil
+	case dispatch.Refuse:
+		if a.Reason == outcome.ReasonNoService {
+			// The document has the service, but the scheduler has no view of it yet.
+			a.Reason = outcome.ReasonNoConfig
+		}
+		return Grant{}, &outcome.Outcome{Status: refusalStatus(a.Reason), Reason: a.Reason, Executed: outcome.No}
+	}
+	return Grant{}, noTarget()
+}
+
+func (c *scheduledChooser) granted(w Want, a dispatch.Start) (Grant, *outcome.Outcome) {
+	release := func(cause Cause) {
+		if cause == CauseLeaving {
+			c.runner.TargetLeaving(a.Target)
+		}
+		c.runner.Finished(a.Request.ID, slotCauses[cause])
+	}
+	for _, t := range w.Document.Targets {
+		if t.Name == a.Target {
+			return Grant{Target: t, Until: a.Until, Release: release}, nil
+		}
+	}
+	release(CauseUnused) // The target is not in the request's document any more.
+	return Grant{}, noTarget()
+}
+
+func noTarget() *outcome.Outcome {
+	return &outcome.Outcome{Status: 503, Reason: outcome.ReasonNoTarget, Executed: outcome.No}
+}
+
+// anyTarget reports whether a target is left that is not excluded.
+func anyTarget(w Want) bool {
+	for _, t := range w.Document.Targets {
+		if t.Service == w.Service.Name && !w.Excluded[t.Name] {
+			return true
+		}
+	}
+	return false
+}
+
+var slotCauses = map[Cause]slots.Cause{
+	CauseUnused: slots.Unused, CauseAnswered: slots.Answered, CauseShed: slots.Shed,
+	CauseConnectFailed: slots.ConnectFailed, CauseCrashed: slots.Crashed,
+	CauseTimedOut: slots.TimedOut, CauseLeaving: slots.Leaving,
+}
+
+func refusalStatus(r outcome.Reason) int {
+	switch r {
+	case outcome.ReasonDeadline:
+		return 504
+	case outcome.ReasonCanceled:
+		return 499
+	}
+	return 503
+}
+
+// view returns what the scheduler needs to know of the document, the instances
+// and the member table.
+func (in *Instance) schedulerView(d *policy.Document) dispatch.View {
+	v := dispatch.View{Transport: in.transport.delays()}
+	for _, m := range in.members.view().Members {
+		if m.Name == in.settings.Name || m.Usable() {
+			v.Members = append(v.Members, dispatch.Member{Name: m.Name, Region: m.Region, Domain: m.Domain})
+		}
+	}
+	for _, s := range d.Services {
+		v.Services = append(v.Services, dispatch.Service{Name: s.Name, MaxQueue: time.Duration(s.MaxQueueMs) * time.Millisecond})
+	}
+	for _, t := range d.Targets {
+		if d.RegionOf(t.Domain) == in.settings.Region {
+			v.Targets = append(v.Targets, in.schedulerTarget(t))
+		}
+	}
+	return v
+}
+
+func (in *Instance) schedulerTarget(t policy.Target) dispatch.Target {
+	home := in.table.home(t.Name, t.Domain)
+	out := dispatch.Target{
+		Target:  slots.Target{Name: t.Name, Service: t.Service, Domain: t.Domain, Slots: t.Slots},
+		Leaving: t.Leaving, Fresh: home.Fresh,
+	}
+	if home.Known {
+		out.Home = home.Member.Name
+	}
+	return out
+}
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -107,6 +107,14 @@
 	t.changedAt(t.self, now)
 }
 
+// Reincarnate gives the own instance a new incarnation, for example after it was
+// replaced in a member table while it was frozen.
+func (t *Tracker) Reincarnate(now time.Time, incarnation uint64) {
+	t.self.Incarnation, t.self.bound, t.self.Counter = incarnation, incarnation, 0
+	t.urgent = true
+	t.changedAt(t.self, now)
+}
+
 // SelfListed returns the state of the own instance in the platform's list.
 func (t *Tracker) SelfListed() State { return t.self.verdict }
 
--- a/membertable/holder.go
+++ b/membertable/holder.go
@@ -27,6 +27,10 @@
 // Version returns the version that this member confirms, 0 when it knows none.
 func (h *Holder) Version() uint64 { return h.shares.Newest() }
 
+// Range returns the oldest version that some member may still use, and the
+// newest version that this member knows.
+func (h *Holder) Range() (oldest, newest uint64) { return h.shares.Range() }
+
 // Record returns the newest record known.
 func (h *Holder) Record() Record { return h.record }
 
--- a/scheduling/runner.go
+++ b/scheduling/runner.go
@@ -21,6 +21,9 @@
 	SendGrant(g dispatch.SendGrant, undelivered func())
 	SendRelease(dispatch.SendRelease)
 	SendLoad(dispatch.SendLoad)
+	// Flush follows the messages of each event, so that loads for one peer can
+	// share a message.
+	Flush()
 }
 
 // Hooks connect a Runner to its instance. They are called by the scheduler's
@@ -182,9 +185,21 @@
 	r.push(func(now time.Time) []dispatch.Action { return r.scheduler.ProbeSucceeded(now, target) })
 }
 
-// SetView replaces the scheduler's view.
-func (r *Runner) SetView(v dispatch.View) {
-	r.push(func(now time.Time) []dispatch.Action { return r.scheduler.SetView(now, v) })
+// maxViewAge is the age at which a view is not used any more. It is below
+// dispatch.FreezeAfter, so that a view from before a freeze never ends the
+// suspension that follows it.
+const maxViewAge = dispatch.FreezeAfter / 2
+
+// SetView replaces the scheduler's view. A view that waited longer than
+// maxViewAge since it was built is dropped, and dropped is called.
+func (r *Runner) SetView(v dispatch.View, built time.Time, dropped func()) {
+	r.push(func(now time.Time) []dispatch.Action {
+		if now.Sub(built) > maxViewAge {
+			dropped()
+			return nil
+		}
+		return r.scheduler.SetView(now, v)
+	})
 }
 
 func (r *Runner) carryOut(actions []dispatch.Action) {
@@ -213,6 +228,9 @@
 			r.hooks.Refresh()
 		}
 	}
+	if len(actions) > 0 {
+		r.peers.Flush()
+	}
 }
 
 // decide answers the waiting request. One that was withdrawn meanwhile is no
