Hand the count of busy slots to the next home of a target

Cause: a new home assumed all slots busy for 31 s, so each planned stop and each start took half of a domain's slots out of use for that time. Releases that were made while the home moved were lost. Change: the previous home sends its count when it stops granting; a new home takes it only from the home before the last move of the table. Releases wait while the home is unknown. The first table waits 1 s for all instances.

--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -31,6 +31,8 @@
 //     to another one. A grant is sent once. When a grant certainly was not delivered (connection
 //     refused), call Released with slots.Unused; when delivery is unknown, do
 //     nothing, since the slot returns when it expires.
+//   - SendHandOff: send the count to the next home of a target, which reports it
+//     with HandedOff. It may be lost; the slots then return when they expire.
 //   - Probe: probe the target; call ProbeSucceeded after a good probe. The action
 //     is repeated every ProbeInterval until then.
 //   - Refresh: the clock jumped, so this instance was frozen. Read the member
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -43,6 +43,9 @@
 	homeOf       map[string]string
 	running      map[uint64]execution
 
+	pending  map[string][]SendRelease // Releases for targets whose home moves.
+	handOffs map[string]handOff       // Counts for targets that are not adopted yet.
+
 	leaving       map[string]bool // Targets that are leaving by any source.
 	leavingByView map[string]bool // Those of them that the view calls leaving.
 
@@ -67,6 +70,8 @@
 		services: map[string]*service{},
 		homeOf:   map[string]string{},
 		running:  map[uint64]execution{},
+		pending:  map[string][]SendRelease{},
+		handOffs: map[string]handOff{},
 
 		leaving:       map[string]bool{},
 		leavingByView: map[string]bool{},
@@ -301,13 +306,7 @@
 	if !now.Before(run.expires) {
 		return
 	}
-	switch home := s.homeOf[run.target]; home {
-	case "":
-	case s.config.Self.Name:
-		s.releaseHere(now, run.target, run.grant, cause)
-	default:
-		s.emit(SendRelease{To: home, Target: run.target, Grant: run.grant, Cause: cause})
-	}
+	s.releaseAtHome(now, SendRelease{Target: run.target, Grant: run.grant, Cause: cause})
 }
 
 func (s *Scheduler) releaseHere(now time.Time, target string, id uint64, cause slots.Cause) *service {
@@ -344,6 +343,10 @@
 // Released takes a release from a peer.
 func (s *Scheduler) Released(now time.Time, target string, id uint64, cause slots.Cause) []Action {
 	s.begin(now)
+	if !s.ledger.Has(target) {
+		s.releaseAtHome(now, SendRelease{Target: target, Grant: id, Cause: cause})
+		return s.end()
+	}
 	if v := s.releaseHere(now, target, id, cause); v != nil {
 		return s.settle(now, v)
 	}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -51,6 +51,7 @@
 // Config holds the fixed settings of a Scheduler.
 type Config struct {
 	Self        Member
+	ID          string        // Identity of this instance in the member table.
 	Incarnation uint64        // Must differ between all homes of a region.
 	MaxQueued   int           // Bound of the queue of each service, in requests.
 	GrantLife   time.Duration // Time to live of a granted slot: the longest deadline plus GrantMargin.
@@ -75,9 +76,13 @@
 // Target is a target of the scheduler's region.
 type Target struct {
 	slots.Target
-	Home    string // Instance that grants its slots now; empty when there is none.
-	Fresh   bool   // No instance has granted its slots before.
-	Leaving bool
+	Home  string // Instance that grants its slots now; empty when there is none.
+	Fresh bool   // No instance has granted its slots before.
+	// Next is the home under the newest table, known before Home while the home
+	// moves. Previous identifies the home before the last move.
+	Next     string
+	Previous string
+	Leaving  bool
 }
 
 // View is what the instance knows of its surroundings.
@@ -204,6 +209,14 @@
 	Load Load
 }
 
+// SendHandOff tells the next home of a target how many slots were in use when
+// this instance stopped granting them.
+type SendHandOff struct {
+	To     string
+	Target string
+	Busy   int
+}
+
 // Probe checks a target that is down.
 type Probe struct {
 	Target string
@@ -221,5 +234,6 @@
 func (SendGrant) action()   {}
 func (SendRelease) action() {}
 func (SendLoad) action()    {}
+func (SendHandOff) action() {}
 func (Probe) action()       {}
 func (Refresh) action()     {}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -95,7 +95,9 @@
 func (s *Scheduler) setTargets(now time.Time) {
 	self := s.config.Self.Name
 	clear(s.homeOf)
+	targets := make(map[string]Target, len(s.view.Targets))
 	for _, t := range s.view.Targets {
+		targets[t.Name] = t
 		s.homeOf[t.Name] = t.Home
 		s.setLeaving(t)
 		if v := s.services[t.Service]; v != nil && t.Home != "" && !s.leaving[t.Name] {
@@ -107,9 +109,11 @@
 	}
 	for _, name := range s.ledger.Targets() {
 		if s.homeOf[name] != self {
-			s.ledger.Drop(name)
+			s.drop(now, name, targets)
 		}
 	}
+	s.passOnHandOffs(now, targets)
+	s.releasePending(now)
 	for _, v := range s.services {
 		v.homes = nearest(self, slices.DeleteFunc(sortedKeys(v.homeSlots), func(home string) bool { return home == self }))
 	}
@@ -135,6 +139,7 @@
 		busyUntil = now.Add(s.config.GrantLife)
 	}
 	s.ledger.Adopt(t.Target, busyUntil)
+	s.takeHandOff(t)
 	if s.leaving[t.Name] {
 		s.ledger.Leave(t.Name)
 	}
--- a/entry/notify.go
+++ b/entry/notify.go
@@ -38,6 +38,12 @@
 	n.outbox.Send(r.To, &peerpb.Notification{Message: &peerpb.Notification_Release{Release: m}}, nil)
 }
 
+// SendHandOff implements scheduling.Peers.
+func (n *notifier) SendHandOff(h dispatch.SendHandOff) {
+	m := &peerpb.HandOff{From: n.in.table.id(), Target: h.Target, Busy: uint32(h.Busy)}
+	n.outbox.Send(h.To, &peerpb.Notification{Message: &peerpb.Notification_HandOff{HandOff: m}}, nil)
+}
+
 // SendLoad implements scheduling.Peers.
 func (n *notifier) SendLoad(l dispatch.SendLoad) {
 	report := n.loads[l.To]
@@ -79,6 +85,8 @@
 			Life: min(time.Duration(g.TtlMillis)*time.Millisecond, maxRequestTime+dispatch.GrantMargin)})
 	case *peerpb.Notification_Release:
 		in.runner.Released(m.Release.Target, m.Release.Grant, slots.Cause(m.Release.Cause))
+	case *peerpb.Notification_HandOff:
+		in.runner.HandedOff(m.HandOff.From, m.HandOff.Target, int(m.HandOff.Busy))
 	case *peerpb.Notification_Load:
 		from := dispatch.Member{Name: m.Load.From, Region: m.Load.Region}
 		for _, l := range m.Load.Loads {
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -30,6 +30,7 @@
 func (in *Instance) newRunner(peers scheduling.Peers) *scheduling.Runner {
 	s := dispatch.New(dispatch.Config{
 		Self:        dispatch.Member{Name: in.settings.Name, Region: in.settings.Region, Domain: in.settings.Domain},
+		ID:          in.tableMember().ID(),
 		Incarnation: in.incarnation, MaxQueued: maxQueued, GrantLife: maxRequestTime + dispatch.GrantMargin,
 		LoadInterval: loadInterval, LoadLife: loadLife,
 	})
@@ -138,9 +139,10 @@
 
 func (in *Instance) schedulerTarget(t policy.Target) dispatch.Target {
 	home := in.table.home(t.Name, t.Domain)
+	next, previous := in.table.moved(t.Name, t.Domain)
 	out := dispatch.Target{
 		Target:  slots.Target{Name: t.Name, Service: t.Service, Domain: t.Domain, Slots: t.Slots},
-		Leaving: t.Leaving, Fresh: home.Fresh,
+		Leaving: t.Leaving, Fresh: home.Fresh, Next: next.Name, Previous: previous.ID(),
 	}
 	if home.Known {
 		out.Home = home.Member.Name
--- a/entry/table.go
+++ b/entry/table.go
@@ -28,6 +28,11 @@
 	// proposeStep is how long each further member of the region waits before
 	// it proposes, so that usually one instance writes.
 	proposeStep = 300 * time.Millisecond
+	// gatherTime is how long a change of the members is awaited before it is
+	// proposed, so that instances that start together share one version. The
+	// first table waits longer, since homes under it are free at once.
+	gatherTime      = 200 * time.Millisecond
+	firstGatherTime = time.Second
 )
 
 // table keeps the member table of the region. It is safe for concurrent use.
@@ -69,6 +74,20 @@
 	return h
 }
 
+// id identifies the own instance in the member table.
+func (t *table) id() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.holder.Self().ID()
+}
+
+// moved returns the home under the newest table and the one before.
+func (t *table) moved(target, domain string) (next, previous membertable.Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.holder.Moved(target, domain)
+}
+
 // share returns the part of a link's cap that the instance may use, 0 to 1.
 func (t *table) share() float64 {
 	t.mu.Lock()
@@ -321,7 +340,11 @@
 	} else if in.table.changeAt.IsZero() {
 		in.table.changeAt = now
 	}
-	due := changed && now.Sub(in.table.changeAt) >= time.Duration(in.turn(view))*proposeStep
+	wait := gatherTime + time.Duration(in.turn(view))*proposeStep
+	if record.Newest() == 1 {
+		wait += firstGatherTime
+	}
+	due := changed && now.Sub(in.table.changeAt) >= wait
 	in.table.mu.Unlock()
 	if !due {
 		return
--- a/membertable/holder.go
+++ b/membertable/holder.go
@@ -155,6 +155,21 @@
 	return Home{Member: home, Known: true, Fresh: h.neverMoved(home, target, domain)}
 }
 
+// Moved returns the home of a target under the newest table, and the last one
+// before it that was another member; zero members when there is none.
+func (h *Holder) Moved(target, domain string) (next, previous Member) {
+	next, ok := h.record.last().home(target, domain)
+	if !ok {
+		return Member{}, Member{}
+	}
+	for _, t := range slices.Backward(h.record.Tables) {
+		if before, ok := t.home(target, domain); ok && before != next {
+			return next, before
+		}
+	}
+	return next, Member{}
+}
+
 func (h *Holder) neverMoved(home Member, target, domain string) bool {
 	if h.record.Tables[0].Version != 1 {
 		return false
--- a/scheduling/runner.go
+++ b/scheduling/runner.go
@@ -21,6 +21,7 @@
 	SendGrant(g dispatch.SendGrant, undelivered func())
 	SendRelease(dispatch.SendRelease)
 	SendLoad(dispatch.SendLoad)
+	SendHandOff(dispatch.SendHandOff)
 	// Flush follows the messages of each event, so that loads for one peer can
 	// share a message.
 	Flush()
@@ -170,6 +171,11 @@
 	r.push(func(now time.Time) []dispatch.Action { return r.scheduler.Released(now, target, grant, cause) })
 }
 
+// HandedOff takes the count of slots in use from the previous home of a target.
+func (r *Runner) HandedOff(from, target string, busy int) {
+	r.push(func(now time.Time) []dispatch.Action { return r.scheduler.HandedOff(now, from, target, busy) })
+}
+
 // PeerSilent drops the wants of a peer that does not answer.
 func (r *Runner) PeerSilent(peer string) {
 	r.events.TryPush(func(now time.Time) []dispatch.Action { return r.scheduler.PeerSilent(now, peer) })
@@ -222,6 +228,8 @@
 			r.peers.SendRelease(a)
 		case dispatch.SendLoad:
 			r.peers.SendLoad(a)
+		case dispatch.SendHandOff:
+			r.peers.SendHandOff(a)
 		case dispatch.Probe:
 			r.hooks.Probe(a.Target)
 		case dispatch.Refresh:
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -78,6 +78,8 @@
 	open    map[uint64]Grant
 	assumed []time.Time // Expiry of slots of an earlier home that may be in use.
 	foreign map[uint64]bool
+
+	handedOff bool // The previous home's count was taken.
 }
 
 func (e *entry) used() int { return len(e.open) + len(e.assumed) }
@@ -135,6 +137,28 @@
 	l.index()
 }
 
+// Busy returns the slots of a target that are granted or assumed to be in use.
+func (l *Ledger) Busy(target string) int {
+	if e := l.entries[target]; e != nil {
+		return e.used()
+	}
+	return 0
+}
+
+// HandedOff takes the count of slots that were in use when the previous home
+// dropped a target, which ends the assumption that all of them are. Slots that
+// were released here since then are part of that count.
+func (l *Ledger) HandedOff(target string, busy int) {
+	e := l.entries[target]
+	if e == nil || e.handedOff {
+		return
+	}
+	e.handedOff = true
+	if left := max(0, busy-len(e.foreign)); left < len(e.assumed) {
+		e.assumed = e.assumed[:left]
+	}
+}
+
 // Drop ends the role of home of a target. Its open grants are forgotten here;
 // their holders release them at the new home.
 func (l *Ledger) Drop(target string) {
