Check who counted the slots of a moved home, and when

Cause: a count from an instance that was not the last home, or from before it was home again, does not cover all open grants. Tests: directed ones for both, which fail without the checks; the random runs of three schedulers now move homes by versioned tables with counts.

--- a/dispatch/moves.go
+++ b/dispatch/moves.go
@@ -6,11 +6,10 @@
 // further one is dropped, and its slot returns when it expires.
 const maxPending = 1024
 
-// handOff is the count of slots in use that a previous home reported.
+// handOff is a received count.
 type handOff struct {
-	from string
-	busy int
-	at   time.Time
+	HandOff
+	at time.Time
 }
 
 // releaseAtHome returns a slot to the home of its target, or keeps the release
@@ -48,64 +47,60 @@
 }
 
 // drop ends the role of home of a target and tells the next home how many
-// slots are in use.
-func (s *Scheduler) drop(now time.Time, name string, targets map[string]Target) {
+// slots are in use. Without a next home, or when this instance is the next home
+// again, nobody is told: another instance may have granted slots in between.
+func (s *Scheduler) drop(name string, targets map[string]Target) {
 	busy := s.ledger.Busy(name)
 	s.ledger.Drop(name)
-	s.passHandOff(now, targets[name], handOff{from: s.config.ID, busy: busy, at: now})
-}
-
-// passHandOff gives a count to the next home of a target.
-func (s *Scheduler) passHandOff(now time.Time, t Target, h handOff) {
-	switch t.Next {
-	case "":
-	case s.config.Self.Name:
-		s.handOffs[t.Name] = h
-	default:
-		s.emit(SendHandOff{To: t.Next, Target: t.Name, Busy: h.busy})
+	if next := targets[name].Next; next != "" && next != s.config.Self.Name {
+		s.emit(SendHandOff{To: next, Target: name, Busy: busy, Version: s.view.TableVersion})
 	}
 }
 
-// passOnHandOffs passes on the counts for targets whose home moved on before
-// this instance granted any of their slots.
-func (s *Scheduler) passOnHandOffs(now time.Time, targets map[string]Target) {
-	for _, name := range sortedKeys(s.handOffs) {
-		h, t := s.handOffs[name], targets[name]
-		if t.Next == s.config.Self.Name && now.Sub(h.at) < s.config.GrantLife {
-			continue
-		}
-		delete(s.handOffs, name)
-		if now.Sub(h.at) < s.config.GrantLife {
-			s.passHandOff(now, t, h)
+// forgetHandOffs drops the counts that came too long ago to matter.
+func (s *Scheduler) forgetHandOffs(now time.Time) {
+	for name, h := range s.handOffs {
+		if now.Sub(h.at) >= s.config.GrantLife {
+			delete(s.handOffs, name)
 		}
 	}
 }
 
-// HandedOff takes the count of a previous home, identified by its member of
-// the table.
-func (s *Scheduler) HandedOff(now time.Time, from, target string, busy int) []Action {
+// HandOff is the count of slots in use that a previous home reports.
+type HandOff struct {
+	From    string // Identity of the sender in the member table.
+	Target  string
+	Busy    int
+	Version uint64 // Newest member table that the sender knew.
+}
+
+// HandedOff takes the count of a previous home.
+func (s *Scheduler) HandedOff(now time.Time, h HandOff) []Action {
 	s.begin(now)
-	s.handOffs[target] = handOff{from: from, busy: busy, at: now}
+	if last, ok := s.handOffs[h.Target]; ok && last.Version > h.Version {
+		return s.end()
+	}
 	for _, t := range s.view.Targets {
-		if t.Name == target {
-			s.takeHandOff(t)
-			if v := s.services[t.Service]; v != nil {
-				return s.settle(now, v)
-			}
+		if t.Name != h.Target {
+			continue
+		}
+		s.handOffs[h.Target] = handOff{h, now}
+		s.takeHandOff(t)
+		if v := s.services[t.Service]; v != nil {
+			return s.settle(now, v)
 		}
 	}
 	return s.end()
 }
 
-// takeHandOff applies a count when it is from the previous home. The count of
-// any other instance says nothing about what the previous home granted.
+// takeHandOff applies a count when it is from the previous home and was made
+// after the home moved here. Any other count says nothing about the grants that
+// may still be open.
 func (s *Scheduler) takeHandOff(t Target) {
 	h, ok := s.handOffs[t.Name]
-	if !ok || !s.ledger.Has(t.Name) {
+	if !ok || !s.ledger.Has(t.Name) || h.From != t.Previous || h.Version < t.Since {
 		return
 	}
 	delete(s.handOffs, t.Name)
-	if h.from == t.Previous || h.from == s.config.ID {
-		s.ledger.HandedOff(t.Name, h.busy)
-	}
+	s.ledger.HandedOff(t.Name, h.Busy)
 }
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -33,8 +33,8 @@
 	messages   []letter
 	running    []execution
 	nextID     uint64
-	home       string          // Home by the newest table, "" during a change.
-	seen       map[string]bool // Instances that apply the newest table.
+	tables     []string       // Home by each version of the table; version 1 is the first.
+	known      map[string]int // Newest version that each instance applies.
 	fresh      bool
 	arrived    int
 	ended      int
@@ -55,7 +55,7 @@
 const fleetSlots = 2
 
 func newFleet() *fleet {
-	f := &fleet{now: epoch, schedulers: map[string]*dispatch.Scheduler{}, names: []string{"a", "b", "c"}, home: "a", fresh: true, seen: map[string]bool{}}
+	f := &fleet{now: epoch, schedulers: map[string]*dispatch.Scheduler{}, names: []string{"a", "b", "c"}, tables: []string{"a"}, fresh: true, known: map[string]int{"a": 1, "b": 1, "c": 1}}
 	for i, name := range f.names {
 		f.schedulers[name] = dispatch.New(dispatch.Config{Self: f.member(name), Incarnation: uint64(i + 1), MaxQueued: 20,
 			GrantLife: life, LoadInterval: 50 * ms, LoadLife: 500 * ms})
@@ -75,11 +75,34 @@
 	for _, member := range f.names {
 		v.Members = append(v.Members, f.member(member))
 	}
-	v.Targets = []dispatch.Target{{Home: f.home, Fresh: f.fresh, Target: slots.Target{Name: "t", Service: svc, Slots: fleetSlots}}}
-	f.seen[name] = true
+	target := dispatch.Target{Fresh: f.fresh, Target: slots.Target{Name: "t", Service: svc, Slots: fleetSlots}}
+	f.known[name] = len(f.tables)
+	f.locate(&target)
+	v.Targets, v.TableVersion = []dispatch.Target{target}, uint64(len(f.tables))
 	f.apply(name, f.schedulers[name].SetView(f.now, v))
 }
 
+// locate fills in the home by the newest table. It is known when all versions
+// that some instance may still apply name the same one.
+func (f *fleet) locate(t *dispatch.Target) {
+	newest := len(f.tables)
+	t.Next, t.Home, t.Since = f.tables[newest-1], f.tables[newest-1], uint64(newest)
+	for _, version := range f.known {
+		for i := version; i < newest; i++ {
+			if f.tables[i-1] != t.Next {
+				t.Home = ""
+			}
+		}
+	}
+	for i := newest - 1; i > 0; i-- {
+		if f.tables[i-1] != t.Next {
+			t.Previous = f.tables[i-1]
+			return
+		}
+		t.Since = uint64(i)
+	}
+}
+
 func (f *fleet) send(to string, once bool, deliver func(*dispatch.Scheduler) []dispatch.Action) {
 	f.messages = append(f.messages, letter{to, deliver, once})
 }
@@ -99,6 +122,9 @@
 		case dispatch.SendGrant:
 			g := dispatch.Grant{Home: name, Service: svc, Target: a.Target, ID: a.Grant, Want: a.Want, Life: a.Life}
 			f.send(a.To, true, func(s *dispatch.Scheduler) []dispatch.Action { return s.Granted(f.now, g) })
+		case dispatch.SendHandOff:
+			h := dispatch.HandOff{From: name, Target: a.Target, Busy: a.Busy, Version: a.Version}
+			f.send(a.To, false, func(s *dispatch.Scheduler) []dispatch.Action { return s.HandedOff(f.now, h) })
 		case dispatch.SendRelease:
 			f.send(a.To, false, func(s *dispatch.Scheduler) []dispatch.Action { return s.Released(f.now, a.Target, a.Grant, a.Cause) })
 		}
@@ -169,26 +195,16 @@
 	}
 }
 
-// change moves the home in two steps: no home until all instances apply that
-// table, as the allotment's minimum over versions demands, then the new home.
+// change publishes a table with another home; instances learn it later.
 func (f *fleet) change(t *rapid.T) {
-	if len(f.seen) < len(f.names) {
-		return
-	}
-	if f.home != "" {
-		f.home = ""
-	} else {
-		f.home = rapid.SampledFrom(f.names).Draw(t, "home")
-	}
-	f.seen = map[string]bool{}
+	f.tables = append(f.tables, rapid.SampledFrom(f.names).Draw(t, "home"))
 }
 
 func (f *fleet) learn(t *rapid.T) { f.refresh(rapid.SampledFrom(f.names).Draw(t, "learner")) }
 
 func (f *fleet) probe(*rapid.T) {
-	if f.home != "" {
-		f.apply(f.home, f.schedulers[f.home].ProbeSucceeded(f.now, "t"))
-	}
+	home := f.tables[len(f.tables)-1]
+	f.apply(home, f.schedulers[home].ProbeSucceeded(f.now, "t"))
 }
 
 func (f *fleet) check(t *rapid.T) {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -51,7 +51,6 @@
 // Config holds the fixed settings of a Scheduler.
 type Config struct {
 	Self        Member
-	ID          string        // Identity of this instance in the member table.
 	Incarnation uint64        // Must differ between all homes of a region.
 	MaxQueued   int           // Bound of the queue of each service, in requests.
 	GrantLife   time.Duration // Time to live of a granted slot: the longest deadline plus GrantMargin.
@@ -79,9 +78,11 @@
 	Home  string // Instance that grants its slots now; empty when there is none.
 	Fresh bool   // No instance has granted its slots before.
 	// Next is the home under the newest table, known before Home while the home
-	// moves. Previous identifies the home before the last move.
+	// moves. Previous identifies the home before the last move, and Since is the
+	// version of the table with that move.
 	Next     string
 	Previous string
+	Since    uint64
 	Leaving  bool
 }
 
@@ -91,6 +92,8 @@
 	Services  []Service
 	Targets   []Target                 // Targets of the own region.
 	Transport map[string]time.Duration // One-way delay to each other region.
+	// TableVersion is the newest member table that the instance knows.
+	TableVersion uint64
 }
 
 // Request is a request that waits for a target.
@@ -215,6 +218,8 @@
 	To     string
 	Target string
 	Busy   int
+	// Version is the newest member table that this instance knows.
+	Version uint64
 }
 
 // Probe checks a target that is down.
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -109,10 +109,10 @@
 	}
 	for _, name := range s.ledger.Targets() {
 		if s.homeOf[name] != self {
-			s.drop(now, name, targets)
+			s.drop(name, targets)
 		}
 	}
-	s.passOnHandOffs(now, targets)
+	s.forgetHandOffs(now)
 	s.releasePending(now)
 	for _, v := range s.services {
 		v.homes = nearest(self, slices.DeleteFunc(sortedKeys(v.homeSlots), func(home string) bool { return home == self }))
--- a/entry/notify.go
+++ b/entry/notify.go
@@ -40,7 +40,7 @@
 
 // SendHandOff implements scheduling.Peers.
 func (n *notifier) SendHandOff(h dispatch.SendHandOff) {
-	m := &peerpb.HandOff{From: n.in.table.id(), Target: h.Target, Busy: uint32(h.Busy)}
+	m := &peerpb.HandOff{From: n.in.table.id(), Target: h.Target, Busy: uint32(h.Busy), Version: h.Version}
 	n.outbox.Send(h.To, &peerpb.Notification{Message: &peerpb.Notification_HandOff{HandOff: m}}, nil)
 }
 
@@ -86,7 +86,8 @@
 	case *peerpb.Notification_Release:
 		in.runner.Released(m.Release.Target, m.Release.Grant, slots.Cause(m.Release.Cause))
 	case *peerpb.Notification_HandOff:
-		in.runner.HandedOff(m.HandOff.From, m.HandOff.Target, int(m.HandOff.Busy))
+		h := m.HandOff
+		in.runner.HandedOff(dispatch.HandOff{From: h.From, Target: h.Target, Busy: int(h.Busy), Version: h.Version})
 	case *peerpb.Notification_Load:
 		from := dispatch.Member{Name: m.Load.From, Region: m.Load.Region}
 		for _, l := range m.Load.Loads {
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -30,7 +30,6 @@
 func (in *Instance) newRunner(peers scheduling.Peers) *scheduling.Runner {
 	s := dispatch.New(dispatch.Config{
 		Self:        dispatch.Member{Name: in.settings.Name, Region: in.settings.Region, Domain: in.settings.Domain},
-		ID:          in.tableMember().ID(),
 		Incarnation: in.incarnation, MaxQueued: maxQueued, GrantLife: maxRequestTime + dispatch.GrantMargin,
 		LoadInterval: loadInterval, LoadLife: loadLife,
 	})
@@ -120,7 +119,7 @@
 // view returns what the scheduler needs to know of the document, the instances
 // and the member table.
 func (in *Instance) schedulerView(d *policy.Document) dispatch.View {
-	v := dispatch.View{Transport: in.transport.delays()}
+	v := dispatch.View{Transport: in.transport.delays(), TableVersion: in.table.version()}
 	for _, m := range in.members.view().Members {
 		if m.Name == in.settings.Name || m.Usable() {
 			v.Members = append(v.Members, dispatch.Member{Name: m.Name, Region: m.Region, Domain: m.Domain})
@@ -139,10 +138,10 @@
 
 func (in *Instance) schedulerTarget(t policy.Target) dispatch.Target {
 	home := in.table.home(t.Name, t.Domain)
-	next, previous := in.table.moved(t.Name, t.Domain)
+	move := in.table.moved(t.Name, t.Domain)
 	out := dispatch.Target{
 		Target:  slots.Target{Name: t.Name, Service: t.Service, Domain: t.Domain, Slots: t.Slots},
-		Leaving: t.Leaving, Fresh: home.Fresh, Next: next.Name, Previous: previous.ID(),
+		Leaving: t.Leaving, Fresh: home.Fresh, Next: move.To.Name, Previous: move.From.ID(), Since: move.Version,
 	}
 	if home.Known {
 		out.Home = home.Member.Name
--- a/entry/table.go
+++ b/entry/table.go
@@ -81,8 +81,15 @@
 	return t.holder.Self().ID()
 }
 
-// moved returns the home under the newest table and the one before.
-func (t *table) moved(target, domain string) (next, previous membertable.Member) {
+// version returns the newest version that the instance knows.
+func (t *table) version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.holder.Version()
+}
+
+// moved returns the last move of a target's home.
+func (t *table) moved(target, domain string) membertable.Move {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.holder.Moved(target, domain)
--- a/membertable/holder.go
+++ b/membertable/holder.go
@@ -155,19 +155,29 @@
 	return Home{Member: home, Known: true, Fresh: h.neverMoved(home, target, domain)}
 }
 
-// Moved returns the home of a target under the newest table, and the last one
-// before it that was another member; zero members when there is none.
-func (h *Holder) Moved(target, domain string) (next, previous Member) {
-	next, ok := h.record.last().home(target, domain)
-	if !ok {
-		return Member{}, Member{}
-	}
+// Move is the last change of a target's home.
+type Move struct {
+	From, To Member // From is zero when the home never moved.
+	Version  uint64 // First version with the present home.
+}
+
+// Moved returns the last move of a target's home in the newest record.
+func (h *Holder) Moved(target, domain string) Move {
+	var m Move
 	for _, t := range slices.Backward(h.record.Tables) {
-		if before, ok := t.home(target, domain); ok && before != next {
-			return next, before
+		home, ok := t.home(target, domain)
+		switch {
+		case m.Version == 0 && ok:
+			m.To = home
+		case m.Version == 0 || !ok:
+			return m
+		case home != m.To:
+			m.From = home
+			return m
 		}
+		m.Version = t.Version
 	}
-	return next, Member{}
+	return m
 }
 
 func (h *Holder) neverMoved(home Member, target, domain string) bool {
--- a/scheduling/runner.go
+++ b/scheduling/runner.go
@@ -172,8 +172,8 @@
 }
 
 // HandedOff takes the count of slots in use from the previous home of a target.
-func (r *Runner) HandedOff(from, target string, busy int) {
-	r.push(func(now time.Time) []dispatch.Action { return r.scheduler.HandedOff(now, from, target, busy) })
+func (r *Runner) HandedOff(h dispatch.HandOff) {
+	r.push(func(now time.Time) []dispatch.Action { return r.scheduler.HandedOff(now, h) })
 }
 
 // PeerSilent drops the wants of a peer that does not answer.
