--- a/linkcap/bucket.go
+++ b/linkcap/bucket.go
@@ -106,8 +106,8 @@
 // refusedWait is the longest estimate, above any wait that a caller accepts.
 const refusedWait = 24 * time.Hour
 
-// setShare changes the share from now on.
-func (b *Bucket) setShare(now time.Time, share int64) {
+// SetShare changes the share, in bytes per second, from now on.
+func (b *Bucket) SetShare(now time.Time, share int64) {
 	b.refill(now)
 	b.share = bounded(share)
 	b.clip()
--- a/linkcap/link.go
+++ b/linkcap/link.go
@@ -144,7 +144,7 @@
 // the share shrinks, it is in force for others only once Settled.
 func (l *Link) SetShare(now time.Time, share int64) {
 	l.advance(now)
-	l.bucket.setShare(now, share)
+	l.bucket.SetShare(now, share)
 }
 
 // Settled reports whether the rate with what is lent, and the unwritten bytes,
