Take link tokens for relayed frames and lend rate between instances

Relayed traffic between regions was not limited. Each head, body and end frame now takes its encoded bytes from the link before it is written, in both directions, and Borrow lends rate inside a region. Without a share, a link or a known region nothing crosses. An unrelated line of entry.go is formatted.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,7 @@
 	inFlight    atomic.Int64
 	relays      atomic.Int64 // Requests of other instances.
 	peers       *peer.Pool
+	links       *links
 	receiving   receiving
 	reports     *ring.Ring[quarantine.Report]
 	log         log.Interface
@@ -77,13 +78,16 @@
 		peers:       peer.NewPool(),
 		reports:     ring.New[quarantine.Report](maxQueuedReports),
 		chooser:     randomChooser{domain: s.Domain, region: s.Region},
-			platform:    p,
+		platform:    p,
 		forwarder:   forward.New(),
 		members:     newMembers(selfUpdate(s, incarnation), emitted),
 		lookups:     newLookups(s.Domain, emitted),
 		events:      emitted,
 		log:         logger,
 	}
+	in.links = newLinks(s.Region, in.document.Load, emitted)
+	in.links.lenders = regionLenders{in}
+	in.links.version = func() uint64 { return in.members.self().TableVersion }
 	in.life = chart.NewMachine(in.lifeChanged)
 	in.config, err = newConfig(in)
 	return in, err
--- a/entry/incoming.go
+++ b/entry/incoming.go
@@ -24,6 +24,7 @@
 	header      http.Header
 	key         string
 	hops        uint32 // Relays so far.
+	move        string // policy.Move.Key of the move that the request belongs to, or "".
 	length      int64  // Bytes of the body; -1 when unknown.
 	arrived     time.Time
 	deadline    time.Time
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -43,18 +43,41 @@
 		return relayFailed()
 	}
 	in.events.Emit(events.RequestRelayed, log.Fields{"service": r.service.Name, "key": r.key, "instance": instance, "hops": r.hops})
+	region, _ := in.members.region(instance)
+	path := &linkPath{links: in.links, ctx: ctx, to: region, move: r.move, deadline: r.deadline}
+	head := in.requestHead(r)
+	// The call's name is written when the stream opens, so the bytes of the head
+	// are taken before.
+	written, err := path.take(headBytes(head))
+	if err != nil {
+		return refused(beforeDecision(r.key, linkCapped(outcome.No)))
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	stream, err := in.peers.Client(ctx, address).Relay(ctx)
 	if err != nil {
+		written()
 		cancel()
 		return relayFailed()
 	}
+	err = stream.Send(head)
+	written()
+	if err == nil {
+		err = sendRequestBody(stream, path, r)
+	}
 	// An authority that refuses early ends the stream before the body is sent;
 	// its answer is read all the same.
-	if sendRequest(stream, r) == nil {
+	if isLinkCap(err) {
+		cancel()
+		return refused(linkCapped(outcome.Unknown))
+	}
+	if err == nil {
 		_ = stream.CloseSend()
 	}
 	frame, err := stream.Recv()
+	if isLinkCap(err) {
+		cancel()
+		return refused(linkCapped(outcome.Unknown))
+	}
 	if err != nil || frame.GetHead() == nil {
 		cancel()
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) || time.Now().After(r.deadline) {
@@ -65,30 +88,32 @@
 	return relayedReply(frame.GetHead(), stream, cancel)
 }
 
-func sendRequest(stream peerpb.DRPCPeer_RelayClient, r *incoming) error {
+func (in *Instance) requestHead(r *incoming) *peerpb.RelayFrame {
 	head := &peerpb.RelayHead{
 		Method: r.method, Uri: r.uri, Headers: toHeaders(r.header), OnceKey: r.key,
 		DeadlineMillis: uint32(max(1, time.Until(r.deadline).Milliseconds())),
 		AgeMillis:      uint32(time.Since(r.arrived).Milliseconds()),
-		Hops:           r.hops + 1, ContentLength: r.length,
-	}
-	if err := stream.Send(&peerpb.RelayFrame{Frame: &peerpb.RelayFrame_Head{Head: head}}); err != nil {
-		return err
+		Hops:           r.hops + 1, ContentLength: r.length, FromRegion: in.settings.Region,
 	}
+	return &peerpb.RelayFrame{Frame: &peerpb.RelayFrame_Head{Head: head}}
+}
+
+func sendRequestBody(stream peerpb.DRPCPeer_RelayClient, path *linkPath, r *incoming) error {
 	body := r.outgoing().Body
 	if body == nil {
 		body = http.NoBody
 	}
-	return sendBody(stream, body)
+	return sendBody(&cappedSender{frameSender: stream, path: path}, path.bodyBytes(), body)
 }
 
 type frameSender interface {
 	Send(*peerpb.RelayFrame) error
 }
 
-// sendBody sends a body and whether it was complete.
-func sendBody(stream frameSender, body io.Reader) error {
-	buffer := make([]byte, relayFrameBytes)
+// sendBody sends a body in frames of at most frameBytes, and whether it was
+// complete.
+func sendBody(stream frameSender, frameBytes int, body io.Reader) error {
+	buffer := make([]byte, frameBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
--- a/entry/relayed.go
+++ b/entry/relayed.go
@@ -17,10 +17,7 @@
 // decides about its key.
 func (p *peerServer) Relay(stream peerpb.DRPCPeer_RelayStream) error {
 	in := p.in
-	if in.relays.Add(1) > maxRelays {
-		in.relays.Add(-1)
-		return sendRefusal(stream, outcome.Outcome{Status: 503, Reason: outcome.ReasonOverloaded, Executed: outcome.Unknown})
-	}
+	over := in.relays.Add(1) > maxRelays
 	defer in.relays.Add(-1)
 	in.inFlight.Add(1)
 	defer in.inFlight.Add(-1)
@@ -32,21 +29,39 @@
 	if head == nil {
 		return errRelayFrame
 	}
+	back := in.pathBack(head, stream.Context())
+	return withLinkCapCode(in.answerRelayed(head, stream, back, over))
+}
+
+// pathBack returns the path of the answer to a relayed request.
+func (in *Instance) pathBack(head *peerpb.RelayHead, ctx context.Context) *linkPath {
+	limit := time.Duration(head.DeadlineMillis) * time.Millisecond
+	if d := in.document.Load(); d != nil {
+		limit = min(limit, d.Timing.MaxDeadline())
+	}
+	return &linkPath{links: in.links, ctx: ctx, to: head.FromRegion, deadline: time.Now().Add(limit)}
+}
+
+func (in *Instance) answerRelayed(head *peerpb.RelayHead, stream peerpb.DRPCPeer_RelayStream, back *linkPath, over bool) error {
+	answer := &cappedSender{frameSender: stream, path: back}
+	if over {
+		return sendRefusal(answer, outcome.Outcome{Status: 503, Reason: outcome.ReasonOverloaded, Executed: outcome.Unknown})
+	}
 	r, refusal := in.receiveRelayed(head, stream)
 	if refusal != nil {
-		return sendRefusal(stream, beforeDecision(head.OnceKey, *refusal))
+		return sendRefusal(answer, beforeDecision(head.OnceKey, *refusal))
 	}
 	ctx, cancel := context.WithDeadline(stream.Context(), r.deadline)
 	defer cancel()
 	got := in.serve(ctx, r)
 	if got.body == nil {
-		return sendRefusal(stream, got.Outcome)
+		return sendRefusal(answer, got.Outcome)
 	}
 	defer func() { _ = got.body.Close() }()
-	if err := sendHead(stream, got.Outcome, got.header, got.length); err != nil {
+	if err := sendHead(answer, got.Outcome, got.header, got.length); err != nil {
 		return err
 	}
-	return sendBody(stream, got.body)
+	return sendBody(answer, back.bodyBytes(), got.body)
 }
 
 func (in *Instance) receiveRelayed(head *peerpb.RelayHead, stream peerpb.DRPCPeer_RelayStream) (*incoming, *outcome.Outcome) {
@@ -69,7 +84,7 @@
 	return r, r.readPrefix(&frameBody{recv: stream.Recv})
 }
 
-func sendHead(stream peerpb.DRPCPeer_RelayStream, o outcome.Outcome, header http.Header, length int64) error {
+func sendHead(stream frameSender, o outcome.Outcome, header http.Header, length int64) error {
 	head := &peerpb.RelayHead{Status: uint32(o.Status), Executed: string(o.Executed), Reason: string(o.Reason),
 		Headers: toHeaders(header), ContentLength: length}
 	if o.Target != "" {
@@ -78,7 +93,7 @@
 	return stream.Send(&peerpb.RelayFrame{Frame: &peerpb.RelayFrame_Head{Head: head}})
 }
 
-func sendRefusal(stream peerpb.DRPCPeer_RelayStream, o outcome.Outcome) error {
+func sendRefusal(stream frameSender, o outcome.Outcome) error {
 	return sendHead(stream, o, nil, noBody)
 }
 
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -23,23 +23,35 @@
 // Pool keeps idle connections to other instances, by peer address (ip:port). It
 // is safe for concurrent use.
 type Pool struct {
+	dial  DialFunc
 	conns *drpcpool.Pool[string, *drpcconn.Conn]
 }
 
-// NewPool returns a pool without connections.
+// DialFunc opens a connection to a peer address (ip:port).
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// NewPool returns a pool without connections that dials over TCP.
 func NewPool() *Pool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return NewPoolWithDial(func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	})
+}
+
+// NewPoolWithDial returns a pool without connections that dials with a function
+// of the caller.
+func NewPoolWithDial(dial DialFunc) *Pool {
 	options := drpcpool.Options{Expiration: idleExpiration, Capacity: maxIdle, KeyCapacity: maxIdlePerPeer}
-	return &Pool{conns: drpcpool.New[string, *drpcconn.Conn](options)}
+	return &Pool{dial: dial, conns: drpcpool.New[string, *drpcconn.Conn](options)}
 }
 
 // Client returns a client for an address. It connects with the first call.
 func (p *Pool) Client(ctx context.Context, address string) peerpb.DRPCPeerClient {
-	return peerpb.NewDRPCPeerClient(p.conns.Get(ctx, address, dial))
+	return peerpb.NewDRPCPeerClient(p.conns.Get(ctx, address, p.connect))
 }
 
-func dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+func (p *Pool) connect(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	raw, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
