--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -20,6 +20,12 @@
 
 // connect lets instances know each other and serves their peer listeners.
 func connect(t *testing.T, instances ...*Instance) {
+	t.Helper()
+	connectThrough(t, func(_ *Instance, l net.Listener) net.Listener { return l }, instances...)
+}
+
+// connectThrough is connect with listeners that are wrapped.
+func connectThrough(t *testing.T, wrap func(*Instance, net.Listener) net.Listener, instances ...*Instance) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var list []platform.Instance
@@ -27,7 +33,7 @@
 	for _, in := range instances {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		wait.Go(func() { _ = in.servePeers(ctx, l) })
+		wait.Go(func() { _ = in.servePeers(ctx, wrap(in, l)) })
 		wait.Go(func() { in.sendReports(ctx) })
 		in.settings.PeerAddress = l.Addr().String()
 		list = append(list, platform.Instance{Name: in.settings.Name, Domain: in.settings.Domain, Region: in.settings.Region,
