--- a/entry/links_test.go
+++ b/entry/links_test.go
@@ -190,18 +190,24 @@
 	time.Sleep(50 * time.Microsecond) // Lets the requests go on.
 }
 
-// changeTable replaces the shares at random. The former table counts until all
-// instances have settled.
-func (w *twoRegions) changeTable(random *rand.Rand) {
+// finishTable drops the former table once all instances have settled.
+func (w *twoRegions) finishTable() {
 	for _, in := range w.near {
 		if !in.links.settled() {
 			return
 		}
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.shares = w.shares[len(w.shares)-1:]
+}
+
+// changeTable replaces the shares at random. The former table counts until
+// finishTable.
+func (w *twoRegions) changeTable(random *rand.Rand) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.shares) > 1 {
-		w.shares = w.shares[1:]
 		return
 	}
 	next, sum := make([]float64, len(w.near)), 0.0
@@ -224,6 +230,8 @@
 		if got.err == nil && got.status == 201 {
 			assert.Equal(t, content, got.body)
 			w.answers.Add(1)
+		} else {
+			time.Sleep(5 * time.Millisecond) // An instance without a share refuses at once.
 		}
 	}
 }
@@ -233,7 +241,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
 	for i := range w.near {
-		for worker := range 3 - i {
+		for worker := range 6 - 2*i {
 			wait.Go(func() { w.load(ctx, t, i, worker) })
 		}
 	}
@@ -266,8 +274,11 @@
 			}
 			w.run(t, 3*testCapBytes, func() {
 				w.step()
-				if w.clock.millis.Load()%200 == 0 {
+				switch at := w.clock.millis.Load(); {
+				case at%1500 == 0:
 					w.changeTable(random)
+				case at%100 == 0:
+					w.finishTable()
 				}
 			})
 			assert.LessOrEqual(t, w.out.worst(), int64(testCapBytes))
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -103,19 +103,19 @@
 	if body == nil {
 		body = http.NoBody
 	}
-	return sendBody(&cappedSender{frameSender: stream, path: path}, path.bodyBytes(), body)
+	return sendBody(&cappedSender{frameSender: stream, path: path}, path.bodyBytes, body)
 }
 
 type frameSender interface {
 	Send(*peerpb.RelayFrame) error
 }
 
-// sendBody sends a body in frames of at most frameBytes, and whether it was
-// complete.
-func sendBody(stream frameSender, frameBytes int, body io.Reader) error {
-	buffer := make([]byte, frameBytes)
+// sendBody sends a body and whether it was complete. FrameBytes is asked before
+// each frame for the most bytes that it may carry, up to relayFrameBytes.
+func sendBody(stream frameSender, frameBytes func() int, body io.Reader) error {
+	buffer := make([]byte, relayFrameBytes)
 	for {
-		n, err := body.Read(buffer)
+		n, err := body.Read(buffer[:min(frameBytes(), relayFrameBytes)])
 		if n > 0 {
 			frame := &peerpb.RelayFrame{Frame: &peerpb.RelayFrame_Body{Body: buffer[:n]}}
 			if failed := stream.Send(frame); failed != nil {
--- a/entry/relayed.go
+++ b/entry/relayed.go
@@ -61,7 +61,7 @@
 	if err := sendHead(answer, got.Outcome, got.header, got.length); err != nil {
 		return err
 	}
-	return sendBody(answer, back.bodyBytes(), got.body)
+	return sendBody(answer, back.bodyBytes, got.body)
 }
 
 func (in *Instance) receiveRelayed(head *peerpb.RelayHead, stream peerpb.DRPCPeer_RelayStream) (*incoming, *outcome.Outcome) {
