--- a/entry/linkframes.go
+++ b/entry/linkframes.go
@@ -66,9 +66,30 @@
 	path *linkPath
 }
 
-// Send waits for the link and sends one frame. The error is a *linkcap.Error
-// when the cap does not allow it in time; nothing was sent then.
+// Send waits for the link and sends one frame. A body that exceeds the burst
+// since the share became smaller is sent in parts. The error is a *linkcap.Error
+// when the cap does not allow the frame or a part of it in time.
 func (s *cappedSender) Send(frame *peerpb.RelayFrame) error {
+	for {
+		err := s.sendOne(frame)
+		body, size := frame.GetBody(), s.path.bodyBytes()
+		var refusal *linkcap.Error
+		if !errors.As(err, &refusal) || refusal.Reason != linkcap.TooLarge || len(body) <= size {
+			return err
+		}
+		if err := s.sendOne(bodyFrame(body[:size])); err != nil {
+			return err
+		}
+		frame = bodyFrame(body[size:])
+	}
+}
+
+func bodyFrame(body []byte) *peerpb.RelayFrame {
+	return &peerpb.RelayFrame{Frame: &peerpb.RelayFrame_Body{Body: body}}
+}
+
+// sendOne sends a frame whole or not at all.
+func (s *cappedSender) sendOne(frame *peerpb.RelayFrame) error {
 	bytes := int64(proto.Size(frame)) + frameOverhead
 	if frame.GetHead() != nil {
 		bytes = headBytes(frame)
--- a/entry/links.go
+++ b/entry/links.go
@@ -216,7 +216,7 @@
 		if ticket.Granted {
 			return &lease{links: l, out: o, ticket: ticket}, nil
 		}
-		err = &linkcap.Error{Reason: linkcap.WaitTooLong, Bytes: bytes}
+		err = &linkcap.Error{Reason: ticket.Refused, Bytes: bytes}
 	}
 	l.emitRefused(to, err)
 	return nil, err
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -117,8 +117,7 @@
 	for {
 		n, err := body.Read(buffer[:min(frameBytes(), relayFrameBytes)])
 		if n > 0 {
-			frame := &peerpb.RelayFrame{Frame: &peerpb.RelayFrame_Body{Body: buffer[:n]}}
-			if failed := stream.Send(frame); failed != nil {
+			if failed := stream.Send(bodyFrame(buffer[:n])); failed != nil {
 				return failed
 			}
 		}
--- a/linkcap/linkcap_test.go
+++ b/linkcap/linkcap_test.go
@@ -510,3 +510,21 @@
 	assert.Equal(t, 10, chunks)
 	assert.InDelta(t, 500_000.0/950_000, now.Sub(epoch).Seconds(), 0.001)
 }
+
+// Guards against a reservation that blocks a link until its deadline because a
+// smaller share made it larger than the burst.
+func TestReservationAboveASmallerBurstLetsOthersPass(t *testing.T) {
+	link := NewLink(epoch, 1_000_000)
+	q := NewQueue(link)
+	_, err := q.Reserve(epoch, 50_000, nil, time.Minute)
+	require.NoError(t, err)
+	_, err = q.Reserve(epoch, 10_000, nil, time.Minute)
+	require.NoError(t, err)
+	link.SetShare(epoch, 500_000)
+	done := q.Advance(epoch.Add(50 * time.Millisecond))
+	require.Len(t, done, 2)
+	assert.Equal(t, TooLarge, done[0].Refused)
+	assert.False(t, done[0].Granted)
+	assert.True(t, done[1].Granted)
+	assert.Zero(t, link.bucket.queued)
+}
--- a/linkcap/queue.go
+++ b/linkcap/queue.go
@@ -37,8 +37,9 @@
 	Number uint64
 	Bytes  int64
 	// Granted is true when the bytes may be written now; Written must follow.
-	// Otherwise the reservation waited too long, and nothing was taken.
+	// Otherwise nothing was taken, and Refused says why.
 	Granted bool
+	Refused Reason
 
 	move     *Bucket
 	deadline time.Time
@@ -68,7 +69,7 @@
 // Reserve asks for bytes within maxWait; Advance grants them. Move is the bucket
 // of the traffic's move, or nil. The error is an *Error.
 func (q *Queue) Reserve(now time.Time, bytes int64, move *Bucket, maxWait time.Duration) (uint64, error) {
-	if bytes <= 0 || bytes > q.link.Burst() || move != nil && bytes > move.Burst() {
+	if bytes <= 0 || q.tooLarge(bytes, move) {
 		return 0, &Error{Reason: TooLarge, Bytes: bytes}
 	}
 	if len(q.waiting) >= MaxWaiting {
@@ -89,6 +90,10 @@
 	return t.Number, nil
 }
 
+func (q *Queue) tooLarge(bytes int64, move *Bucket) bool {
+	return bytes > q.link.Burst() || move != nil && bytes > move.Burst()
+}
+
 // enqueued changes the queued bytes of the buckets of a reservation.
 func (q *Queue) enqueued(t Ticket, sign int64) {
 	q.link.bucket.queued += sign * t.Bytes
@@ -97,8 +102,9 @@
 	}
 }
 
-// Advance returns the reservations that are granted or that waited too long. A
-// reservation that waits for its move's bucket lets others pass.
+// Advance returns the reservations that are granted or refused. A reservation
+// that waits for its move's bucket lets others pass. One that exceeds the burst
+// since a share became smaller is refused: it would block those behind it.
 func (q *Queue) Advance(now time.Time) []Ticket {
 	var done []Ticket
 	kept := q.waiting[:0]
@@ -106,6 +112,11 @@
 	for _, t := range q.waiting {
 		switch {
 		case now.After(t.deadline):
+			t.Refused = WaitTooLong
+			done = append(done, t)
+			q.enqueued(t, -1)
+		case q.tooLarge(t.Bytes, t.move):
+			t.Refused = TooLarge
 			done = append(done, t)
 			q.enqueued(t, -1)
 		case !linkBusy && q.take(now, &t, &linkBusy):
