--- a/entry/links_test.go
+++ b/entry/links_test.go
@@ -316,12 +316,14 @@
 		t.Run(name, func(t *testing.T) {
 			w := startTwoRegions(t, 1)
 			change(w)
+			logged := logEvents(w.near...)
 			got := call(t, w.near[0], "POST", "/writes/x", w.far.keyPrefix()+".k", strings.NewReader("x"))
 			assert.Equal(t, "503 link-cap unknown", got.String())
 			keyless := &incoming{header: nil, deadline: time.Now().Add(time.Minute), arrived: time.Now()}
 			reply := w.near[0].relay(context.Background(), keyless, "far-1")
 			assert.Equal(t, linkCapped("no"), reply.Outcome)
 			assert.Zero(t, w.out.sum())
+			assert.Len(t, logged(events.LinkRefused.Number), 2)
 		})
 	}
 }
@@ -370,9 +372,7 @@
 func TestBorrowBetweenInstances(t *testing.T) {
 	w := startTwoRegions(t, 0.5, 0.5)
 	borrower, lender := w.near[0].links, w.near[1].links
-	logged := memory.New()
-	l := events.New(&log.Logger{Handler: logged, Level: log.DebugLevel})
-	borrower.events, lender.events = l, l
+	logged := logEvents(w.near...)
 	for range 100 {
 		w.step()
 	}
@@ -389,6 +389,13 @@
 	}
 	require.Eventually(t, func() bool { return rate(borrower) > before }, longWait, time.Millisecond)
 	assert.Equal(t, 2*before, rate(borrower)+rate(lender))
+	lent, loan := logged(events.LinkRateLent.Number), logged(events.LinkRateBorrowed.Number)
+	require.Len(t, lent, 1)
+	assert.Equal(t, w.near[0].settings.Name, lent[0]["peer"])
+	if assert.Len(t, loan, 1) {
+		assert.Equal(t, w.near[1].settings.Name, loan[0]["peer"])
+		assert.Equal(t, lent[0]["bytesPerSecond"], loan[0]["bytesPerSecond"])
+	}
 	for range 1000 {
 		w.clock.millis.Add(1)
 	}
@@ -401,6 +408,54 @@
 	cancel()
 }
 
+// Guards against a change of the share that is not logged, or logged each time
+// that a link is used.
+func TestShareChangesAreLogged(t *testing.T) {
+	w := startTwoRegions(t, 0.5)
+	logged := logEvents(w.near...)
+	for range 10 {
+		w.step()
+	}
+	w.shares = [][]float64{{0.25}}
+	for range 10 {
+		w.step()
+	}
+	var rates []any
+	for _, fields := range logged(events.LinkShareChanged.Number) {
+		rates = append(rates, fields["bytesPerSecond"])
+	}
+	assert.Equal(t, []any{int64(490_000), int64(245_000)}, rates)
+}
+
+// logEvents returns a function that returns the fields of the events that the
+// links of the instances emit from now on, by number.
+func logEvents(instances ...*Instance) func(number int) []log.Fields {
+	handler := memory.New()
+	var mu sync.Mutex
+	safe := log.HandlerFunc(func(e *log.Entry) error {
+		mu.Lock()
+		defer mu.Unlock()
+		return handler.HandleLog(e)
+	})
+	emitted := events.New(&log.Logger{Handler: safe, Level: log.DebugLevel})
+	for _, in := range instances {
+		in.links.mu.Lock()
+		in.links.events = emitted
+		in.links.mu.Unlock()
+	}
+	return func(number int) []log.Fields {
+		mu.Lock()
+		defer mu.Unlock()
+		var list []log.Fields
+		for _, e := range handler.Entries {
+			if e.Fields["event"] == number {
+				list = append(list, e.Fields)
+			}
+		}
+		return list
+	}
+}
+
 // Guards against a share of the data and the control part that together exceed
 // the cap.
 func TestDataAndControlAreWithinTheCap(t *testing.T) {
