--- a/entry/handover.go
+++ b/entry/handover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/membership"
@@ -34,7 +35,7 @@
 		if !ok {
 			continue
 		}
-		in.sendBatches(ctx, client, successor, in.once.HandOver(time.Now(), successor))
+		in.sendBatches(ctx, handOverPath{client, member.Region}, successor, in.once.HandOver(time.Now(), successor))
 		return
 	}
 	in.events.Emit(events.RecordsNotHandedOver, log.Fields{"successor": "", "issuer": in.settings.Name})
@@ -49,11 +50,17 @@
 	return once.Issuer{Instance: from.Name, Incarnation: from.Incarnation}, true
 }
 
+// handOverPath leads to the successor.
+type handOverPath struct {
+	client peerpb.DRPCPeerClient
+	region string
+}
+
 // sendBatches stops for an issuer at the first message that is not accepted.
-func (in *Instance) sendBatches(ctx context.Context, client peerpb.DRPCPeerClient, successor once.Issuer, batches []once.Batch) {
+func (in *Instance) sendBatches(ctx context.Context, to handOverPath, successor once.Issuer, batches []once.Batch) {
 	failed := map[once.Issuer]bool{}
 	for _, b := range batches {
-		if !failed[b.Issuer] && !sendBatch(ctx, client, b) {
+		if !failed[b.Issuer] && !in.sendBatch(ctx, to, b) {
 			failed[b.Issuer] = true
 			in.events.Emit(events.RecordsNotHandedOver, log.Fields{"successor": successor.Instance, "issuer": b.Issuer.Instance})
 		}
@@ -63,11 +70,10 @@
 	}
 }
 
-func sendBatch(ctx context.Context, client peerpb.DRPCPeerClient, b once.Batch) bool {
+func (in *Instance) sendBatch(ctx context.Context, to handOverPath, b once.Batch) bool {
+	message := toHandOver(b)
 	for range handOverAttempts {
-		limited, cancel := context.WithTimeout(ctx, handOverTimeout)
-		answer, err := client.HandOver(limited, toHandOver(b))
-		cancel()
+		answer, err := in.sendHandOver(ctx, to, message)
 		if err == nil {
 			return answer.Accepted
 		}
@@ -75,6 +81,20 @@
 	return false
 }
 
+// sendHandOver sends one message after its bytes were taken from the link when
+// the successor is in another region.
+func (in *Instance) sendHandOver(ctx context.Context, to handOverPath, m *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	path := &linkPath{links: in.links, ctx: ctx, to: to.region, deadline: time.Now().Add(handOverTimeout)}
+	written, err := path.take(int64(proto.Size(m)) + frameOverhead + streamOverhead)
+	if err != nil {
+		return nil, err
+	}
+	defer written()
+	return to.client.HandOver(ctx, m)
+}
+
 func toHandOver(b once.Batch) *peerpb.HandOverRequest {
 	m := &peerpb.HandOverRequest{Issuer: b.Issuer.Instance, Incarnation: b.Issuer.Incarnation, KeyEpoch: b.KeyEpoch,
 		Last: b.Last, SuccessorIncarnation: b.Successor.Incarnation, Sequence: b.Sequence, OldestEpoch: b.Oldest}
--- a/entry/links_test.go
+++ b/entry/links_test.go
@@ -456,6 +456,29 @@
 	}
 }
 
+// Guards against records of a stopping instance that cross without tokens.
+func TestHandOverToAnotherRegionTakesTokens(t *testing.T) {
+	for share, handedOver := range map[float64]bool{0: false, 1: true} {
+		w := startTwoRegions(t, share)
+		in := w.near[0]
+		key := in.keyPrefix() + ".k"
+		body := strings.Repeat("y", 4000)
+		require.Equal(t, "201 answered yes", call(t, in, "POST", "/writes/x", key, strings.NewReader(body)).String())
+		for range 100 {
+			w.step()
+		}
+		in.handOver(context.Background())
+		got := call(t, w.far, "POST", "/writes/x", key, strings.NewReader(body))
+		if handedOver {
+			assert.Equal(t, "201 answered yes", got.String())
+			assert.Greater(t, w.out.sum(), int64(len(body)))
+		} else {
+			assert.NotEqual(t, "201 answered yes", got.String())
+			assert.Less(t, w.out.sum(), int64(len(body)))
+		}
+	}
+}
+
 // Guards against a share of the data and the control part that together exceed
 // the cap.
 func TestDataAndControlAreWithinTheCap(t *testing.T) {
