Merge link caps on relayed traffic

The share of a link's cap comes from the member table; a table version is confirmed only when the scheduler applies it and the links are settled. Moves of the document are carried out.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,7 @@
 	inFlight    atomic.Int64
 	relays      atomic.Int64 // Requests of other instances.
 	peers       *peer.Pool
+	links       *links
 	receiving   receiving
 	reports     *ring.Ring[quarantine.Report]
 	log         log.Interface
@@ -93,8 +94,12 @@
 		events:      emitted,
 		log:         logger,
 	}
+	in.links = newLinks(s.Region, in.document.Load, emitted)
+	in.links.lenders = regionLenders{in}
+	in.links.version = func() uint64 { return in.members.self().TableVersion }
 	in.life = chart.NewMachine(in.lifeChanged)
 	in.table = newTable(in)
+	in.SetLinkShare(in.table.share)
 	in.notifier = &notifier{in: in, loads: map[string]*peerpb.LoadReport{}}
 	in.runner = in.newRunner(in.notifier)
 	in.chooser = &scheduledChooser{runner: in.runner}
@@ -131,7 +136,7 @@
 	go func() { failed <- operators.Run() }()
 	go func() { failed <- in.servePeers(background, listener) }()
 	go in.watchDocument(background)
-	in.notifier.outbox = peer.NewOutbox(background, in.members.address)
+	in.notifier.outbox = peer.NewOutbox(background, in.peers, in.members.address)
 	go in.runner.Run(background)
 	go in.runTable(background)
 	go in.runMembers(background)
--- a/entry/incoming.go
+++ b/entry/incoming.go
@@ -25,6 +25,7 @@
 	key         string
 	hops        uint32 // Relays so far.
 	forwards    uint32 // Times that the request was forwarded to another region.
+	move        string // policy.Move.Key of the move that the request belongs to, or "".
 	length      int64  // Bytes of the body; -1 when unknown.
 	arrived     time.Time
 	deadline    time.Time
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -20,6 +20,12 @@
 
 // connect lets instances know each other and serves their peer listeners.
 func connect(t *testing.T, instances ...*Instance) {
+	t.Helper()
+	connectThrough(t, func(_ *Instance, l net.Listener) net.Listener { return l }, instances...)
+}
+
+// connectThrough is connect with listeners that are wrapped.
+func connectThrough(t *testing.T, wrap func(*Instance, net.Listener) net.Listener, instances ...*Instance) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var list []platform.Instance
@@ -27,7 +33,7 @@
 	for _, in := range instances {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		wait.Go(func() { _ = in.servePeers(ctx, l) })
+		wait.Go(func() { _ = in.servePeers(ctx, wrap(in, l)) })
 		wait.Go(func() { in.sendReports(ctx) })
 		in.settings.PeerAddress = l.Addr().String()
 		list = append(list, platform.Instance{Name: in.settings.Name, Domain: in.settings.Domain, Region: in.settings.Region,
@@ -97,7 +103,7 @@
 	connect(t, b)
 	key := a.keyPrefix() + ".k"
 	assert.Equal(t, "409 issuer-gone unknown", call(t, b, "POST", "/writes/x", key, strings.NewReader("x")).String())
-	b.members.apply([]platform.Instance{{Name: "a-1", PeerAddress: freeAddress(t), State: platform.InstanceLive}}, time.Now())
+	b.members.apply([]platform.Instance{{Name: "a-1", Region: "r", PeerAddress: freeAddress(t), State: platform.InstanceLive}}, time.Now())
 	assert.Equal(t, "502 relay-failed unknown", call(t, b, "POST", "/writes/x", key, strings.NewReader("x")).String())
 	assert.Empty(t, runs())
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -75,6 +75,11 @@
 func (in *Instance) attempt(ctx context.Context, r *incoming, tried map[string]bool, number int) *reply {
 	f := r.fingerprint()
 	targets := r.targets()
+	if number == 1 {
+		if got := in.move(ctx, r); got != nil {
+			return got
+		}
+	}
 	for {
 		excluded, refusal := in.permitted(ctx, f, targets, tried)
 		if refusal != nil {
--- a/entry/table.go
+++ b/entry/table.go
@@ -45,6 +45,7 @@
 	fetching bool
 	checked  time.Time // Last run of the duty.
 	shown    viewKey   // What the scheduler's view was built from.
+	applied  uint64    // Version that the scheduler applies.
 }
 
 // viewKey names what a scheduler's view is built from.
@@ -110,6 +111,7 @@
 		in.observeMembers()
 		in.proposeTable(ctx)
 		in.updateView()
+		in.confirmTable()
 	})
 }
 
@@ -243,11 +245,23 @@
 	version := in.table.holder.Version()
 	in.table.mu.Unlock()
 	if changed {
-		in.members.changeSelf(func(u *membership.Update) { u.TableVersion = version })
 		in.events.Emit(events.TableInForce, log.Fields{"version": version, "members": len(r.Tables[len(r.Tables)-1].Members)})
 	}
 }
 
+// confirmTable tells the other members the newest version once this instance
+// uses no right of an older one: the scheduler applies it, and no bytes are
+// under way that a smaller share would not have permitted.
+func (in *Instance) confirmTable() {
+	in.table.mu.Lock()
+	version, applied := in.table.holder.Version(), in.table.applied
+	in.table.mu.Unlock()
+	if in.document.Load() != nil && applied != version || !in.LinksSettled() {
+		return
+	}
+	in.members.changeSelf(func(u *membership.Update) { u.TableVersion = version })
+}
+
 // FetchTable returns the record of the region when it is newer than what the
 // asking instance knows.
 func (p *peerServer) FetchTable(_ context.Context, r *peerpb.FetchTableRequest) (*peerpb.FetchTableResponse, error) {
@@ -412,13 +426,18 @@
 		}
 	}
 	built := time.Now()
-	in.runner.SetView(in.schedulerView(d), built, in.forgetView)
+	in.runner.SetView(in.schedulerView(d), built, func(applied bool) { in.viewDone(newest, applied) })
 	in.viewSet.Store(newest > 0)
 }
 
-// forgetView makes the duty build the scheduler's view again.
-func (in *Instance) forgetView() {
+// viewDone notes the table version that the scheduler applies, or makes the
+// duty build the view again.
+func (in *Instance) viewDone(version uint64, applied bool) {
 	in.table.mu.Lock()
 	defer in.table.mu.Unlock()
-	in.table.shown = viewKey{}
+	if !applied {
+		in.table.shown = viewKey{}
+		return
+	}
+	in.table.applied = version
 }
--- a/events/request.go
+++ b/events/request.go
@@ -16,6 +16,9 @@
 		Action: "look at the target when it is named often"})
 	RequestRelayed = define(Event{Number: 504, Name: "request-relayed", Level: log.DebugLevel,
 		Message: "request passed on to the instance that decides about its key", Fields: []string{"service", "key", "instance", "hops"}, Action: "none"})
+	RequestMoved = define(Event{Number: 505, Name: "request-moved", Level: log.InfoLevel,
+		Message: "request belongs to a move to another region", Fields: []string{"service", "region", "to", "percent", "reason", "executed"},
+		Action: "look at the cap of the move when the reason is link-cap often"})
 	KeyDecided = define(Event{Number: 600, Name: "key-decided", Level: log.DebugLevel,
 		Message: "idempotency key decided", Fields: []string{"service", "key", "verdict"}, Action: "none"})
 	RecordsHandedOver = define(Event{Number: 601, Name: "records-handed-over", Level: log.InfoLevel,
--- a/peer/outbox.go
+++ b/peer/outbox.go
@@ -26,6 +26,7 @@
 // each instance. It is safe for concurrent use.
 type Outbox struct {
 	ctx     context.Context
+	pool    *Pool
 	address func(name string) (string, bool)
 
 	mu     sync.Mutex
@@ -50,8 +51,8 @@
 
 // NewOutbox returns an outbox that works until ctx ends. Address returns the
 // peer address (ip:port) of an instance.
-func NewOutbox(ctx context.Context, address func(name string) (string, bool)) *Outbox {
-	return &Outbox{ctx: ctx, address: address, queues: map[string]*queue{}}
+func NewOutbox(ctx context.Context, pool *Pool, address func(name string) (string, bool)) *Outbox {
+	return &Outbox{ctx: ctx, pool: pool, address: address, queues: map[string]*queue{}}
 }
 
 // Send queues a notification. Undelivered may be nil; it is called when the
@@ -158,7 +159,7 @@
 	if !ok {
 		return nil
 	}
-	conn, err := dial(o.ctx, address)
+	conn, err := o.pool.Dial(o.ctx, address)
 	if err != nil {
 		return nil
 	}
--- a/scheduling/runner.go
+++ b/scheduling/runner.go
@@ -197,13 +197,14 @@
 const maxViewAge = dispatch.FreezeAfter / 2
 
 // SetView replaces the scheduler's view. A view that waited longer than
-// maxViewAge since it was built is dropped, and dropped is called.
-func (r *Runner) SetView(v dispatch.View, built time.Time, dropped func()) {
+// maxViewAge since it was built is dropped. Done is told whether it was applied.
+func (r *Runner) SetView(v dispatch.View, built time.Time, done func(applied bool)) {
 	r.push(func(now time.Time) []dispatch.Action {
 		if now.Sub(built) > maxViewAge {
-			dropped()
+			done(false)
 			return nil
 		}
+		defer done(true)
 		return r.scheduler.SetView(now, v)
 	})
 }
--- a/scheduling/runner_test.go
+++ b/scheduling/runner_test.go
@@ -37,7 +37,7 @@
 	t.Cleanup(func() { cancel(); <-done })
 	r.SetView(dispatch.View{Members: []dispatch.Member{self}, Services: []dispatch.Service{{Name: "s"}},
 		Targets: []dispatch.Target{{Home: "a", Fresh: true, Target: slots.Target{Name: "t", Service: "s", Domain: "d", Slots: 1}}}},
-		time.Now(), func() { t.Error("the view was dropped") })
+		time.Now(), func(applied bool) { assert.True(t, applied) })
 	return r
 }
 
@@ -89,7 +89,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := run(t)
 		dropped := make(chan struct{})
-		r.SetView(dispatch.View{}, time.Now().Add(-2*time.Second), func() { close(dropped) })
+		r.SetView(dispatch.View{}, time.Now().Add(-2*time.Second), func(applied bool) {
+			assert.False(t, applied)
+			close(dropped)
+		})
 		<-dropped
 		assert.IsType(t, dispatch.Start{}, r.Acquire(t.Context(), request()), "the view in force must stay")
 	})
