Take no new connections while an instance drains

Cause: requests were served on new connections until the drain's limit (maximum deadline + look-up lifetime + 5 s), so callers that ignore the look-up lifetime prolonged a planned stop. The instances of the stop test had no document for look-ups and shared a member list, so its callers never left the stopping instance. Change: the listener for callers refuses connections 250 ms after cached look-up answers expire; a socket filter ignores new handshakes meanwhile. Requests and look-ups on open connections are answered with Connection: close. The test's instances have documents and member lists of their own; its callers look up from different addresses, so that both instances are preferred by some.

--- /dev/null
+++ b/entry/callerlistener_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package entry
+
+import "net"
+
+func dropNewConnections(net.Listener) error { return nil }
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -25,7 +25,7 @@
 	pathLookup = "/-/lookup"
 )
 
-func (in *Instance) callerServer() *server.Hertz {
+func (in *Instance) callerServer(listener net.Listener) *server.Hertz {
 	accepted := func(conn net.Conn) context.Context {
 		if in.onAccept != nil {
 			in.onAccept(conn)
@@ -33,7 +33,7 @@
 		return context.Background()
 	}
 	h := server.New(
-		server.WithHostPorts(in.settings.CallerAddress),
+		server.WithListener(listener),
 		server.WithOnAccept(accepted),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(prefetchBytes),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,7 +77,7 @@
 		peers:       peer.NewPool(),
 		reports:     ring.New[quarantine.Report](maxQueuedReports),
 		chooser:     randomChooser{domain: s.Domain, region: s.Region},
-			platform:    p,
+		platform:    p,
 		forwarder:   forward.New(),
 		members:     newMembers(selfUpdate(s, incarnation), emitted),
 		lookups:     newLookups(s.Domain, emitted),
@@ -110,7 +110,12 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	callers, operators := in.callerServer(), in.operatorServer()
+	callerListener, err := listenCallers(in.settings.CallerAddress)
+	if err != nil {
+		_ = listener.Close()
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	callers, operators := in.callerServer(callerListener), in.operatorServer()
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Run() }()
 	go func() { failed <- operators.Run() }()
@@ -127,5 +132,5 @@
 		in.fire("failed")
 		return fmt.Errorf("listener ended: %w", err)
 	}
-	return in.stop(callers, operators)
+	return in.stop(callerListener, callers, operators)
 }
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -218,6 +218,9 @@
 		Wait:    c.Query(lookup.ParameterWait),
 		Version: c.Query(lookup.ParameterVersion),
 	}, remoteAddress(c.RemoteAddr()))
+	if in.leaving.Load() {
+		c.SetConnectionClose()
+	}
 	var a lookup.Answer
 	var steering *lookup.Steering
 	if err == nil {
--- a/entry/lookup_test.go
+++ b/entry/lookup_test.go
@@ -211,7 +211,10 @@
 // Guards the statuses and bodies that callers see.
 func TestLookupOverHTTP(t *testing.T) {
 	in := testInstance(t)
-	h := in.callerServer()
+	listener, err := listenCallers(freeAddress(t))
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	h := in.callerServer(listener)
 	get := func(query string) (int, []byte) {
 		r := ut.PerformRequest(h.Engine, "GET", pathLookup+query, nil).Result()
 		return r.StatusCode(), r.Body()
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -52,7 +52,9 @@
 		}
 	}
 	in.document.Store(d)
-	server := in.callerServer()
+	listener, err := listenCallers(s.CallerAddress)
+	require.NoError(t, err)
+	server := in.callerServer(listener)
 	go func() { _ = server.Run() }()
 	require.Eventually(t, func() bool {
 		c, err := net.Dial("tcp", s.CallerAddress)
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -21,14 +21,18 @@
 	// closeGrace is left for the last bytes of answers and for idle
 	// connections, once no request is in flight.
 	closeGrace = 250 * time.Millisecond
+	// lastConnections is left for handshakes under way and for the first
+	// requests on the last connections, before new ones are refused.
+	lastConnections = 250 * time.Millisecond
 	// maxNearest bounds the instances that are told of a planned stop directly.
 	maxNearest = 16
 )
 
 // stop ends the instance without cutting a request: it announces that it is
-// leaving, serves until cached look-up answers have expired and no request is
-// in flight, hands its records over and closes its listeners.
-func (in *Instance) stop(callers, operators *server.Hertz) error {
+// leaving, serves until cached look-up answers have expired, takes no more
+// connections, serves those that are open until no request is in flight, hands
+// its records over and closes its listeners.
+func (in *Instance) stop(listener *callerListener, callers, operators *server.Hertz) error {
 	in.fire("stop")
 	if in.stopAtOnce {
 		return nil
@@ -38,6 +42,7 @@
 	in.announce(ctx)
 	pause(ctx, in.lookupTTL())
 	in.fire("lookups-expired")
+	in.refuseConnections(ctx, listener)
 	in.drain(ctx)
 	in.handOver(ctx)
 	closing, end := context.WithTimeout(context.Background(), closeGrace)
@@ -133,6 +138,16 @@
 	return longest + in.lookupTTL() + stopMargin
 }
 
+// refuseConnections ends the arrival of connections, so that callers that use
+// the instance longer than a look-up answer is valid cannot prolong the drain.
+func (in *Instance) refuseConnections(ctx context.Context, l *callerListener) {
+	if err := l.holdNew(); err != nil {
+		in.log.WithError(err).Warn("new connections are not held back before they are refused")
+	}
+	pause(ctx, lastConnections)
+	l.refuseNew()
+}
+
 func (in *Instance) drain(ctx context.Context) {
 	for in.inFlight.Load() > 0 && ctx.Err() == nil {
 		pause(ctx, drainPoll)
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,31 +12,37 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthstall/jacinthstall/lookup"
 	"github.com/jacinthstall/jacinthstall/outcome"
+	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/policy"
 )
 
 // stopCaller keeps to a look-up answer for its lifetime, as callers do.
 type stopCaller struct {
 	http   *http.Client
+	from   string // Address of the caller for look-ups.
+	always bool   // Never looks up and keeps to the instances known.
 	known  []string
 	until  time.Time
 	served map[string]int
 	faults []string
 }
 
-func newStopCaller(known ...string) *stopCaller {
-	return &stopCaller{http: &http.Client{Timeout: longWait, Transport: &http.Transport{}}, known: known, served: map[string]int{}}
+func newStopCaller(from string, known ...string) *stopCaller {
+	return &stopCaller{from: from, http: &http.Client{Timeout: longWait, Transport: &http.Transport{}}, known: known, served: map[string]int{}}
 }
 
 func (c *stopCaller) lookUp() {
 	for _, address := range c.known {
-		answer, err := c.http.Get("http://" + address + pathLookup)
+		answer, err := c.http.Get("http://" + address + pathLookup + "?" + lookup.ParameterCaller + "=" + c.from)
 		if err != nil {
 			continue
 		}
@@ -57,7 +64,7 @@
 // send counts a fault unless some instance gives the whole answer. A refused
 // connection is none: the request was not sent.
 func (c *stopCaller) send() {
-	if !time.Now().Before(c.until) {
+	if !c.always && !time.Now().Before(c.until) {
 		c.lookUp()
 	}
 	for _, address := range c.known {
@@ -83,8 +90,9 @@
 }
 
 // stopUnderLoad stops one of two instances while callers send through it, and
-// returns what callers saw.
-func stopUnderLoad(t *testing.T, atOnce bool) (served map[string]int, faults []string) {
+// returns what callers saw. Some of the callers ignore the lifetime of look-up
+// answers.
+func stopUnderLoad(t *testing.T, atOnce bool, ignoring int) (served map[string]int, faults []string) {
 	var slow atomic.Int64
 	target := scriptTarget(t, func(_ *http.Request, body []byte, c net.Conn) bool {
 		wait := 5 * time.Millisecond
@@ -95,16 +103,19 @@
 		return write(c, wholeAnswer("200 OK", "", string(body)))
 	})
 	a, b := startInstance(t, "a-1", target), startInstance(t, "b-1", target)
-	connect(t, a, b)
+	useLookups(t, b)
+	connect(t, b)
 	// The stopping instance runs as a whole, on addresses of its own.
 	whole := startStopping(t, a, atOnce)
+	introduce(whole.in, b)
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	served = map[string]int{}
 	stopped := make(chan struct{})
-	for range 8 {
+	for i := range 8 {
 		wait.Go(func() {
-			c := newStopCaller(whole.in.settings.CallerAddress, b.settings.CallerAddress)
+			c := newStopCaller(fmt.Sprintf("10.0.0.%d", i+1), whole.in.settings.CallerAddress, b.settings.CallerAddress)
+			c.always = i < ignoring
 			for more := 5; more > 0; {
 				c.send()
 				select {
@@ -162,6 +173,39 @@
 	}
 }
 
+// shortLookups puts a document with a short look-up lifetime in force.
+func shortLookups(t *testing.T, in *Instance, from *policy.Document) {
+	document := *from
+	document.Timing.LookupTTLMs = 200
+	in.document.Store(&document)
+	require.NoError(t, useDocument(in.lookups, &document))
+}
+
+// useLookups makes an instance that is not run as a whole answer look-ups.
+func useLookups(t *testing.T, in *Instance) {
+	shortLookups(t, in, in.document.Load())
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	wait.Go(func() { every(ctx, lookupRefresh, in.refreshLookups) })
+	t.Cleanup(func() {
+		cancel()
+		wait.Wait()
+	})
+}
+
+// introduce tells instances of each other, as the platform's list does.
+func introduce(instances ...*Instance) {
+	var list []platform.Instance
+	for _, in := range instances {
+		s := in.settings
+		list = append(list, platform.Instance{Name: s.Name, Domain: s.Domain, Region: s.Region,
+			PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, State: platform.InstanceLive})
+	}
+	for _, in := range instances {
+		in.members.apply(list, time.Now())
+	}
+}
+
 // startStopping runs a copy of an instance by Run, without a platform.
 func startStopping(t *testing.T, like *Instance, atOnce bool) *stopping {
 	s := like.settings
@@ -170,10 +214,7 @@
 	in, err := New(s, like.log)
 	require.NoError(t, err)
 	in.stopAtOnce = atOnce
-	document := *like.document.Load()
-	document.Timing.LookupTTLMs = 200
-	in.document.Store(&document)
-	in.members = like.members
+	shortLookups(t, in, like.document.Load())
 	ctx, cancel := context.WithCancel(context.Background())
 	running := &stopping{in: in, cancel: cancel, ended: make(chan error, 1)}
 	in.onAccept = running.accept
@@ -191,11 +232,87 @@
 // Requirement R7: guards against requests that a planned stop cuts. Without
 // the drain, the same load sees cut requests.
 func TestPlannedStopCutsNothing(t *testing.T) {
-	_, faults := stopUnderLoad(t, true)
+	_, faults := stopUnderLoad(t, true, 0)
 	require.NotEmpty(t, faults, "the test must see cut requests without the drain")
-	served, faults := stopUnderLoad(t, false)
+	served, faults := stopUnderLoad(t, false, 0)
 	assert.Empty(t, faults)
 	assert.NotZero(t, served["s-1"])
 	assert.NotZero(t, served["b-1"])
 	t.Log(served)
 }
+
+// Guards against requests that are cut when new connections are refused: the
+// callers keep connecting to the instance.
+func TestRefusedConnectionsCutNoRequest(t *testing.T) {
+	served, faults := stopUnderLoad(t, false, 4)
+	assert.Empty(t, faults)
+	assert.NotZero(t, served["s-1"])
+	assert.NotZero(t, served["b-1"])
+}
+
+// Guards against callers that ignore the lifetime of look-up answers: their new
+// connections would keep the drain from ending until its limit.
+func TestDrainTakesNoNewConnections(t *testing.T) {
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	target := scriptTarget(t, func(r *http.Request, body []byte, c net.Conn) bool {
+		if string(body) == "long" {
+			arrived <- struct{}{}
+			<-release
+		}
+		return write(c, wholeAnswer("200 OK", "", string(body)))
+	})
+	running := startStopping(t, startInstance(t, "a-1", target), false)
+	address := running.in.settings.CallerAddress
+	long := make(chan string, 1)
+	go func() { long <- postOn(dialCaller(t, address), "long").body }()
+	<-arrived
+	early := dialCaller(t, address)
+	running.cancel()
+	refused := func() bool {
+		c, err := net.DialTimeout("tcp", address, longWait)
+		if err == nil {
+			_ = c.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	ended := assert.Eventually(t, refused, longWait, drainPoll)
+	if ended {
+		assert.Equal(t, "draining", running.in.life.State())
+		answer := postOn(early, "short")
+		assert.Equal(t, "short", answer.body)
+		assert.Equal(t, "close", answer.header.Get("Connection"))
+	}
+	close(release)
+	assert.Equal(t, "long", <-long)
+	require.NoError(t, <-running.ended)
+	assert.Equal(t, "stopped", running.in.life.State())
+}
+
+func dialCaller(t *testing.T, address string) net.Conn {
+	c, err := net.Dial("tcp", address)
+	if !assert.NoError(t, err) {
+		return nil
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// postOn sends a request on a connection. The answer is empty when there is
+// none.
+func postOn(c net.Conn, body string) callerAnswer {
+	text := fmt.Sprintf("POST /writes/x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	if c == nil || !write(c, text) {
+		return callerAnswer{}
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return callerAnswer{}
+	}
+	defer func() { _ = r.Body.Close() }()
+	content, _ := io.ReadAll(r.Body)
+	header := r.Header.Clone()
+	if r.Close {
+		header.Set("Connection", "close")
+	}
+	return callerAnswer{status: r.StatusCode, header: header, body: string(content)}
+}
