--- a/caller/caller.go
+++ b/caller/caller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,7 @@
 	Body       []byte
 	Idempotent bool
 	Timeout    time.Duration // Time limit of all attempts together.
+	Header     map[string]string
 }
 
 // Response is the answer to a request, or the reason why there is none.
@@ -53,6 +55,7 @@
 	Instance string // Entry instance that answered; empty when none did.
 	Body     []byte
 	Attempts int
+	Broken   int    // Attempts whose connection broke; refused ones are not counted.
 	Key      string // Idempotency key; empty for idempotent requests.
 }
 
@@ -166,11 +169,19 @@
 	req.SetRequestURI("http://" + to.Address + r.Path)
 	req.SetBody(r.Body)
 	req.Header.Set(outcome.HeaderDeadline, strconv.FormatInt(remaining.Milliseconds(), 10))
+	for name, value := range r.Header {
+		req.Header.Set(name, value)
+	}
 	if out.Key != "" {
 		req.Header.Set(outcome.HeaderKey, out.Key)
 	}
 	if err := c.http.DoTimeout(ctx, req, resp, remaining); err != nil {
 		out.Outcome = outcome.Outcome{Reason: outcome.ReasonNoAnswer, Executed: outcome.Unknown}
+		if neverConnected(err) {
+			out.Executed = outcome.No
+		} else {
+			out.Broken++
+		}
 		return false
 	}
 	header := func(name string) string { return string(resp.Header.Peek(name)) }
@@ -185,6 +196,13 @@
 	return out.Executed == outcome.Yes || !retryable(out.Reason)
 }
 
+// neverConnected reports whether an attempt ended before there was a
+// connection, so that the request was not sent.
+func neverConnected(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
 // retryable reports whether another instance may give a better answer.
 func retryable(reason outcome.Reason) bool {
 	switch reason {
