Judge planned stops by unknown answers too, and resend only answered requests

The check on planned stops saw only broken connections. Change: requests told no are not resent; an unknown answer in scenario stop is a violation; other answers are counted by reason.

--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -69,7 +69,9 @@
 			l.record(c.Do(context.Background(), caller.Request{Method: "GET", Path: "/catalogue/" + body, Idempotent: true, Timeout: requestTimeout}))
 		} else {
 			a := l.record(c.Do(context.Background(), caller.Request{Method: "POST", Path: "/enrolment/x", Body: []byte(body), Timeout: requestTimeout}))
-			if a.Key != "" && (a.Executed == outcome.Unknown || n%resendEvery == 1) {
+			// A request that was not executed may be executed by a resend, so that
+			// its answer would seem wrong.
+			if a.Key != "" && (a.Executed == outcome.Unknown || a.Executed == outcome.Yes && n%resendEvery == 1) {
 				l.resend(a.Key, body, random)
 			}
 		}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"text/tabwriter"
 	"time"
 )
@@ -82,7 +84,8 @@
 	return l.answers, err
 }
 
-// Print writes a table of results, and then each violation, to w.
+// Print writes a table of results, the counts of other answers and each
+// violation to w.
 func Print(w io.Writer, results []Result) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "scenario\trequests\tyes\tno\tunknown\tbroken\tresent\tkeys\tcrashes\tviolations")
@@ -92,6 +95,9 @@
 	}
 	_ = t.Flush()
 	for _, r := range results {
+		for _, kind := range slices.Sorted(maps.Keys(r.Others)) {
+			fmt.Fprintf(w, "%s: %d answers %s\n", r.Scenario, r.Others[kind], kind)
+		}
 		for _, v := range r.Violations {
 			fmt.Fprintf(w, "%s: %s\n", r.Scenario, v)
 		}
--- a/internal/experiment/verify.go
+++ b/internal/experiment/verify.go
@@ -39,6 +39,9 @@
 	Keys       int // Keys that targets executed.
 	Crashes    int // Crashes of targets.
 	Violations []string
+	// Others counts the answers that are not "yes" by executed, reason and
+	// whether the request was resent.
+	Others map[string]int
 }
 
 // checks selects the rules that hold in a scenario beside those on keys.
@@ -49,7 +52,7 @@
 
 // verify compares what callers were told with what targets executed.
 func verify(scenario string, answers []Answer, targets []TargetReport, c checks) Result {
-	r := Result{Scenario: scenario, Requests: len(answers)}
+	r := Result{Scenario: scenario, Requests: len(answers), Others: map[string]int{}}
 	executed, crashed := map[string]int{}, map[string]int{}
 	for _, t := range targets {
 		r.Crashes += t.Crashes
@@ -69,7 +72,7 @@
 		if a.Key != "" && a.Executed == outcome.No && executed[a.Key] > 0 {
 			r.violate("key %s was executed, its caller was told no (%s, resent %t)", a.Key, a.Reason, a.Resent)
 		}
-		if c.nothingCut && a.Broken > 0 {
+		if c.nothingCut && a.cut() {
 			r.violate("a planned stop cut a request: key %q, finally %s", a.Key, a.Reason)
 		}
 	}
@@ -85,6 +88,12 @@
 	r.Violations = append(r.Violations, fmt.Sprintf(format, args...))
 }
 
+// cut reports whether a request was sent and has no answer of a target. A
+// resend with the key of an answered request is judged by its key.
+func (a Answer) cut() bool {
+	return a.Broken > 0 || a.Executed == outcome.Unknown && !a.Resent
+}
+
 func (r *Result) count(a Answer) {
 	switch a.Executed {
 	case outcome.Yes:
@@ -94,6 +103,9 @@
 	default:
 		r.Unknown++
 	}
+	if a.Executed != outcome.Yes {
+		r.Others[fmt.Sprintf("%s %s resent=%t", a.Executed, a.Reason, a.Resent)]++
+	}
 	r.Broken += a.Broken
 	if a.Resent {
 		r.Resent++
--- a/internal/experiment/verify_test.go
+++ b/internal/experiment/verify_test.go
@@ -28,6 +28,7 @@
 		"told no":             {[]Answer{{Key: "k", Executed: outcome.No}}, []TargetReport{ran("a", "x", 0, map[string]int{"k": 1})}, checks{}, 1},
 		"unknown is no fault": {[]Answer{{Key: "k", Executed: outcome.Unknown}}, []TargetReport{ran("a", "x", 0, map[string]int{"k": 1})}, checks{}, 0},
 		"cut":                 {[]Answer{{Executed: outcome.Yes, Broken: 1}}, nil, checks{nothingCut: true}, 1},
+		"no answer":           {[]Answer{{Executed: outcome.Unknown}}, nil, checks{nothingCut: true}, 1},
 		"cut by a kill":       {[]Answer{{Executed: outcome.Yes, Broken: 1}}, nil, checks{}, 0},
 		"poison":              {nil, []TargetReport{ran("a", "x", 2, nil), ran("b", "x", 1, nil)}, checks{poisonCrashes: true}, 1},
 	} {
