--- a/internal/benchmarks/benchmarks.go
+++ b/internal/benchmarks/benchmarks.go
@@ -5,6 +5,7 @@
 
 import (
 	"github.com/jacinthstall/jacinthstall/internal/figures"
+	"github.com/jacinthstall/jacinthstall/internal/overhead"
 	"github.com/jacinthstall/jacinthstall/internal/policybench"
 )
 
@@ -18,5 +19,6 @@
 func Groups() []Group {
 	return []Group{
 		{Name: "policy", Figures: policybench.Figures},
+		{Name: "overhead", Figures: overhead.Figures},
 	}
 }
--- a/internal/experiment/platform.go
+++ b/internal/experiment/platform.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"path/filepath"
 	"strconv"
+	"time"
 
 	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
@@ -18,6 +19,8 @@
 	platform  *Process
 	instances []*Process // In the order of plan.instances.
 	targets   []*Process
+
+	longestStop time.Duration // Longest planned stop, look-up lifetime included.
 }
 
 // startAll starts a deployment. The caller closes it also after an error.
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -60,7 +60,9 @@
 	if err != nil {
 		return Result{}, err
 	}
-	return verify(s.Name, answers, reports, s.checks), nil
+	result := verify(s.Name, answers, reports, s.checks)
+	result.LongestStop = r.longestStop
+	return result, nil
 }
 
 // underLoad injects the faults of a scenario while callers send.
@@ -95,6 +97,9 @@
 	}
 	_ = t.Flush()
 	for _, r := range results {
+		if r.LongestStop > 0 {
+			fmt.Fprintf(w, "%s: longest planned stop %s\n", r.Scenario, r.LongestStop.Round(time.Millisecond))
+		}
 		for _, kind := range slices.Sorted(maps.Keys(r.Others)) {
 			fmt.Fprintf(w, "%s: %d answers %s\n", r.Scenario, r.Others[kind], kind)
 		}
--- a/internal/experiment/scenarios.go
+++ b/internal/experiment/scenarios.go
@@ -99,7 +99,9 @@
 
 func stopInstances(ctx context.Context, r *running, _ *rand.Rand) error {
 	for i, p := range r.instances {
+		start := time.Now()
 		ended, err := p.Terminate(stopTimeout)
+		r.longestStop = max(r.longestStop, time.Since(start))
 		if err != nil {
 			return err
 		}
@@ -116,8 +118,8 @@
 	return nil
 }
 
-// platformFault injects a fault into the platform and restarts an instance
-// meanwhile by a kill when the platform still answers.
+// platformFault injects a fault into the platform, kills an instance meanwhile,
+// and restarts it after the fault.
 func platformFault(f platformd.Faults) func(context.Context, *running, *rand.Rand) error {
 	return func(ctx context.Context, r *running, random *rand.Rand) error {
 		if err := r.platformFaults(f); err != nil {
--- a/internal/experiment/verify.go
+++ b/internal/experiment/verify.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/jacinthstall/jacinthstall/outcome"
 	"github.com/jacinthstall/jacinthstall/standin/targetd"
@@ -39,6 +40,8 @@
 	Keys       int // Keys that targets executed.
 	Crashes    int // Crashes of targets.
 	Violations []string
+	// LongestStop is the longest planned stop, look-up lifetime included.
+	LongestStop time.Duration
 	// Others counts the answers that are not "yes" by executed, reason and
 	// whether the request was resent.
 	Others map[string]int
