--- a/entry/entry.go
+++ b/entry/entry.go
@@ -130,7 +130,12 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	in.SetPeerHooks(PeerHooks{OnFrozen: in.frozen})
-	callers, operators := in.callerServer(), in.operatorServer()
+	callerListener, err := listenCallers(in.settings.CallerAddress)
+	if err != nil {
+		_ = listener.Close()
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	callers, operators := in.callerServer(callerListener), in.operatorServer()
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Run() }()
 	go func() { failed <- operators.Run() }()
@@ -150,5 +155,5 @@
 		in.fire("failed")
 		return fmt.Errorf("listener ended: %w", err)
 	}
-	return in.stop(callers, operators)
+	return in.stop(callerListener, callers, operators)
 }
