membership: keep pending updates in a list instead of sorting them

UpdatesFor sorted all pending updates for each message. They are now a linked list, freshest first, so a message costs at most MaxUpdates+1 steps.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -393,6 +395,43 @@
 	assert.Empty(t, tracker.UpdatesFor("other"))
 }
 
+// Guards against updates that are lost, sent in another order than freshest
+// first or sent another number of times: the tracker must agree with a model
+// that sorts all updates for each message.
+func TestUpdatesAreSentFreshestFirst(t *testing.T) {
+	type queued struct{ sends, fresh int }
+	random := rand.New(rand.NewPCG(7, 1))
+	tracker := NewTracker(Update{Name: "self", Incarnation: 1})
+	now, model, known := time.Unix(1, 0), map[string]*queued{}, map[string]uint64{}
+	for step := range 20_000 {
+		name := fmt.Sprint("m", random.IntN(300))
+		if random.IntN(12) == 0 {
+			known[name]++
+			tracker.Heartbeat(now, Update{Name: name, Incarnation: 1, Counter: known[name]}, nil)
+			model[name] = &queued{sends: sendsPerLevel * bits.Len(uint(len(known)+1)), fresh: step}
+		}
+		var want []string
+		for other := range model {
+			if other != name {
+				want = append(want, other)
+			}
+		}
+		slices.SortFunc(want, func(a, b string) int { return model[b].fresh - model[a].fresh })
+		want = want[:min(len(want), MaxUpdates)]
+		var got []string
+		for _, u := range tracker.UpdatesFor(name) {
+			got = append(got, u.Name)
+			assert.Equal(t, known[u.Name], u.Counter)
+		}
+		require.Equal(t, want, got, "step %d", step)
+		for _, other := range want {
+			if model[other].sends--; model[other].sends == 0 {
+				delete(model, other)
+			}
+		}
+	}
+}
+
 // Guards against memory that peers can fill.
 func TestMembersAreBounded(t *testing.T) {
 	tracker := NewTracker(Update{Name: "self", Incarnation: 1})
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -1,9 +1,7 @@
 package membership
 
 import (
-	"cmp"
 	"math/bits"
-	"slices"
 	"time"
 )
 
@@ -18,14 +16,22 @@
 	if r == t.self || r.Incarnation == 0 && r.State == Alive {
 		return
 	}
-	t.order++
-	r.fresh = t.order
-	if r.sends == 0 {
-		t.pending = append(t.pending, r)
+	if r.queued == nil {
+		r.queued = t.pending.PushFront(r)
+	} else {
+		t.pending.MoveToFront(r.queued)
 	}
 	r.sends = sendsPerLevel * bits.Len(uint(len(t.members)))
 }
 
+// dequeue removes the update of a member from those to spread.
+func (t *Tracker) dequeue(r *record) {
+	if r.queued != nil {
+		t.pending.Remove(r.queued)
+		r.queued, r.sends = nil, 0
+	}
+}
+
 // UpdatesFor returns the updates to send with a heartbeat or answer to a
 // member, at most MaxUpdates, freshest first. What it should know of itself
 // comes first.
@@ -35,20 +41,24 @@
 	if known && receiver.State != Alive {
 		list = append(list, receiver.Update)
 	}
-	slices.SortFunc(t.pending, func(a, b *record) int { return cmp.Compare(b.fresh, a.fresh) })
-	for _, r := range t.pending {
-		if len(list) == MaxUpdates {
-			break
-		}
+	for e := t.pending.Front(); e != nil && len(list) < MaxUpdates; {
+		r := e.Value.(*record)
+		e = e.Next()
 		if r != receiver {
-			r.sends--
 			list = append(list, r.Update)
+			t.noteSent(r)
 		}
 	}
-	t.pending = slices.DeleteFunc(t.pending, func(r *record) bool { return r.sends <= 0 })
 	return list
 }
 
+// noteSent counts one sending of an update and ends its spreading after the last.
+func (t *Tracker) noteSent(r *record) {
+	if r.sends--; r.sends <= 0 {
+		t.dequeue(r)
+	}
+}
+
 // Heartbeat takes a heartbeat of a member with its updates.
 func (t *Tracker) Heartbeat(now time.Time, from Update, updates []Update) {
 	t.merge(now, from)
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"container/list"
 	"slices"
 	"strings"
 	"time"
@@ -52,11 +53,11 @@
 	slowSince time.Time // Start of the silence of a slow member.
 	changed   time.Time // Latest change of its state.
 	suspected bool
-	listed    bool   // Whether the latest list names it.
-	verdict   State  // State in the latest list that named it.
-	bound     uint64 // First incarnation known since the list called it alive.
-	sends     int    // Times that the update is still to be sent.
-	fresh     uint64 // Order of the latest change, for freshest first.
+	listed    bool          // Whether the latest list names it.
+	verdict   State         // State in the latest list that named it.
+	bound     uint64        // First incarnation known since the list called it alive.
+	sends     int           // Times that the update is still to be sent.
+	queued    *list.Element // Place in the updates to spread; nil when none.
 }
 
 // Tracker keeps the members' states of one instance.
@@ -65,8 +66,7 @@
 	members  map[string]*record // Includes the own instance.
 	all      []*record          // The members in the order in which they became known.
 	revision uint64
-	order    uint64 // Rises with each queued update.
-	pending  []*record
+	pending  list.List // Of *record; updates to spread, freshest first.
 	peers    []*record
 	peersAt  uint64 // Revision for which peers were chosen.
 	probes   int    // Suspected members probed so far.
@@ -197,13 +197,13 @@
 			t.revision++
 		case t.forgettable(r, now):
 			delete(t.members, r.Name)
+			t.dequeue(r)
 			t.revision++
 			forgotten = true
 		}
 	}
 	if forgotten {
 		t.all = slices.DeleteFunc(t.all, func(r *record) bool { return t.members[r.Name] != r })
-		t.pending = slices.DeleteFunc(t.pending, func(r *record) bool { return t.members[r.Name] != r })
 	}
 }
 
