allotment: keep the oldest version in use instead of computing it for each share

The members of all tables were scanned for each Share, Range and Confirm. The oldest version is now computed when a table, a confirmation or a gone member changes it.

--- a/allotment/holder.go
+++ b/allotment/holder.go
@@ -1,10 +1,13 @@
 package allotment
 
+import "maps"
+
 // Holder is what one member knows of the tables and of the other members.
 type Holder struct {
 	name      string
 	tables    map[uint64]Table
 	newest    uint64
+	first     uint64 // Oldest version that some member may still have; see oldest.
 	confirmed map[string]uint64
 	gone      map[string]bool
 	suspended bool
@@ -14,7 +17,7 @@
 // NewHolder returns a holder that knows no table. The name must be unique to
 // one incarnation of an instance.
 func NewHolder(name string) *Holder {
-	return &Holder{name: name, tables: map[uint64]Table{}, confirmed: map[string]uint64{}, gone: map[string]bool{}}
+	return &Holder{name: name, first: 1, tables: map[uint64]Table{}, confirmed: map[string]uint64{}, gone: map[string]bool{}}
 }
 
 // Learn adds a table. Tables may arrive in any order and repeatedly. It
@@ -23,7 +26,7 @@
 	if err := t.Validate(); err != nil {
 		return err
 	}
-	if t.Version < h.oldest() {
+	if t.Version < h.first {
 		return nil
 	}
 	h.tables[t.Version] = t
@@ -38,12 +41,18 @@
 
 // Confirm notes that another member knows a version.
 func (h *Holder) Confirm(member string, version uint64) {
-	h.confirmed[member] = max(h.confirmed[member], version)
+	if version <= h.confirmed[member] {
+		return
+	}
+	h.confirmed[member] = version
 	h.forget()
 }
 
 // Gone notes that the platform's list calls a member gone.
 func (h *Holder) Gone(member string) {
+	if h.gone[member] {
+		return
+	}
 	h.gone[member] = true
 	h.forget()
 }
@@ -64,7 +73,7 @@
 		return 0
 	}
 	least := h.tables[h.newest].Shares[h.name]
-	for version := h.oldest(); version < h.newest; version++ {
+	for version := h.first; version < h.newest; version++ {
 		least = min(least, h.tables[version].Shares[h.name])
 	}
 	return least
@@ -72,7 +81,7 @@
 
 // Range returns the oldest version that some member may still have as its
 // newest, and the newest version that the holder knows.
-func (h *Holder) Range() (oldest, newest uint64) { return h.oldest(), h.newest }
+func (h *Holder) Range() (oldest, newest uint64) { return h.first, h.newest }
 
 func (h *Holder) oldest() uint64 {
 	oldest := h.newest
@@ -92,12 +101,13 @@
 	return max(oldest, 1)
 }
 
-// forget drops the tables that are below the range.
+// forget drops the tables that are below the range. The members of dropped
+// tables count no more, so that the range may then begin later.
 func (h *Holder) forget() {
-	oldest := h.oldest()
-	for version := range h.tables {
-		if version < oldest {
-			delete(h.tables, version)
-		}
+	for dropped := true; dropped; {
+		h.first = h.oldest()
+		before := len(h.tables)
+		maps.DeleteFunc(h.tables, func(version uint64, _ Table) bool { return version < h.first })
+		dropped = len(h.tables) < before
 	}
 }
