--- a/lookup/decide.go
+++ b/lookup/decide.go
@@ -46,9 +46,14 @@
 		site = &s.sites[index]
 	}
 	hash := callerHash(caller)
-	*answer = Answer{Site: site.name, Regions: site.regions, DomainLive: f.liveIn(site.domain), Version: s.Version}
+	home := f.domains[site.domain]
+	*answer = Answer{Site: site.name, Regions: site.regions, DomainLive: home.len(), Version: s.Version}
 	if site.local {
-		answer.add(f.domains[site.domain], "", hash)
+		answer.add(home, "", hash)
+	}
+	if answer.Count == MaxInstances {
+		answer.finishVersion()
+		return nil
 	}
 	for _, wanted := range [...]bool{true, false} {
 		for _, region := range site.regions {
--- a/lookup/fleet.go
+++ b/lookup/fleet.go
@@ -100,12 +100,12 @@
 // Live returns the number of live instances.
 func (f *Fleet) Live() int { return f.live }
 
-// liveIn returns the number of live instances of a domain.
-func (f *Fleet) liveIn(domain string) int {
-	if list, ok := f.domains[domain]; ok {
-		return len(list.instances)
+// len returns the number of instances, 0 for a domain or region without any.
+func (c *candidates) len() int {
+	if c == nil {
+		return 0
 	}
-	return 0
+	return len(c.instances)
 }
 
 // mix returns the weight of an instance for a caller (the finaliser of
