--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -24,7 +24,7 @@
 
 // Roles are the measured roles in the order of printing.
 var Roles = []Measure{LookupServer, Heartbeats, MembershipTable, LoadReports, RequestMessages, Scheduler,
-	Configuration, MemberTable, OnceRecords, Quarantine, Draft}
+	Configuration, MemberTable, OnceRecords, Quarantine, Draft, PlatformList}
 
 // Run measures all roles and prints their rows.
 func Run(w io.Writer) error {
--- /dev/null
+++ b/internal/capacity/platform.go
@@ -0,0 +1,42 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/jacinthstall/jacinthstall/membership"
+	"github.com/jacinthstall/jacinthstall/platform"
+)
+
+// listReaders are the instances of a domain that read the platform's list often.
+const listReaders = 2
+
+// listBytes returns the size of the platform's list of a fleet.
+func listBytes(members int) (int, error) {
+	list := make([]platform.Instance, members)
+	for i := range list {
+		u := update(i)
+		list[i] = platform.Instance{Name: u.Name, Region: u.Region, Domain: u.Domain, PeerAddress: u.PeerAddress, CallerAddress: u.CallerAddress}
+	}
+	data, err := json.Marshal(list)
+	return len(data), err
+}
+
+// PlatformList measures the reads of the platform's list by the whole fleet.
+// Its bytes are those that one instance receives a second when it is not among
+// the readers of its domain.
+func PlatformList() ([]Row, error) {
+	var rows []Row
+	for _, size := range memberSizes {
+		bytes, err := listBytes(size)
+		if err != nil {
+			return nil, err
+		}
+		often := float64(domains * listReaders)
+		reads := often/membership.ListInterval.Seconds() + (float64(size)-often)/membership.SlowListInterval.Seconds()
+		rows = append(rows, Row{Role: "platform list", Size: size, SizeUnit: "members", Messages: reads,
+			Bytes: float64(bytes) / membership.SlowListInterval.Seconds(),
+			Note:  fmt.Sprintf("reads/s of the fleet; list of %d B; bytes received by one instance", bytes)})
+	}
+	return rows, nil
+}
--- a/internal/capacity/traffic.go
+++ b/internal/capacity/traffic.go
@@ -140,9 +140,9 @@
 // Scheduler measures the state of queued requests and the time of one request:
 // arrival, start and release.
 func Scheduler() ([]Row, error) {
-	const targets, calls = 4, 5_000
+	const targets, calls = 4, 2_000
 	var rows []Row
-	for _, size := range []int{1_000, 10_000, 60_000} {
+	for _, size := range []int{500, 1_000, 4_000} {
 		now := time.Unix(1_700_000_000, 0)
 		s, bytes := stateBytes(func() *schedulerLoad { return newSchedulerLoad(size, targets, now) })
 		cpu := perCall(calls, func(int) { s.next() })
