Sign one digest of a document everywhere, with one key file format

configsync signed the text of version and manifest, while the console and jacinthctl signed a hash of the document's bytes, so that no signature made for the console could have been published. configsync.Digest is now the digest that all of them sign, and heads are verified against it. Publisher takes a signing function, checks its result before the first write, and reads unverified when it has no keys.

The test of jacinthctl sign used bytes that are no document; it now signs a document and also checks that the signature does not hold for another version.

--- a/cmd/jacinth-platform/main.go
+++ b/cmd/jacinth-platform/main.go
@@ -15,6 +15,7 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/jacinthstall/jacinthstall/configsync"
+	"github.com/jacinthstall/jacinthstall/internal/ctl"
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
 )
@@ -78,12 +79,12 @@
 	if err != nil {
 		return err
 	}
-	key, err := configsync.LoadPrivateKey(keyFile)
+	key, err := ctl.LoadKey(keyFile)
 	if err != nil {
 		return err
 	}
 	keys := []ed25519.PublicKey{configsync.PublicKey(key)}
-	p := configsync.Publisher{KV: platformd.Local{Store: store}, Key: key, Keys: keys}
+	p := configsync.Publisher{KV: platformd.Local{Store: store}, Sign: configsync.SignWith(key), Keys: keys}
 	_, err = p.Publish(context.Background(), src, 0)
 	return err
 }
--- a/configsync/configtest/figures.go
+++ b/configsync/configtest/figures.go
@@ -87,7 +87,7 @@
 func measure(ctx context.Context) (measured, error) {
 	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
 	store := platformd.NewStore(nil)
-	p := &configsync.Publisher{KV: platformd.Local{Store: store}, Key: key, Keys: []ed25519.PublicKey{configsync.PublicKey(key)}}
+	p := &configsync.Publisher{KV: platformd.Local{Store: store}, Sign: configsync.SignWith(key), Keys: []ed25519.PublicKey{configsync.PublicKey(key)}}
 	document := document()
 	if _, err := publish(ctx, p, document, 0); err != nil {
 		return measured{}, err
--- a/configsync/content_test.go
+++ b/configsync/content_test.go
@@ -124,7 +124,7 @@
 	key, _ := testKey(1)
 	c := mustSplit(t, d)
 	head := &Head{Version: version, Manifest: hashOf(c.manifest())}
-	head.sign(key)
+	require.NoError(t, head.sign(SignWith(key)))
 	return &Snapshot{head: head, content: c}
 }
 
--- a/configsync/errors.go
+++ b/configsync/errors.go
@@ -1,6 +1,9 @@
 package configsync
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // FormatError reports a record that cannot be decoded.
 type FormatError struct {
@@ -21,6 +24,26 @@
 	return fmt.Sprintf("configsync: version %d: no operator key signed the head record", e.Version)
 }
 
+var (
+	errNoSigner      = errors.New("the publisher has no signing function")
+	errSignatureSize = errors.New("the signature does not have the size of an Ed25519 signature")
+)
+
+// SigningError reports that a head record could not be signed. Nothing was
+// published.
+type SigningError struct {
+	Version uint64
+	Cause   error
+}
+
+// Error returns the version and the cause.
+func (e *SigningError) Error() string {
+	return fmt.Sprintf("configsync: version %d is not signed: %v", e.Version, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *SigningError) Unwrap() error { return e.Cause }
+
 // HashError reports content whose hash is not the expected one.
 type HashError struct {
 	Want, Got Hash
--- a/configsync/fleet_test.go
+++ b/configsync/fleet_test.go
@@ -85,7 +85,7 @@
 		f := &fleet{t: t, options: o, platform: platformd.NewStore(nil), stop: cancel,
 			instances: map[string]*instance{}, dead: map[string]bool{}, cut: map[string]bool{}, noReads: map[string]bool{}}
 		f.platform.SetLimits(platformd.DefaultLimits)
-		f.publisher = &Publisher{KV: platformd.Local{Store: f.platform}, Key: key, Keys: keys}
+		f.publisher = &Publisher{KV: platformd.Local{Store: f.platform}, Sign: SignWith(key), Keys: keys}
 		_, err := f.publisher.Publish(ctx, encodeDocument(t, testDocument(100)), 0)
 		require.NoError(t, err)
 		for d := range domains {
--- a/configsync/head.go
+++ b/configsync/head.go
@@ -2,7 +2,10 @@
 
 import (
 	"crypto/ed25519"
+	"crypto/sha256"
 	"encoding/binary"
+	"encoding/json"
+	"errors"
 	"fmt"
 )
 
@@ -26,17 +29,54 @@
 	return append(text, manifest[:]...)
 }
 
-// sign signs the version and the manifest hash.
-func (h *Head) sign(key ed25519.PrivateKey) {
-	copy(h.signature[:], ed25519.Sign(key, signedText(h.Version, h.Manifest)))
+var errNoVersion = errors.New("the field version is not set")
+
+// Digest returns the digest that an operator signs to publish a final
+// document: one whose field version is the version that it is published as.
+// The digest is the SHA-256 hash of the version and the manifest hash. Space
+// between values, the order of blocks and that of top-level fields do not
+// change it. The error is an *InvalidError.
+func Digest(doc []byte) ([sha256.Size]byte, error) {
+	var final struct {
+		Version uint64 `json:"version"`
+	}
+	if err := json.Unmarshal(doc, &final); err != nil {
+		return [sha256.Size]byte{}, &InvalidError{Cause: err}
+	}
+	if final.Version == 0 {
+		return [sha256.Size]byte{}, &InvalidError{Cause: errNoVersion}
+	}
+	c, err := split(doc)
+	if err != nil {
+		return [sha256.Size]byte{}, &InvalidError{Cause: err}
+	}
+	head := &Head{Version: final.Version, Manifest: hashOf(c.manifest())}
+	return head.digest(), nil
+}
+
+// digest returns what the operator signs.
+func (h *Head) digest() [sha256.Size]byte { return sha256.Sum256(signedText(h.Version, h.Manifest)) }
+
+// sign sets the signature that a function makes of the digest. It returns a
+// *SigningError when there is none.
+func (h *Head) sign(sign func(digest [sha256.Size]byte) ([]byte, error)) error {
+	signature, err := sign(h.digest())
+	if err != nil {
+		return &SigningError{Version: h.Version, Cause: err}
+	}
+	if len(signature) != ed25519.SignatureSize {
+		return &SigningError{Version: h.Version, Cause: errSignatureSize}
+	}
+	copy(h.signature[:], signature)
+	return nil
 }
 
-// Verify returns a *SignatureError unless one of the keys signed the version
-// and the manifest hash.
+// Verify returns a *SignatureError unless one of the keys signed the digest of
+// the version and the manifest hash.
 func (h *Head) Verify(keys []ed25519.PublicKey) error {
-	text := signedText(h.Version, h.Manifest)
+	digest := h.digest()
 	for _, key := range keys {
-		if ed25519.Verify(key, text, h.signature[:]) {
+		if ed25519.Verify(key, digest[:], h.signature[:]) {
 			return nil
 		}
 	}
--- a/configsync/keys.go
+++ b/configsync/keys.go
@@ -2,10 +2,9 @@
 
 import (
 	"crypto/ed25519"
+	"crypto/sha256"
 	"encoding/base64"
 	"fmt"
-	"os"
-	"strings"
 )
 
 // ParseKeys reads Ed25519 public keys in base64.
@@ -21,18 +20,9 @@
 	return keys, nil
 }
 
-// LoadPrivateKey reads an operator's private key from a file that holds the
-// seed of an Ed25519 key in base64.
-func LoadPrivateKey(file string) (ed25519.PrivateKey, error) {
-	src, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fmt.Errorf("read operator key: %w", err)
-	}
-	seed, err := base64.StdEncoding.DecodeString(strings.TrimSpace(string(src)))
-	if err != nil || len(seed) != ed25519.SeedSize {
-		return nil, &FormatError{Record: "operator key", Reason: file + " does not hold a private key in base64"}
-	}
-	return ed25519.NewKeyFromSeed(seed), nil
+// SignWith returns the signing function of a private key.
+func SignWith(key ed25519.PrivateKey) func(digest [sha256.Size]byte) ([]byte, error) {
+	return func(digest [sha256.Size]byte) ([]byte, error) { return ed25519.Sign(key, digest[:]), nil }
 }
 
 // PublicKey returns the public key of a private key.
--- a/configsync/publisher.go
+++ b/configsync/publisher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"crypto/sha256"
 	"errors"
 	"time"
 
@@ -36,9 +37,16 @@
 
 // Publisher reads and publishes documents for an operator.
 type Publisher struct {
-	KV   platform.KV
-	Key  ed25519.PrivateKey
-	Keys []ed25519.PublicKey // Operators' keys; records of other keys are refused.
+	KV platform.KV
+	// Sign returns the operator's Ed25519 signature of a digest, 64 bytes: made
+	// with a key (SignWith), or made elsewhere for the result of Digest. A
+	// publisher without it only reads.
+	Sign func(digest [sha256.Size]byte) ([]byte, error)
+	// Keys are the operators' public keys. Records of other keys are refused
+	// when they are read, and are not written. Without keys nothing is
+	// verified: this is for the command line, which does not know the settings
+	// of the instances. Instances always verify.
+	Keys []ed25519.PublicKey
 	// InForce returns the snapshot in force at an instance, or nil when there
 	// is none. It may be nil. Nothing is published while the platform is
 	// behind it, and segments that it has are not read from the platform.
@@ -74,13 +82,32 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	if err := head.Verify(p.Keys); err != nil {
+	if err := p.verify(head); err != nil {
 		return nil, 0, err
 	}
 	s, err := advanceBySegments(ctx, p.inForce(), head, p.fetch)
 	return s, v.Revision, err
 }
 
+// verify checks the signature of a record when there are keys.
+func (p *Publisher) verify(head *Head) error {
+	if len(p.Keys) == 0 {
+		return nil
+	}
+	return head.Verify(p.Keys)
+}
+
+// sign signs a new record.
+func (p *Publisher) sign(head *Head) error {
+	if p.Sign == nil {
+		return &SigningError{Version: head.Version, Cause: errNoSigner}
+	}
+	if err := head.sign(p.Sign); err != nil {
+		return err
+	}
+	return p.verify(head)
+}
+
 func (p *Publisher) inForce() *Snapshot {
 	if p.InForce == nil {
 		return nil
@@ -119,8 +146,9 @@
 // Publish validates a document that was edited from version base, publishes it
 // and returns its version. Errors: *InvalidError, *ConflictError when another
 // operator published first, *StaleError when the platform is behind what is in
-// force, *UncertainError when the outcome is not known, or a platform error
-// when nothing was published.
+// force, *SigningError or *SignatureError when the signature is missing or not
+// that of an operator, *UncertainError when the outcome is not known, or a
+// platform error when nothing was published.
 func (p *Publisher) Publish(ctx context.Context, doc []byte, base uint64) (uint64, error) {
 	if _, err := policy.Parse("document", doc); err != nil {
 		return 0, &InvalidError{Cause: err}
@@ -187,7 +215,9 @@
 			large = nil // Instances fetch the changed segments instead.
 		}
 	}
-	head.sign(p.Key)
+	if err := p.sign(head); err != nil {
+		return nil, nil, err
+	}
 	return head, large, nil
 }
 
--- a/configsync/publisher_test.go
+++ b/configsync/publisher_test.go
@@ -23,7 +23,7 @@
 	t.Helper()
 	store := platformd.NewStore(nil)
 	key, keys := testKey(1)
-	p := &Publisher{KV: platformd.Local{Store: store}, Key: key, Keys: keys}
+	p := &Publisher{KV: platformd.Local{Store: store}, Sign: SignWith(key), Keys: keys}
 	version, err := p.Publish(t.Context(), encodeDocument(t, testDocument(200)), 0)
 	require.NoError(t, err)
 	require.Equal(t, uint64(1), version)
@@ -362,3 +362,68 @@
 		assert.Greater(t, len(patch.Data), platform.MaxValueBytes/2, "inline, two such moves exceed the size of a value")
 	})
 }
+
+// An operator signs the digest of the final document on another machine. If
+// Digest differed from what the head record is verified against, no signature
+// made elsewhere would be accepted.
+func TestPublishWithSignatureMadeElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, store := testPublisher(t)
+		key, _ := testKey(1)
+		next := testDocument(201)
+		next.Version = 2
+		doc := encodeDocument(t, next)
+		digest, err := Digest(doc)
+		require.NoError(t, err)
+		signature, err := SignWith(key)(digest)
+		require.NoError(t, err)
+		p.Sign = func([32]byte) ([]byte, error) { return signature, nil }
+		version, err := p.Publish(t.Context(), doc, 1)
+		require.NoError(t, err)
+		assert.Equal(t, uint64(2), version)
+
+		writes := store.Calls().Writes
+		next.Version = 3
+		_, err = p.Publish(t.Context(), encodeDocument(t, next), 2)
+		var refused *SignatureError
+		require.ErrorAs(t, err, &refused, "the signature of version 2 must not serve for version 3")
+		p.Sign = func([32]byte) ([]byte, error) { return signature[:10], nil }
+		_, err = p.Publish(t.Context(), encodeDocument(t, next), 2)
+		var unsigned *SigningError
+		require.ErrorAs(t, err, &unsigned)
+		p.Sign = nil
+		_, err = p.Publish(t.Context(), encodeDocument(t, next), 2)
+		require.ErrorAs(t, err, &unsigned)
+		assert.Equal(t, writes, store.Calls().Writes, "nothing is written before the signature is accepted")
+	})
+}
+
+// The command line does not know the operators' keys and must still show the
+// published document, while a publisher with other keys must refuse it.
+func TestReadWithoutKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := testPublisher(t)
+		_, version, err := (&Publisher{KV: p.KV}).Current(t.Context())
+		require.NoError(t, err)
+		assert.Equal(t, uint64(1), version)
+		_, others := testKey(2)
+		_, _, err = (&Publisher{KV: p.KV, Keys: others}).Current(t.Context())
+		var refused *SignatureError
+		require.ErrorAs(t, err, &refused)
+	})
+}
+
+// A document without a version has no digest to sign: the signature would hold
+// for no publication.
+func TestDigestNeedsVersion(t *testing.T) {
+	for _, doc := range []string{`{}`, `{"version":0}`, `[]`, ``, `{"version":1,"blocks":[{"prefix":"","site":""}]}`} {
+		_, err := Digest([]byte(doc))
+		var invalid *InvalidError
+		require.ErrorAs(t, err, &invalid, doc)
+	}
+	a, err := Digest([]byte(`{"version":1,"links":[]}`))
+	require.NoError(t, err)
+	b, err := Digest([]byte(`{ "links": [ ], "version": 1 }`))
+	require.NoError(t, err)
+	assert.Equal(t, a, b)
+}
--- a/console/drafts.go
+++ b/console/drafts.go
@@ -1,9 +1,12 @@
 package console
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"sync"
 	"time"
 
+	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/internal/ctl"
 	"github.com/jacinthstall/jacinthstall/policy"
 )
@@ -27,19 +30,31 @@
 
 // final is the encoded document of a draft or why it is not valid.
 type final struct {
-	doc []byte
-	err error
+	doc    []byte
+	digest [sha256.Size]byte // What the operator signs.
+	err    error
 }
 
 // finalDocument returns the document to sign, made once for each state.
-func (d *draft) finalDocument() ([]byte, error) {
+func (d *draft) finalDocument() (*final, error) {
 	if d.final == nil {
-		doc, err := ctl.Final(d.edit.Mine, d.edit.Base.Version)
-		d.final = &final{doc: doc, err: err}
+		d.final = newFinal(d.edit)
 	}
-	return d.final.doc, d.final.err
+	return d.final, d.final.err
 }
 
+func newFinal(e ctl.Edit) *final {
+	f := &final{}
+	f.doc, f.err = ctl.Final(e.Mine, e.Base.Version)
+	if f.err == nil {
+		f.digest, f.err = configsync.Digest(f.doc)
+	}
+	return f
+}
+
+// digestText returns the digest in hexadecimal.
+func (f *final) digestText() string { return hex.EncodeToString(f.digest[:]) }
+
 // change replaces the operator's document. Its version becomes that of the
 // base, so that an exported file can be published with jacinthctl.
 func (d *draft) change(mine *policy.Document) {
--- a/console/publish.go
+++ b/console/publish.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/ed25519"
 	"encoding/base64"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"strings"
@@ -45,7 +44,7 @@
 	if d.lost != nil {
 		body.Theirs = changeLines(d.lost.Theirs)
 	}
-	doc, err := d.finalDocument()
+	final, err := d.finalDocument()
 	var found *finding.Error
 	switch {
 	case errors.As(err, &found):
@@ -53,7 +52,7 @@
 	case err != nil:
 		return err
 	case len(body.Changes) > 0 && d.pending == nil && d.race == nil:
-		body.Digest = digestText(doc)
+		body.Digest = final.digestText()
 	}
 	return s.render(r, status, "review", "Review", body)
 }
@@ -69,11 +68,6 @@
 	return lines
 }
 
-func digestText(doc []byte) string {
-	digest := ctl.Digest(doc)
-	return hex.EncodeToString(digest[:])
-}
-
 // publish writes the draft's document when an operator has signed it.
 func (s *console) publish(ctx context.Context, r *request) error {
 	d, err := r.editable()
@@ -83,11 +77,11 @@
 	if d.race != nil {
 		return &pageError{status: 409, message: "resolve the conflicts with the other operator first"}
 	}
-	doc, err := d.finalDocument()
+	final, err := d.finalDocument()
 	if err != nil {
 		return err
 	}
-	signature, err := s.signature(r, doc)
+	signature, err := s.signature(r, final)
 	if err != nil {
 		return err
 	}
@@ -96,17 +90,17 @@
 		return err
 	}
 	session := ctl.Session{Publisher: publisher, ReadBackWait: s.options.ReadBackWait}
-	version, readBack, err := session.Submit(ctx, doc, d.edit.Base.Version)
+	version, readBack, err := session.Submit(ctx, final.doc, d.edit.Base.Version)
 	if err != nil {
-		return s.notPublished(r, doc, err)
+		return s.notPublished(r, final.doc, err)
 	}
 	return s.published(r, version, signature.Key, readBack)
 }
 
 // signature checks that an operator signed exactly the document that would be
 // published.
-func (s *console) signature(r *request, doc []byte) (ctl.Signature, error) {
-	if string(r.FormValue("digest")) != digestText(doc) {
+func (s *console) signature(r *request, f *final) (ctl.Signature, error) {
+	if string(r.FormValue("digest")) != f.digestText() {
 		return ctl.Signature{}, &pageError{status: 409, message: "the document has changed since it was signed; review and sign it again"}
 	}
 	text := strings.TrimSpace(string(r.FormValue("signature")))
@@ -114,7 +108,7 @@
 	if err != nil {
 		return ctl.Signature{}, &pageError{status: 400, message: "the signature is not in base64"}
 	}
-	key, ok := ctl.Verify(s.options.Keys, ctl.Digest(doc), value)
+	key, ok := ctl.Verify(s.options.Keys, f.digest, value)
 	if !ok {
 		return ctl.Signature{}, &ctl.NoKeyError{Reason: "the signature is not one of an operator for this document"}
 	}
--- a/demo/publish/main.go
+++ b/demo/publish/main.go
@@ -13,6 +13,7 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/jacinthstall/jacinthstall/configsync"
+	"github.com/jacinthstall/jacinthstall/internal/ctl"
 	"github.com/jacinthstall/jacinthstall/platform"
 )
 
@@ -38,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	key, err := configsync.LoadPrivateKey(*keyFile)
+	key, err := ctl.LoadKey(*keyFile)
 	if err != nil {
 		return err
 	}
@@ -46,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	p := configsync.Publisher{KV: kv, Key: key, Keys: []ed25519.PublicKey{configsync.PublicKey(key)}}
+	p := configsync.Publisher{KV: kv, Sign: configsync.SignWith(key), Keys: []ed25519.PublicKey{configsync.PublicKey(key)}}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	version, err := p.Publish(ctx, doc, *base)
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -6,6 +6,8 @@
 cd "$(dirname "$0")/.."
 go build -o bin/ ./cmd/... ./demo/publish
 mkdir -p demo/run
+# Key files must not be readable by others, a mode that git does not keep.
+install -m 600 demo/demo-only-keys/operator.key demo/run/operator.key
 pids=()
 cleanup() {
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
@@ -20,7 +22,7 @@
   pids+=($!)
 }
 
-start platform bin/jacinth-platform --address 127.0.0.1:17000 --instances demo/instances.json --document demo/policy.json --key demo/demo-only-keys/operator.key
+start platform bin/jacinth-platform --address 127.0.0.1:17000 --instances demo/instances.json --document demo/policy.json --key demo/run/operator.key
 port=17100
 for domain in a b; do
   for kind in catalogue:5 enrolment:3; do
@@ -60,6 +62,6 @@
 bin/jacinth-load --bootstrap 127.0.0.1:17200 --requests "${REQUESTS:-400}" --concurrency 8
 
 sed 's/"lookupTtlMs": 1000/"lookupTtlMs": 900/' demo/policy.json >demo/run/policy-2.json
-version=$(bin/publish --platform 127.0.0.1:17000 --document demo/run/policy-2.json --key demo/demo-only-keys/operator.key --base 1)
+version=$(bin/publish --platform 127.0.0.1:17000 --document demo/run/policy-2.json --key demo/run/operator.key --base 1)
 for port in 17400 17401 17402 17403; do wait_version "$port" "$version"; done
 echo "version $version is in force at all instances"
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -95,7 +95,7 @@
 	for i, s := range all[:3] {
 		instances = append(instances, runConfig(t, s, listeners[i]))
 	}
-	p := configsync.Publisher{KV: platformd.Local{Store: store}, Key: key, Keys: []ed25519.PublicKey{public}}
+	p := configsync.Publisher{KV: platformd.Local{Store: store}, Sign: configsync.SignWith(key), Keys: []ed25519.PublicKey{public}}
 	for base := range uint64(2) {
 		doc, err := json.Marshal(policytest.Document(policy.Block{Prefix: "10.0.0.0/8", Site: fmt.Sprint("site-", base)}))
 		require.NoError(t, err)
@@ -119,7 +119,7 @@
 	require.NoError(t, err)
 	store := platformd.NewStore(nil)
 	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
-	p := configsync.Publisher{KV: platformd.Local{Store: store}, Key: key, Keys: []ed25519.PublicKey{configsync.PublicKey(key)}}
+	p := configsync.Publisher{KV: platformd.Local{Store: store}, Sign: configsync.SignWith(key), Keys: []ed25519.PublicKey{configsync.PublicKey(key)}}
 	doc, err := json.Marshal(policytest.Document())
 	require.NoError(t, err)
 	_, err = p.Publish(t.Context(), doc, 0)
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -9,6 +9,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/finding"
 	"github.com/jacinthstall/jacinthstall/policy"
 )
@@ -161,7 +162,7 @@
 	fs.StringVar(&c.keyFile, "key", "", "file with the operator's Ed25519 private key, PEM")
 	digest := fs.String("digest", "", "digest to sign, hexadecimal, as shown by the console")
 	return c.command("sign", "[FILE]", "Prints the signature of a final document.",
-		"Signs the digest that the console shows, or that of a file. The signature is\nin base64.", fs,
+		"Signs the digest that the console shows, or that of a file whose field version\nis the version to be published. The signature is in base64.", fs,
 		func(_ context.Context, args []string) error { return c.sign(*digest, args) })
 }
 
@@ -184,7 +185,10 @@
 	}
 	if text == "" {
 		src, err := readFile(args[0])
-		return Digest(src), err
+		if err != nil {
+			return digest, err
+		}
+		return configsync.Digest(src)
 	}
 	raw, err := hex.DecodeString(text)
 	if err != nil || len(raw) != len(digest) {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/internal/ctl"
 	"github.com/jacinthstall/jacinthstall/internal/ctl/ctltest"
 	"github.com/jacinthstall/jacinthstall/policy"
@@ -406,10 +407,11 @@
 	b := newBench(t)
 	code, out, _ := b.run("keygen", "--key", filepath.Join(b.dir, "new.pem"))
 	require.Equal(t, ctl.ExitOK, code)
-	public, err := ctl.ParsePublicKeys([]string{strings.TrimSpace(out)})
+	public, err := configsync.ParseKeys([]string{strings.TrimSpace(out)})
+	require.NoError(t, err)
+	doc := encode(t, demo(t), 2)
+	digest, err := configsync.Digest(doc)
 	require.NoError(t, err)
-	doc := []byte("document")
-	digest := ctl.Digest(doc)
 	_, fromDigest, _ := b.run("sign", "--key", filepath.Join(b.dir, "new.pem"), "--digest", hex.EncodeToString(digest[:]))
 	_, fromFile, _ := b.run("sign", "--key", filepath.Join(b.dir, "new.pem"), b.file("doc", doc))
 	assert.Equal(t, fromDigest, fromFile)
@@ -417,8 +419,12 @@
 	require.NoError(t, err)
 	_, ok := ctl.Verify(public, digest, signature)
 	assert.True(t, ok)
-	_, ok = ctl.Verify(public, ctl.Digest([]byte("other")), signature)
-	assert.False(t, ok)
+	other, err := configsync.Digest(encode(t, demo(t), 3))
+	require.NoError(t, err)
+	_, ok = ctl.Verify(public, other, signature)
+	assert.False(t, ok, "a signature must not hold for another version")
+	code, _, _ = b.run("sign", "--key", filepath.Join(b.dir, "new.pem"), b.file("draft", encode(t, demo(t), 0)))
+	assert.Equal(t, ctl.ExitInvalid, code, "a document without a version cannot be signed")
 	code, _, _ = b.run("keygen", "--key", filepath.Join(b.dir, "new.pem"))
 	assert.Equal(t, ctl.ExitFailure, code, "an existing key must not be overwritten")
 }
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/finding"
 )
 
@@ -53,7 +54,7 @@
 		return ExitLostRace
 	case is[*UndecidedError](err), is[*UncertainError](err):
 		return ExitUndecided
-	case is[*finding.Error](err):
+	case is[*finding.Error](err), is[*configsync.InvalidError](err):
 		return ExitInvalid
 	case is[*UnavailableError](err):
 		return ExitUnavailable
--- a/internal/ctl/key.go
+++ b/internal/ctl/key.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/x509"
-	"encoding/base64"
 	"encoding/pem"
 	"errors"
 	"fmt"
@@ -13,19 +12,14 @@
 )
 
 const (
-	pemType      = "PRIVATE KEY"
-	keyFileMode  = 0o600
-	othersMode   = 0o077
-	maxKeyBytes  = 16 << 10
-	digestPrefix = "jacinthstall document\x00" // Keeps a signature from being valid for another purpose.
+	pemType     = "PRIVATE KEY"
+	keyFileMode = 0o600
+	othersMode  = 0o077
+	maxKeyBytes = 16 << 10
 )
 
-// Digest returns what an operator signs: a SHA-256 hash of the final document.
-func Digest(doc []byte) [sha256.Size]byte {
-	return sha256.Sum256(append([]byte(digestPrefix), doc...))
-}
-
-// Signature is an operator's signature of the digest of a final document.
+// Signature is an operator's signature of the digest of a final document, see
+// configsync.Digest.
 type Signature struct {
 	Key   ed25519.PublicKey // The operator's key.
 	Value []byte
@@ -111,16 +105,3 @@
 	}
 	return public, f.Sync()
 }
-
-// ParsePublicKeys decodes the operator keys of an instance's settings, base64.
-func ParsePublicKeys(keys []string) ([]ed25519.PublicKey, error) {
-	out := make([]ed25519.PublicKey, 0, len(keys))
-	for i, key := range keys {
-		raw, err := base64.StdEncoding.DecodeString(key)
-		if err != nil || len(raw) != ed25519.PublicKeySize {
-			return nil, fmt.Errorf("operator key %d is not an Ed25519 public key in base64", i)
-		}
-		out = append(out, raw)
-	}
-	return out, nil
-}
