Connect jacinthctl to the platform and publish the demo with it

jacinthctl could not reach the platform, and the demo published with a program of its own. ctl.Connect adapts configsync.Publisher and maps its errors to the typed errors of ctl. A platform that is behind the version an edit is based on, or behind the version in force at the instance of --in-force-at, is refused with exit code 9 instead of being taken for a lost race: merging into it would undo what was published since.

--- a/cmd/jacinthctl/main.go
+++ b/cmd/jacinthctl/main.go
@@ -16,7 +16,7 @@
 	app := &ctl.App{
 		Out:          os.Stdout,
 		Err:          os.Stderr,
-		Connect:      connect,
+		Connect:      ctl.Connect,
 		ReadBackWait: ctl.DefaultReadBackWait,
 	}
 	code := app.Run(ctx, os.Args[1:])
--- a/console/render.go
+++ b/console/render.go
@@ -86,12 +86,13 @@
 	var found *finding.Error
 	var unavailable *ctl.UnavailableError
 	var noKey *ctl.NoKeyError
+	var stale *ctl.StaleError
 	switch {
 	case errors.As(err, &page):
 		return page.status
 	case errors.As(err, &found):
 		return 422
-	case errors.As(err, &unavailable):
+	case errors.As(err, &unavailable), errors.As(err, &stale):
 		return 503
 	case errors.As(err, &noKey):
 		return 403
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -4,7 +4,7 @@
 # All processes that it starts end with it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o bin/ ./cmd/... ./demo/publish
+go build -o bin/ ./cmd/...
 mkdir -p demo/run
 # Key files must not be readable by others, a mode that git does not keep.
 install -m 600 demo/demo-only-keys/operator.key demo/run/operator.key
@@ -62,6 +62,9 @@
 bin/jacinth-load --bootstrap 127.0.0.1:17200 --requests "${REQUESTS:-400}" --concurrency 8
 
 sed 's/"lookupTtlMs": 1000/"lookupTtlMs": 900/' demo/policy.json >demo/run/policy-2.json
-version=$(bin/publish --platform 127.0.0.1:17000 --document demo/run/policy-2.json --key demo/run/operator.key --base 1)
-for port in 17400 17401 17402 17403; do wait_version "$port" "$version"; done
-echo "version $version is in force at all instances"
+publish_flags=(--platform 127.0.0.1:17000 --key demo/run/operator.key --in-force-at 127.0.0.1:17400)
+bin/jacinthctl publish "${publish_flags[@]}" demo/run/policy-2.json
+for port in 17400 17401 17402 17403; do wait_version "$port" 2; done
+bin/jacinthctl drain "${publish_flags[@]}" --target catalogue-a1
+for port in 17400 17401 17402 17403; do wait_version "$port" 3; done
+bin/jacinthctl status --platform 127.0.0.1:17000 127.0.0.1:1740{0,1,2,3}
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -20,6 +20,7 @@
 type Connection struct {
 	Platform string             // ip:port.
 	Key      ed25519.PrivateKey // nil for commands that only read.
+	Instance string             // ip:port of the operators' listener of an instance whose version in force is a lower bound; may be empty.
 }
 
 // App is the command jacinthctl with its surroundings.
@@ -83,6 +84,7 @@
 	output   string
 	platform string
 	keyFile  string
+	inForce  string // Address of an instance, see Connection.
 
 	usageShown *noted // Output of the flag sets.
 }
@@ -135,6 +137,7 @@
 func (c *call) publishFlags(fs *flag.FlagSet, merge bool) *bool {
 	c.platformFlag(fs)
 	fs.StringVar(&c.keyFile, "key", "", "file with the operator's Ed25519 private key, PEM")
+	fs.StringVar(&c.inForce, "in-force-at", "", "ip:port of the operators' listener of an instance; nothing is published while the platform is behind the version in force there")
 	return fs.Bool("merge", merge, "after a lost race, merge edits that touch different objects")
 }
 
@@ -153,6 +156,9 @@
 
 // signingSession connects for publishing; the key is read first.
 func (c *call) signingSession(ctx context.Context) (Session, error) {
+	if err := c.checkInForceAt(); err != nil {
+		return Session{}, err
+	}
 	key, err := LoadKey(c.keyFile)
 	if err != nil {
 		return Session{}, err
@@ -160,8 +166,15 @@
 	return c.connect(ctx, key)
 }
 
+func (c *call) checkInForceAt() error {
+	if c.inForce == "" {
+		return nil
+	}
+	return checkAddresses([]string{c.inForce})
+}
+
 func (c *call) connect(ctx context.Context, key ed25519.PrivateKey) (Session, error) {
-	publisher, err := c.app.Connect(ctx, Connection{Platform: c.platform, Key: key})
+	publisher, err := c.app.Connect(ctx, Connection{Platform: c.platform, Key: key, Instance: c.inForce})
 	if err != nil {
 		return Session{}, err
 	}
--- /dev/null
+++ b/internal/ctl/connect.go
@@ -0,0 +1,105 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/jacinthstall/jacinthstall/configsync"
+	"github.com/jacinthstall/jacinthstall/platform"
+)
+
+// Connect returns a Publisher for the platform of a connection. With an
+// instance in the connection it first asks for the version in force there; it
+// fails when the instance does not answer.
+func Connect(ctx context.Context, c Connection) (Publisher, error) {
+	kv, err := platform.NewClient(c.Platform)
+	if err != nil {
+		return nil, err
+	}
+	inner := &configsync.Publisher{KV: kv}
+	if c.Key != nil {
+		inner.Sign = configsync.SignWith(c.Key)
+	}
+	p := &PlatformPublisher{Inner: inner}
+	if c.Instance == "" {
+		return p, nil
+	}
+	status, err := fetchStatus(ctx, c.Instance)
+	if err != nil {
+		return nil, &notInForceError{fmt.Sprintf("instance %s does not tell its version in force; nothing was published: %v", c.Instance, err)}
+	}
+	p.AtLeast = status.Version
+	return p, nil
+}
+
+// PlatformPublisher is a Publisher on the platform. It maps the errors of
+// configsync to those of this package.
+type PlatformPublisher struct {
+	Inner   *configsync.Publisher
+	AtLeast uint64 // Version known to be in force; a platform behind it is refused.
+}
+
+// Current implements Publisher.
+func (p *PlatformPublisher) Current(ctx context.Context) ([]byte, uint64, error) {
+	doc, version, err := p.Inner.Current(ctx)
+	if err != nil {
+		return nil, 0, typedError(err)
+	}
+	if version < p.AtLeast {
+		return nil, 0, &StaleError{Platform: version, InForce: p.AtLeast}
+	}
+	return doc, version, nil
+}
+
+// Publish implements Publisher. A publication is only accepted on the version
+// that the platform holds, so checking base covers the platform as well.
+func (p *PlatformPublisher) Publish(ctx context.Context, doc []byte, base uint64) (uint64, error) {
+	if base < p.AtLeast {
+		return 0, &StaleError{Platform: base, InForce: p.AtLeast}
+	}
+	version, err := p.Inner.Publish(ctx, doc, base)
+	return version, typedError(err)
+}
+
+// typedError maps an error of configsync. Errors without a counterpart, such
+// as findings and damaged records, stay as they are.
+func typedError(err error) error {
+	var conflict *configsync.ConflictError
+	var stale *configsync.StaleError
+	var uncertain *configsync.UncertainError
+	switch {
+	case errors.As(err, &conflict):
+		return raceOrStale(conflict)
+	case errors.As(err, &stale):
+		return &StaleError{Platform: stale.Platform, InForce: stale.InForce}
+	case errors.As(err, &uncertain):
+		return &UncertainError{Cause: uncertain.Cause}
+	case is[*configsync.SigningError](err), is[*configsync.SignatureError](err):
+		return &NoKeyError{Reason: err.Error()}
+	case isPlatformFailure(err):
+		return &UnavailableError{Cause: err}
+	}
+	return err
+}
+
+// raceOrStale tells a lost race from a platform that has returned to an older
+// version: merging into that would undo what was published since.
+func raceOrStale(e *configsync.ConflictError) error {
+	if e.Version < e.Base {
+		return &StaleError{Platform: e.Version, InForce: e.Base}
+	}
+	return &RaceError{Document: e.Document, Version: e.Version}
+}
+
+// isPlatformFailure reports whether a call failed without publishing. Writes
+// of unknown outcome are those of segments, which nothing refers to yet.
+func isPlatformFailure(err error) bool {
+	for _, kind := range []error{platform.ErrUnavailable, platform.ErrRateLimited, platform.ErrUncertain, platform.ErrNotFound,
+		context.DeadlineExceeded, context.Canceled} {
+		if errors.Is(err, kind) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -18,6 +18,7 @@
 	ExitUnavailable = 6
 	ExitNoKey       = 7
 	ExitNotInForce  = 8
+	ExitStale       = 9
 )
 
 const exitHelp = `EXIT CODES
@@ -29,7 +30,8 @@
   5  the outcome of the write is unknown; look before publishing again
   6  the platform is unavailable; nothing was published
   7  no operator key, or it is not accepted; nothing was published
-  8  an instance does not answer or has another version in force`
+  8  an instance does not answer or has another version in force
+  9  the platform holds an older version than the one in force; nothing was published`
 
 // usageError reports wrong arguments.
 type usageError struct{ message string }
@@ -60,6 +62,8 @@
 		return ExitUnavailable
 	case is[*NoKeyError](err):
 		return ExitNoKey
+	case is[*StaleError](err):
+		return ExitStale
 	case is[*notInForceError](err):
 		return ExitNotInForce
 	}
--- a/internal/ctl/publisher.go
+++ b/internal/ctl/publisher.go
@@ -8,11 +8,13 @@
 // Publisher reads and replaces the published document.
 type Publisher interface {
 	// Current returns the published document and its version; version 0 means
-	// that nothing has been published. It fails with *UnavailableError.
+	// that nothing has been published. It fails with *UnavailableError or
+	// *StaleError.
 	Current(ctx context.Context) (doc []byte, version uint64, err error)
 	// Publish replaces the document of version base and returns the new
-	// version. It fails with *RaceError, *UncertainError, *NoKeyError or
-	// *UnavailableError; except for *UncertainError nothing was published.
+	// version. It fails with *RaceError, *StaleError, *UncertainError,
+	// *NoKeyError or *UnavailableError; except for *UncertainError nothing was
+	// published.
 	Publish(ctx context.Context, doc []byte, base uint64) (version uint64, err error)
 }
 
@@ -27,6 +29,18 @@
 	return fmt.Sprintf("another operator has published version %d", e.Version)
 }
 
+// StaleError reports that the platform holds an older version than one known
+// to be published, for example after recovery from a backup.
+type StaleError struct {
+	Platform uint64 // Version on the platform.
+	InForce  uint64 // Version known to be published.
+}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("the platform holds version %d, but version %d is in force; nothing was published; instances write the version in force back once they reach the platform", e.Platform, e.InForce)
+}
+
 // UncertainError reports a write whose response was lost: it may have taken
 // effect, or may still do so.
 type UncertainError struct {
