Check a console request before its body is read

The server now reads at most 64 KB of a body ahead of the handlers; the token of an import is checked before its file is read, one import is read at a time, and compressed bodies, whose size is not bounded by their length, are refused. Without operator keys the console is read-only and says why.

--- a/console/console.go
+++ b/console/console.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
 
 	"github.com/jacinthstall/jacinthstall/internal/ctl"
 	"github.com/jacinthstall/jacinthstall/policy"
@@ -19,15 +20,30 @@
 	MaxDrafts      = 8
 	MaxDraftBlocks = 1_200_000 // Client blocks of all drafts; two drafts at the design scale of 570,000.
 	DraftIdle      = 12 * time.Hour
+	ImportTime     = 2 * time.Minute // Longest time that an upload may take.
 	MaxFormBytes   = 64 << 10
 	MaxImportBytes = policy.MaxDocumentBytes + 1<<20 // Room for the parts of the form around the document.
+
+	maxHeaderBytes = 16 << 10
 )
 
+// ServerOptions are the options of a server for the console. They bound what
+// the server reads of a request before a handler checks it to MaxFormBytes of
+// body and maxHeaderBytes of head.
+func ServerOptions() []config.Option {
+	return []config.Option{
+		server.WithStreamBody(true),
+		server.WithMaxRequestBodySize(MaxFormBytes),
+		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithDisablePreParseMultipartForm(true),
+	}
+}
+
 // Options are the surroundings of a console.
 type Options struct {
 	Reader       ctl.Publisher                                               // Reads the published document.
 	Publisher    func(context.Context, ctl.Signature) (ctl.Publisher, error) // Publishes with an operator's signature.
-	Keys         []ed25519.PublicKey                                         // Operators who may publish.
+	Keys         []ed25519.PublicKey                                         // Operators who may publish. Without any, the console is read-only.
 	ReadBackWait time.Duration                                               // Between two reads after an uncertain write.
 	Now          func() time.Time                                            // time.Now when nil.
 	Log          log.Interface                                               // log.Log when nil.
@@ -62,7 +78,7 @@
 	h.POST("/console/draft", s.form(MaxFormBytes, s.begin))
 	h.POST("/console/discard", s.form(MaxFormBytes, s.discard))
 	h.POST("/console/edit/:section", s.form(MaxFormBytes, s.saveSection))
-	h.POST("/console/import", s.form(MaxImportBytes, s.importDocument))
+	h.POST("/console/import", s.upload(s.importDocument))
 	h.POST("/console/publish", s.form(MaxFormBytes, s.publish))
 	h.POST("/console/resolve", s.form(MaxFormBytes, s.resolve))
 	h.POST("/console/readback", s.form(MaxFormBytes, s.readBack))
@@ -74,6 +90,7 @@
 type request struct {
 	*app.RequestContext
 	session string
+	upload  upload // Only set for an import.
 	draft   *draft // nil when the session has none. Locked while a handler runs.
 }
 
@@ -105,6 +122,7 @@
 		s.secure(c)
 		r := &request{RequestContext: c}
 		if err := s.checkForm(r, limit); err != nil {
+			c.SetConnectionClose() // The body may not have been read.
 			s.fail(r, err)
 			return
 		}
--- a/console/doc.go
+++ b/console/doc.go
@@ -11,8 +11,10 @@
 // Drafts are kept in the memory of the instance and end with it, so a draft can
 // be exported and imported elsewhere. At most MaxDrafts exist at a time,
 // with at most MaxDraftBlocks client blocks together; an unused draft ends
-// after DraftIdle. Forms have at most MaxFormBytes, imports
-// MaxImportBytes. The server should be made with
-// server.WithMaxRequestBodySize(MaxImportBytes), which bounds what is read
-// before a handler runs.
+// after DraftIdle. Forms have at most MaxFormBytes, imports MaxImportBytes.
+//
+// The server must be made with ServerOptions: it then reads at most
+// MaxFormBytes of a body before the request is checked. An import is read after
+// its token was checked, one at a time. Compressed bodies are refused. Without
+// operator keys the console is read-only and keeps no drafts.
 package console
--- a/console/edit.go
+++ b/console/edit.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"mime/multipart"
 	"net/url"
 	"strconv"
 
@@ -137,26 +135,12 @@
 
 // importDocument replaces the draft's document by an uploaded one. A document
 // with findings leaves the draft as it is.
-func (s *console) importDocument(ctx context.Context, r *request) error {
+func (s *console) importDocument(_ context.Context, r *request) error {
 	d, err := r.editable()
 	if err != nil {
 		return err
 	}
-	select {
-	case s.imports <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	defer func() { <-s.imports }()
-	header, err := r.FormFile("document")
-	if err != nil {
-		return &pageError{status: 400, message: "choose a file to import"}
-	}
-	src, err := readUpload(header)
-	if err != nil {
-		return err
-	}
-	mine, err := policy.Parse(header.Filename, src)
+	mine, err := policy.Parse(r.upload.name, r.upload.src)
 	if err != nil {
 		return err
 	}
@@ -167,15 +151,6 @@
 	return redirect(r, "/console/review")
 }
 
-func readUpload(header *multipart.FileHeader) ([]byte, error) {
-	f, err := header.Open()
-	if err != nil {
-		return nil, err
-	}
-	defer f.Close()
-	return io.ReadAll(io.LimitReader(f, policy.MaxDocumentBytes+1))
-}
-
 // export sends the draft's document, valid or not, so that it can be kept or
 // imported at another instance.
 func (s *console) export(_ context.Context, r *request) error {
--- a/console/guard.go
+++ b/console/guard.go
@@ -73,19 +73,33 @@
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
+var errReadOnly = &pageError{status: 403, message: "this console is read-only: the settings of this instance list no operator keys"}
+
 // checkForm checks the size and the origin of a form before it is used.
 func (s *console) checkForm(r *request, limit int) error {
-	if err := checkHost(r.RequestContext); err != nil {
+	if err := s.checkHead(r, limit); err != nil {
 		return err
 	}
-	if err := checkSize(r.RequestContext, limit); err != nil {
+	return s.checkToken(r, string(r.FormValue(tokenField)))
+}
+
+// checkHead checks what can be checked without reading the body.
+func (s *console) checkHead(r *request, limit int) error {
+	if len(s.options.Keys) == 0 {
+		return errReadOnly
+	}
+	if err := checkHost(r.RequestContext); err != nil {
 		return err
 	}
-	if err := checkOrigin(r.RequestContext); err != nil {
+	if err := checkSize(r.RequestContext, limit); err != nil {
 		return err
 	}
+	return checkOrigin(r.RequestContext)
+}
+
+// checkToken checks that the console sent the form to the session.
+func (s *console) checkToken(r *request, sent string) error {
 	r.session = string(r.Cookie(cookieName))
-	sent := string(r.FormValue(tokenField))
 	if !validSession(r.session) || !hmac.Equal([]byte(sent), []byte(s.token(r.session))) {
 		return &pageError{status: 403, message: "this form is not from this console, or the instance has restarted; open the console again"}
 	}
@@ -95,6 +109,9 @@
 func checkSize(c *app.RequestContext, limit int) error {
 	length := c.Request.Header.ContentLength()
 	switch {
+	case len(c.Request.Header.PeekContentEncoding()) > 0:
+		// A compressed body can be much larger than its stated length.
+		return &pageError{status: 415, message: "the request must not be compressed"}
 	case length < 0:
 		return &pageError{status: 411, message: "the request must state its length"}
 	case length > limit:
--- a/console/render.go
+++ b/console/render.go
@@ -31,13 +31,14 @@
 	Title    string
 	Token    string
 	HasDraft bool
+	ReadOnly bool   // There are no operator keys.
 	Base     uint64 // Version that the draft is based on.
 	Sections []section
 	Body     any
 }
 
 func (s *console) render(r *request, status int, name, title string, body any) error {
-	v := view{Title: title, Token: s.token(r.session), HasDraft: r.draft != nil, Sections: s.sections, Body: body}
+	v := view{Title: title, Token: s.token(r.session), HasDraft: r.draft != nil, ReadOnly: len(s.options.Keys) == 0, Sections: s.sections, Body: body}
 	if r.draft != nil {
 		v.Base = r.draft.edit.Base.Version
 	}
