Serve the console at the operators' listener of an instance

The console existed but no instance registered it. It now reads and publishes through the instance's platform client with the operator keys of the settings, and refuses to publish on a platform behind the document in force. The listener takes at most 64 connections, so that unauthenticated peers hold at most 5 MB ahead of the handlers. The Run method opens it before it starts, so that a taken address is reported as such.

--- a/entry/config.go
+++ b/entry/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/ed25519"
 
 	"github.com/apex/log"
 
@@ -17,6 +18,7 @@
 type config struct {
 	store *configsync.Store
 	peers *configPeers
+	keys  []ed25519.PublicKey // Operators' keys.
 	relay *configsync.Relay
 	log   *events.Log
 }
@@ -30,6 +32,7 @@
 	}
 	self := configsync.Member{Name: in.settings.Name, Domain: in.settings.Domain}
 	c := &config{
+		keys:  keys,
 		store: &configsync.Store{},
 		peers: &configPeers{self: self, members: in.members},
 		log:   in.events,
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -14,7 +14,6 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -42,7 +41,6 @@
 
 func servePlatform(t *testing.T, s *platformd.Store) string {
 	t.Helper()
-	hlog.SetLevel(hlog.LevelFatal)
 	listener := listen(t)
 	h := server.New(server.WithListener(listener), server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true), server.WithExitWaitTime(time.Millisecond))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,7 +77,7 @@
 		peers:       peer.NewPool(),
 		reports:     ring.New[quarantine.Report](maxQueuedReports),
 		chooser:     randomChooser{domain: s.Domain, region: s.Region},
-			platform:    p,
+		platform:    p,
 		forwarder:   forward.New(),
 		members:     newMembers(selfUpdate(s, incarnation), emitted),
 		lookups:     newLookups(s.Domain, emitted),
@@ -110,7 +110,12 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	callers, operators := in.callerServer(), in.operatorServer()
+	operators, err := in.operatorServer()
+	if err != nil {
+		_ = listener.Close()
+		return err
+	}
+	callers := in.callerServer()
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Run() }()
 	go func() { failed <- operators.Run() }()
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -2,13 +2,24 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"fmt"
+	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+
+	"github.com/jacinthstall/jacinthstall/configsync"
+	"github.com/jacinthstall/jacinthstall/console"
+	"github.com/jacinthstall/jacinthstall/internal/ctl"
 )
 
+// maxOperatorConnections bounds the connections to the operators' listener.
+// With 64 KB of body and 16 KB of head on each, peers hold at most 5 MB there.
+const maxOperatorConnections = 64
+
 // Status is what an instance reports of itself to operators.
 type Status struct {
 	Name     string `json:"name"`
@@ -18,17 +29,48 @@
 	InFlight int64  `json:"inFlight"` // Requests in flight.
 }
 
-func (in *Instance) operatorServer() *server.Hertz {
-	h := server.New(
-		server.WithHostPorts(in.settings.OperatorAddress),
+// operatorServer returns the server of the operators' listener. Its peers are
+// not authenticated: what they can make it keep is bounded by the number of
+// connections, the first part of a request on each, and the console's bounds.
+func (in *Instance) operatorServer() (*server.Hertz, error) {
+	listener, err := net.Listen("tcp", in.settings.OperatorAddress)
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	h := server.New(append(console.ServerOptions(),
+		server.WithListener(limitConnections(listener, maxOperatorConnections)),
 		server.WithTransport(standard.NewTransporter),
+		server.WithReadTimeout(readTimeout),
+		server.WithIdleTimeout(idleTimeout),
 		server.WithExitWaitTime(time.Second),
 		server.WithDisablePrintRoute(true),
-	)
+	)...)
 	h.GET("/health", func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
 	h.GET("/ready", in.handleReady)
 	h.GET("/status", func(_ context.Context, c *app.RequestContext) { c.JSON(200, in.status()) })
-	return h
+	if err := console.Register(h, in.consoleOptions()); err != nil {
+		_ = listener.Close()
+		return nil, fmt.Errorf("console: %w", err)
+	}
+	return h, nil
+}
+
+// consoleOptions connects the console to the platform. Publications are
+// refused while the platform is behind the document in force here.
+func (in *Instance) consoleOptions() console.Options {
+	publisher := func(sign func([sha256.Size]byte) ([]byte, error)) ctl.Publisher {
+		return &ctl.PlatformPublisher{Inner: &configsync.Publisher{KV: in.platform, Sign: sign,
+			Keys: in.config.keys, InForce: in.config.store.Current}}
+	}
+	return console.Options{
+		Reader: publisher(nil),
+		Publisher: func(_ context.Context, s ctl.Signature) (ctl.Publisher, error) {
+			return publisher(func([sha256.Size]byte) ([]byte, error) { return s.Value, nil }), nil
+		},
+		Keys:         in.config.keys,
+		ReadBackWait: ctl.DefaultReadBackWait,
+		Log:          in.log,
+	}
 }
 
 func (in *Instance) handleReady(_ context.Context, c *app.RequestContext) {
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -31,6 +31,7 @@
 
 func TestMain(m *testing.M) {
 	hlog.SetOutput(io.Discard)
+	hlog.SetLevel(hlog.LevelFatal)
 	m.Run()
 }
 
