Leave instances that the document names out of look-up answers

A named instance now is left out of the look-up answers of all instances, reports itself as leaving in heartbeats and in /status, and is not ready; undoing the mark brings it back. It goes on serving.

A refresh between the two steps that put a document in force saw the change with the old document, and its log level was not applied until the next change.

--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -59,8 +59,9 @@
 	steering atomic.Pointer[lookup.Steering]
 	fleet    atomic.Pointer[lookup.Fleet]
 
-	changed    atomic.Bool // A document was put in force since the last refresh.
-	refreshing sync.Mutex  // Held while the fields below change.
+	changed    atomic.Bool                     // A document was put in force since the last refresh.
+	applied    atomic.Pointer[policy.Document] // Document at the last refresh.
+	refreshing sync.Mutex                      // Held while the fields below change.
 	snapshot   *configsync.Snapshot
 	revision   uint64 // Revision of the members that fleet shows.
 }
@@ -142,6 +143,14 @@
 	return true
 }
 
+// forgetInstances makes the next useInstances take effect at any revision.
+// Which instances are leaving is also a matter of the document.
+func (s *lookups) forgetInstances() {
+	s.refreshing.Lock()
+	defer s.refreshing.Unlock()
+	s.revision = 0
+}
+
 // errNotReady reports that there is no document yet.
 var errNotReady = errors.New("entry: no document in force")
 
@@ -263,7 +272,11 @@
 // wakes waiting look-ups after a change.
 func (in *Instance) refreshLookups() {
 	documentChanged := in.lookups.changed.Swap(false)
-	if d := in.document.Load(); documentChanged && d != nil {
+	// The steering changes before the instance's document does, so a refresh
+	// in between must not be the only one that sees the change.
+	if d := in.document.Load(); d != nil && in.lookups.applied.Swap(d) != d {
+		documentChanged = true
+		in.lookups.forgetInstances()
 		if level, err := log.ParseLevel(d.LogLevel); err == nil {
 			in.lookups.events.SetLevel(level)
 		}
--- a/entry/members.go
+++ b/entry/members.go
@@ -171,11 +171,14 @@
 
 // lookupInstances returns the instances as look-ups see them.
 func (in *Instance) lookupInstances() []lookup.Instance {
-	view := in.members.view()
+	view, leaving := in.members.view(), in.namedLeaving()
 	list := make([]lookup.Instance, len(view.Members))
 	for i, member := range view.Members {
 		list[i] = lookup.Instance{Name: member.Name, Address: member.CallerAddress,
 			Domain: member.Domain, Region: member.Region, State: lookupState(member.State)}
+		if leaving[member.Name] {
+			list[i].State = max(list[i].State, lookup.InstanceLeaving)
+		}
 	}
 	return list
 }
@@ -194,9 +197,7 @@
 	links := newHeartbeatLinks(in)
 	defer links.close()
 	every(ctx, memberTick, func() {
-		if in.leaving.Load() {
-			in.members.changeSelf(func(u *membership.Update) { u.State = max(u.State, membership.Leaving) })
-		}
+		in.members.changeSelf(func(u *membership.Update) { u.State = in.ownState() })
 		actions := in.members.tick(time.Now())
 		if actions.Frozen {
 			in.events.EmitFields(&events.InstanceWasFrozen)
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -74,7 +74,7 @@
 }
 
 func (in *Instance) handleReady(_ context.Context, c *app.RequestContext) {
-	if in.document.Load() == nil || in.leaving.Load() {
+	if in.document.Load() == nil || in.isLeaving() {
 		c.String(503, "not ready\n")
 		return
 	}
@@ -86,7 +86,7 @@
 		Name:     in.settings.Name,
 		Domain:   in.settings.Domain,
 		Version:  in.configVersion(),
-		Leaving:  in.leaving.Load(),
+		Leaving:  in.isLeaving(),
 		InFlight: in.inFlight.Load(),
 	}
 }
