Serve metrics at the operators' listener

Package metrics had no user. Requests, outcomes, retries, queue waits, look-ups and heartbeats are counted where they happen; requests in flight, the version in force and the calls to the platform are taken over when /metrics is read. The counter of control bytes is removed: nothing feeds it, and a metric that is always zero misleads.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,7 @@
 	guard       *quarantine.Guard
 	chooser     Chooser
 	events      *events.Log
+	metrics     *instanceMetrics
 	life        *lifecycle.Machine
 	leaving     atomic.Bool    // Set in every state after "serving".
 	ignoreKeys  bool           // Tests only: executes requests without asking the records.
@@ -82,6 +83,7 @@
 		members:     newMembers(selfUpdate(s, incarnation), emitted),
 		lookups:     newLookups(s.Domain, emitted),
 		events:      emitted,
+		metrics:     newInstanceMetrics(),
 		log:         logger,
 	}
 	in.life = chart.NewMachine(in.lifeChanged)
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -239,6 +239,7 @@
 		c.JSON(status, body)
 		return
 	}
+	in.metrics.Lookups.Inc(1)
 	c.JSON(200, in.lookupAnswer(steering, &a))
 }
 
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/jacinthstall/jacinthstall/metrics"
+	"github.com/jacinthstall/jacinthstall/outcome"
+	"github.com/jacinthstall/jacinthstall/platform"
+)
+
+const metricsContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// instanceMetrics are the metrics of an instance. Counters rise where things
+// happen; what other parts count themselves is taken over when it is read.
+type instanceMetrics struct {
+	*metrics.Set
+	mu    sync.Mutex // Held while the calls to the platform are taken over.
+	calls uint64     // Calls to the platform taken over so far.
+}
+
+func newInstanceMetrics() *instanceMetrics { return &instanceMetrics{Set: metrics.New()} }
+
+// outcome counts a response to a caller. Every request has exactly one.
+func (m *instanceMetrics) outcome(o outcome.Outcome) {
+	switch o.Executed {
+	case outcome.Yes:
+		m.Answered.Inc(1)
+	case outcome.No:
+		m.Refused.Inc(1)
+	default:
+		m.Unknown.Inc(1)
+	}
+}
+
+// ended records the time that a request took, the passing on of its answer
+// included.
+func (m *instanceMetrics) ended(arrived time.Time) {
+	m.Latency.Update(time.Since(arrived).Microseconds())
+}
+
+// platformCalls takes over the calls that the platform client has counted.
+func (m *instanceMetrics) platformCalls(c platform.Counts) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	total := c.Reads + c.Writes + c.Watches + c.Leases + c.Lists
+	if total > m.calls {
+		m.PlatformCalls.Inc(int64(total - m.calls))
+		m.calls = total
+	}
+}
+
+// handleMetrics answers with all metrics in the Prometheus text format.
+func (in *Instance) handleMetrics(_ context.Context, c *app.RequestContext) {
+	in.metrics.InFlight.Update(in.inFlight.Load())
+	in.metrics.ConfigVersion.Update(int64(in.configVersion()))
+	in.metrics.platformCalls(in.platform.Counts())
+	var text bytes.Buffer
+	if err := in.metrics.Write(&text, in.settings.Name); err != nil {
+		in.log.WithError(err).Error("metrics")
+		c.String(500, "metrics cannot be written\n")
+		return
+	}
+	c.Data(200, metricsContentType, text.Bytes())
+}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -47,6 +47,7 @@
 	)...)
 	h.GET("/health", func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
 	h.GET("/ready", in.handleReady)
+	h.GET("/metrics", in.handleMetrics)
 	h.GET("/status", func(_ context.Context, c *app.RequestContext) { c.JSON(200, in.status()) })
 	if err := console.Register(h, in.consoleOptions()); err != nil {
 		_ = listener.Close()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -145,6 +145,7 @@
 	if err := link.connect(ctx); err != nil {
 		return err
 	}
+	in.metrics.Heartbeats.Inc(1)
 	answer, err := peerpb.NewDRPCPeerClient(link.conn).Heartbeat(ctx, &peerpb.HeartbeatRequest{
 		From:          MemberMessage(in.members.self()),
 		Updates:       messagesOf(in.members.updatesFor(name)),
--- a/entry/request.go
+++ b/entry/request.go
@@ -46,6 +46,9 @@
 	var last *reply
 	tried := map[string]bool{}
 	for number := 1; number <= maxAttempts; number++ {
+		if number > 1 {
+			in.metrics.Retries.Inc(1)
+		}
 		next := in.attempt(ctx, r, tried, number)
 		if next.body != nil || last == nil || next.Reason != outcome.ReasonNoTarget {
 			last = next.after(last)
@@ -75,8 +78,10 @@
 		if refusal != nil {
 			return refused(*refusal)
 		}
+		asked := time.Now()
 		grant, refusal := in.chooser.Acquire(ctx, Want{Document: r.document, Service: r.service,
 			Arrived: r.arrived, Deadline: r.deadline, Excluded: excluded})
+		in.metrics.QueueWait.Update(time.Since(asked).Microseconds())
 		if refusal != nil {
 			return refused(*refusal)
 		}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -28,6 +28,7 @@
 // handleRequest serves a request of a caller. The work ends when the answer's
 // body has been passed on, which is after the handler returns.
 func (in *Instance) handleRequest(ctx context.Context, c *app.RequestContext) {
+	in.metrics.Requests.Inc(1)
 	if in.inFlight.Add(1) > maxInFlight {
 		in.inFlight.Add(-1)
 		c.SetConnectionClose()
@@ -51,6 +52,7 @@
 		c.SetConnectionClose()
 	}
 	done := func() {
+		in.metrics.ended(r.arrived)
 		cancel()
 		stopWatching()
 		end()
@@ -134,6 +136,7 @@
 }
 
 func (in *Instance) writeOutcome(c *app.RequestContext, o outcome.Outcome) {
+	in.metrics.outcome(o)
 	c.Response.Header.Set(outcome.HeaderExecuted, string(o.Executed))
 	c.Response.Header.Set(outcome.HeaderReason, string(o.Reason))
 	if o.Target != "" {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -35,7 +35,6 @@
 	Lookups       gometrics.Counter // Look-ups answered.
 	Heartbeats    gometrics.Counter // Heartbeats sent.
 	PlatformCalls gometrics.Counter // Calls to the platform.
-	PeerBytes     gometrics.Counter // Bytes of control messages sent to peers.
 	InFlight      gometrics.Gauge   // Requests in flight.
 	ConfigVersion gometrics.Gauge   // Version of the document in force.
 	Latency       gometrics.Histogram
@@ -46,15 +45,14 @@
 func New() *Set {
 	s := &Set{registry: gometrics.NewRegistry()}
 	for name, c := range map[string]*gometrics.Counter{
-		"requests_total":           &s.Requests,
-		"requests_answered_total":  &s.Answered,
-		"requests_refused_total":   &s.Refused,
-		"requests_unknown_total":   &s.Unknown,
-		"retries_total":            &s.Retries,
-		"lookups_total":            &s.Lookups,
-		"heartbeats_total":         &s.Heartbeats,
-		"platform_calls_total":     &s.PlatformCalls,
-		"peer_control_bytes_total": &s.PeerBytes,
+		"requests_total":          &s.Requests,
+		"requests_answered_total": &s.Answered,
+		"requests_refused_total":  &s.Refused,
+		"requests_unknown_total":  &s.Unknown,
+		"retries_total":           &s.Retries,
+		"lookups_total":           &s.Lookups,
+		"heartbeats_total":        &s.Heartbeats,
+		"platform_calls_total":    &s.PlatformCalls,
 	} {
 		*c = gometrics.NewRegisteredCounter(name, s.registry)
 	}
