--- a/internal/ctl/connect_test.go
+++ b/internal/ctl/connect_test.go
@@ -37,6 +37,15 @@
 
 // newLoopback returns a stand-in on which the demo document is version 1.
 func newLoopback(t *testing.T) *loopback {
+	t.Helper()
+	l := newEmptyLoopback(t)
+	code, _, errOut := l.run("publish", "--key", l.key, l.file("first.json", encode(t, demo(t), 0)))
+	require.Equal(t, ctl.ExitOK, code, errOut)
+	return l
+}
+
+// newEmptyLoopback returns a stand-in without a document.
+func newEmptyLoopback(t *testing.T) *loopback {
 	t.Helper()
 	hlog.SetLevel(hlog.LevelFatal)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -61,8 +70,6 @@
 	l.key = filepath.Join(l.dir, "operator.pem")
 	_, err = ctl.CreateKey(l.key)
 	require.NoError(t, err)
-	code, _, errOut := l.run("publish", "--key", l.key, l.file("first.json", encode(t, demo(t), 0)))
-	require.Equal(t, ctl.ExitOK, code, errOut)
 	return l
 }
 
