--- a/internal/ctl/worked_test.go
+++ b/internal/ctl/worked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -43,3 +44,16 @@
 	assert.Equal(t, ctl.ExitInvalid, code)
 	assert.Contains(t, errOut, "/moves/0/capMbit")
 }
+
+// Scripts are written from the page: it must list the exit codes as the
+// command explains them.
+func TestExitCodesOfThePage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/console-and-cli.md")
+	require.NoError(t, err)
+	_, _, help := newBench(t).run("show", "--help")
+	lines := regexp.MustCompile(`(?m)^\s+(\d)  (.+)$`).FindAllStringSubmatch(help, -1)
+	require.Len(t, lines, ctl.ExitStale+1)
+	for _, line := range lines {
+		assert.Contains(t, string(page), "| "+line[1]+" | "+line[2])
+	}
+}
