--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -14,7 +14,6 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -42,7 +41,6 @@
 
 func servePlatform(t *testing.T, s *platformd.Store) string {
 	t.Helper()
-	hlog.SetLevel(hlog.LevelFatal)
 	listener := listen(t)
 	h := server.New(server.WithListener(listener), server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true), server.WithExitWaitTime(time.Millisecond))
@@ -95,7 +93,7 @@
 	for i, s := range all[:3] {
 		instances = append(instances, runConfig(t, s, listeners[i]))
 	}
-	p := configsync.Publisher{KV: platformd.Local{Store: store}, Key: key, Keys: []ed25519.PublicKey{public}}
+	p := configsync.Publisher{KV: platformd.Local{Store: store}, Sign: configsync.SignWith(key), Keys: []ed25519.PublicKey{public}}
 	for base := range uint64(2) {
 		doc, err := json.Marshal(policytest.Document(policy.Block{Prefix: "10.0.0.0/8", Site: fmt.Sprint("site-", base)}))
 		require.NoError(t, err)
@@ -119,7 +117,7 @@
 	require.NoError(t, err)
 	store := platformd.NewStore(nil)
 	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
-	p := configsync.Publisher{KV: platformd.Local{Store: store}, Key: key, Keys: []ed25519.PublicKey{configsync.PublicKey(key)}}
+	p := configsync.Publisher{KV: platformd.Local{Store: store}, Sign: configsync.SignWith(key), Keys: []ed25519.PublicKey{configsync.PublicKey(key)}}
 	doc, err := json.Marshal(policytest.Document())
 	require.NoError(t, err)
 	_, err = p.Publish(t.Context(), doc, 0)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,7 @@
 	transport   *transport
 	viewSet     atomic.Bool // The scheduler has a view with homes.
 	events      *events.Log
+	metrics     *instanceMetrics
 	life        *lifecycle.Machine
 	leaving     atomic.Bool    // Set in every state after "serving".
 	ignoreKeys  bool           // Tests only: executes requests without asking the records.
@@ -92,6 +93,7 @@
 		members:     newMembers(selfUpdate(s, incarnation), emitted),
 		lookups:     newLookups(s.Domain, emitted),
 		events:      emitted,
+		metrics:     newInstanceMetrics(),
 		log:         logger,
 	}
 	in.links = newLinks(s.Region, in.document.Load, emitted)
@@ -130,12 +132,17 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	in.SetPeerHooks(PeerHooks{OnFrozen: in.frozen})
+	operators, err := in.operatorServer()
+	if err != nil {
+		_ = listener.Close()
+		return err
+	}
 	callerListener, err := listenCallers(in.settings.CallerAddress)
 	if err != nil {
 		_ = listener.Close()
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	callers, operators := in.callerServer(callerListener), in.operatorServer()
+	callers := in.callerServer(callerListener)
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Run() }()
 	go func() { failed <- operators.Run() }()
--- a/entry/slots_test.go
+++ b/entry/slots_test.go
@@ -65,7 +65,7 @@
 	r.store.SetInstances(list)
 	doc, err := json.Marshal(document)
 	require.NoError(t, err)
-	p := configsync.Publisher{KV: platformd.Local{Store: r.store}, Key: key, Keys: []ed25519.PublicKey{public}}
+	p := configsync.Publisher{KV: platformd.Local{Store: r.store}, Sign: configsync.SignWith(key), Keys: []ed25519.PublicKey{public}}
 	_, err = p.Publish(t.Context(), doc, 0)
 	require.NoError(t, err)
 	for _, in := range r.instances {
--- a/internal/benchmarks/benchmarks.go
+++ b/internal/benchmarks/benchmarks.go
@@ -23,8 +23,10 @@
 		{Name: "policy", Figures: policyFigures},
 		{Name: "configuration", Figures: configtest.Figures},
 		{Name: "capacity", Figures: capacity.Figures}, // With the look-up figures.
-		{Name: "overhead", Figures: overhead.Figures},
+		{Name: "overhead", Figures: overheadFigures},
 	}
 }
 
 func policyFigures() ([]figures.Figure, error) { return policybench.Figures(), nil }
+
+func overheadFigures() ([]figures.Figure, error) { return overhead.Figures(), nil }
--- a/internal/capacity/config.go
+++ b/internal/capacity/config.go
@@ -65,7 +65,7 @@
 	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
 	keys := []ed25519.PublicKey{configsync.PublicKey(key)}
 	r := &receiver{document: blocksDocument(size), store: &configsync.Store{}}
-	r.publisher = &configsync.Publisher{KV: platformd.Local{Store: platformd.NewStore(nil)}, Key: key, Keys: keys}
+	r.publisher = &configsync.Publisher{KV: platformd.Local{Store: platformd.NewStore(nil)}, Sign: configsync.SignWith(key), Keys: keys}
 	if err := r.publish(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/experiment/platform.go
+++ b/internal/experiment/platform.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jacinthstall/jacinthstall/configsync"
+	"github.com/jacinthstall/jacinthstall/internal/ctl"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
 )
 
@@ -26,7 +27,7 @@
 // startAll starts a deployment. The caller closes it also after an error.
 func startAll(o Options, dir string) (*running, error) {
 	r := &running{programs: o.Programs, dir: dir}
-	key, err := configsync.LoadPrivateKey(o.Key)
+	key, err := ctl.LoadKey(o.Key)
 	if err != nil {
 		return r, err
 	}
--- a/internal/overhead/overhead.go
+++ b/internal/overhead/overhead.go
@@ -185,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	p := configsync.Publisher{KV: platformd.Local{Store: store}, Key: key, Keys: []ed25519.PublicKey{configsync.PublicKey(key)}}
+	p := configsync.Publisher{KV: platformd.Local{Store: store}, Sign: configsync.SignWith(key), Keys: []ed25519.PublicKey{configsync.PublicKey(key)}}
 	_, err = p.Publish(context.Background(), document, 0)
 	return err
 }
