--- a/entry/openapi_test.go
+++ b/entry/openapi_test.go
@@ -88,7 +88,10 @@
 	assert.Equal(t, []openParameter{{lookup.ParameterCaller, "query"}, {lookup.ParameterService, "query"},
 		{lookup.ParameterWait, "query"}, {lookup.ParameterVersion, "query"}}, operation.Parameters)
 	in := testInstance(t)
-	h := in.callerServer()
+	listener, err := listenCallers(freeAddress(t))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	h := in.callerServer(listener)
 	seen := map[string]bool{}
 	get := func(query string) {
 		r := ut.PerformRequest(h.Engine, "GET", pathLookup+query, nil).Result()
