--- a/entry/openapi_test.go
+++ b/entry/openapi_test.go
@@ -110,7 +110,7 @@
 	get("?caller=10.0.0.1&service=reads&version=1")
 	get("?caller=nowhere")
 	var current lookup.Answer
-	_, err := in.lookups.decide(lookup.Query{Caller: lookupCaller, Service: "reads"}, &current)
+	_, err = in.lookups.decide(lookup.Query{Caller: lookupCaller, Service: "reads"}, &current)
 	require.NoError(t, err)
 	for range lookup.MaxParked {
 		require.NoError(t, in.lookups.waiters.Enter())
