--- a/entry/planned_test.go
+++ b/entry/planned_test.go
@@ -24,6 +24,7 @@
 	s := settings.Settings{Name: "i1", Region: "east", Domain: "east-a", CallerAddress: "10.0.0.1:80", Platform: "127.0.0.1:1"}
 	in, err := New(s, &log.Logger{Handler: handler, Level: log.DebugLevel})
 	require.NoError(t, err)
+	in.chooser = randomChooser{domain: s.Domain, region: s.Region}
 	in.members.heartbeat(membership.Update{Name: "i2", Region: "east", Domain: "east-a", CallerAddress: "10.0.0.2:80", Incarnation: 1}, nil)
 	return in
 }
@@ -89,8 +90,12 @@
 func TestPlannedStopOfRunningInstance(t *testing.T) {
 	o := newOperated(t, encodedOperatorKey())
 	o.requireVersion(1)
-	ready, _ := o.get("/ready")
-	assert.Equal(t, 200, ready)
+	// Readiness waits for the first member table, too.
+	var ready int
+	require.Eventually(t, func() bool {
+		ready, _ = o.get("/ready")
+		return ready == 200
+	}, longWait, 10*time.Millisecond)
 	_, _ = o.post("/console/draft", url.Values{})
 	status, page := o.post("/console/edit/instances", url.Values{"action": {"save"}, "key": {""}, "field-name": {"palermo-a-1"}})
 	require.Equal(t, 200, status, page)
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -213,6 +213,7 @@
 	s.CallerAddress, s.PeerAddress, s.OperatorAddress = freeAddress(t), freeAddress(t), freeAddress(t)
 	in, err := New(s, like.log)
 	require.NoError(t, err)
+	in.chooser = like.chooser
 	in.stopAtOnce = atOnce
 	shortLookups(t, in, like.document.Load())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/benchmarks/run_test.go
+++ b/internal/benchmarks/run_test.go
@@ -57,7 +57,7 @@
 	for _, g := range benchmarks.Groups() {
 		names = append(names, g.Name)
 	}
-	assert.Equal(t, []string{"policy", "configuration", "capacity"}, names)
+	assert.Equal(t, []string{"policy", "configuration", "capacity", "overhead"}, names)
 }
 
 func TestRunRejectsUnknownOptions(t *testing.T) {
