--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -18,8 +18,8 @@
 	maxQueued      = 4096 // Requests queued for one service.
 	// loadInterval keeps load reports within the control traffic of an
 	// instance; shorter ones improve the choice of region only slightly.
-	loadInterval = 200 * time.Millisecond
-	loadLife     = 5 * loadInterval
+	loadInterval = 250 * time.Millisecond
+	loadLife     = 4 * loadInterval
 )
 
 // scheduledChooser chooses targets through the scheduler.
--- a/internal/experiment/platform.go
+++ b/internal/experiment/platform.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strconv"
 	"time"
@@ -27,6 +28,10 @@
 // startAll starts a deployment. The caller closes it also after an error.
 func startAll(o Options, dir string) (*running, error) {
 	r := &running{programs: o.Programs, dir: dir}
+	var err error
+	if o.Key, err = copyKey(o.Key, dir); err != nil {
+		return r, err
+	}
 	key, err := ctl.LoadKey(o.Key)
 	if err != nil {
 		return r, err
@@ -47,6 +52,17 @@
 	return r, r.startInstances()
 }
 
+// copyKey copies a key file so that only its owner may read it, which a checkout
+// does not keep.
+func copyKey(file, dir string) (string, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", err
+	}
+	private := filepath.Join(dir, "operator.key")
+	return private, os.WriteFile(private, data, 0o600)
+}
+
 func (r *running) start(name, program string, args ...string) (*Process, error) {
 	return startProcess(r.dir, name, filepath.Join(r.programs, program), args...)
 }
