--- a/membertable/record.go
+++ b/membertable/record.go
@@ -11,7 +11,7 @@
 )
 
 // MaxTables bounds the versions in a record.
-const MaxTables = 32
+const MaxTables = 16
 
 // keyPrefix starts the platform keys of member tables.
 const keyPrefix = "members/"
--- a/once/authority.go
+++ b/once/authority.go
@@ -31,22 +31,25 @@
 	return min(a.lastEpoch, uint64(now.Sub(a.start)/EpochLength))
 }
 
-// expire drops the records of old epochs and returns their number. Records are
+// expire drops the records of old epochs and returns their number and the bytes
+// of their bodies. Records are
 // dropped and their keys refused by the same figure, a.oldest, which is also
 // handed over: a successor that computed it anew would accept keys whose
 // records the issuer had dropped.
-func (a *authority) expire(now time.Time) int {
+func (a *authority) expire(now time.Time) (dropped, bodies int) {
 	if past := int64((now.Sub(a.start) - Retention) / EpochLength); past > 0 {
 		a.oldest = max(a.oldest, uint64(past))
 	}
-	dropped := 0
 	for epoch, records := range a.epochs {
 		if epoch < a.oldest {
 			dropped += len(records)
+			for _, rec := range records {
+				bodies += len(rec.result.Body)
+			}
 			delete(a.epochs, epoch)
 		}
 	}
-	return dropped
+	return dropped, bodies
 }
 
 func (a *authority) forgettable(now time.Time) bool {
--- a/once/handover.go
+++ b/once/handover.go
@@ -147,7 +147,9 @@
 		return false
 	}
 	r.authorities[b.Issuer] = a
-	r.count += a.accept(b)
+	added, bodies := a.accept(b, MaxBodies-r.bodies)
+	r.count += added
+	r.bodies += bodies
 	return true
 }
 
@@ -160,18 +162,21 @@
 	return true
 }
 
-func (a *authority) accept(b Batch) int {
-	added := 0
+// accept adds the records of a batch, with bodies up to the room that is left,
+// and returns their number and the bytes of their bodies.
+func (a *authority) accept(b Batch, room int) (added, bodies int) {
 	for _, rec := range b.Records {
 		if a.find(rec.Key) != nil {
 			continue
 		}
 		done := make(chan struct{})
 		close(done)
-		a.add(rec.Key, &record{fingerprint: rec.Fingerprint, finished: true, result: rec.Result.bounded(), done: done})
+		result := rec.Result.bounded(room - bodies)
+		a.add(rec.Key, &record{fingerprint: rec.Fingerprint, finished: true, result: result, done: done})
 		added++
+		bodies += len(result.Body)
 	}
 	a.next++
 	a.active = b.Last
-	return added
+	return added, bodies
 }
--- a/once/registry.go
+++ b/once/registry.go
@@ -45,6 +45,7 @@
 	latest      time.Time // Latest time seen.
 	authorities map[Issuer]*authority
 	count       int // Records of all authorities.
+	bodies      int // Bytes of the bodies that they keep.
 	sealed      bool
 	successor   Issuer
 	batches     []Batch // Hand-over messages; fixed when sealed.
@@ -132,7 +133,9 @@
 		r.latest = now
 	}
 	for issuer, a := range r.authorities {
-		r.count -= a.expire(r.latest)
+		records, bodies := a.expire(r.latest)
+		r.count -= records
+		r.bodies -= bodies
 		if issuer != r.self && a.forgettable(r.latest) {
 			delete(r.authorities, issuer)
 		}
@@ -158,7 +161,10 @@
 		return
 	}
 	t.record.finished = true
-	t.record.result = result.bounded()
+	t.record.result = result.bounded(MaxBodies - r.bodies)
+	if a := r.authorities[t.key.Issuer]; a != nil && a.find(t.key) == t.record {
+		r.bodies += len(t.record.result.Body)
+	}
 	close(t.record.done)
 	a, known := r.authorities[t.key.Issuer]
 	// A sealed record stays: its copy at the successor says "in flight", which
@@ -166,5 +172,6 @@
 	if result.Executed == outcome.No && known && !r.sealed && a.find(t.key) == t.record {
 		a.remove(t.key)
 		r.count--
+		r.bodies -= len(t.record.result.Body)
 	}
 }
--- a/once/result.go
+++ b/once/result.go
@@ -5,6 +5,10 @@
 // MaxBodyBytes bounds the body that a record keeps for replay.
 const MaxBodyBytes = 4 << 10
 
+// MaxBodies bounds the bodies of all records of a registry together, in bytes.
+// Records with the longest bodies would take 289 MB without it.
+const MaxBodies = 3 << 20
+
 // Fingerprint identifies the content of a request.
 type Fingerprint [16]byte
 
@@ -15,14 +19,15 @@
 	Reason      outcome.Reason
 	ContentType string
 	Body        []byte
-	// BodyDropped is true when the answer's body was longer than MaxBodyBytes
-	// and is not kept.
+	// BodyDropped is true when the answer's body is not kept, since it was
+	// longer than MaxBodyBytes or MaxBodies was reached.
 	BodyDropped bool
 }
 
-// bounded returns the result without a body that is too long to keep.
-func (r Result) bounded() Result {
-	if len(r.Body) > MaxBodyBytes {
+// bounded returns the result without a body that is too long to keep or larger
+// than the room that is left.
+func (r Result) bounded(room int) Result {
+	if len(r.Body) > min(MaxBodyBytes, room) {
 		r.Body, r.BodyDropped = nil, true
 		return r
 	}
