--- /dev/null
+++ b/entry/tablepropose.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/membership"
+	"github.com/jacinthstall/jacinthstall/membertable"
+)
+
+// observed returns the region's members as proposals need them.
+func (in *Instance) observed() []membertable.Observed {
+	var list []membertable.Observed
+	for _, m := range in.members.view().Members {
+		if m.Region != in.settings.Region || m.Incarnation == 0 {
+			continue
+		}
+		o := membertable.Observed{Member: membertable.Member{Name: m.Name, Incarnation: m.Incarnation, Domain: m.Domain}, Version: m.TableVersion}
+		switch {
+		case m.State == membership.Gone:
+			o.State = membertable.Gone
+		case m.State == membership.Leaving:
+			o.State = membertable.Leaving
+		case m.Suspected:
+			o.State = membertable.Silent
+		}
+		list = append(list, o)
+	}
+	return list
+}
+
+// proposeTable writes the next version when the members changed and it is this
+// instance's turn.
+func (in *Instance) proposeTable(ctx context.Context) {
+	view := in.observed()
+	in.table.mu.Lock()
+	record, changed := in.table.holder.Propose(view)
+	revision, ready := in.table.revision, in.table.read && !in.table.holder.Suspended()
+	now := time.Now()
+	if !changed {
+		in.table.changeAt = time.Time{}
+	} else if in.table.changeAt.IsZero() {
+		in.table.changeAt = now
+	}
+	wait := gatherTime + time.Duration(in.turn(view))*proposeStep
+	if record.Newest() == 1 {
+		wait += firstGatherTime
+	}
+	due := changed && now.Sub(in.table.changeAt) >= wait
+	in.table.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	if !ready {
+		_ = in.readTable(ctx)
+		return
+	}
+	in.writeTable(ctx, record, revision)
+}
+
+// turn is the place of the own instance among the live members of the region.
+func (in *Instance) turn(view []membertable.Observed) int {
+	return max(0, slices.IndexFunc(slices.DeleteFunc(slices.Clone(view), func(o membertable.Observed) bool {
+		return o.State != membertable.Alive
+	}), func(o membertable.Observed) bool { return o.Name == in.settings.Name }))
+}
+
+// writeTable replaces the record. After a conflict or an unknown outcome it is
+// read again, and the next proposal starts from what was read.
+func (in *Instance) writeTable(ctx context.Context, r membertable.Record, revision uint64) {
+	data, err := r.Encode()
+	if err != nil {
+		return
+	}
+	next, err := in.platform.Put(ctx, membertable.Key(in.settings.Region), data, revision)
+	if err == nil {
+		in.learnTable(data, next)
+		return
+	}
+	in.events.Emit(events.TableNotWritten, log.Fields{"version": r.Newest(), "error": err.Error()})
+	in.table.mu.Lock()
+	in.table.read, in.table.changeAt = false, time.Now()
+	in.table.mu.Unlock()
+}
