Use one type for the cause of a release; start whole instances in tests one way

Package entry had its own causes and a table that mapped them to those of package slots, with the same meanings. Two tests built the same platform, settings and document side by side. Two accessors had no caller. Behaviour and assertions stay; all checks pass.

--- a/entry/chooser.go
+++ b/entry/chooser.go
@@ -7,21 +7,7 @@
 
 	"github.com/jacinthstall/jacinthstall/outcome"
 	"github.com/jacinthstall/jacinthstall/policy"
-)
-
-// Cause says how the use of a target ended.
-type Cause int
-
-// Causes of a release.
-const (
-	CauseUnused Cause = iota
-	CauseAnswered
-	CauseShed
-	CauseConnectFailed
-	CauseCrashed
-	CauseTimedOut
-	// CauseLeaving means answered, with the news that the target is leaving.
-	CauseLeaving
+	"github.com/jacinthstall/jacinthstall/slots"
 )
 
 // Want asks for a target.
@@ -41,7 +27,7 @@
 type Grant struct {
 	Target  policy.Target
 	Until   time.Time // The exchange must have ended by then; zero means no limit.
-	Release func(Cause)
+	Release func(slots.Cause)
 	Forward string // Instance to forward to; empty for a target.
 
 	leaving bool // The target's answer said that it is leaving.
@@ -50,11 +36,11 @@
 // targetLeaving is the state that a target names in its answers while it leaves.
 const targetLeaving = "leaving"
 
-func (g Grant) answeredCause() Cause {
+func (g Grant) answeredCause() slots.Cause {
 	if g.leaving {
-		return CauseLeaving
+		return slots.Leaving
 	}
-	return CauseAnswered
+	return slots.Answered
 }
 
 // Chooser chooses targets.
@@ -88,7 +74,7 @@
 	}
 	for _, candidates := range [][]policy.Target{near, region, far} {
 		if len(candidates) > 0 {
-			return Grant{Target: candidates[rand.IntN(len(candidates))], Release: func(Cause) {}}, nil
+			return Grant{Target: candidates[rand.IntN(len(candidates))], Release: func(slots.Cause) {}}, nil
 		}
 	}
 	return Grant{}, &outcome.Outcome{Status: 503, Reason: outcome.ReasonNoTarget, Executed: outcome.No}
--- a/entry/members.go
+++ b/entry/members.go
@@ -54,17 +54,6 @@
 // SetPeerHooks sets what heartbeats are connected to.
 func (in *Instance) SetPeerHooks(h PeerHooks) { in.members.hooks.Store(&h) }
 
-// MemberView returns the state of all instances.
-func (in *Instance) MemberView() *membership.View { return in.members.view() }
-
-// MembersRefreshed reports whether the view is current; it is not after the own
-// instance was frozen.
-func (in *Instance) MembersRefreshed() bool {
-	in.members.mu.Lock()
-	defer in.members.mu.Unlock()
-	return in.members.tracker.Refreshed()
-}
-
 // ChangeSelf edits what the instance tells of itself in heartbeats, for example
 // the member table version that it applies.
 func (in *Instance) ChangeSelf(change func(*membership.Update)) { in.members.changeSelf(change) }
--- a/entry/regions_test.go
+++ b/entry/regions_test.go
@@ -2,68 +2,38 @@
 
 import (
 	"context"
-	"crypto/ed25519"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthstall/jacinthstall/caller"
-	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/outcome"
-	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/policy/policytest"
-	"github.com/jacinthstall/jacinthstall/settings"
-	"github.com/jacinthstall/jacinthstall/standin/platformd"
 )
 
 // startRegions runs one whole instance with one target in each of two regions
 // of one failure domain; edit changes the document before it is published.
 func startRegions(t *testing.T, edit func(*policy.Document)) *region {
 	t.Helper()
-	r := &region{store: platformd.NewStore(nil)}
-	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
-	public := configsync.PublicKey(key)
-	address := servePlatform(t, r.store)
+	r := newRegion(t)
 	document := policytest.Document()
 	document.Regions = []policy.Region{{Name: "north", Domains: []string{"n"}}, {Name: "south", Domains: []string{"s"}}}
 	document.Links = []policy.Link{{From: "north", To: "south", CapMbit: 100}, {From: "south", To: "north", CapMbit: 100}}
 	document.Sites = []policy.Site{{Name: "site", Domain: "n", Regions: []string{"north", "south"}}}
 	document.Blocks = []policy.Block{{Prefix: "0.0.0.0/0", Site: "site"}}
 	document.Services = []policy.Service{{Name: "writes", PathPrefix: "/writes", MaxQueueMs: 20000}}
-	var list []platform.Instance
 	for i, domain := range []string{"n", "s"} {
 		document.Targets = append(document.Targets, r.startTarget(t, i, domain))
-		s := settings.Settings{Name: domain + "-1", Region: document.Regions[i].Name, Domain: domain, CallerAddress: freeAddress(t),
-			PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t), Platform: address,
-			OperatorKeys: []string{base64.StdEncoding.EncodeToString(public)}}
-		list = append(list, platform.Instance{Name: s.Name, Region: s.Region, Domain: s.Domain,
-			PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, State: platform.InstanceLive})
-		in, err := New(s, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
-		require.NoError(t, err)
-		r.instances = append(r.instances, in)
+		r.add(t, domain+"-1", document.Regions[i].Name, domain)
 	}
-	r.store.SetInstances(list)
 	edit(document)
-	doc, err := json.Marshal(document)
-	require.NoError(t, err)
-	p := configsync.Publisher{KV: platformd.Local{Store: r.store}, Sign: configsync.SignWith(key), Keys: []ed25519.PublicKey{public}}
-	_, err = p.Publish(t.Context(), doc, 0)
-	require.NoError(t, err)
-	for _, in := range r.instances {
-		r.run(t, in)
-	}
+	r.start(t, document)
 	for _, in := range r.instances {
-		require.Eventually(t, func() bool {
-			return in.viewSet.Load() && in.table.share() > 0 && len(in.nearest()) == 1
-		}, hang, 10*time.Millisecond)
+		require.Eventually(t, func() bool { return len(in.nearest()) == 1 }, hang, 10*time.Millisecond)
 	}
 	return r
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthstall/jacinthstall/outcome"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/quarantine"
+	"github.com/jacinthstall/jacinthstall/slots"
 )
 
 // maxAttempts bounds the targets tried for one request.
@@ -100,7 +101,7 @@
 		}
 		flight := in.guard.Start(time.Now(), f, r.service.Name, grant.Target.Name, targets)
 		if flight == nil {
-			grant.Release(CauseUnused)
+			grant.Release(slots.Unused)
 			continue
 		}
 		tried[grant.Target.Name] = true
@@ -157,7 +158,7 @@
 		defer cancel()
 		_ = answer.Body.Close()
 		in.guard.Ended(flight)
-		grant.Release(CauseShed)
+		grant.Release(slots.Shed)
 		return refused(outcome.Outcome{Status: 503, Reason: outcome.ReasonShed, Executed: outcome.No, Target: grant.Target.Name})
 	}
 	o := outcome.Outcome{Status: answer.Status, Reason: outcome.ReasonAnswered, Executed: outcome.Yes, Target: grant.Target.Name}
@@ -187,10 +188,10 @@
 		return
 	case errors.As(err, &failure) && failure.Crashed:
 		in.crashed(r, grant, flight)
-		grant.Release(CauseCrashed)
+		grant.Release(slots.Crashed)
 	default:
 		in.guard.Ended(flight)
-		grant.Release(CauseTimedOut)
+		grant.Release(slots.TimedOut)
 	}
 	in.events.Emit(events.AnswerCut, log.Fields{"service": r.service.Name, "target": grant.Target.Name, "error": err.Error()})
 }
@@ -198,10 +199,10 @@
 // failed ends an exchange without an answer.
 func (in *Instance) failed(ctx context.Context, r *incoming, grant Grant, flight *quarantine.Flight, err error) *reply {
 	o := outcome.Outcome{Status: 502, Reason: outcome.ReasonTargetFailed, Executed: outcome.Unknown, Target: grant.Target.Name}
-	cause := CauseTimedOut
+	cause := slots.TimedOut
 	var failure *forward.Error
 	if errors.As(err, &failure) && failure.Stage == forward.StageConnect {
-		o.Executed, cause = outcome.No, CauseConnectFailed
+		o.Executed, cause = outcome.No, slots.ConnectFailed
 	}
 	switch {
 	case errors.Is(err, errBodyTooLarge):
@@ -214,7 +215,7 @@
 		o.Status, o.Reason = 504, outcome.ReasonDeadline
 	}
 	if failure != nil && failure.Crashed {
-		cause = CauseCrashed
+		cause = slots.Crashed
 		in.crashed(r, grant, flight)
 	} else {
 		in.guard.Ended(flight)
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -71,18 +71,18 @@
 }
 
 func (c *scheduledChooser) granted(w Want, a dispatch.Start) (Grant, *outcome.Outcome) {
-	release := func(cause Cause) {
-		if cause == CauseLeaving {
+	release := func(cause slots.Cause) {
+		if cause == slots.Leaving {
 			c.runner.TargetLeaving(a.Target)
 		}
-		c.runner.Finished(a.Request.ID, slotCauses[cause])
+		c.runner.Finished(a.Request.ID, cause)
 	}
 	for _, t := range w.Document.Targets {
 		if t.Name == a.Target {
 			return Grant{Target: t, Until: a.Until, Release: release}, nil
 		}
 	}
-	release(CauseUnused) // The target is not in the request's document any more.
+	release(slots.Unused) // The target is not in the request's document any more.
 	return Grant{}, noTarget()
 }
 
@@ -100,12 +100,6 @@
 	return false
 }
 
-var slotCauses = map[Cause]slots.Cause{
-	CauseUnused: slots.Unused, CauseAnswered: slots.Answered, CauseShed: slots.Shed,
-	CauseConnectFailed: slots.ConnectFailed, CauseCrashed: slots.Crashed,
-	CauseTimedOut: slots.TimedOut, CauseLeaving: slots.Leaving,
-}
-
 func refusalStatus(r outcome.Reason) int {
 	switch r {
 	case outcome.ReasonDeadline:
--- a/entry/slots_test.go
+++ b/entry/slots_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/ed25519"
-	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"sync"
@@ -30,6 +29,8 @@
 // slots each, all run as a whole over loopback.
 type region struct {
 	store     *platformd.Store
+	platform  string // Address of the platform stand-in.
+	list      []platform.Instance
 	instances []*Instance
 	stop      []context.CancelFunc
 	ended     []chan error
@@ -40,32 +41,50 @@
 
 func startRegion(t *testing.T, countSlots bool) *region {
 	t.Helper()
-	r := &region{store: platformd.NewStore(nil)}
-	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
-	public := configsync.PublicKey(key)
-	address := servePlatform(t, r.store)
+	r := newRegion(t)
 	document := policytest.Document(policy.Block{Prefix: "0.0.0.0/0", Site: "site"})
 	document.Services = []policy.Service{{Name: "writes", PathPrefix: "/writes", MaxQueueMs: 20000}}
-	var list []platform.Instance
 	for i := range 4 {
 		domain := []string{"a", "b"}[i%2]
 		document.Targets = append(document.Targets, r.startTarget(t, i, domain))
-		s := settings.Settings{Name: fmt.Sprintf("%s-%d", domain, i), Region: "r", Domain: domain,
-			CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
-			Platform: address, OperatorKeys: []string{base64.StdEncoding.EncodeToString(public)}}
-		list = append(list, platform.Instance{Name: s.Name, Region: s.Region, Domain: s.Domain,
-			PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, State: platform.InstanceLive})
-		in, err := New(s, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
-		require.NoError(t, err)
+		in := r.add(t, fmt.Sprintf("%s-%d", domain, i), "r", domain)
 		if !countSlots {
-			in.chooser = randomChooser{domain: s.Domain, region: s.Region}
+			in.chooser = randomChooser{domain: domain, region: "r"}
 		}
-		r.instances = append(r.instances, in)
 	}
-	r.store.SetInstances(list)
+	r.start(t, document)
+	return r
+}
+
+func newRegion(t *testing.T) *region {
+	t.Helper()
+	r := &region{store: platformd.NewStore(nil)}
+	r.platform = servePlatform(t, r.store)
+	return r
+}
+
+// add makes an instance that start runs.
+func (r *region) add(t *testing.T, name, regionName, domain string) *Instance {
+	t.Helper()
+	s := settings.Settings{Name: name, Region: regionName, Domain: domain,
+		CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
+		Platform: r.platform, OperatorKeys: []string{encodedOperatorKey()}}
+	r.list = append(r.list, platform.Instance{Name: s.Name, Region: s.Region, Domain: s.Domain,
+		PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, State: platform.InstanceLive})
+	in, err := New(s, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+	require.NoError(t, err)
+	r.instances = append(r.instances, in)
+	return in
+}
+
+// start publishes the document and runs the instances until each may grant.
+func (r *region) start(t *testing.T, document *policy.Document) {
+	t.Helper()
+	r.store.SetInstances(r.list)
 	doc, err := json.Marshal(document)
 	require.NoError(t, err)
-	p := configsync.Publisher{KV: platformd.Local{Store: r.store}, Sign: configsync.SignWith(key), Keys: []ed25519.PublicKey{public}}
+	p := configsync.Publisher{KV: platformd.Local{Store: r.store}, Sign: configsync.SignWith(operatorKey),
+		Keys: []ed25519.PublicKey{configsync.PublicKey(operatorKey)}}
 	_, err = p.Publish(t.Context(), doc, 0)
 	require.NoError(t, err)
 	for _, in := range r.instances {
@@ -74,7 +93,6 @@
 	for _, in := range r.instances {
 		require.Eventually(t, func() bool { return in.viewSet.Load() && in.table.share() > 0 }, hang, 10*time.Millisecond)
 	}
-	return r
 }
 
 func (r *region) startTarget(t *testing.T, i int, domain string) policy.Target {
