--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,155 @@
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/steering"
+)
+
+// Options configure a Balancer.
+type Options struct {
+	Name      string // Of this instance.
+	Domain    string
+	Region    string
+	Regions   map[string]string // Region of each failure domain.
+	ShiftMost float64           // See settings.Bounds.
+}
+
+// Balancer chooses targets.
+type Balancer struct {
+	options Options
+
+	mu         sync.Mutex
+	world      *steering.World
+	targets    map[string]*target
+	services   map[string]*service
+	peers      map[string]*peer
+	instances  []steering.Instance      // Live ones, this one included.
+	roundTrips map[string]time.Duration // To other regions, as measured.
+	started    time.Time
+}
+
+// target is what is known of one incarnation of a target.
+type target struct {
+	record *steering.Target
+	region string
+	hash   uint64 // Of its ID.
+
+	own    int // Requests of this instance in flight.
+	peers  int // Those of other instances, as last reported.
+	hidden int // In flight beyond these, by the target's own word.
+	heard  time.Time
+
+	speed    float64 // Observed time by expected time; 1 is usual.
+	failing  float64 // Part of the recent answers that are failures.
+	failures int     // Failures in a row.
+	down     bool    // It has refused or ended connections and not answered since.
+	avoid    time.Time
+	cold     time.Time
+	token    time.Time // When the next request may go there while it is cold.
+	warm     *recent   // Objects that it has handled.
+}
+
+// service is what is known of a service.
+type service struct {
+	name     string
+	warmTime time.Duration // Usual time of a request whose object is known.
+	coldTime time.Duration // Usual time of one whose object is not.
+	meanTime time.Duration
+	rate     rate // Requests that callers sent to this instance.
+	regions  weights
+	sequence uint64 // Spreads requests without an object.
+}
+
+// New returns a balancer without targets.
+func New(o Options, now time.Time) *Balancer {
+	return &Balancer{options: o, world: steering.NewWorld().With(0, nil), targets: map[string]*target{},
+		services: map[string]*service{}, peers: map[string]*peer{}, roundTrips: map[string]time.Duration{}, started: now}
+}
+
+// Guesses used until requests have been observed.
+const (
+	guessWarm = 150 * time.Millisecond
+	guessCold = 450 * time.Millisecond
+)
+
+func (b *Balancer) service(name string) *service {
+	s := b.services[name]
+	if s == nil {
+		s = &service{name: name, warmTime: guessWarm, coldTime: guessCold, meanTime: (guessWarm + guessCold) / 2}
+		b.services[name] = s
+	}
+	return s
+}
+
+// SetWorld takes over what is believed now. Targets of another incarnation
+// start anew.
+func (b *Balancer) SetWorld(now time.Time, w *steering.World) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.world
+	b.world = w
+	for id, record := range w.Targets {
+		b.setTarget(now, id, record)
+	}
+	for id := range b.targets {
+		if w.Targets[id] == nil {
+			delete(b.targets, id)
+		}
+	}
+	for domain := range before.Evacuated {
+		if !w.Evacuated[domain] {
+			b.warmUp(now, domain)
+		}
+	}
+}
+
+func (b *Balancer) setTarget(now time.Time, id string, record *steering.Target) {
+	t := b.targets[id]
+	if t == nil || !t.record.Same(record) {
+		t = &target{region: b.options.Regions[record.Domain], hash: hashOf(id), speed: 1, warm: newRecent()}
+		b.targets[id] = t
+	}
+	t.record = record
+	if record.ColdUntil.After(t.cold) {
+		t.cold = record.ColdUntil
+	}
+}
+
+// warmUp treats the targets of a failure domain as cold. They had no requests
+// while the domain was evacuated.
+func (b *Balancer) warmUp(now time.Time, domain string) {
+	for _, t := range b.targets {
+		if t.record.Domain == domain {
+			t.cold = now.Add(b.coldTime(t.record.Service))
+		}
+	}
+}
+
+// SetInstances takes over which instances are live, this one included.
+func (b *Balancer) SetInstances(list []steering.Instance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances = list
+}
+
+// hiddenMemory is how long a load that only the target itself told counts.
+const hiddenMemory = 500 * time.Millisecond
+
+// load is the number of requests in flight at the target.
+func (t *target) load(now time.Time) int {
+	load := t.own + t.peers
+	if now.Sub(t.heard) < hiddenMemory {
+		load += t.hidden
+	}
+	return load
+}
+
+// coldTime is how long targets of a service stay cold.
+func (b *Balancer) coldTime(service string) time.Duration {
+	if b.world.Config == nil {
+		return 0
+	}
+	return b.world.Config.Services[service].ColdTime
+}
--- /dev/null
+++ b/balance/budget.go
@@ -0,0 +1,80 @@
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/settings"
+)
+
+const (
+	// budgetShare is the part of the deployment's retry budget that is used.
+	// The rest covers instances that disagree about how many they are.
+	budgetShare = 0.7
+	// budgetSteps is the number of parts that a window is counted in.
+	budgetSteps = 10
+)
+
+// Budget bounds the repeated requests to each service. Each instance has its
+// own requests' part of the ratio and an equal part of the slack.
+type Budget struct {
+	bounds settings.Bounds
+
+	mu       sync.Mutex
+	services map[string]*budgetWindow
+}
+
+// budgetWindow counts requests and repeats in the last window.
+type budgetWindow struct {
+	requests, repeats [budgetSteps]int
+	step              int64
+}
+
+// NewBudget returns a budget of which nothing is used.
+func NewBudget(bounds settings.Bounds) *Budget {
+	return &Budget{bounds: bounds, services: map[string]*budgetWindow{}}
+}
+
+// Request counts a request for a service.
+func (b *Budget) Request(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(now, service)
+	w.requests[w.step%budgetSteps]++
+}
+
+// Repeat reports whether a request may be sent once more, and counts it. live
+// is the number of instances.
+func (b *Budget) Repeat(now time.Time, service string, live int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(now, service)
+	requests, repeats := 0, 0
+	for i := range budgetSteps {
+		requests += w.requests[i]
+		repeats += w.repeats[i]
+	}
+	slack := float64(b.bounds.RetrySlack) / float64(max(1, live))
+	if float64(repeats+1) > budgetShare*(b.bounds.RetryRatio*float64(requests)+slack) {
+		return false
+	}
+	w.repeats[w.step%budgetSteps]++
+	return true
+}
+
+// window returns the counts of a service, with those that are too old removed.
+func (b *Budget) window(now time.Time, service string) *budgetWindow {
+	length := max(time.Second, b.bounds.RetryWindow) / budgetSteps
+	step := now.UnixNano() / int64(length)
+	w := b.services[service]
+	if w == nil {
+		w = &budgetWindow{step: step}
+		b.services[service] = w
+	}
+	for i := 0; w.step < step && i < budgetSteps; i++ {
+		w.step++
+		w.requests[w.step%budgetSteps], w.repeats[w.step%budgetSteps] = 0, 0
+	}
+	w.step = max(w.step, step)
+	return w
+}
--- /dev/null
+++ b/balance/outcome.go
@@ -0,0 +1,136 @@
+package balance
+
+import "time"
+
+// Result says how an attempt ended.
+type Result int
+
+// Results.
+const (
+	Answered    Result = iota // A whole answer, that is not a failure of the target.
+	Failed                    // A whole answer that says that the target failed.
+	Shed                      // The target did not execute the request.
+	Misdirected               // Another target has the address.
+	Unreachable               // No connection; the target saw nothing.
+	Broken                    // The connection ended or the answer cannot be used.
+	Silent                    // No answer until the attempt was given up.
+	Abandoned                 // The caller left, or the attempt was cut for another reason.
+)
+
+const (
+	// averageWeight is the weight of one observation in an average.
+	averageWeight = 0.15
+	// Pauses for a target that fails, doubled with each failure in a row.
+	firstAvoid = 300 * time.Millisecond
+	lastAvoid  = 4 * time.Second
+	// shedAvoid is the pause for a target that sheds below its slots.
+	shedAvoid = 150 * time.Millisecond
+	// Bounds of a target's observed speed.
+	fastest = 0.3
+	slowest = 20.0
+)
+
+// Observation is what an attempt has shown.
+type Observation struct {
+	Result Result
+	Took   time.Duration // From the choice to the end of the answer.
+	// Executing and Waiting are what the target said of its load; Told says
+	// that it did.
+	Executing, Waiting int
+	Told               bool
+	Cold               time.Duration // How long the target says that it stays cold.
+}
+
+// Avoided is a target that gets no requests for a while.
+type Avoided struct {
+	Target   string
+	Failures int
+	For      time.Duration
+}
+
+// Done ends a grant. It returns the target when it is avoided from now on.
+func (b *Balancer) Done(now time.Time, g Grant, o Observation) *Avoided {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.targets[g.Target.ID]
+	if t == nil || !t.record.Same(g.Target) {
+		return nil
+	}
+	t.own = max(0, t.own-1)
+	if o.Told {
+		t.heard = now
+		t.hidden = max(0, o.Executing+o.Waiting-t.own-t.peers)
+	}
+	if o.Cold > 0 {
+		t.cold = now.Add(o.Cold)
+	}
+	switch o.Result {
+	case Answered:
+		b.answered(now, t, g, o.Took)
+	case Failed:
+		t.failing += averageWeight * (1 - t.failing)
+		t.failures = 0
+	case Shed:
+		return b.shed(now, t, o)
+	case Misdirected:
+		// The record changes soon; until then the address is another target's.
+		t.avoid = now.Add(lastAvoid)
+		return &Avoided{Target: t.record.ID, For: lastAvoid}
+	case Unreachable, Broken, Silent:
+		return b.broke(now, t, o.Result)
+	}
+	return nil
+}
+
+// answered learns from a good answer.
+func (b *Balancer) answered(now time.Time, t *target, g Grant, took time.Duration) {
+	t.failing -= averageWeight * t.failing
+	t.failures = 0
+	if t.down {
+		t.down = false
+		t.cold = now.Add(b.coldTime(t.record.Service))
+	}
+	if g.object != "" {
+		t.warm.add(g.object)
+	}
+	s := b.service(t.record.Service)
+	work := max(time.Millisecond, took-b.roundTrip(t.region))
+	s.meanTime += time.Duration(averageWeight * float64(work-s.meanTime))
+	if g.queued || now.Before(t.cold) {
+		return
+	}
+	usual := &s.coldTime
+	if g.Warm {
+		usual = &s.warmTime
+	}
+	ratio := min(slowest, max(fastest, float64(work)/float64(*usual)))
+	t.speed += averageWeight * (ratio - t.speed)
+	*usual += time.Duration(averageWeight / 2 * float64(work-*usual))
+}
+
+// shed notes that the target has no room. When it had slots free by all that
+// is known, it is left alone for a moment.
+func (b *Balancer) shed(now time.Time, t *target, o Observation) *Avoided {
+	if !o.Told || o.Executing < t.record.Slots {
+		t.failing += averageWeight * (1 - t.failing)
+		t.avoid = now.Add(shedAvoid)
+		return &Avoided{Target: t.record.ID, For: shedAvoid}
+	}
+	return nil
+}
+
+// broke notes a failure of the connection. One lost answer alone says little;
+// a target that cannot be reached is left alone at once.
+func (b *Balancer) broke(now time.Time, t *target, r Result) *Avoided {
+	t.failures++
+	t.failing += averageWeight * (1 - t.failing)
+	if r == Unreachable {
+		t.down = true
+	}
+	if r != Unreachable && t.failures < 2 {
+		return nil
+	}
+	pause := min(lastAvoid, firstAvoid<<min(8, t.failures-1))
+	t.avoid = now.Add(pause)
+	return &Avoided{Target: t.record.ID, Failures: t.failures, For: pause}
+}
--- /dev/null
+++ b/balance/regions.go
@@ -0,0 +1,251 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// weightStep is the pause between two steps of the weights.
+	weightStep = 250 * time.Millisecond
+	// stepShare is the part of the deployment's bound on shifts that a step may
+	// use: 8 steps fit into the bound's 2 s, and requests scatter around weights.
+	stepShare = 0.5 / 8
+	// localLoad is the load up to which a region keeps its requests, as a part
+	// of its slots, however idle the others are.
+	localLoad = 0.6
+	// expectedLoad is assumed for all regions together until load was measured.
+	expectedLoad = 0.8
+	// measureAfter is how long after the start loads count as measured.
+	measureAfter = 4 * time.Second
+	// defaultShift is used when the deployment states no bound.
+	defaultShift = 0.15
+	// defaultRoundTrip is assumed to another region until it was measured.
+	defaultRoundTrip = 80 * time.Millisecond
+	// localRoundTrip is that inside a region.
+	localRoundTrip = 2 * time.Millisecond
+)
+
+// weights are the parts of a service's requests that go to each region.
+type weights struct {
+	part map[string]float64
+	next time.Time
+}
+
+// regionOrder returns the regions to try for a request. The first one follows
+// from the object, so an object stays in its region while the weights change
+// little.
+func (b *Balancer) regionOrder(s *service, want Want, object uint64) []string {
+	order := b.regionNames(want.Homes)
+	if len(order) < 2 || s.regions.part == nil {
+		return order
+	}
+	point, sum := unit(mix(object, hashOf(s.name))), 0.0
+	total := 0.0
+	for _, region := range order {
+		total += s.regions.part[region]
+	}
+	if total <= 0 {
+		return order
+	}
+	for i, region := range order {
+		sum += s.regions.part[region] / total
+		if point < sum {
+			return moveFirst(order, i)
+		}
+	}
+	return order
+}
+
+func moveFirst(order []string, i int) []string {
+	first := order[i]
+	rest := slices.Delete(slices.Clone(order), i, i+1)
+	return append([]string{first}, rest...)
+}
+
+// regionNames returns the regions that may serve, this one first, then in the
+// order of their round trips.
+func (b *Balancer) regionNames(homes []string) []string {
+	var names []string
+	for _, region := range b.options.Regions {
+		if !slices.Contains(names, region) && (len(homes) == 0 || slices.Contains(homes, region)) {
+			names = append(names, region)
+		}
+	}
+	slices.SortFunc(names, func(a, c string) int {
+		if a == b.options.Region || c == b.options.Region {
+			if a == c {
+				return 0
+			}
+			if a == b.options.Region {
+				return -1
+			}
+			return 1
+		}
+		if x, y := b.roundTrip(a), b.roundTrip(c); x != y {
+			return int(x - y)
+		}
+		if a < c {
+			return -1
+		}
+		return 1
+	})
+	return names
+}
+
+func (b *Balancer) roundTrip(region string) time.Duration {
+	if region == b.options.Region {
+		return localRoundTrip
+	}
+	if d, ok := b.roundTrips[region]; ok {
+		return d
+	}
+	return defaultRoundTrip
+}
+
+// RoundTrip returns the round trip to a region, as far as it is known.
+func (b *Balancer) RoundTrip(region string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.roundTrip(region)
+}
+
+// ObserveRoundTrip takes over a measured round trip to another region.
+func (b *Balancer) ObserveRoundTrip(region string, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if region == b.options.Region {
+		return
+	}
+	if old, ok := b.roundTrips[region]; ok {
+		d = old + time.Duration(averageWeight*float64(d-old))
+	}
+	b.roundTrips[region] = d
+}
+
+// Step moves the weights of all services towards what the loads call for. It
+// is called often; between steps it does nothing.
+func (b *Balancer) Step(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sumPeers(now)
+	for _, s := range b.services {
+		if now.Before(s.regions.next) {
+			continue
+		}
+		s.regions.next = now.Add(weightStep)
+		b.step(now, s)
+	}
+}
+
+func (b *Balancer) step(now time.Time, s *service) {
+	slots := b.slotsByRegion(s)
+	goal := split(b.options.Region, b.loadByRegion(now, s, slots), slots)
+	if s.regions.part == nil {
+		s.regions.part = goal
+		return
+	}
+	bound := b.options.ShiftMost
+	if bound <= 0 {
+		bound = defaultShift
+	}
+	approach(s.regions.part, goal, slots, bound*stepShare)
+}
+
+// approach moves parts towards a goal by at most most in total. A region
+// without slots loses its part at once.
+func approach(part, goal, slots map[string]float64, most float64) {
+	distance := 0.0
+	for region := range goal {
+		distance += max(0, goal[region]-part[region])
+	}
+	fraction := 1.0
+	if distance > most {
+		fraction = most / distance
+	}
+	for region := range goal {
+		part[region] += fraction * (goal[region] - part[region])
+	}
+	for region := range part {
+		if slots[region] == 0 {
+			part[region] = 0
+		}
+	}
+}
+
+func (b *Balancer) slotsByRegion(s *service) map[string]float64 {
+	slots := map[string]float64{}
+	for _, region := range b.options.Regions {
+		slots[region] += 0
+	}
+	for _, record := range b.world.Of(s.name) {
+		if b.world.Usable(record) {
+			slots[b.options.Regions[record.Domain]] += float64(record.Slots)
+		}
+	}
+	return slots
+}
+
+// loadByRegion returns the slots that the requests of each region's callers
+// keep busy.
+func (b *Balancer) loadByRegion(now time.Time, s *service, slots map[string]float64) map[string]float64 {
+	load := map[string]float64{}
+	if now.Sub(b.started) < measureAfter || s.rate.at(now) < smallestRate {
+		total := 0.0
+		for _, n := range slots {
+			total += n
+		}
+		for region := range slots {
+			load[region] = expectedLoad * total / float64(len(slots))
+		}
+		return load
+	}
+	work := s.meanTime.Seconds()
+	for region := range slots {
+		load[region] = 0
+	}
+	load[b.options.Region] += s.rate.at(now) * work
+	for _, p := range b.peers {
+		load[p.region] += p.report.Rates[short(hashOf(s.name))] * work
+	}
+	return load
+}
+
+// split returns the parts of a region's load that each region should take. All
+// regions compute the same level, so the parts fit together: a region keeps
+// what its slots hold at that level, and gives the rest to those with room, in
+// proportion to it.
+func split(own string, load, slots map[string]float64) map[string]float64 {
+	totalLoad, totalSlots := 0.0, 0.0
+	for region, n := range slots {
+		totalSlots += n
+		totalLoad += load[region]
+	}
+	part := map[string]float64{}
+	for region := range slots {
+		part[region] = 0
+	}
+	if totalSlots == 0 || load[own] <= 0 {
+		part[own] = 1
+		return part
+	}
+	level := max(localLoad, totalLoad/totalSlots)
+	keep := min(1, slots[own]*level/load[own])
+	part[own] = keep
+	room := 0.0
+	for region, n := range slots {
+		if region != own {
+			room += max(0, n*level-load[region])
+		}
+	}
+	if room <= 0 {
+		part[own] = 1
+		return part
+	}
+	for region, n := range slots {
+		if region != own {
+			part[region] = (1 - keep) * max(0, n*level-load[region]) / room
+		}
+	}
+	return part
+}
--- /dev/null
+++ b/balance/report.go
@@ -0,0 +1,72 @@
+package balance
+
+import (
+	"time"
+)
+
+// peerMemory is how long the report of an instance counts. Instances report
+// several times a second; one that has been silent for longer is dead or cut
+// off, and what it had in flight ends or shows in the targets' own word.
+const peerMemory = 1500 * time.Millisecond
+
+// Report is what an instance tells others.
+type Report struct {
+	InFlight map[uint32]int     // By short hash of the target's ID; targets without requests are left out.
+	Rates    map[uint32]float64 // Requests per second from callers, by short hash of the service's name.
+}
+
+type peer struct {
+	region string
+	heard  time.Time
+	report Report
+}
+
+// Report returns what this instance has in flight.
+func (b *Balancer) Report(now time.Time) Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := Report{InFlight: map[uint32]int{}, Rates: map[uint32]float64{}}
+	for _, t := range b.targets {
+		if t.own > 0 {
+			r.InFlight[short(t.hash)] = t.own
+		}
+	}
+	for name, s := range b.services {
+		if perSecond := s.rate.at(now); perSecond >= smallestRate {
+			r.Rates[short(hashOf(name))] = perSecond
+		}
+	}
+	return r
+}
+
+// smallestRate is the smallest rate that is worth telling, per second.
+const smallestRate = 0.1
+
+// Heard takes over the report of another instance.
+func (b *Balancer) Heard(now time.Time, name, region string, r Report) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers[name] = &peer{region: region, heard: now, report: r}
+	b.sumPeers(now)
+}
+
+// sumPeers adds up what the other instances have in flight.
+func (b *Balancer) sumPeers(now time.Time) {
+	sums := map[uint32]int{}
+	for name, p := range b.peers {
+		if now.Sub(p.heard) > peerMemory {
+			delete(b.peers, name)
+			continue
+		}
+		for hash, n := range p.report.InFlight {
+			sums[hash] += n
+		}
+	}
+	for _, t := range b.targets {
+		t.peers = sums[short(t.hash)]
+	}
+}
+
+// short is the part of a hash that reports carry. Two targets that share it
+// share the counts of other instances, which makes both look busier.
+func short(hash uint64) uint32 { return uint32(hash >> 32) }
--- a/cmd/jacinth-platform/main.go
+++ b/cmd/jacinth-platform/main.go
@@ -16,7 +16,7 @@
 
 	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/internal/ctl"
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
 )
 
@@ -56,7 +56,7 @@
 	return h.Run()
 }
 
-func readInstances(file string) ([]platform.Instance, error) {
+func readInstances(file string) ([]kv.Instance, error) {
 	if file == "" {
 		return nil, nil
 	}
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var list []platform.Instance
+	var list []kv.Instance
 	if err := json.Unmarshal(src, &list); err != nil {
 		return nil, fmt.Errorf("%s: %w", file, err)
 	}
--- a/configsync/configtest/figures.go
+++ b/configsync/configtest/figures.go
@@ -15,8 +15,8 @@
 
 	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/internal/figures"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/peer/peerpb"
-	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/policy/policytest"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
@@ -157,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := json.Marshal(platform.Value{Data: value.Data, Revision: value.Revision})
+	body, err := json.Marshal(kv.Value{Data: value.Data, Revision: value.Revision})
 	if err != nil {
 		return err
 	}
--- a/configsync/fleet_test.go
+++ b/configsync/fleet_test.go
@@ -17,8 +17,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/peer/peerpb"
-	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
 )
 
@@ -170,7 +170,7 @@
 	}
 }
 
-func (in *instance) pollTake(ctx context.Context, v platform.Value) {
+func (in *instance) pollTake(ctx context.Context, v kv.Value) {
 	if !in.fleet.options.anyVersion {
 		_, _ = in.relay.accept(ctx, v.Data, "platform", in.fetch)
 		return
@@ -320,45 +320,45 @@
 }
 
 // kv returns the platform as this instance reaches it.
-func (in *instance) kv() (platform.KV, error) {
+func (in *instance) kv() (kv.KV, error) {
 	f := in.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cut[in.self.Domain] || f.noReads[in.self.Domain] || f.dead[in.self.Name] {
-		return nil, platform.ErrUnavailable
+		return nil, kv.ErrUnavailable
 	}
 	return platformd.Local{Store: f.platform}, nil
 }
 
-// Get implements platform.KV.
-func (in *instance) Get(ctx context.Context, key string) (platform.Value, error) {
-	kv, err := in.kv()
+// Get implements kv.KV.
+func (in *instance) Get(ctx context.Context, key string) (kv.Value, error) {
+	store, err := in.kv()
 	if err != nil {
-		return platform.Value{}, err
+		return kv.Value{}, err
 	}
-	return kv.Get(ctx, key)
+	return store.Get(ctx, key)
 }
 
-// Watch implements platform.KV.
-func (in *instance) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Value, error) {
-	kv, err := in.kv()
+// Watch implements kv.KV.
+func (in *instance) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (kv.Value, error) {
+	store, err := in.kv()
 	if err != nil {
-		return platform.Value{}, err
+		return kv.Value{}, err
 	}
-	v, err := kv.Watch(ctx, key, after, wait)
+	v, err := store.Watch(ctx, key, after, wait)
 	if _, lost := in.kv(); lost != nil {
-		return platform.Value{}, lost
+		return kv.Value{}, lost
 	}
 	return v, err
 }
 
-// Put implements platform.KV.
+// Put implements kv.KV.
 func (in *instance) Put(ctx context.Context, key string, data []byte, revision uint64) (uint64, error) {
-	kv, err := in.kv()
+	store, err := in.kv()
 	if err != nil || in.fleet.options.noWriteBack {
-		return 0, platform.ErrUnavailable
+		return 0, kv.ErrUnavailable
 	}
-	return kv.Put(ctx, key, data, revision)
+	return store.Put(ctx, key, data, revision)
 }
 
 // set changes the state of the network.
--- a/configsync/proofs_test.go
+++ b/configsync/proofs_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
 )
 
@@ -219,7 +219,7 @@
 		version, err := f.publisher.Publish(context.Background(), encodeDocument(t, big), base)
 		require.NoError(t, err)
 		assert.Empty(t, settled(f, version))
-		assert.LessOrEqual(t, f.largest, platform.MaxValueBytes+1024)
+		assert.LessOrEqual(t, f.largest, kv.MaxValueBytes+1024)
 	})
 }
 
--- a/configsync/publisher.go
+++ b/configsync/publisher.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/policy"
 )
 
@@ -37,7 +37,7 @@
 
 // Publisher reads and publishes documents for an operator.
 type Publisher struct {
-	KV platform.KV
+	KV kv.KV
 	// Sign returns the operator's Ed25519 signature of a digest, 64 bytes: made
 	// with a key (SignWith), or made elsewhere for the result of Digest. A
 	// publisher without it only reads.
@@ -116,10 +116,10 @@
 }
 
 // readHead returns the head record, or a zero value when there is none.
-func (p *Publisher) readHead(ctx context.Context) (platform.Value, error) {
-	v, err := retry(ctx, func() (platform.Value, error) { return p.KV.Get(ctx, KeyHead) })
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Value{}, nil
+func (p *Publisher) readHead(ctx context.Context) (kv.Value, error) {
+	v, err := retry(ctx, func() (kv.Value, error) { return p.KV.Get(ctx, KeyHead) })
+	if errors.Is(err, kv.ErrNotFound) {
+		return kv.Value{}, nil
 	}
 	return v, err
 }
@@ -129,13 +129,13 @@
 }
 
 // fetchFromPlatform reads contents by their hashes.
-func fetchFromPlatform(ctx context.Context, kv platform.KV, hashes []Hash) ([][]byte, error) {
+func fetchFromPlatform(ctx context.Context, store kv.KV, hashes []Hash) ([][]byte, error) {
 	out := make([][]byte, len(hashes))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelCalls)
 	for i, h := range hashes {
 		group.Go(func() error {
-			v, err := retry(ctx, func() (platform.Value, error) { return kv.Get(ctx, keySegment+h.String()) })
+			v, err := retry(ctx, func() (kv.Value, error) { return store.Get(ctx, keySegment+h.String()) })
 			out[i] = v.Data
 			return err
 		})
@@ -209,7 +209,7 @@
 		if len(ops) > MaxInlineDelta {
 			d.ops, d.patch, large = nil, hashOf(ops), ops
 		}
-		if len(large) <= platform.MaxValueBytes {
+		if len(large) <= kv.MaxValueBytes {
 			head.deltas = trimDeltas(append(append([]delta{}, before.head.deltas...), d))
 		} else {
 			large = nil // Instances fetch the changed segments instead.
@@ -246,7 +246,7 @@
 
 // storeContent writes the segments that are not known to be stored, and the
 // manifest.
-func storeContent(ctx context.Context, kv platform.KV, c *content, known map[Hash]bool) error {
+func storeContent(ctx context.Context, kv kv.KV, c *content, known map[Hash]bool) error {
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelCalls)
 	pace := rate.NewLimiter(bulkWrites, parallelCalls)
@@ -268,9 +268,9 @@
 
 // storeSegment writes content under its hash. Repeating the write is safe,
 // since the key determines the content.
-func storeSegment(ctx context.Context, kv platform.KV, h Hash, data []byte) error {
-	_, err := retry(ctx, func() (uint64, error) { return kv.Put(ctx, keySegment+h.String(), data, 0) })
-	if errors.Is(err, platform.ErrConflict) {
+func storeSegment(ctx context.Context, store kv.KV, h Hash, data []byte) error {
+	_, err := retry(ctx, func() (uint64, error) { return store.Put(ctx, keySegment+h.String(), data, 0) })
+	if errors.Is(err, kv.ErrConflict) {
 		return nil
 	}
 	return err
@@ -286,11 +286,11 @@
 		if err == nil {
 			return head.Version, nil
 		}
-		if !errors.Is(err, platform.ErrUncertain) && !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, kv.ErrUncertain) && !errors.Is(err, kv.ErrConflict) {
 			pause(ctx, retryPause)
 			continue
 		}
-		if errors.Is(err, platform.ErrUncertain) {
+		if errors.Is(err, kv.ErrUncertain) {
 			uncertain = err
 		}
 		published, readErr := p.published(ctx, head, revision)
@@ -351,7 +351,7 @@
 	var err error
 	for range callAttempts {
 		value, err = unlimited(ctx, do)
-		if err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, kv.ErrNotFound) || errors.Is(err, kv.ErrConflict) {
 			return value, err
 		}
 		if !pause(ctx, retryPause) {
@@ -366,7 +366,7 @@
 func unlimited[T any](ctx context.Context, do func() (T, error)) (T, error) {
 	for range limitedAttempts {
 		value, err := do()
-		if !errors.Is(err, platform.ErrRateLimited) || !pause(ctx, retryPause) {
+		if !errors.Is(err, kv.ErrRateLimited) || !pause(ctx, retryPause) {
 			return value, err
 		}
 	}
--- a/configsync/publisher_test.go
+++ b/configsync/publisher_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
 )
@@ -156,7 +156,7 @@
 
 // headFaults injects faults into the writes of the head record.
 type headFaults struct {
-	platform.KV
+	kv.KV
 	before func() error                // Runs before a write; an error replaces it.
 	after  func(revision uint64) error // Runs after a write that took effect.
 	puts   int
@@ -191,7 +191,7 @@
 	require.NoError(t, err)
 	require.NoError(t, p.store(t.Context(), before, next, nil))
 	_, err = p.KV.Put(t.Context(), KeyHead, head.Encode(), revision)
-	if errors.Is(err, platform.ErrUncertain) {
+	if errors.Is(err, kv.ErrUncertain) {
 		_, err = p.KV.Put(t.Context(), KeyHead, head.Encode(), revision)
 	}
 	return err
@@ -205,14 +205,14 @@
 		p, _ := testPublisher(t)
 		doc, _, err := p.Current(t.Context())
 		require.NoError(t, err)
-		faults := &headFaults{KV: p.KV, after: func(uint64) error { return platform.ErrUncertain }}
+		faults := &headFaults{KV: p.KV, after: func(uint64) error { return kv.ErrUncertain }}
 		p.KV = faults
 		return p, faults, edit(t, doc, 3, "new")
 	}
 	synctest.Test(t, func(t *testing.T) {
 		p, _, doc := setup(t)
 		err := blindPublish(t, p, doc)
-		require.ErrorIs(t, err, platform.ErrConflict, "the blind repetition reports failure for a published edit")
+		require.ErrorIs(t, err, kv.ErrConflict, "the blind repetition reports failure for a published edit")
 	})
 	synctest.Test(t, func(t *testing.T) {
 		p, faults, doc := setup(t)
@@ -236,7 +236,7 @@
 			require.NoError(t, err)
 			_, err = other.Publish(t.Context(), edit(t, current, 9, "other"), base)
 			require.NoError(t, err)
-			return platform.ErrUncertain
+			return kv.ErrUncertain
 		}}
 		version, err := p.Publish(t.Context(), edit(t, doc, 3, "mine"), 1)
 		require.NoError(t, err)
@@ -258,7 +258,7 @@
 		failures := 1
 		faults := &headFaults{KV: p.KV, before: func() error {
 			if failures--; failures >= 0 {
-				return platform.ErrUncertain // Without an effect.
+				return kv.ErrUncertain // Without an effect.
 			}
 			return nil
 		}}
@@ -274,7 +274,7 @@
 		require.NoError(t, err)
 		p.KV = &headFaults{KV: p.KV, after: func(uint64) error {
 			store.SetFaults(platformd.Faults{Outage: true})
-			return platform.ErrUncertain
+			return kv.ErrUncertain
 		}}
 		_, err = p.Publish(t.Context(), edit(t, doc, 3, "new"), 1)
 		var uncertain *UncertainError
@@ -305,7 +305,7 @@
 		p, store := testPublisher(t)
 		store.SetFaults(platformd.Faults{Outage: true})
 		_, err := p.Publish(t.Context(), encodeDocument(t, testDocument(3)), 1)
-		require.ErrorIs(t, err, platform.ErrUnavailable)
+		require.ErrorIs(t, err, kv.ErrUnavailable)
 		var uncertain *UncertainError
 		assert.False(t, errors.As(err, &uncertain))
 	})
@@ -359,7 +359,7 @@
 		assert.Less(t, len(v.Data), 1<<10)
 		patch, err := store.Get(keySegment + head.deltas[1].patch.String())
 		require.NoError(t, err)
-		assert.Greater(t, len(patch.Data), platform.MaxValueBytes/2, "inline, two such moves exceed the size of a value")
+		assert.Greater(t, len(patch.Data), kv.MaxValueBytes/2, "inline, two such moves exceed the size of a value")
 	})
 }
 
--- a/configsync/watcher.go
+++ b/configsync/watcher.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jacinthstall/jacinthstall/events"
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 )
 
 const (
@@ -34,7 +34,7 @@
 // Watcher keeps one instance up to date from the platform while the instance
 // is one of the watching instances of its domain.
 type Watcher struct {
-	KV    platform.KV
+	KV    kv.KV
 	Relay *Relay
 
 	revision uint64 // Revision of the head record seen last.
@@ -94,7 +94,7 @@
 	defer cancel()
 	v, err := w.KV.Watch(callCtx, KeyHead, w.revision, WatchWait)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, kv.ErrNotFound):
 		w.revision, w.seen = 0, nil
 		return w.writeBack(ctx, nil, 0)
 	case err != nil:
@@ -104,7 +104,7 @@
 	return w.take(ctx, v)
 }
 
-func (w *Watcher) take(ctx context.Context, v platform.Value) error {
+func (w *Watcher) take(ctx context.Context, v kv.Value) error {
 	r := w.Relay
 	head, err := r.decode(v.Data)
 	if err != nil {
@@ -165,7 +165,7 @@
 // cannot be read, it reports true, and the next watch decides.
 func (w *Watcher) replaced(ctx context.Context, revision uint64) bool {
 	v, err := w.KV.Get(ctx, KeyHead)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return revision != 0
 	}
 	return err != nil || v.Revision != revision
@@ -181,7 +181,7 @@
 		return err
 	}
 	_, err := w.KV.Put(ctx, KeyHead, current.head.Encode(), revision)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kv.ErrConflict) {
 		return nil
 	}
 	return err
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -19,8 +19,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthstall/jacinthstall/configsync"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/lookup"
-	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/policy/policytest"
 	"github.com/jacinthstall/jacinthstall/settings"
@@ -77,7 +77,7 @@
 	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
 	public := configsync.PublicKey(key)
 	store := platformd.NewStore(nil)
-	var list []platform.Instance
+	var list []kv.Instance
 	var all []settings.Settings
 	var listeners []net.Listener
 	address := servePlatform(t, store)
@@ -86,7 +86,7 @@
 		s := settings.Settings{Name: fmt.Sprintf("i%d", i), Region: "r", Domain: "d", PeerAddress: listeners[i].Addr().String(),
 			Platform: address, OperatorKeys: []string{base64.StdEncoding.EncodeToString(public)}}
 		all = append(all, s)
-		list = append(list, platform.Instance{Name: s.Name, Region: s.Region, Domain: s.Domain, PeerAddress: s.PeerAddress, State: platform.InstanceLive})
+		list = append(list, kv.Instance{Name: s.Name, Region: s.Region, Domain: s.Domain, PeerAddress: s.PeerAddress, State: kv.InstanceLive})
 	}
 	store.SetInstances(list)
 	var instances []*Instance
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,12 +14,12 @@
 	"github.com/jacinthstall/jacinthstall/charts"
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/lifecycle"
 	"github.com/jacinthstall/jacinthstall/membership"
 	"github.com/jacinthstall/jacinthstall/once"
 	"github.com/jacinthstall/jacinthstall/peer"
 	"github.com/jacinthstall/jacinthstall/peer/peerpb"
-	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/quarantine"
 	"github.com/jacinthstall/jacinthstall/ring"
@@ -31,7 +31,7 @@
 type Instance struct {
 	settings    settings.Settings
 	incarnation uint64
-	platform    *platform.Client
+	platform    *kv.Client
 	forwarder   *forward.Forwarder
 	document    atomic.Pointer[policy.Document]
 	members     *members
@@ -64,7 +64,7 @@
 
 // New returns an instance that is not running yet.
 func New(s settings.Settings, logger log.Interface) (*Instance, error) {
-	p, err := platform.NewClient(s.Platform)
+	p, err := kv.NewClient(s.Platform)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/members.go
+++ b/entry/members.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/lookup"
 	"github.com/jacinthstall/jacinthstall/membership"
 	"github.com/jacinthstall/jacinthstall/peer/peerpb"
-	"github.com/jacinthstall/jacinthstall/platform"
 )
 
 const (
@@ -94,7 +94,7 @@
 	return m.tracker.UpdatesFor(name)
 }
 
-func (m *members) apply(list []platform.Instance, now time.Time) {
+func (m *members) apply(list []kv.Instance, now time.Time) {
 	listed := make([]membership.Listed, len(list))
 	for i, info := range list {
 		listed[i] = membership.Listed{Name: info.Name, Domain: info.Domain, Region: info.Region,
@@ -105,11 +105,11 @@
 	m.tracker.List(now, listed)
 }
 
-func listedState(s platform.InstanceState) membership.State {
+func listedState(s kv.InstanceState) membership.State {
 	switch s {
-	case platform.InstanceLeaving:
+	case kv.InstanceLeaving:
 		return membership.Leaving
-	case platform.InstanceGone:
+	case kv.InstanceGone:
 		return membership.Gone
 	}
 	return membership.Alive
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -8,9 +8,9 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/metrics"
 	"github.com/jacinthstall/jacinthstall/outcome"
-	"github.com/jacinthstall/jacinthstall/platform"
 )
 
 const metricsContentType = "text/plain; version=0.0.4; charset=utf-8"
@@ -44,7 +44,7 @@
 }
 
 // platformCalls takes over the calls that the platform client has counted.
-func (m *instanceMetrics) platformCalls(c platform.Counts) {
+func (m *instanceMetrics) platformCalls(c kv.Counts) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	total := c.Reads + c.Writes + c.Watches + c.Leases + c.Lists
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -14,8 +14,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/outcome"
-	"github.com/jacinthstall/jacinthstall/platform"
 )
 
 // Operators alarm on these counters: each response must be counted once, by
@@ -75,8 +75,8 @@
 // Reading the metrics twice must not count the platform's calls twice.
 func TestPlatformCallsAreTakenOverOnce(t *testing.T) {
 	m := newInstanceMetrics()
-	m.platformCalls(platform.Counts{Reads: 2, Writes: 1, Watches: 1, Leases: 1, Lists: 1, Failed: 3})
-	m.platformCalls(platform.Counts{Reads: 2, Writes: 1, Watches: 1, Leases: 1, Lists: 1, Failed: 3})
+	m.platformCalls(kv.Counts{Reads: 2, Writes: 1, Watches: 1, Leases: 1, Lists: 1, Failed: 3})
+	m.platformCalls(kv.Counts{Reads: 2, Writes: 1, Watches: 1, Leases: 1, Lists: 1, Failed: 3})
 	assert.Equal(t, int64(6), m.PlatformCalls.Count())
 }
 
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -14,8 +14,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/outcome"
-	"github.com/jacinthstall/jacinthstall/platform"
 )
 
 // connect lets instances know each other and serves their peer listeners.
@@ -28,7 +28,7 @@
 func connectThrough(t *testing.T, wrap func(*Instance, net.Listener) net.Listener, instances ...*Instance) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	var list []platform.Instance
+	var list []kv.Instance
 	var wait sync.WaitGroup
 	for _, in := range instances {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -36,8 +36,8 @@
 		wait.Go(func() { _ = in.servePeers(ctx, wrap(in, l)) })
 		wait.Go(func() { in.sendReports(ctx) })
 		in.settings.PeerAddress = l.Addr().String()
-		list = append(list, platform.Instance{Name: in.settings.Name, Domain: in.settings.Domain, Region: in.settings.Region,
-			PeerAddress: in.settings.PeerAddress, CallerAddress: in.settings.CallerAddress, State: platform.InstanceLive})
+		list = append(list, kv.Instance{Name: in.settings.Name, Domain: in.settings.Domain, Region: in.settings.Region,
+			PeerAddress: in.settings.PeerAddress, CallerAddress: in.settings.CallerAddress, State: kv.InstanceLive})
 	}
 	for _, in := range instances {
 		in.members.apply(list, time.Now())
@@ -103,7 +103,7 @@
 	connect(t, b)
 	key := a.keyPrefix() + ".k"
 	assert.Equal(t, "409 issuer-gone unknown", call(t, b, "POST", "/writes/x", key, strings.NewReader("x")).String())
-	b.members.apply([]platform.Instance{{Name: "a-1", Region: "r", PeerAddress: freeAddress(t), State: platform.InstanceLive}}, time.Now())
+	b.members.apply([]kv.Instance{{Name: "a-1", Region: "r", PeerAddress: freeAddress(t), State: kv.InstanceLive}}, time.Now())
 	assert.Equal(t, "502 relay-failed unknown", call(t, b, "POST", "/writes/x", key, strings.NewReader("x")).String())
 	assert.Empty(t, runs())
 }
--- a/entry/slots_test.go
+++ b/entry/slots_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/jacinthstall/jacinthstall/caller"
 	"github.com/jacinthstall/jacinthstall/configsync"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/outcome"
-	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/policy/policytest"
 	"github.com/jacinthstall/jacinthstall/settings"
@@ -30,7 +30,7 @@
 type region struct {
 	store     *platformd.Store
 	platform  string // Address of the platform stand-in.
-	list      []platform.Instance
+	list      []kv.Instance
 	instances []*Instance
 	stop      []context.CancelFunc
 	ended     []chan error
@@ -69,8 +69,8 @@
 	s := settings.Settings{Name: name, Region: regionName, Domain: domain,
 		CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
 		Platform: r.platform, OperatorKeys: []string{encodedOperatorKey()}}
-	r.list = append(r.list, platform.Instance{Name: s.Name, Region: s.Region, Domain: s.Domain,
-		PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, State: platform.InstanceLive})
+	r.list = append(r.list, kv.Instance{Name: s.Name, Region: s.Region, Domain: s.Domain,
+		PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, State: kv.InstanceLive})
 	in, err := New(s, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 	require.NoError(t, err)
 	r.instances = append(r.instances, in)
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -19,9 +19,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/lookup"
 	"github.com/jacinthstall/jacinthstall/outcome"
-	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/policy"
 )
 
@@ -195,11 +195,11 @@
 
 // introduce tells instances of each other, as the platform's list does.
 func introduce(instances ...*Instance) {
-	var list []platform.Instance
+	var list []kv.Instance
 	for _, in := range instances {
 		s := in.settings
-		list = append(list, platform.Instance{Name: s.Name, Domain: s.Domain, Region: s.Region,
-			PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, State: platform.InstanceLive})
+		list = append(list, kv.Instance{Name: s.Name, Domain: s.Domain, Region: s.Region,
+			PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, State: kv.InstanceLive})
 	}
 	for _, in := range instances {
 		in.members.apply(list, time.Now())
--- a/entry/tablesync.go
+++ b/entry/tablesync.go
@@ -7,9 +7,9 @@
 	"github.com/apex/log"
 
 	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/membertable"
 	"github.com/jacinthstall/jacinthstall/peer/peerpb"
-	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/slots"
 )
 
@@ -27,7 +27,7 @@
 		switch {
 		case err == nil:
 			in.learnTable(v.Data, v.Revision)
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, kv.ErrNotFound):
 			in.noRecord()
 		default:
 			pause(ctx, tableInterval)
@@ -49,7 +49,7 @@
 
 func (in *Instance) readTable(ctx context.Context) error {
 	v, err := in.platform.Get(ctx, membertable.Key(in.settings.Region))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		in.noRecord()
 		return nil
 	}
--- a/events/handler.go
+++ b/events/handler.go
@@ -41,9 +41,23 @@
 	writing sync.Mutex // Held during each write.
 	w       io.Writer
 	failed  atomic.Uint64
+	drops   bool // Lines that find the ring full are dropped and counted.
+	dropped atomic.Uint64
 	written chan struct{} // Closed when the writer goroutine has ended.
 }
 
+// NewDroppingHandler returns a handler that never blocks a caller: a line that
+// finds the ring full is dropped and counted.
+func NewDroppingHandler(w io.Writer) *Handler {
+	h := prepareHandler(w, ringLines)
+	h.drops = true
+	go h.writeQueued()
+	return h
+}
+
+// Dropped returns the number of lines that were dropped.
+func (h *Handler) Dropped() uint64 { return h.dropped.Load() }
+
 // NewHandler returns a handler at level info that writes to w. Close ends its
 // goroutine.
 func NewHandler(w io.Writer) *Handler {
@@ -51,13 +65,18 @@
 }
 
 func newHandler(w io.Writer, lines int) *Handler {
+	h := prepareHandler(w, lines)
+	go h.writeQueued()
+	return h
+}
+
+func prepareHandler(w io.Writer, lines int) *Handler {
 	h := &Handler{w: w, queue: ring.New[*[]byte](lines), written: make(chan struct{})}
 	h.buffers.New = func() any {
 		b := make([]byte, 0, lineBytes)
 		return &b
 	}
 	h.SetLevel(log.InfoLevel)
-	go h.writeQueued()
 	return h
 }
 
@@ -143,6 +162,11 @@
 	if h.queue.TryPush(line) {
 		return
 	}
+	if h.drops {
+		h.dropped.Add(1)
+		h.release(line)
+		return
+	}
 	h.write(*line)
 	h.release(line)
 }
--- /dev/null
+++ b/events/steering.go
@@ -0,0 +1,63 @@
+package events
+
+import "github.com/apex/log"
+
+// Events of an instance on a platform that keeps its records in a store. Ages,
+// waits and times are in milliseconds.
+var (
+	StoreLost = define(Event{Number: 910, Name: "store-lost", Level: log.WarnLevel,
+		Message: "store does not answer; the last known state stays in force", Fields: []string{"revision", "op", "error"},
+		Action: "check the store and the network to it; instances go on with what they know"})
+	StoreRegained = define(Event{Number: 911, Name: "store-regained", Level: log.InfoLevel,
+		Message: "store answers again", Fields: []string{"revision", "lostMs"}, Action: "none"})
+	StoreRead = define(Event{Number: 912, Name: "store-read", Level: log.InfoLevel,
+		Message: "whole state read from the store", Fields: []string{"revision", "items", "reason"}, Action: "none"})
+	RecordRejected = define(Event{Number: 913, Name: "record-rejected", Level: log.WarnLevel,
+		Message: "record of the store cannot be used", Fields: []string{"key", "revision", "error"},
+		Action: "look for the writer of the key"})
+	TargetChanged = define(Event{Number: 914, Name: "target-changed", Level: log.InfoLevel,
+		Message: "record of a target changed", Fields: []string{"target", "service", "domain", "state", "revision", "source"}, Action: "none"})
+	DomainEvacuation = define(Event{Number: 915, Name: "domain-evacuation", Level: log.InfoLevel,
+		Message: "evacuation of a failure domain changed", Fields: []string{"domain", "on", "revision", "source"}, Action: "none"})
+	InstanceRegistered = define(Event{Number: 916, Name: "instance-registered", Level: log.InfoLevel,
+		Message: "this instance is registered in the store", Fields: []string{"lease"}, Action: "none"})
+	InstanceNotRegistered = define(Event{Number: 917, Name: "instance-not-registered", Level: log.WarnLevel,
+		Message: "this instance could not register; peers learn of it by its messages", Fields: []string{"error"},
+		Action: "check the store when the event repeats"})
+	SteeringConfigInForce = define(Event{Number: 918, Name: "steering-config-in-force", Level: log.InfoLevel,
+		Message: "operators' configuration in force", Fields: []string{"version", "routes", "services", "revision", "source"}, Action: "none"})
+	PeerStateTaken = define(Event{Number: 919, Name: "peer-state-taken", Level: log.InfoLevel,
+		Message: "state taken from a peer because the store does not answer", Fields: []string{"peer", "revision", "items"}, Action: "none"})
+	PeerStateNotTaken = define(Event{Number: 920, Name: "peer-state-not-taken", Level: log.WarnLevel,
+		Message: "state could not be taken from a peer", Fields: []string{"peer", "error"},
+		Action: "check the network between the instances"})
+	PeerHeard = define(Event{Number: 921, Name: "peer-heard", Level: log.InfoLevel,
+		Message: "messages of a peer arrive", Fields: []string{"peer", "domain"}, Action: "none"})
+	PeerSilent = define(Event{Number: 922, Name: "peer-silent", Level: log.WarnLevel,
+		Message: "messages of a peer no longer arrive", Fields: []string{"peer", "domain", "silentMs"},
+		Action: "check the instance and the network to it"})
+	NodeStarted = define(Event{Number: 923, Name: "node-started", Level: log.InfoLevel,
+		Message: "instance started", Fields: []string{"domain", "region", "callers", "directory", "peer", "store"}, Action: "none"})
+	NodeStopping = define(Event{Number: 924, Name: "node-stopping", Level: log.InfoLevel,
+		Message: "planned stop began", Fields: []string{"inFlight", "connections"}, Action: "none"})
+	NodeStopped = define(Event{Number: 925, Name: "node-stopped", Level: log.InfoLevel,
+		Message: "planned stop complete", Fields: []string{"cut", "tookMs"}, Action: "look for slow requests when cut is above 0"})
+	SettingsReloaded = define(Event{Number: 926, Name: "settings-reloaded", Level: log.InfoLevel,
+		Message: "settings read again", Fields: []string{"changed"}, Action: "restart the instance when addresses changed"})
+	SettingsRejected = define(Event{Number: 927, Name: "settings-rejected", Level: log.WarnLevel,
+		Message: "settings cannot be used; those in force stay", Fields: []string{"error"}, Action: "correct the settings file"})
+
+	TargetChosen = define(Event{Number: 520, Name: "target-chosen", Level: log.InfoLevel,
+		Message: "request goes to a target", Fields: []string{"request", "route", "target", "object", "warm", "attempt", "load", "loadAgeMs", "expectedMs", "leftMs", "version"}, Action: "none"})
+	AttemptEnded = define(Event{Number: 521, Name: "attempt-ended", Level: log.InfoLevel,
+		Message: "attempt ended without a usable answer", Fields: []string{"request", "target", "attempt", "stage", "executed", "tookMs", "cause", "again"},
+		Action: "look at the target when it is named often"})
+	RequestEnded = define(Event{Number: 522, Name: "request-ended", Level: log.InfoLevel,
+		Message: "request answered", Fields: []string{"request", "route", "status", "origin", "reason", "attempts", "tookMs", "version"}, Action: "none"})
+	TargetAvoided = define(Event{Number: 523, Name: "target-avoided", Level: log.WarnLevel,
+		Message: "target gets no requests for a while", Fields: []string{"target", "reason", "failures", "forMs"}, Action: "look at the target"})
+	AcceptFailed = define(Event{Number: 525, Name: "accept-failed", Level: log.WarnLevel,
+		Message: "connection of a caller was not accepted", Fields: []string{"error"}, Action: "look for a lack of descriptors"})
+	CallerLeft = define(Event{Number: 524, Name: "caller-left", Level: log.InfoLevel,
+		Message: "caller closed the connection before its answers", Fields: []string{"unanswered"}, Action: "none"})
+)
--- a/forward/body.go
+++ b/forward/body.go
@@ -11,8 +11,10 @@
 	from     io.ReadCloser
 	close    bool // The target closes the connection after the answer.
 	unframed bool
-	ended    bool
-	err      error
+	// untilClose takes the end of the connection as the end of the body.
+	untilClose bool
+	ended      bool
+	err        error
 }
 
 // Read passes on what has arrived. Errors other than io.EOF are an *Error.
@@ -24,7 +26,7 @@
 	switch {
 	case err == nil:
 		return n, nil
-	case err == io.EOF && !b.unframed:
+	case err == io.EOF && (!b.unframed || b.untilClose):
 		b.complete()
 	case err == io.EOF:
 		b.fail(ErrUnframed)
@@ -36,7 +38,7 @@
 
 func (b *body) complete() {
 	b.err = io.EOF
-	b.finish(!b.close && b.exchange.requestWritten())
+	b.finish(!b.close && !b.unframed && b.exchange.requestWritten())
 }
 
 func (b *body) fail(err error) {
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -31,6 +31,7 @@
 
 	errHeadTooLarge = errors.New("answer head is too large")
 	errInterim      = errors.New("too many interim answers")
+	errLate         = errors.New("only late answers to earlier requests arrived")
 	errSwitched     = errors.New("target switched protocols")
 )
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -7,7 +7,13 @@
 	"net/http"
 )
 
-const maxInterim = 8
+const (
+	maxInterim = 8
+	// maxLate bounds the late answers that are skipped for one request.
+	maxLate = 4
+	// maxLateBytes bounds the body of a late answer that is skipped.
+	maxLateBytes = 1 << 20
+)
 
 // Forwarder sends requests over its own connections. It is safe for concurrent
 // use.
@@ -59,11 +65,29 @@
 	x := &exchange{forwarder: f, ctx: ctx, target: t, conn: c, written: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	x.start(r)
-	response, err := x.readHead(r.Method)
+	response, err := x.readAnswer(r)
 	if err != nil {
 		return nil, x.fail(err)
 	}
-	return x.answer(response), nil
+	return x.answer(response, r.UntilClose), nil
+}
+
+// readAnswer reads the head of the answer to the request and skips late
+// answers to earlier ones.
+func (x *exchange) readAnswer(r *Request) (*http.Response, error) {
+	for range maxLate + 1 {
+		response, err := x.readHead(r.Method)
+		if err != nil || r.Answers == nil || r.Answers(response.Header) {
+			return response, err
+		}
+		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			return nil, errLate
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxLateBytes)); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errLate
 }
 
 // start sends the request. A body that is streamed is sent while the answer is
@@ -152,8 +176,8 @@
 	}
 }
 
-func (x *exchange) answer(r *http.Response) *Answer {
-	b := &body{exchange: x, from: r.Body, close: r.Close}
+func (x *exchange) answer(r *http.Response, untilClose bool) *Answer {
+	b := &body{exchange: x, from: r.Body, close: r.Close, untilClose: untilClose}
 	b.unframed = r.ContentLength < 0 && len(r.TransferEncoding) == 0
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		b.complete()
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -17,6 +17,11 @@
 type Target struct {
 	Address     string // ip:port.
 	Connections int    // Bound of open connections; 0 means no bound.
+	// DialTimeout bounds the opening of a connection; 0 means the default.
+	DialTimeout time.Duration
+	// Unanswered bounds how long sent bytes may stay unacknowledged before the
+	// connection counts as lost; 0 means the system's own bound.
+	Unanswered time.Duration
 }
 
 type idleConn struct {
@@ -46,12 +51,31 @@
 	if !p.reserve(t) {
 		return nil, ErrConnectionLimit
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
+	raw, err := p.dial(ctx, t)
 	if err != nil {
 		p.unreserve(t.Address)
 		return nil, err
 	}
-	return newConn(raw.(*net.TCPConn)), nil
+	return newConn(raw), nil
+}
+
+func (p *pool) dial(ctx context.Context, t Target) (*net.TCPConn, error) {
+	dialer := p.dialer
+	if t.DialTimeout > 0 {
+		dialer.Timeout = t.DialTimeout
+	}
+	raw, err := dialer.DialContext(ctx, "tcp", t.Address)
+	if err != nil {
+		return nil, err
+	}
+	c := raw.(*net.TCPConn)
+	if t.Unanswered > 0 {
+		if err := limitUnanswered(c, t.Unanswered); err != nil {
+			_ = c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
 }
 
 func (p *pool) reserve(t Target) bool {
--- /dev/null
+++ b/forward/unanswered_linux.go
@@ -0,0 +1,25 @@
+package forward
+
+import (
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// limitUnanswered sets TCP_USER_TIMEOUT: a connection whose peer has gone
+// without a reset then fails instead of hanging.
+func limitUnanswered(c *net.TCPConn, d time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- a/forward/write.go
+++ b/forward/write.go
@@ -22,6 +22,14 @@
 	Header http.Header
 	Body   io.Reader // Nil when there is none. A Read must not block for ever.
 	Length int64     // Bytes of the body; -1 when unknown, sent as chunks.
+	Host   string    // Host header; empty means the target's address.
+	// UntilClose takes an answer without a declared length as complete when
+	// the target closes the connection.
+	UntilClose bool
+	// Answers tells whether an answer belongs to this request. Others are late
+	// answers to earlier requests on the connection and are skipped. Nil
+	// believes every answer.
+	Answers func(http.Header) bool
 }
 
 func (r *Request) check() error {
@@ -61,6 +69,9 @@
 }
 
 func (r *Request) writeHead(w *bufio.Writer, host string) error {
+	if r.Host != "" {
+		host = r.Host
+	}
 	header := r.Header.Clone()
 	if header == nil {
 		header = http.Header{}
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,225 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/balance"
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/forward"
+)
+
+const (
+	// heldAnswerBytes is the largest answer that is read whole before its first
+	// byte goes to the caller. A broken one can then be replaced.
+	heldAnswerBytes = 128 << 10
+	// dialBase and dialPerTrip make up the time for opening a connection.
+	dialBase    = 150 * time.Millisecond
+	dialPerTrip = 2
+	// unanswered bounds how long a target may leave bytes unacknowledged.
+	unanswered = 1200 * time.Millisecond
+)
+
+// ended is how an attempt ended.
+type ended struct {
+	answer    *answer // Usable answer of the target; nil when there is none.
+	again     bool    // Another target may be tried.
+	unreached bool    // The target saw nothing of the request.
+}
+
+// attempt carries a request to a target.
+func (g *Gateway) attempt(ctx context.Context, r *carried, grant balance.Grant) ended {
+	started := time.Now()
+	r.excluded[grant.Target.ID] = true
+	g.events.Emit(events.TargetChosen, log.Fields{"request": r.id, "route": r.route.Name, "target": grant.Target.ID,
+		"object": r.object, "warm": grant.Warm, "attempt": r.sent + r.missed + 1, "load": grant.Load, "loadAgeMs": grant.LoadAge.Milliseconds(),
+		"expectedMs": grant.Expected.Milliseconds(), "leftMs": r.deadline.Sub(started).Milliseconds(), "version": uint64(r.version)})
+	out := g.outgoing(r, grant, started)
+	to := forward.Target{Address: grant.Target.Address, Connections: g.connections(grant.Target.Service),
+		DialTimeout: dialBase + dialPerTrip*g.Balancer.RoundTrip(grant.Region), Unanswered: unanswered}
+	got, err := g.Forwarder.Do(ctx, to, out)
+	if err != nil {
+		return g.noAnswer(ctx, r, grant, started, err)
+	}
+	return g.gotAnswer(ctx, r, grant, started, got)
+}
+
+func (g *Gateway) outgoing(r *carried, grant balance.Grant, now time.Time) *forward.Request {
+	header := r.http.Header.Clone()
+	g.Headers.Address(header, grant.Target.ID, r.deadline.Sub(now))
+	out := &forward.Request{Method: r.http.Method, URI: r.uri, Header: header, Host: r.http.Host, UntilClose: true,
+		Answers: func(h http.Header) bool { return g.Headers.Answers(h, r.id) }}
+	switch {
+	case r.stream != nil:
+		out.Body, out.Length = r.stream, r.http.ContentLength
+	case r.held != nil:
+		out.Body, out.Length = bytes.NewReader(r.held), int64(len(r.held))
+		if r.http.ContentLength < 0 {
+			out.Length = -1
+		}
+	}
+	return out
+}
+
+// connections is this instance's part of the connections that a target accepts.
+func (g *Gateway) connections(service string) int {
+	config := g.World().Config
+	if config == nil || config.Services[service].Connections == 0 {
+		return 0
+	}
+	return max(2, config.Services[service].Connections/max(1, g.Live()))
+}
+
+// noAnswer ends an attempt without an answer's head.
+func (g *Gateway) noAnswer(ctx context.Context, r *carried, grant balance.Grant, started time.Time, err error) ended {
+	var failure *forward.Error
+	stage := forward.StageWritten
+	if errors.As(err, &failure) {
+		stage = failure.Stage
+	}
+	result := balance.Broken
+	e := ended{again: r.route.Idempotent}
+	switch {
+	case ctx.Err() == context.Canceled:
+		result = balance.Abandoned
+	case stage == forward.StageConnect && errors.Is(err, forward.ErrConnectionLimit):
+		result, e.unreached, e.again = balance.Abandoned, true, true
+	case stage == forward.StageConnect && ctx.Err() != nil:
+		result, e.unreached = balance.Silent, true
+	case stage == forward.StageConnect:
+		result, e.unreached, e.again = balance.Unreachable, true, true
+	case ctx.Err() != nil:
+		result = balance.Silent
+	}
+	if stage == forward.StageConnect {
+		r.missed++
+	} else {
+		r.sent++
+		r.mayRun = true
+	}
+	g.done(r, grant, started, balance.Observation{Result: result}, e, err.Error())
+	return e
+}
+
+// gotAnswer ends an attempt whose answer's head has arrived.
+func (g *Gateway) gotAnswer(ctx context.Context, r *carried, grant balance.Grant, started time.Time, got *forward.Answer) ended {
+	r.sent++
+	o := balance.Observation{Cold: g.Headers.Cold(got.Header)}
+	o.Executing, o.Waiting, o.Told = g.Headers.Load(got.Header)
+	if g.Headers.NotExecuted(got.Status, got.Header) {
+		_ = got.Body.Close()
+		o.Result = balance.Shed
+		if got.Status == http.StatusMisdirectedRequest {
+			o.Result = balance.Misdirected
+		}
+		e := ended{again: true}
+		g.done(r, grant, started, o, e, fmt.Sprintf("not executed, status %d", got.Status))
+		return e
+	}
+	r.mayRun = true
+	a, err := g.readAnswer(r, got)
+	if err != nil {
+		o.Result = balance.Broken
+		if ctx.Err() != nil {
+			o.Result = balance.Abandoned
+		}
+		e := ended{again: r.route.Idempotent}
+		g.done(r, grant, started, o, e, err.Error())
+		return e
+	}
+	e := ended{answer: a}
+	o.Result = balance.Answered
+	if a.status >= http.StatusInternalServerError {
+		o.Result = balance.Failed
+		e.again = r.route.Idempotent
+		r.last = a
+	}
+	cause := ""
+	if e.again {
+		cause = fmt.Sprintf("status %d", a.status)
+	}
+	g.done(r, grant, started, o, e, cause)
+	return e
+}
+
+var (
+	errNoStamp      = errors.New("success without the target's signature")
+	errFalsePromise = errors.New("status promises that nothing ran, but the target does not say so")
+)
+
+// readAnswer reads an answer of ordinary size whole.
+func (g *Gateway) readAnswer(r *carried, got *forward.Answer) (*answer, error) {
+	if got.Status < http.StatusMultipleChoices && !g.Headers.Stamped(got.Header) {
+		_ = got.Body.Close()
+		return nil, errNoStamp
+	}
+	if promisesNotRun(got.Status) {
+		_ = got.Body.Close()
+		return nil, errFalsePromise
+	}
+	length := got.Header.Get("Content-Length")
+	forward.CleanAnswer(got.Header)
+	a := &answer{status: got.Status, header: got.Header, length: got.Length}
+	if r.http.Method == http.MethodHead && length != "" {
+		a.header.Set("Content-Length", length)
+	}
+	if got.Length > heldAnswerBytes {
+		a.stream = got.Body
+		return a, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(got.Body, heldAnswerBytes))
+	if err != nil {
+		_ = got.Body.Close()
+		return nil, err
+	}
+	if len(body) == heldAnswerBytes && got.Length != heldAnswerBytes {
+		a.length = -1
+		a.stream = &rest{Reader: io.MultiReader(bytes.NewReader(body), got.Body), Closer: got.Body}
+		return a, nil
+	}
+	a.body = body
+	return a, got.Body.Close()
+}
+
+// rest is a body of which a part was read already.
+type rest struct {
+	io.Reader
+	io.Closer
+}
+
+// promisesNotRun reports whether callers take the status as a promise that the
+// request was not executed.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// done reports an attempt to the balancer and the log.
+func (g *Gateway) done(r *carried, grant balance.Grant, started time.Time, o balance.Observation, e ended, cause string) {
+	now := time.Now()
+	o.Took = now.Sub(started)
+	g.count.attempt(o.Result)
+	if avoided := g.Balancer.Done(now, grant, o); avoided != nil {
+		g.events.Emit(events.TargetAvoided, log.Fields{"target": avoided.Target, "reason": cause,
+			"failures": avoided.Failures, "forMs": avoided.For.Milliseconds()})
+	}
+	if cause == "" {
+		return
+	}
+	executed := "unknown"
+	if e.unreached || o.Result == balance.Shed || o.Result == balance.Misdirected {
+		executed = "no"
+	}
+	g.events.Emit(events.AttemptEnded, log.Fields{"request": r.id, "target": grant.Target.ID, "attempt": r.sent + r.missed,
+		"stage": int(o.Result), "executed": executed, "tookMs": o.Took.Milliseconds(), "cause": cause, "again": e.again})
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/balance"
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/forward"
+	"github.com/jacinthstall/jacinthstall/steering"
+)
+
+const (
+	// startingReturn is when to come back to an instance that knows no
+	// configuration yet.
+	startingReturn = 300 * time.Millisecond
+	// maxUnreached bounds the targets that are tried and cannot be reached.
+	maxUnreached = 4
+	// shedReturn is when to come back after targets had no room.
+	shedReturn = 200 * time.Millisecond
+)
+
+// Headers reads and writes the headers that instances, callers and targets
+// agree on. Package platform implements it.
+type Headers interface {
+	RequestID(http.Header) string
+	Deadline(http.Header) (time.Duration, bool)
+	Object(http.Header) string
+	Address(h http.Header, target string, left time.Duration)
+	Answers(h http.Header, id string) bool
+	NotExecuted(status int, h http.Header) bool
+	Stamped(http.Header) bool
+	Load(http.Header) (executing, waiting int, ok bool)
+	Cold(http.Header) time.Duration
+	Echo(h http.Header, id string)
+}
+
+// Options configure a Gateway.
+type Options struct {
+	World     func() *steering.World
+	Balancer  *balance.Balancer
+	Budget    *balance.Budget
+	Forwarder *forward.Forwarder
+	Headers   Headers
+	Events    *events.Log
+	Live      func() int // Number of live instances, this one included.
+}
+
+// Gateway carries requests to targets.
+type Gateway struct {
+	Options
+	events *events.Log
+	splits splits
+	count  Counters
+}
+
+// New returns a gateway.
+func New(o Options) *Gateway {
+	return &Gateway{Options: o, events: o.Events, splits: splits{next: map[string][]float64{}}, count: newCounters()}
+}
+
+func (g *Gateway) limits() steering.Limits {
+	if c := g.World().Config; c != nil {
+		return c.Limits
+	}
+	return steering.Limits{}
+}
+
+// carried is a request on its way through attempts.
+type carried struct {
+	*incoming
+	id       string
+	route    *steering.Route
+	service  string
+	version  steering.Version
+	object   string
+	deadline time.Time
+	excluded map[string]bool
+	sent     int  // Attempts that reached a target.
+	missed   int  // Attempts that reached none.
+	mayRun   bool // A target may have executed the request.
+	last     *answer
+}
+
+// serve finds the answer to a request.
+func (g *Gateway) serve(ctx context.Context, in *incoming) *answer {
+	g.count.Requests.Inc(1)
+	r := &carried{incoming: in, id: g.Headers.RequestID(in.http.Header), excluded: map[string]bool{}}
+	a := g.answer(ctx, r)
+	if a.reason != "" {
+		g.Headers.Echo(a.header, r.id)
+	}
+	g.ended(r, a)
+	return a
+}
+
+func (g *Gateway) ended(r *carried, a *answer) {
+	took := time.Since(r.arrived)
+	g.count.ended(a, took)
+	origin, route := "target", ""
+	if a.reason != "" {
+		origin = "own"
+	}
+	if r.route != nil {
+		route = r.route.Name
+	}
+	g.events.Emit(events.RequestEnded, log.Fields{"request": r.id, "route": route, "status": a.status, "origin": origin,
+		"reason": a.reason, "attempts": r.sent, "tookMs": took.Milliseconds(), "version": uint64(r.version)})
+}
+
+func (g *Gateway) answer(ctx context.Context, r *carried) *answer {
+	config := g.World().Config
+	if config == nil {
+		return retryAfter(http.StatusServiceUnavailable, "no-configuration", startingReturn)
+	}
+	r.version = config.Version
+	if r.route = config.Match(r.http.Host, r.path); r.route == nil {
+		return ownAnswer(http.StatusNotFound, "no-route")
+	}
+	r.service = g.splits.service(r.route)
+	if r.route.Sticky {
+		r.object = g.Headers.Object(r.http.Header)
+	}
+	r.deadline = r.arrived.Add(r.route.Timeout)
+	if d, ok := g.Headers.Deadline(r.http.Header); ok {
+		if left := r.arrived.Add(d); left.Before(r.deadline) || r.route.Timeout == 0 {
+			r.deadline = left
+		}
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	a := g.attempts(ctx, r)
+	if a.stream == nil {
+		cancel()
+	} else {
+		a.stream = &cancelling{ReadCloser: a.stream, cancel: cancel}
+	}
+	return a
+}
+
+// cancelling ends the context of a streamed answer with it.
+type cancelling struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (c *cancelling) Close() error {
+	defer c.cancel()
+	return c.ReadCloser.Close()
+}
+
+// attempts tries targets until one answers.
+func (g *Gateway) attempts(ctx context.Context, r *carried) *answer {
+	g.Budget.Request(r.arrived, r.service)
+	for {
+		grant, refusal := g.Balancer.Pick(time.Now(), r.want(time.Now()))
+		if refusal != nil {
+			return g.refused(r, refusal)
+		}
+		e := g.attempt(ctx, r, grant)
+		if e.answer != nil && !e.again {
+			return e.answer
+		}
+		if ctx.Err() != nil {
+			return r.givenUp(ctx)
+		}
+		if !g.repeat(r, e) {
+			return r.failed(e)
+		}
+	}
+}
+
+func (r *carried) want(now time.Time) balance.Want {
+	return balance.Want{Service: r.service, Object: r.object, Homes: r.route.Homes, Objective: r.route.Objective,
+		Waited: now.Sub(r.arrived), Left: r.deadline.Sub(now), Excluded: r.excluded, Repeat: r.sent+r.missed > 0}
+}
+
+// repeat reports whether the request goes to another target after an attempt.
+func (g *Gateway) repeat(r *carried, e ended) bool {
+	if !e.again || r.stream != nil {
+		return false
+	}
+	if e.unreached {
+		return r.missed < maxUnreached
+	}
+	return r.sent < r.route.Attempts && g.Budget.Repeat(time.Now(), r.service, g.Live())
+}
+
+// refused answers a request for which no target was chosen.
+func (g *Gateway) refused(r *carried, f *balance.Refusal) *answer {
+	if r.last != nil {
+		return r.last
+	}
+	if r.mayRun {
+		return ownAnswer(http.StatusBadGateway, "attempt-failed")
+	}
+	return retryAfter(http.StatusServiceUnavailable, string(f.Reason), f.RetryAfter)
+}
+
+// failed answers a request after its last attempt.
+func (r *carried) failed(e ended) *answer {
+	switch {
+	case e.answer != nil:
+		return e.answer
+	case r.last != nil:
+		return r.last
+	case r.mayRun:
+		return ownAnswer(http.StatusBadGateway, "attempt-failed")
+	}
+	return retryAfter(http.StatusServiceUnavailable, "not-executed", shedReturn)
+}
+
+// givenUp answers a request whose time is over, or whose caller has left.
+func (r *carried) givenUp(ctx context.Context) *answer {
+	if ctx.Err() == context.Canceled {
+		return ownAnswer(statusCallerLeft, "caller-left")
+	}
+	if r.mayRun {
+		return ownAnswer(http.StatusGatewayTimeout, "timeout")
+	}
+	return retryAfter(http.StatusServiceUnavailable, "timeout-not-sent", shedReturn)
+}
+
+// statusCallerLeft marks requests whose caller does not read the answer.
+const statusCallerLeft = 499
+
+func newChunks(w io.Writer) io.WriteCloser { return httputil.NewChunkedWriter(w) }
+
+// splits deals the requests of a route to its services in the proportion of
+// their weights (smooth weighted round robin).
+type splits struct {
+	mu   sync.Mutex
+	next map[string][]float64
+}
+
+func (s *splits) service(r *steering.Route) string {
+	if len(r.Split) == 1 {
+		return r.Split[0].Service
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	credit := s.next[r.Name]
+	if len(credit) != len(r.Split) {
+		credit = make([]float64, len(r.Split))
+		s.next[r.Name] = credit
+	}
+	total, best := 0.0, -1
+	for i, share := range r.Split {
+		weight := float64(max(0, share.Weight))
+		credit[i] += weight
+		total += weight
+		if weight > 0 && (best < 0 || credit[i] > credit[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return r.Split[0].Service
+	}
+	credit[best] -= total
+	return r.Split[best].Service
+}
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/events"
+)
+
+const (
+	// lingerTime is how long a closed connection is read for the caller's own
+	// end. Closing with unread bytes would reset it and destroy the answer.
+	lingerTime = 500 * time.Millisecond
+	// acceptPause follows a failed accept, for example without descriptors.
+	acceptPause = 20 * time.Millisecond
+	// writeTimeout bounds the writing of a part of an answer to a caller that
+	// does not read.
+	writeTimeout = 10 * time.Second
+)
+
+// Server serves the connections of callers.
+type Server struct {
+	gateway  *Gateway
+	listener net.Listener
+	stopping atomic.Bool
+	inFlight atomic.Int64 // Requests read and not answered.
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// NewServer returns a server for a listener.
+func NewServer(g *Gateway, l net.Listener) *Server {
+	return &Server{gateway: g, listener: l, conns: map[*conn]struct{}{}}
+}
+
+// Run accepts connections until the listener is closed.
+func (s *Server) Run(ctx context.Context) error {
+	for {
+		raw, err := s.listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case err != nil:
+			s.gateway.events.Emit(events.AcceptFailed, log.Fields{"error": err.Error()})
+			time.Sleep(acceptPause)
+			continue
+		}
+		c := newConn(ctx, s, raw)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		go c.run()
+	}
+}
+
+func (s *Server) forget(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// Drain begins a planned stop: from now on the last answer of a connection
+// closes it. New connections are still accepted.
+func (s *Server) Drain() { s.stopping.Store(true) }
+
+// CloseIdle closes the connections that have no request.
+func (s *Server) CloseIdle() {
+	for _, c := range s.list() {
+		c.closeIdle()
+	}
+}
+
+// Refuse closes the listener.
+func (s *Server) Refuse() { _ = s.listener.Close() }
+
+// Cut closes all connections and returns how many requests had no answer.
+func (s *Server) Cut() int64 {
+	left := s.inFlight.Load()
+	for _, c := range s.list() {
+		c.cancel()
+		_ = c.Conn.Close()
+	}
+	return left
+}
+
+// InFlight returns the requests that have no complete answer yet.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+func (s *Server) list() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		list = append(list, c)
+	}
+	return list
+}
--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/membership"
-	"github.com/jacinthstall/jacinthstall/platform"
 )
 
 // listReaders are the instances of a domain that read the platform's list often.
@@ -13,10 +13,10 @@
 
 // listBytes returns the size of the platform's list of a fleet.
 func listBytes(members int) (int, error) {
-	list := make([]platform.Instance, members)
+	list := make([]kv.Instance, members)
 	for i := range list {
 		u := update(i)
-		list[i] = platform.Instance{Name: u.Name, Region: u.Region, Domain: u.Domain, PeerAddress: u.PeerAddress, CallerAddress: u.CallerAddress}
+		list[i] = kv.Instance{Name: u.Name, Region: u.Region, Domain: u.Domain, PeerAddress: u.PeerAddress, CallerAddress: u.CallerAddress}
 	}
 	data, err := json.Marshal(list)
 	return len(data), err
--- a/internal/ctl/connect.go
+++ b/internal/ctl/connect.go
@@ -6,14 +6,14 @@
 	"fmt"
 
 	"github.com/jacinthstall/jacinthstall/configsync"
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 )
 
 // Connect returns a Publisher for the platform of a connection. With an
 // instance in the connection it first asks for the version in force there; it
 // fails when the instance does not answer.
 func Connect(ctx context.Context, c Connection) (Publisher, error) {
-	kv, err := platform.NewClient(c.Platform)
+	kv, err := kv.NewClient(c.Platform)
 	if err != nil {
 		return nil, err
 	}
@@ -95,7 +95,7 @@
 // isPlatformFailure reports whether a call failed without publishing. Writes
 // of unknown outcome are those of segments, which nothing refers to yet.
 func isPlatformFailure(err error) bool {
-	for _, kind := range []error{platform.ErrUnavailable, platform.ErrRateLimited, platform.ErrUncertain, platform.ErrNotFound,
+	for _, kind := range []error{kv.ErrUnavailable, kv.ErrRateLimited, kv.ErrUncertain, kv.ErrNotFound,
 		context.DeadlineExceeded, context.Canceled} {
 		if errors.Is(err, kind) {
 			return true
--- a/internal/ctl/connect_test.go
+++ b/internal/ctl/connect_test.go
@@ -21,7 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthstall/jacinthstall/internal/ctl"
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
 )
@@ -267,7 +267,7 @@
 	_, _, err = p.Current(t.Context())
 	var unavailable *ctl.UnavailableError
 	require.ErrorAs(t, err, &unavailable)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, kv.ErrUnavailable)
 	l.store.SetFaults(platformd.Faults{})
 	_, err = p.Publish(t.Context(), encode(t, demo(t), 2), 1)
 	var noKey *ctl.NoKeyError
--- a/internal/experiment/layout.go
+++ b/internal/experiment/layout.go
@@ -7,7 +7,7 @@
 	"os"
 	"path/filepath"
 
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/settings"
 )
@@ -106,7 +106,7 @@
 
 // write stores the settings, the list of instances and the document in dir.
 func (d *deployment) write(dir string) error {
-	var list []platform.Instance
+	var list []kv.Instance
 	for i := range d.instances {
 		n := &d.instances[i]
 		n.file = filepath.Join(dir, n.settings.Name+".json")
@@ -114,8 +114,8 @@
 			return err
 		}
 		s := n.settings
-		list = append(list, platform.Instance{Name: s.Name, Region: s.Region, Domain: s.Domain,
-			PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, State: platform.InstanceLive})
+		list = append(list, kv.Instance{Name: s.Name, Region: s.Region, Domain: s.Domain,
+			PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, State: kv.InstanceLive})
 	}
 	if err := writeJSON(filepath.Join(dir, "instances.json"), list); err != nil {
 		return err
--- a/internal/overhead/overhead.go
+++ b/internal/overhead/overhead.go
@@ -24,7 +24,7 @@
 	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/entry"
 	"github.com/jacinthstall/jacinthstall/internal/figures"
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/policy"
 	"github.com/jacinthstall/jacinthstall/settings"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
@@ -145,8 +145,8 @@
 	s = settings.Settings{Name: "a-1", Region: "r", Domain: "a", CallerAddress: addresses[0], PeerAddress: addresses[1],
 		OperatorAddress: addresses[2], Platform: addresses[3],
 		OperatorKeys: []string{base64.StdEncoding.EncodeToString(public)}}
-	store := platformd.NewStore([]platform.Instance{{Name: s.Name, Region: s.Region, Domain: s.Domain,
-		PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, State: platform.InstanceLive}})
+	store := platformd.NewStore([]kv.Instance{{Name: s.Name, Region: s.Region, Domain: s.Domain,
+		PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, State: kv.InstanceLive}})
 	if err := publish(store, private, target); err != nil {
 		return s, nil, err
 	}
--- a/platform/client_test.go
+++ b/kv/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kv_test
 
 import (
 	"context"
@@ -12,12 +12,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
 )
 
 // serve runs the stand-in on loopback and returns a client for it.
-func serve(t *testing.T, s *platformd.Store) *platform.Client {
+func serve(t *testing.T, s *platformd.Store) *kv.Client {
 	t.Helper()
 	hlog.SetLevel(hlog.LevelFatal)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -27,7 +27,7 @@
 	platformd.Register(h, s)
 	go func() { _ = h.Run() }()
 	t.Cleanup(func() { _ = h.Close() })
-	c, err := platform.NewClient(listener.Addr().String())
+	c, err := kv.NewClient(listener.Addr().String())
 	require.NoError(t, err)
 	require.Eventually(t, func() bool {
 		_, err := c.Get(t.Context(), "up")
@@ -37,8 +37,8 @@
 }
 
 func platformAnswered(err error) bool {
-	e, ok := err.(*platform.Error)
-	return ok && e.Kind == platform.ErrNotFound
+	e, ok := err.(*kv.Error)
+	return ok && e.Kind == kv.ErrNotFound
 }
 
 // A lost answer must be reported as uncertain even on a connection that was
@@ -52,7 +52,7 @@
 
 	s.SetFaults(platformd.Faults{LoseAnswers: 1})
 	_, err = c.Put(ctx, "k", []byte("two"), revision)
-	require.ErrorIs(t, err, platform.ErrUncertain)
+	require.ErrorIs(t, err, kv.ErrUncertain)
 
 	v, err := c.Get(ctx, "k")
 	require.NoError(t, err)
@@ -68,16 +68,16 @@
 	before := c.Counts()
 
 	_, err := c.Put(ctx, "k", nil, 7)
-	require.ErrorIs(t, err, platform.ErrConflict)
+	require.ErrorIs(t, err, kv.ErrConflict)
 	s.SetFaults(platformd.Faults{Outage: true})
 	_, err = c.Put(ctx, "k", nil, 0)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, kv.ErrUnavailable)
 	s.SetFaults(platformd.Faults{})
 	s.SetLimits(platformd.Limits{ReadsPerSecond: 1, WritesPerSecond: 1})
 	_, err = c.Get(ctx, "k")
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, kv.ErrNotFound)
 	_, err = c.Watch(ctx, "k", 0, time.Millisecond)
-	require.ErrorIs(t, err, platform.ErrRateLimited, "a watch counts as a call")
+	require.ErrorIs(t, err, kv.ErrRateLimited, "a watch counts as a call")
 
 	after := c.Counts()
 	assert.Equal(t, uint64(2), after.Writes-before.Writes)
@@ -92,11 +92,11 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	c, err := platform.NewClient(address)
+	c, err := kv.NewClient(address)
 	require.NoError(t, err)
 	_, err = c.Put(context.Background(), "k", nil, 0)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
-	assert.NotErrorIs(t, err, platform.ErrUncertain)
+	require.ErrorIs(t, err, kv.ErrUnavailable)
+	assert.NotErrorIs(t, err, kv.ErrUncertain)
 }
 
 // A holder must not renew or release a lease that another holder has since got.
@@ -107,7 +107,7 @@
 	first, err := c.Acquire(ctx, "l", "a", time.Hour)
 	require.NoError(t, err)
 	_, err = c.Acquire(ctx, "l", "b", time.Hour)
-	require.ErrorIs(t, err, platform.ErrConflict)
+	require.ErrorIs(t, err, kv.ErrConflict)
 	_, err = c.Renew(ctx, first, time.Hour)
 	require.NoError(t, err)
 	require.NoError(t, c.Release(ctx, first))
@@ -115,6 +115,6 @@
 	require.NoError(t, err)
 	assert.Greater(t, second.Token, first.Token)
 	_, err = c.Renew(ctx, first, time.Hour)
-	require.ErrorIs(t, err, platform.ErrConflict)
-	require.ErrorIs(t, c.Release(ctx, first), platform.ErrConflict)
+	require.ErrorIs(t, err, kv.ErrConflict)
+	require.ErrorIs(t, c.Release(ctx, first), kv.ErrConflict)
 }
--- a/platform/counts.go
+++ b/kv/counts.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 import "sync/atomic"
 
--- a/platform/platform.go
+++ b/kv/kv.go
@@ -1,9 +1,9 @@
-// Package platform is the client of the platform's services: a key-value
+// Package kv is the product's own interface to a key-value service, with a client: a key-value
 // service with compare-and-swap, watches and leases, and the list of instances.
 //
 // The protocol is JSON over HTTP. Values hold at most MaxValueBytes. A write
 // whose answer is lost returns ErrUncertain: it may have taken effect.
-package platform
+package kv
 
 import (
 	"context"
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -66,8 +66,13 @@
 // Write writes all metrics in the Prometheus text format, sorted by name.
 // Every metric carries the label instance.
 func (s *Set) Write(w io.Writer, instance string) error {
+	return WriteRegistry(w, s.registry, instance)
+}
+
+// WriteRegistry writes the metrics of a registry like Set.Write.
+func WriteRegistry(w io.Writer, registry gometrics.Registry, instance string) error {
 	var families []*dto.MetricFamily
-	s.registry.Each(func(name string, m any) {
+	registry.Each(func(name string, m any) {
 		if f := family(prefix+name, instance, m); f != nil {
 			families = append(families, f)
 		}
--- /dev/null
+++ b/mirror/apply.go
@@ -0,0 +1,143 @@
+package mirror
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/kv"
+	"github.com/jacinthstall/jacinthstall/steering"
+)
+
+// replace makes the records those of a whole read. Records that are missing in
+// it are treated as deleted.
+func (m *Mirror) replace(items []kv.Item, revision uint64, now time.Time, source string) {
+	present := make(map[string]bool, len(items))
+	for _, i := range items {
+		present[i.Key] = true
+	}
+	changes := append([]kv.Item(nil), items...)
+	for key := range m.items {
+		if !present[key] {
+			changes = append(changes, kv.Item{Key: key, Revision: revision, Deleted: true})
+		}
+	}
+	m.apply(changes, revision, now, source)
+}
+
+// apply takes over changes and switches to the world that they make.
+func (m *Mirror) apply(changes []kv.Item, revision uint64, now time.Time, source string) {
+	var facts []steering.Fact
+	for _, c := range changes {
+		if !m.take(c) {
+			continue
+		}
+		fact, err := m.options.Codec.Fact(c, now)
+		if err != nil {
+			m.options.Events.Emit(events.RecordRejected, log.Fields{"key": c.Key, "revision": c.Revision, "error": err.Error()})
+		}
+		if fact == nil || m.hold(c, fact, now) {
+			continue
+		}
+		facts = append(facts, fact)
+	}
+	m.mu.Lock()
+	m.revision = max(m.revision, revision)
+	m.mu.Unlock()
+	m.enforce(facts, source)
+}
+
+// take stores a change. It reports whether the change is newer than what is
+// stored: pages of a read are no snapshot and a peer may be behind.
+func (m *Mirror) take(c kv.Item) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old, known := m.items[c.Key]
+	if known && old.Revision >= c.Revision {
+		return false
+	}
+	if c.Deleted {
+		delete(m.items, c.Key)
+		return known
+	}
+	m.items[c.Key] = c
+	delete(m.held, c.Key)
+	return true
+}
+
+// hold keeps a target whose record lapsed while the store was away, until its
+// writer has had time to renew it.
+func (m *Mirror) hold(c kv.Item, fact steering.Fact, now time.Time) bool {
+	_, gone := fact.(steering.TargetGone)
+	if !gone || !c.Deleted {
+		return false
+	}
+	until := m.returned.Add(returnGrace)
+	if m.returned.IsZero() || !now.Before(until) {
+		return false
+	}
+	m.held[c.Key] = until
+	return true
+}
+
+// releaseHeld drops the targets whose writers did not come back.
+func (m *Mirror) releaseHeld(now time.Time) {
+	var facts []steering.Fact
+	for key, until := range m.held {
+		if now.Before(until) {
+			continue
+		}
+		delete(m.held, key)
+		fact, err := m.options.Codec.Fact(kv.Item{Key: key, Deleted: true}, now)
+		if err != nil {
+			m.options.Events.Emit(events.RecordRejected, log.Fields{"key": key, "error": err.Error()})
+			continue
+		}
+		facts = append(facts, fact)
+	}
+	m.enforce(facts, "lapsed")
+}
+
+// enforce switches to the world in which the facts hold, and logs what changed.
+func (m *Mirror) enforce(facts []steering.Fact, source string) {
+	before := m.world.Load()
+	after := before.With(m.Revision(), facts)
+	m.world.Store(after)
+	if len(facts) == 0 {
+		return
+	}
+	m.logFacts(before, after, facts, source)
+	if m.options.Changed != nil {
+		m.options.Changed(before, after)
+	}
+}
+
+func (m *Mirror) logFacts(before, after *steering.World, facts []steering.Fact, source string) {
+	if after.Config != before.Config {
+		c := after.Config
+		m.options.Events.Emit(events.SteeringConfigInForce, log.Fields{"version": uint64(c.Version), "routes": len(c.Routes),
+			"services": len(c.Services), "revision": after.Revision, "source": source})
+	}
+	for _, f := range facts {
+		switch f := f.(type) {
+		case steering.TargetIs:
+			state := "ready"
+			if f.Target.Draining {
+				state = "draining"
+			}
+			m.logTarget(f.Target, state, after.Revision, source)
+		case steering.TargetGone:
+			if t := before.Targets[f.ID]; t != nil {
+				m.logTarget(t, "gone", after.Revision, source)
+			}
+		case steering.DomainEvacuated:
+			m.options.Events.Emit(events.DomainEvacuation, log.Fields{"domain": f.Domain, "on": f.On, "revision": after.Revision, "source": source})
+		}
+	}
+}
+
+func (m *Mirror) logTarget(t *steering.Target, state string, revision uint64, source string) {
+	m.options.Events.Emit(events.TargetChanged, log.Fields{"target": t.ID, "service": t.Service, "domain": t.Domain,
+		"state": state, "revision": revision, "source": source})
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/balance"
+	"github.com/jacinthstall/jacinthstall/charts"
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/forward"
+	"github.com/jacinthstall/jacinthstall/gateway"
+	"github.com/jacinthstall/jacinthstall/gossip"
+	"github.com/jacinthstall/jacinthstall/kv"
+	"github.com/jacinthstall/jacinthstall/lifecycle"
+	"github.com/jacinthstall/jacinthstall/mirror"
+	"github.com/jacinthstall/jacinthstall/settings"
+	"github.com/jacinthstall/jacinthstall/steering"
+)
+
+// Platform is what a node needs of the platform's formats. Package platform
+// implements it.
+type Platform interface {
+	mirror.Codec
+	InstanceKey(name string) string
+	InstanceValue(steering.Instance) ([]byte, error)
+	Resolution(addresses []string, ttl time.Duration) ([]byte, error)
+	ReadyPath() string
+	ResolvePath() string
+	Prefix() string
+}
+
+// Options configure a Node.
+type Options struct {
+	Settings settings.Node
+	Platform Platform
+	Headers  gateway.Headers
+	Store    kv.Store
+	Log      log.Interface
+	// Reload reads the settings again.
+	Reload func() (settings.Node, error)
+}
+
+// Node is one entry instance.
+type Node struct {
+	options  Options
+	settings settings.Node
+	self     steering.Instance
+	events   *events.Log
+	mirror   *mirror.Mirror
+	balancer *balance.Balancer
+	exchange *gossip.Exchange
+	gateway  *gateway.Gateway
+	server   *gateway.Server
+	forward  *forward.Forwarder
+	life     *lifecycle.Machine
+	leaving  atomic.Bool
+	lease    atomic.Uint64
+}
+
+// stepInterval is the pause between two looks at slow matters: weights of
+// regions and peers that fell silent.
+const stepInterval = 250 * time.Millisecond
+
+// New opens the listeners of a node.
+func New(o Options) (*Node, error) {
+	s := o.Settings
+	now := time.Now()
+	n := &Node{options: o, settings: s, events: events.New(o.Log), forward: forward.New()}
+	n.self = steering.Instance{Name: s.Name, Domain: s.Domain, Region: s.Region, Address: s.Callers,
+		PeerAddress: s.Peer, Incarnation: uint64(now.UnixNano())}
+	n.balancer = balance.New(balance.Options{Name: s.Name, Domain: s.Domain, Region: s.Region, Regions: s.Regions,
+		ShiftMost: s.Bounds.ShiftMost}, now)
+	n.balancer.SetInstances([]steering.Instance{n.self})
+	n.mirror = mirror.New(mirror.Options{Store: o.Store, Prefix: o.Platform.Prefix(), Codec: o.Platform, Events: n.events,
+		Newer: n.newerPeer, Fetch: fetchSnapshot, Changed: n.worldChanged})
+	chart, err := lifecycle.Load(charts.Files, charts.EntryInstance)
+	if err != nil {
+		return nil, err
+	}
+	n.life = chart.NewMachine(func(_, _, to string) { n.leaving.Store(to != "starting" && to != "serving") })
+	n.exchange, err = gossip.Listen(gossip.Options{Self: n.self, Regions: s.Regions, Events: n.events,
+		Balancer: n.balancer, Revision: n.mirror.Revision, Ready: n.ready, Leaving: n.leaving.Load,
+		Changed: n.balancer.SetInstances})
+	if err != nil {
+		return nil, fmt.Errorf("listen for messages of instances: %w", err)
+	}
+	n.gateway = gateway.New(gateway.Options{World: n.mirror.World, Balancer: n.balancer, Budget: balance.NewBudget(s.Bounds),
+		Forwarder: n.forward, Headers: o.Headers, Events: n.events, Live: func() int { return len(n.exchange.Live()) }})
+	listener, err := net.Listen("tcp", s.Callers)
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	n.server = gateway.NewServer(n.gateway, listener)
+	return n, nil
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context, reload <-chan struct{}) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 4)
+	if err := n.startListeners(background, failed); err != nil {
+		return err
+	}
+	go n.mirror.Run(background)
+	go n.exchange.Run(background)
+	go n.register(background)
+	go n.steps(background)
+	go func() { failed <- n.server.Run(background) }()
+	n.fire("opened")
+	s := n.settings
+	n.events.Emit(events.NodeStarted, log.Fields{"domain": s.Domain, "region": s.Region, "callers": s.Callers,
+		"directory": s.Directory, "peer": s.Peer, "store": s.Store})
+	for {
+		select {
+		case <-reload:
+			n.reload()
+		case err := <-failed:
+			n.fire("failed")
+			return fmt.Errorf("listener ended: %w", err)
+		case <-ctx.Done():
+			n.stop(background)
+			return nil
+		}
+	}
+}
+
+func (n *Node) fire(trigger string) {
+	if err := n.life.Fire(trigger); err != nil {
+		n.options.Log.WithError(err).Error("state chart does not permit the trigger")
+	}
+}
+
+// ready reports whether callers may be sent here.
+func (n *Node) ready() bool { return n.mirror.World().Config != nil && !n.leaving.Load() }
+
+func (n *Node) worldChanged(_, after *steering.World) {
+	n.balancer.SetWorld(time.Now(), after)
+	n.exchange.SetKnown(after.Instances)
+}
+
+func (n *Node) newerPeer(revision uint64) (mirror.Peer, bool) {
+	in, at, ok := n.exchange.Newest(revision)
+	return mirror.Peer{Name: in.Name, Address: in.PeerAddress, Revision: at}, ok
+}
+
+func (n *Node) steps(ctx context.Context) {
+	tick := time.NewTicker(stepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			n.balancer.Step(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) reload() {
+	s, err := n.options.Reload()
+	if err != nil {
+		n.events.Emit(events.SettingsRejected, log.Fields{"error": err.Error()})
+		return
+	}
+	changed := s.Callers != n.settings.Callers || s.Ready != n.settings.Ready || s.Directory != n.settings.Directory ||
+		s.Peer != n.settings.Peer || s.Store != n.settings.Store
+	n.events.Emit(events.SettingsReloaded, log.Fields{"changed": changed})
+}
--- /dev/null
+++ b/node/snapshots.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/jacinthstall/jacinthstall/mirror"
+)
+
+const (
+	// fetchTimeout bounds an exchange of all records with a peer.
+	fetchTimeout = time.Second
+	rpcSnapshot  = "/jacinthstall.Mirror/Snapshot"
+)
+
+// snapshotRequest asks for all records.
+type snapshotRequest struct{}
+
+// jsonEncoding encodes the messages of this service. They are exchanged only
+// while the store does not answer an instance.
+type jsonEncoding struct{}
+
+func (jsonEncoding) Marshal(m drpc.Message) ([]byte, error)   { return json.Marshal(m) }
+func (jsonEncoding) Unmarshal(b []byte, m drpc.Message) error { return json.Unmarshal(b, m) }
+
+// snapshotService answers with the records of a mirror.
+type snapshotService struct{ mirror *mirror.Mirror }
+
+func (s *snapshotService) Snapshot(context.Context, *snapshotRequest) (*mirror.Snapshot, error) {
+	all := s.mirror.Snapshot()
+	return &all, nil
+}
+
+// snapshotDescription describes the service to drpc.
+type snapshotDescription struct{}
+
+func (snapshotDescription) NumMethods() int { return 1 }
+
+func (snapshotDescription) Method(int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	receive := func(srv any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+		return srv.(*snapshotService).Snapshot(ctx, in1.(*snapshotRequest))
+	}
+	return rpcSnapshot, jsonEncoding{}, receive, (*snapshotService).Snapshot, true
+}
+
+func servePeers(ctx context.Context, l net.Listener, m *mirror.Mirror) error {
+	mux := drpcmux.New()
+	if err := mux.Register(&snapshotService{m}, snapshotDescription{}); err != nil {
+		return err
+	}
+	return drpcserver.New(mux).Serve(ctx, l)
+}
+
+// fetchSnapshot asks a peer for its records.
+func fetchSnapshot(ctx context.Context, p mirror.Peer) (mirror.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.Address)
+	if err != nil {
+		return mirror.Snapshot{}, err
+	}
+	conn := drpcconn.New(raw)
+	defer func() { _ = conn.Close() }()
+	var s mirror.Snapshot
+	err = conn.Invoke(ctx, rpcSnapshot, jsonEncoding{}, &snapshotRequest{}, &s)
+	return s, err
+}
--- /dev/null
+++ b/settings/node.go
@@ -0,0 +1,33 @@
+package settings
+
+import "time"
+
+// Node is what one process of a deployment is told at its start. Package
+// platform reads it from the platform's settings file. Addresses are "ip:port".
+type Node struct {
+	Name      string
+	Domain    string
+	Region    string
+	Regions   map[string]string // Region of each failure domain.
+	Callers   string            // Listener for requests.
+	Ready     string            // Listener for readiness checks.
+	Directory string            // Listener for look-ups; empty when not served here.
+	Peer      string            // Address for messages between instances, TCP and UDP.
+	Metrics   string            // Listener for metrics.
+	Store     string            // Address of the platform's store.
+	Heartbeat time.Duration     // Interval in which targets renew their records.
+	Memory    int64             // Bytes that the process may use; 0 when not told.
+	Bounds    Bounds
+}
+
+// Bounds are the figures of the deployment that decisions depend on.
+type Bounds struct {
+	Stability   time.Duration // Undisturbed time after which all bounds hold again.
+	Drain       time.Duration // From the record of a target's leaving to its last new request.
+	Grace       time.Duration // From SIGTERM to SIGKILL.
+	LookupTTL   time.Duration // Longest time that callers may keep a look-up answer.
+	RetryRatio  float64       // Repeated requests at a service, as a part of the requests for it.
+	RetryWindow time.Duration // Window in which RetryRatio is counted.
+	RetrySlack  int           // Repeated requests per window beyond the ratio.
+	ShiftMost   float64       // Largest part of a region's requests that may change the region in 2 s.
+}
--- a/standin/platformd/admin.go
+++ b/standin/platformd/admin.go
@@ -7,7 +7,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 )
 
 // RegisterAdmin adds the routes that set faults and limits. They are not part
@@ -15,7 +15,7 @@
 //
 //	GET, PUT /admin/faults       Faults
 //	PUT      /admin/limits       Limits
-//	PUT      /admin/instances    list of platform.Instance
+//	PUT      /admin/instances    list of kv.Instance
 //	GET      /admin/calls        Calls
 //	POST     /admin/checkpoint   ?name=, keeps all values
 //	POST     /admin/restore      ?name=, returns to a checkpoint
@@ -24,7 +24,7 @@
 	h.GET("/admin/calls", func(_ context.Context, c *app.RequestContext) { c.JSON(200, s.Calls()) })
 	h.PUT("/admin/faults", setter(s.SetFaults))
 	h.PUT("/admin/limits", setter(s.SetLimits))
-	h.PUT("/admin/instances", setter(func(list []platform.Instance) { s.SetInstances(list) }))
+	h.PUT("/admin/instances", setter(func(list []kv.Instance) { s.SetInstances(list) }))
 	h.POST("/admin/checkpoint", func(_ context.Context, c *app.RequestContext) {
 		s.Checkpoint(c.Query("name"))
 		c.JSON(200, map[string]string{})
--- a/standin/platformd/admin_test.go
+++ b/standin/platformd/admin_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
 )
 
@@ -32,7 +32,7 @@
 	require.Equal(t, 200, do("PUT", "/admin/faults", `{"outage":true,"delayMs":1}`))
 	assert.Equal(t, platformd.Faults{Outage: true, DelayMs: 1}, s.Faults())
 	_, err = s.Get("k")
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, kv.ErrUnavailable)
 	require.Equal(t, 200, do("PUT", "/admin/faults", `{}`))
 
 	require.Equal(t, 200, do("POST", "/admin/restore?name=c", ""))
@@ -44,13 +44,13 @@
 	require.Equal(t, 200, do("PUT", "/admin/instances", `[{"name":"a","state":"leaving"}]`))
 	list, err := s.Instances()
 	require.NoError(t, err)
-	assert.Equal(t, []platform.Instance{{Name: "a", State: platform.InstanceLeaving}}, list)
+	assert.Equal(t, []kv.Instance{{Name: "a", State: kv.InstanceLeaving}}, list)
 
 	require.Equal(t, 200, do("PUT", "/admin/limits", `{"readsPerSecond":1}`))
 	require.Equal(t, 400, do("PUT", "/admin/limits", `{`))
 	_, err = s.Get("k")
 	require.NoError(t, err)
 	_, err = s.Get("k")
-	require.ErrorIs(t, err, platform.ErrRateLimited)
+	require.ErrorIs(t, err, kv.ErrRateLimited)
 	require.Equal(t, 200, do("GET", "/admin/calls", ""))
 }
--- a/standin/platformd/faults.go
+++ b/standin/platformd/faults.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 )
 
 // Faults are the faults injected into the calls of clients. The zero value
@@ -18,7 +18,7 @@
 // listing is a list of instances and the time from which it holds.
 type listing struct {
 	at   time.Time
-	list []platform.Instance
+	list []kv.Instance
 }
 
 // SetFaults replaces the injected faults. Waiting watches fail when an outage starts.
@@ -57,8 +57,8 @@
 	return true
 }
 
-func copyValues(values map[string]platform.Value) map[string]platform.Value {
-	out := make(map[string]platform.Value, len(values))
+func copyValues(values map[string]kv.Value) map[string]kv.Value {
+	out := make(map[string]kv.Value, len(values))
 	for key, v := range values {
 		out[key] = v
 	}
@@ -67,7 +67,7 @@
 
 // Instances returns the list of instances as clients see it: changes younger
 // than the lag are not included.
-func (s *Store) Instances() ([]platform.Instance, error) {
+func (s *Store) Instances() ([]kv.Instance, error) {
 	if err := s.admit(&s.calls.Reads, s.readLimit); err != nil {
 		return nil, err
 	}
@@ -80,12 +80,12 @@
 			list = l.list
 		}
 	}
-	return append([]platform.Instance{}, list...), nil
+	return append([]kv.Instance{}, list...), nil
 }
 
 // SetInstances replaces the list of instances. Clients see it after the lag.
-func (s *Store) SetInstances(list []platform.Instance) {
+func (s *Store) SetInstances(list []kv.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lists = append(s.lists, listing{at: time.Now(), list: append([]platform.Instance{}, list...)})
+	s.lists = append(s.lists, listing{at: time.Now(), list: append([]kv.Instance{}, list...)})
 }
--- a/standin/platformd/local.go
+++ b/standin/platformd/local.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 )
 
 // Local is a client of a store in the same process. Calls have the faults of
@@ -14,21 +14,21 @@
 	Store *Store
 }
 
-var _ platform.KV = Local{}
+var _ kv.KV = Local{}
 
-// Get implements platform.KV.
-func (l Local) Get(ctx context.Context, key string) (platform.Value, error) {
-	return call(ctx, platform.ErrUnavailable, func() (platform.Value, error) { return l.Store.Get(key) })
+// Get implements kv.KV.
+func (l Local) Get(ctx context.Context, key string) (kv.Value, error) {
+	return call(ctx, kv.ErrUnavailable, func() (kv.Value, error) { return l.Store.Get(key) })
 }
 
-// Put implements platform.KV.
+// Put implements kv.KV.
 func (l Local) Put(ctx context.Context, key string, data []byte, revision uint64) (uint64, error) {
-	return call(ctx, platform.ErrUncertain, func() (uint64, error) { return l.Store.Put(key, data, revision) })
+	return call(ctx, kv.ErrUncertain, func() (uint64, error) { return l.Store.Put(key, data, revision) })
 }
 
-// Watch implements platform.KV.
-func (l Local) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Value, error) {
-	return call(ctx, platform.ErrUnavailable, func() (platform.Value, error) { return l.Store.Watch(key, after, wait) })
+// Watch implements kv.KV.
+func (l Local) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (kv.Value, error) {
+	return call(ctx, kv.ErrUnavailable, func() (kv.Value, error) { return l.Store.Watch(key, after, wait) })
 }
 
 func call[T any](ctx context.Context, onEnd error, do func() (T, error)) (T, error) {
--- a/standin/platformd/platformd.go
+++ b/standin/platformd/platformd.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 )
 
 // Limits are the platform's rates in calls per second. Zero means no limit.
@@ -33,12 +33,12 @@
 // Store is the state of the stand-in. It is safe for concurrent use.
 type Store struct {
 	mu          sync.Mutex
-	values      map[string]platform.Value
+	values      map[string]kv.Value
 	changed     chan struct{}
 	lists       []listing
 	leases      map[string]held
 	token       uint64
-	checkpoints map[string]map[string]platform.Value
+	checkpoints map[string]map[string]kv.Value
 	faults      Faults
 	calls       Calls
 	reads       *rate.Limiter
@@ -46,12 +46,12 @@
 }
 
 // NewStore returns an empty store without rate limits.
-func NewStore(instances []platform.Instance) *Store {
+func NewStore(instances []kv.Instance) *Store {
 	s := &Store{
-		values:      map[string]platform.Value{},
+		values:      map[string]kv.Value{},
 		changed:     make(chan struct{}),
 		leases:      map[string]held{},
-		checkpoints: map[string]map[string]platform.Value{},
+		checkpoints: map[string]map[string]kv.Value{},
 		lists:       []listing{{list: instances}},
 	}
 	s.SetLimits(Limits{})
@@ -79,22 +79,22 @@
 	return s.calls
 }
 
-// Get returns the value of key, or platform.ErrNotFound.
-func (s *Store) Get(key string) (platform.Value, error) {
+// Get returns the value of key, or kv.ErrNotFound.
+func (s *Store) Get(key string) (kv.Value, error) {
 	if err := s.admit(&s.calls.Reads, s.readLimit); err != nil {
-		return platform.Value{}, err
+		return kv.Value{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v, ok := s.values[key]
 	if !ok {
-		return platform.Value{}, platform.ErrNotFound
+		return kv.Value{}, kv.ErrNotFound
 	}
 	return v, nil
 }
 
 // Put stores data if the revision of key is the given one, else it returns
-// platform.ErrConflict. It returns platform.ErrUncertain when the write took
+// kv.ErrConflict. It returns kv.ErrUncertain when the write took
 // effect and the lost-answer fault is set.
 func (s *Store) Put(key string, data []byte, revision uint64) (uint64, error) {
 	if err := s.admit(&s.calls.Writes, s.writeLimit); err != nil {
@@ -103,28 +103,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.values[key].Revision != revision {
-		return 0, platform.ErrConflict
+		return 0, kv.ErrConflict
 	}
-	s.values[key] = platform.Value{Data: append([]byte(nil), data...), Revision: revision + 1}
+	s.values[key] = kv.Value{Data: append([]byte(nil), data...), Revision: revision + 1}
 	s.wake()
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
-		return 0, platform.ErrUncertain
+		return 0, kv.ErrUncertain
 	}
 	return revision + 1, nil
 }
 
 // Watch waits until the revision of key is above after, at most wait.
-func (s *Store) Watch(key string, after uint64, wait time.Duration) (platform.Value, error) {
+func (s *Store) Watch(key string, after uint64, wait time.Duration) (kv.Value, error) {
 	if err := s.admit(&s.calls.Watches, s.readLimit); err != nil {
-		return platform.Value{}, err
+		return kv.Value{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		v, ok, changed, down := s.peek(key)
 		if down {
-			return platform.Value{}, platform.ErrUnavailable
+			return kv.Value{}, kv.ErrUnavailable
 		}
 		if ok && v.Revision > after {
 			return v, nil
@@ -133,14 +133,14 @@
 		case <-changed:
 		case <-timer.C:
 			if !ok {
-				return platform.Value{}, platform.ErrNotFound
+				return kv.Value{}, kv.ErrNotFound
 			}
 			return v, nil
 		}
 	}
 }
 
-func (s *Store) peek(key string) (platform.Value, bool, <-chan struct{}, bool) {
+func (s *Store) peek(key string) (kv.Value, bool, <-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v, ok := s.values[key]
@@ -170,9 +170,9 @@
 	}
 	switch {
 	case down:
-		return platform.ErrUnavailable
+		return kv.ErrUnavailable
 	case !allowed:
-		return platform.ErrRateLimited
+		return kv.ErrRateLimited
 	}
 	return nil
 }
--- a/standin/platformd/platformd_test.go
+++ b/standin/platformd/platformd_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/standin/platformd"
 )
 
@@ -22,7 +22,7 @@
 		require.NoError(t, err)
 		time.Sleep(time.Second)
 		_, err = s.Renew("l", first.Token, time.Second)
-		require.ErrorIs(t, err, platform.ErrConflict)
+		require.ErrorIs(t, err, kv.ErrConflict)
 		_, err = s.Acquire("l", "b", time.Second)
 		require.NoError(t, err)
 	})
@@ -40,15 +40,15 @@
 	require.False(t, s.Restore("unknown"))
 	v, err := s.Get("k")
 	require.NoError(t, err)
-	assert.Equal(t, platform.Value{Data: []byte("old"), Revision: revision}, v)
+	assert.Equal(t, kv.Value{Data: []byte("old"), Revision: revision}, v)
 }
 
 // The list must show a change only after its lag.
 func TestListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := platformd.NewStore([]platform.Instance{{Name: "a"}})
+		s := platformd.NewStore([]kv.Instance{{Name: "a"}})
 		s.SetFaults(platformd.Faults{ListLagMs: 1000})
-		s.SetInstances([]platform.Instance{{Name: "a", State: platform.InstanceLeaving}})
+		s.SetInstances([]kv.Instance{{Name: "a", State: kv.InstanceLeaving}})
 		time.Sleep(999 * time.Millisecond)
 		list, err := s.Instances()
 		require.NoError(t, err)
@@ -56,7 +56,7 @@
 		time.Sleep(time.Millisecond)
 		list, err = s.Instances()
 		require.NoError(t, err)
-		assert.Equal(t, platform.InstanceLeaving, list[0].State)
+		assert.Equal(t, kv.InstanceLeaving, list[0].State)
 	})
 }
 
@@ -68,7 +68,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := platformd.Local{Store: s}.Put(ctx, "k", []byte("v"), 0)
-		require.ErrorIs(t, err, platform.ErrUncertain)
+		require.ErrorIs(t, err, kv.ErrUncertain)
 		time.Sleep(3 * time.Second)
 		s.SetFaults(platformd.Faults{})
 		_, err = s.Get("k")
@@ -84,13 +84,13 @@
 		_, err := s.Put("k", nil, 0)
 		require.NoError(t, err)
 		_, err = s.Put("k", nil, 1)
-		require.ErrorIs(t, err, platform.ErrRateLimited)
+		require.ErrorIs(t, err, kv.ErrRateLimited)
 		_, err = s.Watch("k", 0, time.Second)
 		require.NoError(t, err)
 		_, err = s.Get("k")
 		require.NoError(t, err)
 		_, err = s.Get("k")
-		require.ErrorIs(t, err, platform.ErrRateLimited)
+		require.ErrorIs(t, err, kv.ErrRateLimited)
 		time.Sleep(time.Second)
 		_, err = s.Put("k", nil, 1)
 		require.NoError(t, err)
--- a/standin/platformd/server.go
+++ b/standin/platformd/server.go
@@ -9,7 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
-	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/kv"
 )
 
 // maxWatch bounds one waiting watch.
@@ -57,7 +57,7 @@
 		if !ok {
 			return
 		}
-		answer(c, platform.Lease{}, s.Release(c.Query("name"), token))
+		answer(c, kv.Lease{}, s.Release(c.Query("name"), token))
 	})
 }
 
@@ -77,12 +77,12 @@
 		return
 	}
 	body := append([]byte(nil), c.Request.Body()...)
-	if len(body) > platform.MaxValueBytes {
+	if len(body) > kv.MaxValueBytes {
 		c.JSON(413, map[string]string{"error": "value too large"})
 		return
 	}
 	revision, err = s.Put(c.Query("key"), body, revision)
-	answer(c, platform.Value{Revision: revision}, err)
+	answer(c, kv.Value{Revision: revision}, err)
 }
 
 func handleWatch(c *app.RequestContext, s *Store) {
@@ -101,13 +101,13 @@
 	switch {
 	case err == nil:
 		c.JSON(200, v)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, kv.ErrNotFound):
 		c.JSON(404, map[string]string{"error": "not found"})
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kv.ErrConflict):
 		c.JSON(409, map[string]string{"error": "revision conflict"})
-	case errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, kv.ErrRateLimited):
 		c.JSON(429, map[string]string{"error": "rate limited"})
-	case errors.Is(err, platform.ErrUncertain):
+	case errors.Is(err, kv.ErrUncertain):
 		// The answer is lost: the connection closes without a response.
 		_ = c.GetConn().Close()
 	default:
