Give each object one home target, and start regions by their slots

Regions began with all requests at home and moved 3.75% a second, so Palermo (10 of 60 slots) refused for 14 s; objects spread over all targets of a region, and each new target ran them cold, which takes a slot 3.3 times as long.

Change: weights of regions start from slots and count measured load after 5 s; an object goes to its rendezvous target only; a request that will be late waits at most 1.5 objectives for a slot; the time since the caller's first attempt is read from its deadline.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -98,6 +98,11 @@
 			delete(b.targets, id)
 		}
 	}
+	if w.Config != nil {
+		for name := range w.Config.Services {
+			b.service(name)
+		}
+	}
 	for domain := range before.Evacuated {
 		if !w.Evacuated[domain] {
 			b.warmUp(now, domain)
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -95,10 +95,10 @@
 	}
 	s := b.service(t.record.Service)
 	work := max(time.Millisecond, took-b.roundTrip(t.region))
-	s.meanTime += time.Duration(averageWeight * float64(work-s.meanTime))
 	if g.queued || now.Before(t.cold) {
 		return
 	}
+	s.meanTime += time.Duration(averageWeight * float64(work-s.meanTime))
 	usual := &s.coldTime
 	if g.Warm {
 		usual = &s.warmTime
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -1,7 +1,9 @@
 package balance
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/jacinthstall/jacinthstall/steering"
@@ -16,6 +18,12 @@
 	coldSlowdown = 2
 	// failureCost is what a failed attempt costs, in objectives.
 	failureCost = 1.0
+	// lateWait is the longest wait for a slot of a request that will be late,
+	// as a part of its objective.
+	lateWait = 1.5
+	// leftPart is the part of the time left within which an answer must be
+	// expected. The rest covers the error of the expectation.
+	leftPart = 0.8
 	// objectiveMargin is the part of the objective that the expected time must
 	// stay under when a request would have to wait for a slot.
 	objectiveMargin = 0.95
@@ -32,7 +40,7 @@
 	Object    string // Empty when the request names none, or the route is not sticky.
 	Homes     []string
 	Objective time.Duration // Time within which the answer has its full value.
-	Waited    time.Duration // Time since the request arrived.
+	Waited    time.Duration // Time since the caller first asked.
 	Left      time.Duration // Time until it must be answered.
 	Excluded  map[string]bool
 	Repeat    bool // The request was counted before.
@@ -48,7 +56,6 @@
 	Warm     bool          // The target is believed to have handled the object.
 	object   string
 	queued   bool
-	chosen   time.Time
 }
 
 // Reason says why no target was chosen.
@@ -64,7 +71,11 @@
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration
+	Region     string
 	Expected   time.Duration // Of the best target; 0 when there is none.
+	Wait       time.Duration // For a slot of that target.
+	Load       int           // Requests in flight there.
+	Candidates int           // Targets that were compared.
 }
 
 // choice is a candidate with its expected time.
@@ -73,7 +84,7 @@
 	expected time.Duration
 	wait     time.Duration
 	warm     bool
-	rank     uint64 // Rendezvous weight; breaks ties.
+	rank     uint64 // Rendezvous weight; higher comes first.
 }
 
 // Pick chooses a target, or says why there is none.
@@ -89,45 +100,62 @@
 		s.sequence++
 		object = mix(s.sequence, b.hashOfSelf())
 	}
-	var best choice
 	for _, region := range b.regionOrder(s, want, object) {
-		if best = b.best(now, s, want, region, object); best.target != nil {
-			break
+		if list := b.candidates(now, s, want, region, object); len(list) > 0 {
+			return b.decide(now, want, list)
 		}
 	}
-	if best.target == nil {
-		return Grant{}, &Refusal{Reason: NoTarget, RetryAfter: noTargetReturn}
-	}
-	if refusal := b.admit(best, want); refusal != nil {
-		return Grant{}, refusal
-	}
-	return b.grant(now, best, want), nil
+	return Grant{}, &Refusal{Reason: NoTarget, RetryAfter: noTargetReturn}
 }
 
 func (b *Balancer) hashOfSelf() uint64 { return hashOf(b.options.Name) }
 
-// best returns the candidate of a region that is expected to answer first.
-func (b *Balancer) best(now time.Time, s *service, want Want, region string, object uint64) choice {
+// candidates returns the usable targets of a region that may take the
+// request. An object has one, its home, as long as that can be used: a second
+// target would have to learn the object, and a request to a target that does
+// not know its object takes the slot of several that do.
+func (b *Balancer) candidates(now time.Time, s *service, want Want, region string, object uint64) []choice {
+	var list []choice
 	var first uint64
-	for _, record := range b.world.Of(want.Service) {
-		if t := b.targets[record.ID]; t != nil && t.region == region && b.world.Usable(record) {
-			first = max(first, mix(object, t.hash))
-		}
-	}
-	var best choice
 	for _, record := range b.world.Of(want.Service) {
 		t := b.targets[record.ID]
-		if t == nil || t.region != region || want.Excluded[record.ID] || !b.usable(now, t) {
+		if t == nil || t.region != region || !b.world.Usable(record) {
 			continue
 		}
-		c := choice{target: t, rank: mix(object, t.hash)}
-		c.warm = want.Object != "" && (c.rank == first || t.warm.has(want.Object))
-		c.wait, c.expected = b.expect(now, s, t, c.warm, want.Objective)
-		if best.target == nil || c.expected < best.expected || (c.expected == best.expected && c.rank > best.rank) {
-			best = c
+		rank := mix(object, t.hash)
+		first = max(first, rank)
+		if !want.Excluded[record.ID] && b.usable(now, t) {
+			list = append(list, choice{target: t, rank: rank})
 		}
 	}
-	return best
+	if want.Object != "" && len(list) > 1 {
+		list = []choice{slices.MaxFunc(list, func(a, c choice) int { return cmp.Compare(a.rank, c.rank) })}
+	}
+	for i := range list {
+		c := &list[i]
+		c.warm = want.Object != "" && (c.rank == first || c.target.warm.has(want.Object))
+		c.wait, c.expected = b.expect(now, s, c.target, c.warm, want.Objective)
+	}
+	return list
+}
+
+// decide takes the candidate that is expected to answer first, or refuses. A
+// request that will be late is worth less than one in time, but refusing it
+// costs its caller more than a short wait costs the others.
+func (b *Balancer) decide(now time.Time, want Want, list []choice) (Grant, *Refusal) {
+	best := slices.MinFunc(list, func(a, c choice) int {
+		return cmp.Or(cmp.Compare(a.expected, c.expected), cmp.Compare(c.rank, a.rank))
+	})
+	inTime := want.Waited+best.expected <= time.Duration(objectiveMargin*float64(want.Objective))
+	short := best.wait <= time.Duration(lateWait*float64(want.Objective))
+	fits := best.expected < time.Duration(leftPart*float64(want.Left))
+	if best.wait == 0 || fits && (inTime || short) {
+		return b.grant(now, best, want), nil
+	}
+	after := best.wait + time.Duration(rand.Int64N(int64(best.wait)/2+1))
+	return Grant{}, &Refusal{Reason: Overloaded, Region: best.target.region, Expected: best.expected, Wait: best.wait,
+		Load: best.target.load(now), Candidates: len(list),
+		RetryAfter: min(longestReturn, max(shortestReturn, after))}
 }
 
 // usable reports whether a request may go to a target now.
@@ -163,24 +191,10 @@
 	return wait, total
 }
 
-// admit refuses a request that would wait for a slot and come too late. One
-// that needs no wait is served, also when it is slow: the slot is free.
-func (b *Balancer) admit(c choice, want Want) *Refusal {
-	if c.wait == 0 {
-		return nil
-	}
-	total := want.Waited + c.expected
-	if total <= time.Duration(objectiveMargin*float64(want.Objective)) && total < want.Left+want.Waited {
-		return nil
-	}
-	after := c.wait + time.Duration(rand.Int64N(int64(c.wait)/2+1))
-	return &Refusal{Reason: Overloaded, RetryAfter: min(longestReturn, max(shortestReturn, after)), Expected: c.expected}
-}
-
 func (b *Balancer) grant(now time.Time, c choice, want Want) Grant {
 	t := c.target
 	g := Grant{Target: t.record, Region: t.region, Expected: c.expected, Load: t.load(now), LoadAge: -1,
-		object: want.Object, Warm: c.warm, queued: c.wait > 0, chosen: now}
+		object: want.Object, Warm: c.warm, queued: c.wait > 0}
 	if !t.heard.IsZero() {
 		g.LoadAge = now.Sub(t.heard)
 	}
--- a/balance/rate.go
+++ b/balance/rate.go
@@ -12,19 +12,32 @@
 // rate is an exponentially weighted rate of events.
 type rate struct {
 	perSecond float64
+	first     time.Time // Of the first event.
 	last      time.Time
 }
 
 func (r *rate) add(now time.Time) {
+	if r.first.IsZero() {
+		r.first = now
+	}
 	r.decay(now)
 	r.perSecond += 1 / rateMemory.Seconds()
 }
 
+// at returns the rate. It is corrected for the time before the first event,
+// which would count as a time without events.
 func (r *rate) at(now time.Time) float64 {
+	if r.first.IsZero() {
+		return 0
+	}
 	r.decay(now)
-	return r.perSecond
+	age := max(now.Sub(r.first), shortestAge)
+	return r.perSecond / (1 - math.Exp(-age.Seconds()/rateMemory.Seconds()))
 }
 
+// shortestAge bounds the correction, which would make much of few events.
+const shortestAge = 500 * time.Millisecond
+
 func (r *rate) decay(now time.Time) {
 	if gap := now.Sub(r.last); gap > 0 && !r.last.IsZero() {
 		r.perSecond *= math.Exp(-gap.Seconds() / rateMemory.Seconds())
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -13,11 +15,16 @@
 	stepShare = 0.5 / 8
 	// localLoad is the load up to which a region keeps its requests, as a part
 	// of its slots, however idle the others are.
-	localLoad = 0.6
+	localLoad = 0.3
 	// expectedLoad is assumed for all regions together until load was measured.
 	expectedLoad = 0.8
-	// measureAfter is how long after the start loads count as measured.
-	measureAfter = 4 * time.Second
+	// measureAfter is how long after a service's first request its load counts
+	// as measured. Until then most requests find no target that knows their
+	// object, and say little about the load to come.
+	measureAfter = 5 * time.Second
+	// slotsJump is the change of a region's slots, as a part of them, from which
+	// on the weights follow at once: targets were lost or came back.
+	slotsJump = 0.15
 	// defaultShift is used when the deployment states no bound.
 	defaultShift = 0.15
 	// defaultRoundTrip is assumed to another region until it was measured.
@@ -30,8 +37,21 @@
 type weights struct {
 	part map[string]float64
 	next time.Time
+	told map[string]float64 // The parts that Step returned last.
+	// slots are those that the parts were last made for.
+	slots map[string]float64
 }
 
+// WeightChange tells how a service's requests are dealt to regions, and the
+// loads and slots that led to it.
+type WeightChange struct {
+	Service            string
+	Parts, Load, Slots map[string]float64
+}
+
+// tellStep is the change of a part from which on Step returns it.
+const tellStep = 0.05
+
 // regionOrder returns the regions to try for a request. The first one follows
 // from the object, so an object stays in its region while the weights change
 // little.
@@ -123,33 +143,57 @@
 	b.roundTrips[region] = d
 }
 
-// Step moves the weights of all services towards what the loads call for. It
-// is called often; between steps it does nothing.
-func (b *Balancer) Step(now time.Time) {
+// Step moves the weights of all services towards what the loads call for, and
+// returns those that have changed much. It is called often; between steps it
+// does nothing.
+func (b *Balancer) Step(now time.Time) []WeightChange {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sumPeers(now)
+	var changes []WeightChange
 	for _, s := range b.services {
 		if now.Before(s.regions.next) {
 			continue
 		}
 		s.regions.next = now.Add(weightStep)
-		b.step(now, s)
+		if c, changed := b.step(now, s); changed {
+			changes = append(changes, c)
+		}
 	}
+	return changes
 }
 
-func (b *Balancer) step(now time.Time, s *service) {
+func (b *Balancer) step(now time.Time, s *service) (WeightChange, bool) {
 	slots := b.slotsByRegion(s)
-	goal := split(b.options.Region, b.loadByRegion(now, s, slots), slots)
-	if s.regions.part == nil {
-		s.regions.part = goal
-		return
+	load := b.loadByRegion(now, s, slots)
+	goal := split(b.options.Region, load, slots)
+	if s.regions.part == nil || jumped(s.regions.slots, slots) {
+		s.regions.part, s.regions.slots = goal, slots
 	}
 	bound := b.options.ShiftMost
 	if bound <= 0 {
 		bound = defaultShift
 	}
 	approach(s.regions.part, goal, slots, bound*stepShare)
+	moved := s.regions.told == nil
+	for region, part := range s.regions.part {
+		moved = moved || math.Abs(part-s.regions.told[region]) >= tellStep
+	}
+	if !moved {
+		return WeightChange{}, false
+	}
+	s.regions.told = maps.Clone(s.regions.part)
+	return WeightChange{Service: s.name, Parts: s.regions.told, Load: load, Slots: slots}, true
+}
+
+// jumped reports whether the slots of a region have changed much.
+func jumped(before, now map[string]float64) bool {
+	for region, n := range now {
+		if math.Abs(n-before[region]) > slotsJump*max(n, before[region]) {
+			return true
+		}
+	}
+	return false
 }
 
 // approach moves parts towards a goal by at most most in total. A region
@@ -190,7 +234,7 @@
 // keep busy.
 func (b *Balancer) loadByRegion(now time.Time, s *service, slots map[string]float64) map[string]float64 {
 	load := map[string]float64{}
-	if now.Sub(b.started) < measureAfter || s.rate.at(now) < smallestRate {
+	if s.rate.first.IsZero() || now.Sub(s.rate.first) < measureAfter {
 		total := 0.0
 		for _, n := range slots {
 			total += n
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -55,14 +55,16 @@
 // Gateway carries requests to targets.
 type Gateway struct {
 	Options
-	events *events.Log
-	splits splits
-	count  Counters
+	events   *events.Log
+	splits   splits
+	patience patience
+	count    Counters
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{Options: o, events: o.Events, splits: splits{next: map[string][]float64{}}, count: newCounters()}
+	return &Gateway{Options: o, events: o.Events, splits: splits{next: map[string][]float64{}},
+		patience: patience{routes: map[string]*usual{}}, count: newCounters()}
 }
 
 func (g *Gateway) limits() steering.Limits {
@@ -81,6 +83,7 @@
 	version  steering.Version
 	object   string
 	deadline time.Time
+	first    time.Time // When the caller first asked, as far as its deadline shows.
 	excluded map[string]bool
 	sent     int  // Attempts that reached a target.
 	missed   int  // Attempts that reached none.
@@ -127,8 +130,9 @@
 	if r.route.Sticky {
 		r.object = g.Headers.Object(r.http.Header)
 	}
-	r.deadline = r.arrived.Add(r.route.Timeout)
+	r.deadline, r.first = r.arrived.Add(r.route.Timeout), r.arrived
 	if d, ok := g.Headers.Deadline(r.http.Header); ok {
+		r.first = r.arrived.Add(-g.patience.elapsed(r.route.Name, d))
 		if left := r.arrived.Add(d); left.Before(r.deadline) || r.route.Timeout == 0 {
 			r.deadline = left
 		}
@@ -177,7 +181,7 @@
 
 func (r *carried) want(now time.Time) balance.Want {
 	return balance.Want{Service: r.service, Object: r.object, Homes: r.route.Homes, Objective: r.route.Objective,
-		Waited: now.Sub(r.arrived), Left: r.deadline.Sub(now), Excluded: r.excluded, Repeat: r.sent+r.missed > 0}
+		Waited: now.Sub(r.first), Left: r.deadline.Sub(now), Excluded: r.excluded, Repeat: r.sent+r.missed > 0}
 }
 
 // repeat reports whether the request goes to another target after an attempt.
@@ -193,6 +197,11 @@
 
 // refused answers a request for which no target was chosen.
 func (g *Gateway) refused(r *carried, f *balance.Refusal) *answer {
+	now := time.Now()
+	g.events.Emit(events.RequestNotPlaced, log.Fields{"request": r.id, "route": r.route.Name, "service": r.service,
+		"reason": f.Reason, "region": f.Region, "candidates": f.Candidates, "load": f.Load, "waitMs": f.Wait.Milliseconds(),
+		"expectedMs": f.Expected.Milliseconds(), "sinceFirstMs": now.Sub(r.first).Milliseconds(),
+		"leftMs": r.deadline.Sub(now).Milliseconds(), "retryAfterMs": f.RetryAfter.Milliseconds(), "version": uint64(r.version)})
 	if r.last != nil {
 		return r.last
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -155,7 +156,10 @@
 	for {
 		select {
 		case now := <-tick.C:
-			n.balancer.Step(now)
+			for _, c := range n.balancer.Step(now) {
+				n.events.Emit(events.RegionWeights, log.Fields{"service": c.Service, "parts": rounded(c.Parts),
+					"load": rounded(c.Load), "slots": c.Slots})
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -172,3 +176,12 @@
 		s.Peer != n.settings.Peer || s.Store != n.settings.Store
 	n.events.Emit(events.SettingsReloaded, log.Fields{"changed": changed})
 }
+
+// rounded returns values with two digits behind the point, for the log.
+func rounded(values map[string]float64) map[string]float64 {
+	out := make(map[string]float64, len(values))
+	for k, v := range values {
+		out[k] = math.Round(v*100) / 100
+	}
+	return out
+}
