Let two speakers of each domain watch the store and exchange digests

Change: inside a failure domain instances tell each other directly; two speakers send digests of the domain to one speaker of each other domain, which passes them on. The speakers watch the store; others take changes from them at once. An instance whose speakers do not hear the store watches itself.

--- a/gossip/doc.go
+++ b/gossip/doc.go
@@ -2,9 +2,13 @@
 // lives, whether it is leaving, how far it has read the store, and what it has
 // in flight at targets.
 //
+// Inside a failure domain every instance tells every other one. The first two
+// of a domain, its speakers, also send a digest of the domain to one speaker
+// of each other domain, which passes it on in its own. The messages between
+// domains so depend on the number of domains, not of instances, and inside a
+// large domain the interval grows with the number of instances.
+//
 // Messages are datagrams. Losing one costs nothing, since the next one carries
 // the whole state, and a datagram cannot get stuck on a connection that has
-// gone silent. Peers of the own region get messages often, others seldom. The
-// interval grows with the number of peers, so that the messages an instance
-// sends and receives are bounded.
+// gone silent.
 package gossip
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -10,23 +10,43 @@
 	"github.com/jacinthstall/jacinthstall/balance"
 )
 
-// Message is what an instance tells a peer.
+// Message is what an instance tells another one. Inside a failure domain it
+// speaks for itself; to other domains it carries a digest of its domain.
 type Message struct {
 	Name        string
-	Domain      string // Empty in short messages, like the addresses.
+	Domain      string // Empty in short messages inside a domain, like the addresses.
 	Address     string // For callers, ip:port.
 	PeerAddress string // ip:port, for messages and calls.
 	Incarnation uint64
 	Sequence    uint64 // Rises with each message of an incarnation.
 	Ready       bool   // Takes requests.
 	Leaving     bool   // Is stopping.
+	InTouch     bool   // Watches the store and hears it.
 	Revision    uint64 // Of the store, as far as the sender has read it.
 	Sent        uint64 // Sender's clock in microseconds.
 	Echo        uint64 // Sent of the last message that the sender has from this peer; 0 for none.
 	Held        uint64 // Microseconds since that one arrived.
 	Report      balance.Report
+	// Members is set in digests: the live instances of the sender's domain.
+	// Report is then the sum of theirs.
+	Members []Member
+	Relayed bool // A digest that an instance of the receiver's domain passes on.
+	// RoundTrip is that between the two domains in microseconds, as the relaying
+	// instance measured it; 0 when it is not known.
+	RoundTrip uint64
 }
 
+// Member is an instance in a digest. Addresses are empty in short digests.
+type Member struct {
+	Name        string
+	Address     string
+	PeerAddress string
+	Ready       bool
+	Leaving     bool
+}
+
+func (m *Message) digest() bool { return len(m.Members) > 0 }
+
 // Field numbers.
 const (
 	fieldName = iota + 1
@@ -43,6 +63,10 @@
 	fieldHeld
 	fieldInFlight // Fixed32 hash and varint count, packed.
 	fieldRates    // Fixed32 hash and float32 rate, packed.
+	fieldInTouch
+	fieldMember // A Member with the fields of Message, once for each.
+	fieldRelayed
+	fieldRoundTrip
 )
 
 // Append encodes a message.
@@ -51,27 +75,50 @@
 	b = appendText(b, fieldDomain, m.Domain)
 	b = appendText(b, fieldAddress, m.Address)
 	b = appendText(b, fieldPeerAddress, m.PeerAddress)
-	for _, f := range []struct {
-		number protowire.Number
-		value  uint64
-	}{
+	b = appendNumbers(b, []number{
 		{fieldIncarnation, m.Incarnation}, {fieldSequence, m.Sequence},
 		{fieldReady, protowire.EncodeBool(m.Ready)}, {fieldLeaving, protowire.EncodeBool(m.Leaving)},
+		{fieldInTouch, protowire.EncodeBool(m.InTouch)}, {fieldRelayed, protowire.EncodeBool(m.Relayed)},
 		{fieldRevision, m.Revision}, {fieldSent, m.Sent}, {fieldEcho, m.Echo}, {fieldHeld, m.Held},
-	} {
+		{fieldRoundTrip, m.RoundTrip},
+	})
+	for i := range m.Members {
+		b = protowire.AppendTag(b, fieldMember, protowire.BytesType)
+		b = protowire.AppendBytes(b, m.Members[i].append(nil))
+	}
+	return m.appendReport(b)
+}
+
+func (m *Member) append(b []byte) []byte {
+	b = appendText(b, fieldName, m.Name)
+	b = appendText(b, fieldAddress, m.Address)
+	b = appendText(b, fieldPeerAddress, m.PeerAddress)
+	return appendNumbers(b, []number{
+		{fieldReady, protowire.EncodeBool(m.Ready)}, {fieldLeaving, protowire.EncodeBool(m.Leaving)},
+	})
+}
+
+// number is a field with a numeric value. Zero is left out.
+type number struct {
+	field protowire.Number
+	value uint64
+}
+
+func appendNumbers(b []byte, list []number) []byte {
+	for _, f := range list {
 		if f.value != 0 {
-			b = protowire.AppendTag(b, f.number, protowire.VarintType)
+			b = protowire.AppendTag(b, f.field, protowire.VarintType)
 			b = protowire.AppendVarint(b, f.value)
 		}
 	}
-	return m.appendReport(b)
+	return b
 }
 
-func appendText(b []byte, number protowire.Number, text string) []byte {
+func appendText(b []byte, field protowire.Number, text string) []byte {
 	if text == "" {
 		return b
 	}
-	b = protowire.AppendTag(b, number, protowire.BytesType)
+	b = protowire.AppendTag(b, field, protowire.BytesType)
 	return protowire.AppendString(b, text)
 }
 
@@ -102,39 +149,68 @@
 // Parse decodes a message. Unknown fields are skipped.
 func Parse(b []byte) (*Message, error) {
 	m := &Message{Report: balance.Report{InFlight: map[uint32]int{}, Rates: map[uint32]float64{}}}
+	if err := eachField(b, m.setNumber, m.setBytes); err != nil {
+		return nil, err
+	}
+	if m.Name == "" {
+		return nil, errMessage
+	}
+	return m, nil
+}
+
+// eachField calls a function for each field. Fields of other kinds are skipped.
+func eachField(b []byte, numbers func(protowire.Number, uint64), bytes func(protowire.Number, []byte) bool) error {
 	for len(b) > 0 {
-		number, kind, n := protowire.ConsumeTag(b)
+		field, kind, n := protowire.ConsumeTag(b)
 		if n < 0 {
-			return nil, fmt.Errorf("%w: %w", errMessage, protowire.ParseError(n))
+			return fmt.Errorf("%w: %w", errMessage, protowire.ParseError(n))
 		}
 		b = b[n:]
 		switch kind {
 		case protowire.VarintType:
 			var v uint64
-			v, n = protowire.ConsumeVarint(b)
-			m.setNumber(number, v)
+			if v, n = protowire.ConsumeVarint(b); n >= 0 {
+				numbers(field, v)
+			}
 		case protowire.BytesType:
 			var v []byte
-			v, n = protowire.ConsumeBytes(b)
-			if n >= 0 && !m.setBytes(number, v) {
-				return nil, errMessage
+			if v, n = protowire.ConsumeBytes(b); n >= 0 && !bytes(field, v) {
+				return errMessage
 			}
 		default:
-			n = protowire.ConsumeFieldValue(number, kind, b)
+			n = protowire.ConsumeFieldValue(field, kind, b)
 		}
 		if n < 0 {
-			return nil, fmt.Errorf("%w: %w", errMessage, protowire.ParseError(n))
+			return fmt.Errorf("%w: %w", errMessage, protowire.ParseError(n))
 		}
 		b = b[n:]
 	}
-	if m.Name == "" {
-		return nil, errMessage
+	return nil
+}
+
+func (m *Member) setNumber(field protowire.Number, v uint64) {
+	switch field {
+	case fieldReady:
+		m.Ready = protowire.DecodeBool(v)
+	case fieldLeaving:
+		m.Leaving = protowire.DecodeBool(v)
 	}
-	return m, nil
 }
 
-func (m *Message) setNumber(number protowire.Number, v uint64) {
-	switch number {
+func (m *Member) setBytes(field protowire.Number, v []byte) bool {
+	switch field {
+	case fieldName:
+		m.Name = string(v)
+	case fieldAddress:
+		m.Address = string(v)
+	case fieldPeerAddress:
+		m.PeerAddress = string(v)
+	}
+	return true
+}
+
+func (m *Message) setNumber(field protowire.Number, v uint64) {
+	switch field {
 	case fieldIncarnation:
 		m.Incarnation = v
 	case fieldSequence:
@@ -151,11 +227,17 @@
 		m.Echo = v
 	case fieldHeld:
 		m.Held = v
+	case fieldInTouch:
+		m.InTouch = protowire.DecodeBool(v)
+	case fieldRelayed:
+		m.Relayed = protowire.DecodeBool(v)
+	case fieldRoundTrip:
+		m.RoundTrip = v
 	}
 }
 
-func (m *Message) setBytes(number protowire.Number, v []byte) bool {
-	switch number {
+func (m *Message) setBytes(field protowire.Number, v []byte) bool {
+	switch field {
 	case fieldName:
 		m.Name = string(v)
 	case fieldDomain:
@@ -164,6 +246,12 @@
 		m.Address = string(v)
 	case fieldPeerAddress:
 		m.PeerAddress = string(v)
+	case fieldMember:
+		var member Member
+		if eachField(v, member.setNumber, member.setBytes) != nil || member.Name == "" {
+			return false
+		}
+		m.Members = append(m.Members, member)
 	case fieldInFlight:
 		return eachPair(v, func(hash uint32, rest []byte) int {
 			count, n := protowire.ConsumeVarint(rest)
--- a/mirror/apply.go
+++ b/mirror/apply.go
@@ -13,6 +13,9 @@
 // replace makes the records those of a whole read. Records that are missing in
 // it are treated as deleted.
 func (m *Mirror) replace(items []kv.Item, revision uint64, now time.Time, source string) {
+	m.mu.Lock()
+	m.recent.restart(revision)
+	m.mu.Unlock()
 	present := make(map[string]bool, len(items))
 	for _, i := range items {
 		present[i.Key] = true
@@ -57,6 +60,9 @@
 	if known && old.Revision >= c.Revision {
 		return false
 	}
+	if known || !c.Deleted {
+		m.recent.add(c)
+	}
 	if c.Deleted {
 		delete(m.items, c.Key)
 		return known
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -31,8 +31,12 @@
 	// returnGrace is how long a record that lapsed while the store was away
 	// still counts after its return: writers that live are back within 2 s.
 	returnGrace = 2200 * time.Millisecond
-	// peerPause is the shortest time between two exchanges with peers.
+	// peerPause is the shortest time between two exchanges with peers while the
+	// store does not answer.
 	peerPause = 250 * time.Millisecond
+	// followPause is how often an instance that leaves the watch to others looks
+	// whether that still holds. Changes wake it sooner.
+	followPause = 250 * time.Millisecond
 )
 
 // Codec translates records.
@@ -53,17 +57,22 @@
 	Prefix string // Prefix of all keys that are mirrored.
 	Codec  Codec
 	Events *events.Log
+	// Watches reports whether this instance watches the store itself. Others
+	// take the changes from a peer that does. Nil means always.
+	Watches func() bool
 	// Newer returns a peer with a higher revision, if there is one.
 	Newer func(revision uint64) (Peer, bool)
-	// Fetch returns all records of a peer.
-	Fetch func(ctx context.Context, p Peer) (Snapshot, error)
+	// Fetch returns what has changed at a peer after a revision.
+	Fetch func(ctx context.Context, p Peer, after uint64) (Snapshot, error)
 	// Changed is called after each switch, from the mirror's goroutine.
 	Changed func(before, after *steering.World)
 }
 
-// Snapshot is all records at a revision, as peers exchange them.
+// Snapshot is what peers exchange: all records at a revision, or the changes
+// that lead to it.
 type Snapshot struct {
 	Revision uint64    `json:"revision"`
+	Whole    bool      `json:"whole"` // Items are all records.
 	Items    []kv.Item `json:"items"`
 }
 
@@ -77,17 +86,19 @@
 	mu       sync.Mutex // Guards items and revision.
 	items    map[string]kv.Item
 	revision uint64
+	recent   history
 
-	read     bool      // All records were read from the store.
-	lost     time.Time // Since when the store does not answer; zero when it does.
-	returned time.Time // When it last answered again.
+	wake     chan struct{} // Holds a token when a peer has told of a change.
+	read     bool          // All records were read from the store.
+	lost     time.Time     // Since when the store does not answer; zero when it does.
+	returned time.Time     // When it last answered again.
 	held     map[string]time.Time
 	asked    time.Time // Last exchange with a peer.
 }
 
 // New returns a mirror without records.
 func New(o Options) *Mirror {
-	m := &Mirror{options: o, items: map[string]kv.Item{}, held: map[string]time.Time{}}
+	m := &Mirror{options: o, items: map[string]kv.Item{}, held: map[string]time.Time{}, wake: make(chan struct{}, 1)}
 	m.world.Store(steering.NewWorld().With(0, nil))
 	return m
 }
@@ -104,24 +115,41 @@
 	return time.Unix(0, ns)
 }
 
-// Snapshot returns all records, for a peer.
-func (m *Mirror) Snapshot() Snapshot {
+// Since returns what has changed after a revision, for a peer: the changes as
+// far as they are still known, else all records.
+func (m *Mirror) Since(after uint64) Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	keys := slices.Sorted(maps.Keys(m.items))
-	s := Snapshot{Revision: m.revision, Items: make([]kv.Item, 0, len(keys))}
-	for _, k := range keys {
+	s := Snapshot{Revision: m.revision}
+	if changes, ok := m.recent.since(after); ok {
+		s.Items = changes
+		return s
+	}
+	s.Whole = true
+	for _, k := range slices.Sorted(maps.Keys(m.items)) {
 		s.Items = append(s.Items, m.items[k])
 	}
 	return s
 }
 
+// Wake makes an instance that leaves the watch to others ask for changes now.
+func (m *Mirror) Wake() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run follows the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	pause := firstPause
 	reason := "start"
 	for ctx.Err() == nil {
 		m.releaseHeld(time.Now())
+		if m.read && m.options.Watches != nil && !m.options.Watches() {
+			m.followPeer(ctx)
+			continue
+		}
 		var err error
 		if !m.read {
 			err = m.readAll(ctx, reason)
@@ -210,17 +238,38 @@
 	m.lost, m.returned = time.Time{}, now
 }
 
-// askPeer takes the records of a peer that is ahead.
+// followPeer takes the changes from a peer that watches the store.
+func (m *Mirror) followPeer(ctx context.Context) {
+	m.lost = time.Time{}
+	m.fetch(ctx)
+	t := time.NewTimer(followPause)
+	defer t.Stop()
+	select {
+	case <-m.wake:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// askPeer takes the records of a peer that is ahead while the store does not
+// answer.
 func (m *Mirror) askPeer(ctx context.Context) {
-	if m.options.Newer == nil || time.Since(m.asked) < peerPause {
+	if time.Since(m.asked) < peerPause {
+		return
+	}
+	m.asked = time.Now()
+	m.fetch(ctx)
+}
+
+func (m *Mirror) fetch(ctx context.Context) {
+	if m.options.Newer == nil {
 		return
 	}
 	peer, ok := m.options.Newer(m.Revision())
 	if !ok {
 		return
 	}
-	m.asked = time.Now()
-	s, err := m.options.Fetch(ctx, peer)
+	s, err := m.options.Fetch(ctx, peer, m.Revision())
 	if err != nil {
 		m.options.Events.Emit(events.PeerStateNotTaken, log.Fields{"peer": peer.Name, "error": err.Error()})
 		return
@@ -229,7 +278,13 @@
 		return
 	}
 	m.options.Events.Emit(events.PeerStateTaken, log.Fields{"peer": peer.Name, "revision": s.Revision, "items": len(s.Items)})
-	m.replace(s.Items, s.Revision, time.Now(), "peer "+peer.Name)
+	source := "peer " + peer.Name
+	if s.Whole {
+		m.replace(s.Items, s.Revision, time.Now(), source)
+		m.read = true
+		return
+	}
+	m.apply(s.Items, s.Revision, time.Now(), source)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/node/node.go
+++ b/node/node.go
@@ -78,15 +78,15 @@
 		ShiftMost: s.Bounds.ShiftMost}, now)
 	n.balancer.SetInstances([]steering.Instance{n.self})
 	n.mirror = mirror.New(mirror.Options{Store: o.Store, Prefix: o.Platform.Prefix(), Codec: o.Platform, Events: n.events,
-		Newer: n.newerPeer, Fetch: fetchSnapshot, Changed: n.worldChanged})
+		Watches: n.watches, Newer: n.newerPeer, Fetch: fetchSnapshot, Changed: n.worldChanged})
 	chart, err := lifecycle.Load(charts.Files, charts.EntryInstance)
 	if err != nil {
 		return nil, err
 	}
 	n.life = chart.NewMachine(func(_, _, to string) { n.leaving.Store(to != "starting" && to != "serving") })
 	n.exchange, err = gossip.Listen(gossip.Options{Self: n.self, Regions: s.Regions, Events: n.events,
-		Balancer: n.balancer, Revision: n.mirror.Revision, Ready: n.ready, Leaving: n.leaving.Load,
-		Changed: n.balancer.SetInstances})
+		Balancer: n.balancer, Revision: n.mirror.Revision, Ready: n.ready, Leaving: n.leaving.Load, InTouch: n.inTouch,
+		Changed: n.balancer.SetInstances, Advanced: n.mirror.Wake})
 	if err != nil {
 		return nil, fmt.Errorf("listen for messages of instances: %w", err)
 	}
@@ -140,9 +140,19 @@
 // ready reports whether callers may be sent here.
 func (n *Node) ready() bool { return n.mirror.World().Config != nil && !n.leaving.Load() }
 
+// inTouchFor is how long after an answer the store counts as heard. A watch
+// answers at least every 2 s.
+const inTouchFor = 3500 * time.Millisecond
+
+// inTouch reports whether the store answers this instance.
+func (n *Node) inTouch() bool { return time.Since(n.mirror.Heard()) < inTouchFor }
+
+func (n *Node) watches() bool { return n.exchange.Watches() }
+
 func (n *Node) worldChanged(_, after *steering.World) {
 	n.balancer.SetWorld(time.Now(), after)
 	n.exchange.SetKnown(after.Instances)
+	n.exchange.Announce()
 }
 
 func (n *Node) newerPeer(revision uint64) (mirror.Peer, bool) {
--- a/node/register.go
+++ b/node/register.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// leaseTime is how long the registration of a dead instance stays. Silence
-	// of its messages is noticed sooner.
-	leaseTime = 6 * time.Second
+	// leaseTime is how long the registration of a dead instance stays. Whether
+	// an instance lives shows by its messages.
+	leaseTime = 15 * time.Second
 	// renewInterval leaves room for two lost renewals.
 	renewInterval = leaseTime / 3
 	// registerPause follows a failed registration.
--- a/node/snapshots.go
+++ b/node/snapshots.go
@@ -20,11 +20,13 @@
 	rpcSnapshot  = "/jacinthstall.Mirror/Snapshot"
 )
 
-// snapshotRequest asks for all records.
-type snapshotRequest struct{}
+// snapshotRequest asks for what has changed after a revision.
+type snapshotRequest struct {
+	After uint64 `json:"after"`
+}
 
-// jsonEncoding encodes the messages of this service. They are exchanged only
-// while the store does not answer an instance.
+// jsonEncoding encodes the messages of this service. One is exchanged for each
+// change of the records.
 type jsonEncoding struct{}
 
 func (jsonEncoding) Marshal(m drpc.Message) ([]byte, error)   { return json.Marshal(m) }
@@ -33,9 +35,9 @@
 // snapshotService answers with the records of a mirror.
 type snapshotService struct{ mirror *mirror.Mirror }
 
-func (s *snapshotService) Snapshot(context.Context, *snapshotRequest) (*mirror.Snapshot, error) {
-	all := s.mirror.Snapshot()
-	return &all, nil
+func (s *snapshotService) Snapshot(_ context.Context, r *snapshotRequest) (*mirror.Snapshot, error) {
+	changes := s.mirror.Since(r.After)
+	return &changes, nil
 }
 
 // snapshotDescription describes the service to drpc.
@@ -58,8 +60,8 @@
 	return drpcserver.New(mux).Serve(ctx, l)
 }
 
-// fetchSnapshot asks a peer for its records.
-func fetchSnapshot(ctx context.Context, p mirror.Peer) (mirror.Snapshot, error) {
+// fetchSnapshot asks a peer for what has changed after a revision.
+func fetchSnapshot(ctx context.Context, p mirror.Peer, after uint64) (mirror.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.Address)
@@ -69,6 +71,6 @@
 	conn := drpcconn.New(raw)
 	defer func() { _ = conn.Close() }()
 	var s mirror.Snapshot
-	err = conn.Invoke(ctx, rpcSnapshot, jsonEncoding{}, &snapshotRequest{}, &s)
+	err = conn.Invoke(ctx, rpcSnapshot, jsonEncoding{}, &snapshotRequest{After: after}, &s)
 	return s, err
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -35,7 +35,7 @@
 	end := started.Add(grace - graceMargin)
 	n.events.Emit(events.NodeStopping, log.Fields{"inFlight": n.server.InFlight(), "connections": n.server.Connections()})
 	n.fire("stop")
-	n.exchange.SendAll(started)
+	n.exchange.Leave()
 	n.server.Drain()
 	go n.unregister(ctx)
 	n.waitUntil(started.Add(idleTime), end, func() bool { return false })
