--- a/balance/pick.go
+++ b/balance/pick.go
@@ -169,7 +169,9 @@
 	return b.coldPermits(now, t)
 }
 
-// expect returns the expected wait for a slot and the time to the answer.
+// expect returns the expected wait for a slot and the time to the answer. A
+// target that is faster than usual does not attract requests by that: it would
+// get all of them, and then be the only one whose speed is known.
 func (b *Balancer) expect(now time.Time, s *service, t *target, warm bool, objective time.Duration) (wait, total time.Duration) {
 	base := s.coldTime
 	if warm {
@@ -177,7 +179,7 @@
 	}
 	slots := float64(t.record.Slots)
 	load := float64(t.load(now))
-	speed := t.speed
+	speed := max(1, t.speed)
 	if now.Before(t.cold) {
 		speed = max(speed, coldSlowdown)
 	}
--- /dev/null
+++ b/balance/regions_test.go
@@ -0,0 +1,84 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jacinthstall/jacinthstall/steering"
+)
+
+func total(parts map[string]float64) float64 {
+	sum := 0.0
+	for _, p := range parts {
+		sum += p
+	}
+	return sum
+}
+
+func TestSplit(t *testing.T) {
+	slots := map[string]float64{"a": 10, "b": 20, "c": 30}
+	for name, c := range map[string]struct {
+		load map[string]float64
+		own  float64
+	}{
+		"little load stays":             {map[string]float64{"a": 2, "b": 2, "c": 2}, 1},
+		"equal load follows the slots":  {map[string]float64{"a": 20, "b": 20, "c": 20}, 0.5},
+		"overload follows them as well": {map[string]float64{"a": 40, "b": 40, "c": 40}, 0.5},
+		"no load":                       {map[string]float64{}, 1},
+	} {
+		parts := split("a", c.load, slots)
+		assert.InDelta(t, c.own, parts["a"], 1e-9, name)
+		assert.InDelta(t, 1, total(parts), 1e-9, name)
+	}
+	parts := split("a", map[string]float64{"a": 30, "b": 20, "c": 10}, slots)
+	assert.InDelta(t, 1.0/3, parts["a"], 1e-9)
+	assert.InDelta(t, 2.0/3, parts["c"], 1e-9, "the rest goes where there is room")
+	assert.InDelta(t, 1, split("a", map[string]float64{"a": 5}, map[string]float64{"a": 0, "b": 0})["a"], 1e-9)
+}
+
+// Pattern: a small region with a third of the callers. Its requests must not
+// all begin at home: they would find every target full and cold.
+func TestRegionsStartBySlots(t *testing.T) {
+	regions := map[string]string{"a1": "a", "b1": "b"}
+	start := time.Unix(1_700_000_000, 0)
+	b := New(Options{Name: "n", Domain: "a1", Region: "a", Regions: regions, ShiftMost: 0.15}, start)
+	config := &steering.Config{Version: 1, Services: map[string]steering.Service{"s": {}}}
+	config.Index()
+	b.SetWorld(start, steering.NewWorld().With(1, []steering.Fact{steering.ConfigIs{Config: config},
+		steering.TargetIs{Target: &steering.Target{ID: "x", Service: "s", Domain: "a1", Slots: 2}},
+		steering.TargetIs{Target: &steering.Target{ID: "y", Service: "s", Domain: "b1", Slots: 8}}}))
+	changes := b.Step(start)
+	assert.Len(t, changes, 1)
+	assert.InDelta(t, 0.4, changes[0].Parts["a"], 0.01)
+}
+
+// Guards against a change of load that moves more of a region's requests in 2 s
+// than the deployment permits.
+func TestWeightsMoveSlowly(t *testing.T) {
+	const bound = 0.15
+	part := map[string]float64{"a": 1, "b": 0}
+	slots := map[string]float64{"a": 1, "b": 1}
+	for range int(2 * time.Second / weightStep) {
+		approach(part, map[string]float64{"a": 0, "b": 1}, slots, bound*stepShare)
+	}
+	assert.InDelta(t, bound*stepShare*8, part["b"], 1e-9)
+	assert.LessOrEqual(t, part["b"], bound)
+	assert.InDelta(t, 1, total(part), 1e-9)
+	approach(part, map[string]float64{"a": 0, "b": 1}, map[string]float64{"a": 0, "b": 1}, bound*stepShare)
+	assert.Zero(t, part["a"], "a region without slots loses its part at once")
+}
+
+func TestRateIsRightFromTheStart(t *testing.T) {
+	var r rate
+	now := time.Unix(1_700_000_000, 0)
+	assert.Zero(t, r.at(now))
+	for i := range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		r.add(now)
+		if i == 150 || i == 1999 {
+			assert.InDelta(t, 100, r.at(now), 5, i)
+		}
+	}
+}
--- /dev/null
+++ b/standin/wiretarget/target.go
@@ -0,0 +1,241 @@
+// Package wiretarget is a stand-in for a target of the platform, for tests and
+// the soak. It tells its load, answers only requests that name it, sheds with
+// a statement that nothing was executed, is slower for objects that it does
+// not know, and records what it executed. Faults are set by marks on requests
+// and by calls.
+package wiretarget
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+
+	"github.com/jacinthstall/jacinthstall/platform"
+)
+
+// HeaderFault on a request makes the target misbehave for it.
+const HeaderFault = "X-Fault"
+
+// Values of HeaderFault.
+const (
+	FaultExtra    = "extra"    // A late answer to another request comes first.
+	FaultUnframed = "unframed" // The answer has no length and ends with the connection.
+	FaultCut      = "cut"      // The answer breaks off.
+	FaultNoStamp  = "no-stamp" // The answer has no signature.
+	FaultReset    = "reset"    // The connection ends without an answer, after the execution.
+	FaultError    = "error"    // Status 500.
+)
+
+// Options describe a target.
+type Options struct {
+	ID    string
+	Slots int
+	Queue int           // Requests that may wait beyond the slots.
+	Warm  time.Duration // Execution time for an object that it knows, or without one.
+	Cold  time.Duration // Execution time for another object; 0 means Warm.
+}
+
+// Target is a stand-in target. It is safe for concurrent use.
+type Target struct {
+	options Options
+
+	mu       sync.Mutex
+	running  int
+	waiting  int
+	objects  map[string]bool
+	executed map[string]int // Executions by request ID.
+	aborted  int            // Executions whose caller left or whose deadline passed.
+	bodies   map[string]string
+	free     chan struct{} // Holds a token for each free slot.
+}
+
+// New returns a target that has executed nothing.
+func New(o Options) *Target {
+	if o.Cold == 0 {
+		o.Cold = o.Warm
+	}
+	t := &Target{options: o, objects: map[string]bool{}, executed: map[string]int{}, bodies: map[string]string{},
+		free: make(chan struct{}, o.Slots)}
+	for range o.Slots {
+		t.free <- struct{}{}
+	}
+	return t
+}
+
+// NewServer returns a server of the target for a listener.
+func (t *Target) NewServer(l net.Listener) *server.Hertz {
+	h := server.New(server.WithListener(l), server.WithTransport(standard.NewTransporter),
+		server.WithSenseClientDisconnection(true), server.WithExitWaitTime(0), server.WithDisablePrintRoute(true))
+	h.NoRoute(t.serve)
+	return h
+}
+
+// Executed returns how often each request was executed, by its ID.
+func (t *Target) Executed() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]int, len(t.executed))
+	for id, n := range t.executed {
+		out[id] = n
+	}
+	return out
+}
+
+// Aborted returns the executions that were ended early.
+func (t *Target) Aborted() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.aborted
+}
+
+// Body returns the body with which a request was executed last.
+func (t *Target) Body(id string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.bodies[id]
+}
+
+func (t *Target) serve(ctx context.Context, c *app.RequestContext) {
+	id := string(c.Request.Header.Peek(platform.HeaderRequestID))
+	c.Response.Header.Set(platform.HeaderRequestID, id)
+	expected := string(c.Request.Header.Peek(platform.HeaderExpect))
+	switch {
+	case expected != "" && expected != t.options.ID:
+		t.refuse(c, 421)
+		return
+	case id == "":
+		t.refuse(c, 400)
+		return
+	case !t.enter():
+		t.refuse(c, 503)
+		return
+	}
+	defer t.leave()
+	if !t.execute(ctx, c, id) {
+		c.SetStatusCode(504)
+		t.tell(c)
+		return
+	}
+	t.answer(c, id)
+}
+
+// refuse answers without execution.
+func (t *Target) refuse(c *app.RequestContext, status int) {
+	c.Response.Header.Set(platform.HeaderNotExecuted, "1")
+	t.tell(c)
+	c.SetStatusCode(status)
+}
+
+// enter takes a slot, or a place in the queue until there is one.
+func (t *Target) enter() bool {
+	select {
+	case <-t.free:
+	default:
+		t.mu.Lock()
+		if t.waiting >= t.options.Queue {
+			t.mu.Unlock()
+			return false
+		}
+		t.waiting++
+		t.mu.Unlock()
+		<-t.free
+		t.mu.Lock()
+		t.waiting--
+		t.mu.Unlock()
+	}
+	t.mu.Lock()
+	t.running++
+	t.mu.Unlock()
+	return true
+}
+
+func (t *Target) leave() {
+	t.mu.Lock()
+	t.running--
+	t.mu.Unlock()
+	t.free <- struct{}{}
+}
+
+// execute works on a request. It returns false when the deadline passes or the
+// caller leaves first.
+func (t *Target) execute(ctx context.Context, c *app.RequestContext, id string) bool {
+	object := string(c.Request.Header.Cookie("X-Jacinthstall-Affinity-Key"))
+	t.mu.Lock()
+	t.executed[id]++
+	t.bodies[id] = string(c.Request.Body())
+	work := t.options.Cold
+	if object == "" || t.objects[object] {
+		work = t.options.Warm
+	}
+	t.objects[object] = true
+	t.mu.Unlock()
+	left := time.Hour
+	if ms, err := strconv.Atoi(string(c.Request.Header.Peek(platform.HeaderDeadline))); err == nil {
+		left = time.Duration(ms) * time.Millisecond
+	}
+	deadline := time.NewTimer(left)
+	defer deadline.Stop()
+	select {
+	case <-time.After(work):
+		return true
+	case <-deadline.C:
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	t.aborted++
+	t.mu.Unlock()
+	return false
+}
+
+func (t *Target) tell(c *app.RequestContext) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.Response.Header.Set(platform.HeaderLoad, fmt.Sprintf("%d,%d,%d", t.running, t.waiting, t.options.Slots))
+}
+
+func (t *Target) answer(c *app.RequestContext, id string) {
+	t.tell(c)
+	stamp := "stamp-" + t.options.ID
+	body := fmt.Sprintf("%s %s by %s", c.Method(), c.Request.RequestURI(), t.options.ID)
+	switch string(c.Request.Header.Peek(HeaderFault)) {
+	case FaultExtra:
+		t.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other-%s\r\n%s: %s\r\nContent-Length: 5\r\n\r\nextra",
+			platform.HeaderRequestID, id, platform.HeaderStamp, stamp), false)
+	case FaultUnframed:
+		t.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n\r\n%s",
+			platform.HeaderRequestID, id, platform.HeaderStamp, stamp, body), true)
+		return
+	case FaultCut:
+		t.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: 500\r\n\r\n%s",
+			platform.HeaderRequestID, id, platform.HeaderStamp, stamp, body), true)
+		return
+	case FaultReset:
+		_ = c.GetConn().Close()
+		return
+	case FaultError:
+		c.SetStatusCode(500)
+	case FaultNoStamp:
+		stamp = ""
+	}
+	if stamp != "" {
+		c.Response.Header.Set(platform.HeaderStamp, stamp)
+	}
+	c.Response.SetBodyString(body)
+}
+
+// write sends raw bytes, and closes the connection when they are the answer.
+func (t *Target) write(c *app.RequestContext, raw string, closes bool) {
+	conn := c.GetConn()
+	_, _ = conn.WriteBinary([]byte(raw))
+	_ = conn.Flush()
+	if closes {
+		_ = conn.Close()
+	}
+}
