Test the request path, the mirror, gossip and whole nodes on loopback

Cause: these had no tests; writing them showed five faults.

Change, each with the test that failed first: the bound on a request's head did not hold for what was buffered already; both speakers of a domain watch, not only the first; a change that peers know is taken from them while a watch is silent; an instance that leaves takes itself out of its own look-up answers at once; a stand-in answered 404.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -123,6 +123,9 @@
 		_ = c.Conn.SetReadDeadline(c.idleDeadline())
 	}
 	c.mu.Unlock()
+	if most := c.server.gateway.limits().HeadBytes; most > 0 {
+		c.limit.active, c.limit.left = true, most
+	}
 	_, err := c.reader.Peek(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,243 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/standin/wiretarget"
+	"github.com/jacinthstall/jacinthstall/steering"
+)
+
+func fast(n int) []wiretarget.Options {
+	list := make([]wiretarget.Options, n)
+	for i := range list {
+		list[i] = wiretarget.Options{Slots: 4, Queue: 8, Warm: 5 * time.Millisecond}
+	}
+	return list
+}
+
+func slow(n int, work time.Duration) []wiretarget.Options {
+	list := fast(n)
+	for i := range list {
+		list[i].Warm = work
+	}
+	return list
+}
+
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fast(1)})
+	a := s.ask("POST", "/unsafe/x?q=1%20", "r1", "hello", "Cookie: X-Jacinthstall-Affinity-Key=17", "Connection: close")
+	assert.Equal(t, 200, a.StatusCode)
+	assert.Contains(t, a.body, "POST")
+	assert.Equal(t, "stamp-t0", a.Header.Get(platform.HeaderStamp))
+	assert.Equal(t, "r1", a.Header.Get(platform.HeaderRequestID))
+	assert.Equal(t, "hello", s.targets[0].Body("r1"))
+	assert.True(t, a.Close)
+}
+
+func TestChunkedBodyPassesUnchanged(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fast(1)})
+	c := s.dial()
+	_, err := io.WriteString(c.Conn, "POST /unsafe/x HTTP/1.1\r\nHost: "+host+"\r\n"+platform.HeaderRequestID+
+		": r1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	require.NoError(t, err)
+	assert.Equal(t, 200, c.receive("POST").StatusCode)
+	assert.Equal(t, "abcde", s.targets[0].Body("r1"))
+	long := strings.Repeat("x", 300<<10)
+	c.send("POST", "/unsafe/x", "r2", long)
+	assert.Equal(t, 200, c.receive("POST").StatusCode)
+	assert.Equal(t, long, s.targets[0].Body("r2"), "a body that is not held")
+	c.send("GET", "/safe/x", "r3", "")
+	assert.Equal(t, 200, c.receive("GET").StatusCode, "the connection goes on")
+}
+
+// Pattern: callers that send further requests before the first answer. Guards
+// against requests that wait for each other, and against crossed answers.
+func TestPipelinedRequestsRunTogetherAndKeepTheirOrder(t *testing.T) {
+	s := startSite(t, siteOptions{targets: slow(2, 200*time.Millisecond)})
+	c := s.dial()
+	started := time.Now()
+	for i := range 6 {
+		c.send("GET", fmt.Sprintf("/safe/%d", i), fmt.Sprint("r", i), "")
+	}
+	for i := range 6 {
+		a := c.receive("GET")
+		assert.Equal(t, 200, a.StatusCode)
+		assert.Equal(t, fmt.Sprint("r", i), a.Header.Get(platform.HeaderRequestID))
+		assert.Contains(t, a.body, fmt.Sprintf("/safe/%d", i))
+	}
+	assert.Less(t, time.Since(started), 600*time.Millisecond, "one after the other would take 1.2 s")
+}
+
+// Guards against work at targets for callers that have gone, also when further
+// requests were sent behind the one that runs.
+func TestRequestsOfACallerThatLeavesEnd(t *testing.T) {
+	s := startSite(t, siteOptions{targets: slow(1, 5*time.Second), timeout: 4 * time.Second})
+	c := s.dial()
+	c.send("GET", "/safe/1", "r1", "")
+	c.send("GET", "/safe/2", "r2", "")
+	require.Eventually(t, func() bool { return s.executed("r1") == 1 && s.executed("r2") == 1 }, time.Second, time.Millisecond)
+	require.NoError(t, c.Close())
+	assert.Eventually(t, func() bool { return s.targets[0].Aborted() == 2 }, 500*time.Millisecond, time.Millisecond)
+	assert.Equal(t, 1, s.executed("r1"), "and are not sent again")
+}
+
+// Guards against a request that is kept beyond the time that its route gives it.
+func TestTimeoutOfTheRouteIsAnsweredInTime(t *testing.T) {
+	s := startSite(t, siteOptions{targets: slow(1, 5*time.Second), timeout: 150 * time.Millisecond})
+	started := time.Now()
+	assert.Equal(t, 504, s.ask("POST", "/unsafe/x", "r1", "b").StatusCode)
+	assert.Less(t, time.Since(started), 400*time.Millisecond)
+	assert.Eventually(t, func() bool { return s.targets[0].Aborted() == 1 }, 500*time.Millisecond, time.Millisecond)
+}
+
+// Guards against "not run" for a request that has run, and against a second
+// execution of one that must run once.
+func TestRequestThatMustRunOnceIsNotRepeatedAfterAReset(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fast(3)})
+	a := s.ask("POST", "/unsafe/x", "r1", "b", wiretarget.HeaderFault+": "+wiretarget.FaultReset)
+	assert.Equal(t, 502, a.StatusCode)
+	assert.Equal(t, 1, s.executed("r1"))
+	s.ask("GET", "/safe/x", "r2", "", wiretarget.HeaderFault+": "+wiretarget.FaultReset)
+	assert.Equal(t, 2, s.executed("r2"), "an idempotent one is, within its attempts")
+}
+
+// Guards against a request that fails although another target has room, and
+// against a second execution: a shed request was not executed.
+func TestShedRequestGoesToAnotherTarget(t *testing.T) {
+	targets := fast(2)
+	targets[0].Slots, targets[0].Queue, targets[0].Warm = 1, 0, 400*time.Millisecond
+	targets[1].Slots, targets[1].Queue, targets[1].Warm = 1, 0, 400*time.Millisecond
+	s := startSite(t, siteOptions{targets: targets})
+	for _, r := range s.records {
+		r.Slots = 4 // More than the target has, as after a change that is not known yet.
+	}
+	first, second := s.dial(), s.dial()
+	first.send("POST", "/unsafe/x", "r1", "b")
+	require.Eventually(t, func() bool { return s.executed("r1") == 1 }, time.Second, time.Millisecond)
+	second.send("POST", "/unsafe/x", "r2", "b")
+	assert.Equal(t, 200, first.receive("POST").StatusCode)
+	assert.Equal(t, 200, second.receive("POST").StatusCode)
+	assert.Equal(t, 1, s.executed("r1"))
+	assert.Equal(t, 1, s.executed("r2"))
+}
+
+// Guards against a request that runs at the target that took over an address.
+func TestTargetWithAnotherNameDoesNotRunTheRequest(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fast(1), wrongID: true})
+	a := s.ask("POST", "/unsafe/x", "r1", "b")
+	assert.Equal(t, 503, a.StatusCode)
+	assert.NotEmpty(t, a.Header.Get("Retry-After"))
+	assert.Zero(t, s.executed("r1"))
+}
+
+// Guards against a late answer on a kept connection that is taken for the
+// answer to the next request.
+func TestLateAnswerOfAnotherRequestIsSkipped(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fast(1)})
+	c := s.dial()
+	for i := range 5 {
+		id := fmt.Sprint("r", i)
+		c.send("GET", "/safe/"+id, id, "", wiretarget.HeaderFault+": "+wiretarget.FaultExtra)
+		a := c.receive("GET")
+		assert.Equal(t, 200, a.StatusCode)
+		assert.Equal(t, id, a.Header.Get(platform.HeaderRequestID))
+		assert.Contains(t, a.body, "/safe/"+id)
+	}
+}
+
+func TestAnswersThatCannotBeUsed(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fast(2)})
+	for fault, status := range map[string]int{
+		wiretarget.FaultUnframed: 200, // Complete when the connection closes.
+		wiretarget.FaultCut:      502,
+		wiretarget.FaultNoStamp:  502,
+		wiretarget.FaultError:    500,
+	} {
+		a := s.ask("POST", "/unsafe/x", "r-"+fault, "b", wiretarget.HeaderFault+": "+fault)
+		assert.Equal(t, status, a.StatusCode, fault)
+		assert.Equal(t, 1, s.executed("r-"+fault), fault)
+		if status == 502 {
+			assert.Empty(t, a.Header.Get(platform.HeaderStamp), fault)
+		}
+	}
+}
+
+// Guards against own answers that let a caller give up: each says whether the
+// request ran and when to come back.
+func TestOwnAnswers(t *testing.T) {
+	s := startSite(t, siteOptions{limits: steering.Limits{HeadBytes: 2048, BodyBytes: 64, HeadTime: 200 * time.Millisecond}})
+	assert.Equal(t, 404, s.ask("GET", "/other/x", "r1", "").StatusCode)
+	a := s.ask("GET", "/safe/x", "r2", "")
+	assert.Equal(t, 503, a.StatusCode, "no target")
+	assert.NotEmpty(t, a.Header.Get("Retry-After"))
+	assert.Equal(t, "r2", a.Header.Get(platform.HeaderRequestID))
+	assert.Equal(t, 431, s.ask("GET", "/safe/x", "r3", "", "X-Long: "+strings.Repeat("x", 4096)).StatusCode)
+	assert.Equal(t, 413, s.ask("POST", "/unsafe/x", "r4", strings.Repeat("x", 65)).StatusCode)
+	c := s.dial()
+	_, err := io.WriteString(c.Conn, "GET /safe/x HTTP/1.1\r\nHost:")
+	require.NoError(t, err)
+	assert.Equal(t, 408, c.receive("GET").StatusCode)
+	c = s.dial()
+	_, err = io.WriteString(c.Conn, "no request at all\r\n\r\n")
+	require.NoError(t, err)
+	assert.Equal(t, 400, c.receive("GET").StatusCode)
+}
+
+// Guards against a connection that is closed earlier than callers may use it
+// again, and against one that is never closed.
+func TestIdleConnectionIsClosedAfterItsTime(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fast(1), limits: steering.Limits{IdleTime: 300 * time.Millisecond}})
+	c := s.dial()
+	c.send("GET", "/safe/1", "r1", "")
+	assert.Equal(t, 200, c.receive("GET").StatusCode)
+	time.Sleep(240 * time.Millisecond)
+	c.send("GET", "/safe/2", "r2", "")
+	assert.Equal(t, 200, c.receive("GET").StatusCode)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(2*time.Second)))
+	_, err := c.reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against a planned stop that cuts requests or keeps connections.
+func TestDrainAnswersEverythingAndCloses(t *testing.T) {
+	s := startSite(t, siteOptions{targets: slow(2, 200*time.Millisecond)})
+	busy, idle := s.dial(), s.dial()
+	idle.send("GET", "/safe/0", "r0", "")
+	assert.False(t, idle.receive("GET").Close)
+	for i := range 3 {
+		busy.send("GET", fmt.Sprintf("/safe/%d", i), fmt.Sprint("p", i), "")
+	}
+	require.Eventually(t, func() bool { return s.executed("p2") == 1 }, time.Second, time.Millisecond)
+	s.server.Drain()
+	for i := range 3 {
+		a := busy.receive("GET")
+		assert.Equal(t, 200, a.StatusCode)
+		assert.Equal(t, i == 2, a.Close, "only the last answer closes")
+	}
+	_, err := busy.reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, 200, s.ask("GET", "/safe/9", "r9", "").StatusCode, "new connections are still served")
+	s.server.CloseIdle()
+	_, err = idle.reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Eventually(t, func() bool { return s.server.Connections() == 0 }, 2*time.Second, 10*time.Millisecond)
+	assert.Zero(t, s.server.Cut())
+}
+
+func TestHeadAnswerHasNoBody(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fast(1)})
+	c := s.dial()
+	c.send("HEAD", "/safe/x", "r1", "")
+	assert.Equal(t, http.StatusOK, c.receive("HEAD").StatusCode)
+	c.send("GET", "/safe/x", "r2", "")
+	assert.Equal(t, "r2", c.receive("GET").Header.Get(platform.HeaderRequestID))
+}
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,162 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/balance"
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/forward"
+	"github.com/jacinthstall/jacinthstall/gateway"
+	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/settings"
+	"github.com/jacinthstall/jacinthstall/standin/wiretarget"
+	"github.com/jacinthstall/jacinthstall/steering"
+)
+
+const host = "shop.example"
+
+// site is a gateway in front of stand-in targets, on loopback.
+type site struct {
+	t       *testing.T
+	address string
+	server  *gateway.Server
+	targets []*wiretarget.Target
+	records []*steering.Target
+}
+
+type siteOptions struct {
+	targets []wiretarget.Options
+	timeout time.Duration
+	limits  steering.Limits
+	wrongID bool // The records name targets by other IDs than they have.
+	split   []steering.Share
+}
+
+func startSite(t *testing.T, o siteOptions) *site {
+	t.Helper()
+	s := &site{t: t}
+	if o.timeout == 0 {
+		o.timeout = 2 * time.Second
+	}
+	config := &steering.Config{Version: 1, Limits: o.limits, Services: map[string]steering.Service{"s": {Name: "s"}}}
+	split := []steering.Share{{Service: "s", Weight: 1}}
+	if o.split != nil {
+		split = o.split
+	}
+	for _, r := range []steering.Route{{Name: "safe", Prefix: "/safe/", Idempotent: true}, {Name: "unsafe", Prefix: "/unsafe/"}} {
+		r.Host, r.Timeout, r.Objective, r.Attempts, r.Sticky, r.Split = host, o.timeout, 400*time.Millisecond, 2, true, split
+		config.Routes = append(config.Routes, r)
+	}
+	config.Index()
+	facts := []steering.Fact{steering.ConfigIs{Config: config}}
+	for i, options := range o.targets {
+		facts = append(facts, steering.TargetIs{Target: s.startTarget(i, options, o.wrongID && i == 0)})
+	}
+	s.startGateway(steering.NewWorld().With(1, facts))
+	return s
+}
+
+func (s *site) startTarget(i int, o wiretarget.Options, wrongID bool) *steering.Target {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	o.ID = fmt.Sprint("t", i)
+	target := wiretarget.New(o)
+	h := target.NewServer(listener)
+	go func() { _ = h.Run() }()
+	s.t.Cleanup(func() { _ = h.Close() })
+	s.targets = append(s.targets, target)
+	record := &steering.Target{ID: o.ID, Service: "s", Address: listener.Addr().String(), Domain: "d", Slots: o.Slots}
+	if wrongID {
+		record.ID = "gone"
+	}
+	s.records = append(s.records, record)
+	return record
+}
+
+func (s *site) startGateway(world *steering.World) {
+	now := time.Now()
+	b := balance.New(balance.Options{Name: "n", Domain: "d", Region: "r", Regions: map[string]string{"d": "r"}}, now)
+	b.SetWorld(now, world)
+	g := gateway.New(gateway.Options{World: func() *steering.World { return world }, Balancer: b,
+		Budget:    balance.NewBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}),
+		Forwarder: forward.New(), Headers: platform.Headers{}, Live: func() int { return 1 },
+		Events: events.New(&log.Logger{Handler: events.NewDroppingHandler(io.Discard)})})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	s.address = listener.Addr().String()
+	s.server = gateway.NewServer(g, listener)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.t.Cleanup(func() { cancel(); s.server.Refuse(); s.server.Cut() })
+	go func() { _ = s.server.Run(ctx) }()
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	net.Conn
+	t      *testing.T
+	reader *bufio.Reader
+}
+
+func (s *site) dial() *caller {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { _ = conn.Close() })
+	return &caller{Conn: conn, t: s.t, reader: bufio.NewReader(conn)}
+}
+
+// send writes a request; headers are lines.
+func (c *caller) send(method, path, id, body string, headers ...string) {
+	c.t.Helper()
+	lines := append([]string{fmt.Sprintf("%s %s HTTP/1.1", method, path), "Host: " + host, platform.HeaderRequestID + ": " + id,
+		platform.HeaderDeadline + ": 3000"}, headers...)
+	if body != "" {
+		lines = append(lines, fmt.Sprint("Content-Length: ", len(body)))
+	}
+	_, err := io.WriteString(c.Conn, strings.Join(lines, "\r\n")+"\r\n\r\n"+body)
+	require.NoError(c.t, err)
+}
+
+// answer is what a caller got.
+type answer struct {
+	*http.Response
+	body string
+}
+
+func (c *caller) receive(method string) answer {
+	c.t.Helper()
+	require.NoError(c.t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	require.NoError(c.t, err)
+	body, err := io.ReadAll(r.Body)
+	require.NoError(c.t, err)
+	return answer{Response: r, body: string(body)}
+}
+
+// ask sends a request on a connection of its own.
+func (s *site) ask(method, path, id, body string, headers ...string) answer {
+	s.t.Helper()
+	c := s.dial()
+	c.send(method, path, id, body, headers...)
+	return c.receive(method)
+}
+
+// executed adds up how often the targets executed a request.
+func (s *site) executed(id string) int {
+	n := 0
+	for _, t := range s.targets {
+		n += t.Executed()[id]
+	}
+	return n
+}
--- /dev/null
+++ b/gateway/policy_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jacinthstall/jacinthstall/steering"
+)
+
+func TestSplitFollowsTheWeights(t *testing.T) {
+	s := splits{next: map[string][]float64{}}
+	r := &steering.Route{Name: "r", Split: []steering.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
+	count := map[string]int{}
+	for range 300 {
+		count[s.service(r)]++
+	}
+	assert.Equal(t, map[string]int{"a": 270, "b": 30}, count)
+	assert.Equal(t, "x", s.service(&steering.Route{Split: []steering.Share{{Service: "x"}}}))
+	assert.Empty(t, s.service(&steering.Route{}))
+}
+
+// Guards against a request that came back after a refusal and is taken for a
+// new one: it could not be in time any more and would take a slot from one that
+// can.
+func TestTimeSinceTheFirstAttemptShowsInTheDeadline(t *testing.T) {
+	p := patience{routes: map[string]*usual{}}
+	const deadline = 2500 * time.Millisecond
+	for range 20 {
+		assert.Zero(t, p.elapsed("r", deadline))
+	}
+	assert.Equal(t, 400*time.Millisecond, p.elapsed("r", 2100*time.Millisecond))
+	assert.Zero(t, p.elapsed("r", 9*time.Second), "a more patient caller")
+	assert.Zero(t, p.elapsed("r", deadline))
+	for range 2*maxVotes + 2 {
+		p.elapsed("r", time.Second)
+	}
+	assert.Zero(t, p.elapsed("r", time.Second), "a change of habit is learnt")
+}
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -68,7 +68,8 @@
 	return errors.Is(r.stream.err, io.EOF)
 }
 
-// headLimit bounds what is read while a head is expected.
+// headLimit bounds what is read while a head is expected. What is buffered
+// from before counts for nothing: the buffer is smaller than any useful bound.
 type headLimit struct {
 	from     net.Conn
 	active   bool
@@ -95,9 +96,6 @@
 // request nor an answer when the caller has left.
 func (c *conn) read() (*incoming, *answer) {
 	limits := c.server.gateway.limits()
-	if limits.HeadBytes > 0 {
-		c.limit.active, c.limit.left = true, limits.HeadBytes
-	}
 	request, err := http.ReadRequest(c.reader)
 	c.limit.active = false
 	if err != nil {
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -160,9 +160,10 @@
 // Announce tells the own domain the state of this instance at once.
 func (x *Exchange) Announce() { x.tell(time.Now()) }
 
-// Leave tells all domains at once that this instance is leaving.
+// Leave takes this instance out of the live ones and tells all domains at once.
 func (x *Exchange) Leave() {
 	now := time.Now()
+	x.check(now)
 	x.tell(now)
 	x.speak(now, true)
 }
@@ -172,16 +173,14 @@
 func (x *Exchange) Watches() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	now := time.Now()
-	for _, name := range x.speakers(now) {
+	heard := false
+	for _, name := range x.speakers(time.Now()) {
 		if name == x.options.Self.Name {
 			return true
 		}
-		if x.mates[name].last.InTouch {
-			return false
-		}
+		heard = heard || x.mates[name].last.InTouch
 	}
-	return true
+	return !heard
 }
 
 // speakers returns the names of the instances that speak for the own domain.
@@ -321,6 +320,9 @@
 	}
 	x.options.Balancer.Heard(now, "domain "+m.Domain, region, m.Report)
 	x.check(now)
+	if m.Revision > x.options.Revision() {
+		x.options.Advanced()
+	}
 }
 
 // maxRoundTrip bounds what is believed of a measured round trip.
--- /dev/null
+++ b/gossip/exchange_test.go
@@ -0,0 +1,163 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/balance"
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/steering"
+)
+
+var regions = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+
+// member is an instance of a test fleet.
+type member struct {
+	*Exchange
+	balancer *balance.Balancer
+	leaving  atomic.Bool
+	inTouch  atomic.Bool
+	revision atomic.Uint64
+	advanced atomic.Int64
+	cancel   context.CancelFunc
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, conn.Close()) }()
+	return conn.LocalAddr().String()
+}
+
+// startFleet starts instances that know each other's registrations.
+func startFleet(t *testing.T, domains ...string) []*member {
+	t.Helper()
+	known := map[string]steering.Instance{}
+	var list []steering.Instance
+	for i, d := range domains {
+		in := steering.Instance{Name: fmt.Sprintf("%s-%d", d, i), Domain: d, Region: regions[d],
+			Address: fmt.Sprintf("10.0.0.%d:80", i), PeerAddress: freeAddress(t), Incarnation: 1}
+		known[in.Name] = in
+		list = append(list, in)
+	}
+	fleet := make([]*member, len(list))
+	for i, in := range list {
+		fleet[i] = startMember(t, in, known)
+	}
+	return fleet
+}
+
+func startMember(t *testing.T, in steering.Instance, known map[string]steering.Instance) *member {
+	t.Helper()
+	m := &member{balancer: balance.New(balance.Options{Name: in.Name, Domain: in.Domain, Region: in.Region, Regions: regions}, time.Now())}
+	m.inTouch.Store(true)
+	x, err := Listen(Options{Self: in, Regions: regions, Events: events.New(&log.Logger{Handler: events.NewDroppingHandler(io.Discard)}),
+		Balancer: m.balancer, Revision: m.revision.Load, Ready: func() bool { return true }, Leaving: m.leaving.Load,
+		InTouch: m.inTouch.Load, Changed: m.balancer.SetInstances, Advanced: func() { m.advanced.Add(1) }})
+	require.NoError(t, err)
+	m.Exchange = x
+	x.SetKnown(known)
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	t.Cleanup(cancel)
+	go x.Run(ctx)
+	return m
+}
+
+func names(list []steering.Instance) []string {
+	out := []string{}
+	for _, in := range list {
+		out = append(out, in.Name)
+	}
+	return out
+}
+
+func waitLive(t *testing.T, m *member, want ...string) {
+	t.Helper()
+	require.Eventually(t, func() bool { return assert.ObjectsAreEqual(want, names(m.Live())) }, 10*time.Second, 10*time.Millisecond,
+		"%s sees %v", m.options.Self.Name, names(m.Live()))
+}
+
+// Guards against instances of other domains that stay unknown, and dead or
+// leaving ones that look-up answers go on naming.
+func TestLiveInstancesAreKnownAcrossDomains(t *testing.T) {
+	fleet := startFleet(t, "a1", "a1", "a1", "a2", "b1", "b1")
+	all := []string{"a1-0", "a1-1", "a1-2", "a2-3", "b1-4", "b1-5"}
+	for _, m := range fleet {
+		waitLive(t, m, all...)
+	}
+	fleet[4].leaving.Store(true)
+	fleet[4].Leave()
+	for _, m := range []*member{fleet[2], fleet[3], fleet[5]} {
+		waitLive(t, m, "a1-0", "a1-1", "a1-2", "a2-3", "b1-5")
+	}
+	fleet[0].cancel()
+	for _, m := range fleet[1:4] {
+		waitLive(t, m, "a1-1", "a1-2", "a2-3", "b1-5")
+	}
+}
+
+// Guards against a domain of which no instance hears the store, and against one
+// in which all of them watch it.
+func TestTwoInstancesOfADomainWatchTheStore(t *testing.T) {
+	fleet := startFleet(t, "a1", "a1", "a1", "a1")
+	waitLive(t, fleet[3], "a1-0", "a1-1", "a1-2", "a1-3")
+	watching := func() []bool {
+		var list []bool
+		for _, m := range fleet {
+			list = append(list, m.Watches())
+		}
+		return list
+	}
+	require.Eventually(t, func() bool { return assert.ObjectsAreEqual([]bool{true, true, false, false}, watching()) },
+		5*time.Second, 10*time.Millisecond)
+	fleet[0].inTouch.Store(false)
+	fleet[1].inTouch.Store(false)
+	require.Eventually(t, func() bool { return assert.ObjectsAreEqual([]bool{true, true, true, true}, watching()) },
+		5*time.Second, 10*time.Millisecond)
+	fleet[0].inTouch.Store(true)
+	require.Eventually(t, func() bool { return assert.ObjectsAreEqual([]bool{true, true, false, false}, watching()) },
+		5*time.Second, 10*time.Millisecond)
+}
+
+// Guards against an instance that does not watch and learns of a change only
+// with the next message.
+func TestAdvanceIsAnnounced(t *testing.T) {
+	fleet := startFleet(t, "a1", "a1", "a1")
+	waitLive(t, fleet[2], "a1-0", "a1-1", "a1-2")
+	fleet[0].revision.Store(9)
+	fleet[0].Announce()
+	require.Eventually(t, func() bool { return fleet[2].advanced.Load() > 0 }, time.Second, time.Millisecond)
+	in, revision, ok := fleet[2].Newest(3)
+	require.True(t, ok)
+	assert.Equal(t, "a1-0", in.Name)
+	assert.Equal(t, uint64(9), revision)
+	_, _, ok = fleet[2].Newest(9)
+	assert.False(t, ok)
+}
+
+func TestOlderMessagesAreIgnored(t *testing.T) {
+	last := Message{Name: "n", Incarnation: 2, Sequence: 5}
+	for _, c := range []struct {
+		m     Message
+		older bool
+	}{
+		{Message{Name: "n", Incarnation: 2, Sequence: 5}, true},
+		{Message{Name: "n", Incarnation: 2, Sequence: 6}, false},
+		{Message{Name: "n", Incarnation: 1, Sequence: 9}, true},
+		{Message{Name: "n", Incarnation: 3, Sequence: 1}, false},
+		{Message{Name: "other", Incarnation: 1, Sequence: 1}, false},
+	} {
+		assert.Equal(t, c.older, c.m.older(&last), c.m)
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -21,6 +21,11 @@
 	// watchWait is how long a watch waits for a change. A connection that has
 	// gone silent is found after it, within the stability time of a deployment.
 	watchWait = 2 * time.Second
+	// lostWait is how long a watch waits while the store does not answer, so that
+	// its return and the news of peers are noticed soon.
+	lostWait = 20 * time.Millisecond
+	// watchLag is how long a watch may be behind what a peer tells.
+	watchLag = 300 * time.Millisecond
 	// settle is the pause between a change and the next watch. Changes that
 	// come close together then cost one call.
 	settle = 100 * time.Millisecond
@@ -185,16 +190,46 @@
 	return nil
 }
 
-// follow waits for changes and applies them.
+// changes is the result of a watch.
+type changes struct {
+	items    []kv.Item
+	revision uint64
+	err      error
+}
+
+// follow waits for changes and applies them. When a peer tells of changes that
+// the watch does not bring, they are taken from the peer.
 func (m *Mirror) follow(ctx context.Context) error {
-	items, revision, err := m.options.Store.Changes(ctx, m.options.Prefix, m.Revision(), m.wait(time.Now()))
-	if err != nil {
-		return err
+	after, wait := m.Revision(), m.wait(time.Now())
+	watch := make(chan changes, 1)
+	go func() {
+		items, revision, err := m.options.Store.Changes(ctx, m.options.Prefix, after, wait)
+		watch <- changes{items, revision, err}
+	}()
+	var late <-chan time.Time
+	for {
+		select {
+		case c := <-watch:
+			return m.watched(ctx, c)
+		case <-m.wake:
+			if late == nil {
+				late = time.After(watchLag)
+			}
+		case <-late:
+			late = nil
+			m.fetch(ctx)
+		}
+	}
+}
+
+func (m *Mirror) watched(ctx context.Context, c changes) error {
+	if c.err != nil {
+		return c.err
 	}
 	now := time.Now()
-	m.answered(now, revision)
-	m.apply(items, revision, now, "store")
-	if len(items) > 0 {
+	m.answered(now, c.revision)
+	m.apply(c.items, c.revision, now, "store")
+	if len(c.items) > 0 {
 		sleep(ctx, settle)
 	}
 	return nil
@@ -203,6 +238,9 @@
 // wait bounds a watch, so that held records are released in time.
 func (m *Mirror) wait(now time.Time) time.Duration {
 	wait := watchWait
+	if !m.lost.IsZero() {
+		wait = lostWait
+	}
 	for _, until := range m.held {
 		wait = min(wait, max(50*time.Millisecond, until.Sub(now)))
 	}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,274 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/node"
+	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/settings"
+	"github.com/jacinthstall/jacinthstall/standin/metastore"
+	"github.com/jacinthstall/jacinthstall/standin/wiretarget"
+)
+
+// deployment is a store, targets and instances on loopback.
+type deployment struct {
+	t       *testing.T
+	store   *metastore.Store
+	address string // Of the store.
+	targets map[string]*wiretarget.Target
+	nodes   []*running
+}
+
+type running struct {
+	settings settings.Node
+	stop     context.CancelFunc
+	done     chan error
+}
+
+var domains = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	return l.Addr().String()
+}
+
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &deployment{t: t, store: metastore.New(), address: listener.Addr().String(), targets: map[string]*wiretarget.Target{}}
+	h := metastore.NewServer(d.store, listener)
+	go func() { _ = h.Run() }()
+	t.Cleanup(func() { _ = h.Close() })
+	d.configure(1, "/app/")
+	for i, domain := range []string{"a1", "a2", "b1"} {
+		d.addTarget(fmt.Sprint("t", i), domain)
+	}
+	return d
+}
+
+// configure writes a configuration with one route.
+func (d *deployment) configure(version int, prefix string) {
+	d.store.Put("op/config", []byte(fmt.Sprintf(`{"version":"r%d","routes":{"r":{"host":"shop.example","prefix":%q,"routeKind":"safe",
+"timeout":"2s","goal":"400ms","service":"s","attempts":2,"sticky":true}},"services":{"s":{"maxConns":100}},"limits":{"idleTimeout":"10s"}}`, version, prefix)))
+}
+
+func (d *deployment) addTarget(id, domain string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(d.t, err)
+	target := wiretarget.New(wiretarget.Options{ID: id, Slots: 8, Queue: 8, Warm: 5 * time.Millisecond})
+	h := target.NewServer(listener)
+	go func() { _ = h.Run() }()
+	d.t.Cleanup(func() { _ = h.Close() })
+	d.targets[id] = target
+	d.setTarget(id, domain, listener.Addr().String(), "ready")
+}
+
+func (d *deployment) setTarget(id, domain, address, state string) {
+	value, err := json.Marshal(map[string]any{"address": address, "born": 1,
+		"details": map[string]any{"service": "s", "zone": domain, "concurrency": 8},
+		"status":  map[string]any{"state": state, "sequence": 1, "coldLeft": "0ms"}})
+	require.NoError(d.t, err)
+	d.store.Put("servers/"+id, value)
+}
+
+func (d *deployment) startNode(name, domain string) *running {
+	s := settings.Node{Name: name, Domain: domain, Region: domains[domain], Regions: domains, Callers: freeAddress(d.t),
+		Ready: freeAddress(d.t), Directory: freeAddress(d.t), Peer: freeAddress(d.t), Metrics: freeAddress(d.t), Store: d.address,
+		Bounds: settings.Bounds{Grace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}}
+	store, err := platform.NewStore(d.address)
+	require.NoError(d.t, err)
+	n, err := node.New(node.Options{Settings: s, Platform: platform.Codec{}, Headers: platform.Headers{}, Store: store,
+		Log:    &log.Logger{Handler: events.NewDroppingHandler(io.Discard)},
+		Reload: func() (settings.Node, error) { return s, nil }})
+	require.NoError(d.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{settings: s, stop: cancel, done: make(chan error, 1)}
+	go func() { r.done <- n.Run(ctx, nil) }()
+	d.t.Cleanup(cancel)
+	d.nodes = append(d.nodes, r)
+	return r
+}
+
+func get(url string) (int, string) {
+	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := client.Get(url)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer r.Body.Close()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return r.StatusCode, string(body)
+}
+
+func (r *running) ready() bool {
+	status, _ := get("http://" + r.settings.Ready + "/-/ready")
+	return status == 200
+}
+
+// resolve returns the addresses of a look-up.
+func (r *running) resolve(domain string) []string {
+	status, body := get(fmt.Sprintf("http://%s/-/resolve?name=shop.example&region=%s&zone=%s", r.settings.Directory, domains[domain], domain))
+	if status != 200 {
+		return nil
+	}
+	var answer struct {
+		Addresses []string `json:"addresses"`
+		TTL       string   `json:"ttl"`
+	}
+	if json.Unmarshal([]byte(body), &answer) != nil || answer.TTL == "" {
+		return nil
+	}
+	return answer.Addresses
+}
+
+var nextID atomic.Int64
+
+// ask sends a request to an instance and returns the status and body.
+func (r *running) ask(path string) (int, string) {
+	conn, err := net.DialTimeout("tcp", r.settings.Callers, time.Second)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
+	_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: shop.example\r\n%s: r%d\r\n%s: 2000\r\n\r\n",
+		path, platform.HeaderRequestID, nextID.Add(1), platform.HeaderDeadline)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return answer.StatusCode, string(body)
+}
+
+func (r *running) serves(path string) bool {
+	status, _ := r.ask(path)
+	return status == 200
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, 10*time.Second, 20*time.Millisecond, what)
+}
+
+func TestCallersAreServedThroughAllInstances(t *testing.T) {
+	d := deploy(t)
+	one, two, three := d.startNode("n1", "a1"), d.startNode("n2", "a1"), d.startNode("n3", "b1")
+	for _, n := range d.nodes {
+		eventually(t, "ready", n.ready)
+		eventually(t, "serves", func() bool { return n.serves("/app/x") })
+	}
+	status, _ := one.ask("/other/")
+	assert.Equal(t, 404, status)
+	eventually(t, "both instances of the domain are named", func() bool { return len(three.resolve("a1")) == 2 })
+	assert.ElementsMatch(t, []string{one.settings.Callers, two.settings.Callers}, three.resolve("a1"))
+	assert.Len(t, one.resolve("a2"), 2, "a domain without instances gets those of its region")
+	_, metrics := get("http://" + one.settings.Metrics + "/metrics")
+	assert.Contains(t, metrics, "jacinthstall_requests_total")
+}
+
+// Guards against changes that do not come into force everywhere within seconds,
+// or that revert.
+func TestChangesComeIntoForceEverywhere(t *testing.T) {
+	d := deploy(t)
+	for i, domain := range []string{"a1", "a1", "a1", "b1"} {
+		d.startNode(fmt.Sprint("n", i), domain)
+	}
+	for _, n := range d.nodes {
+		eventually(t, "serves", func() bool { return n.serves("/app/x") })
+	}
+	d.configure(5, "/new/")
+	started := time.Now()
+	for _, n := range d.nodes {
+		eventually(t, "new route", func() bool { return n.serves("/new/x") })
+	}
+	assert.Less(t, time.Since(started), 2500*time.Millisecond)
+	for _, n := range d.nodes {
+		status, _ := n.ask("/app/x")
+		assert.Equal(t, 404, status)
+	}
+	d.store.Put("op/evacuate/a1", []byte("{}"))
+	d.store.Put("op/evacuate/b1", []byte("{}"))
+	time.Sleep(time.Second)
+	for _, n := range d.nodes {
+		for range 5 {
+			_, body := n.ask("/new/x")
+			assert.True(t, strings.HasSuffix(body, "by t1"), body)
+		}
+	}
+}
+
+// Guards against service that stops with the store.
+func TestServiceGoesOnWithoutTheStore(t *testing.T) {
+	d := deploy(t)
+	one := d.startNode("n1", "a1")
+	d.startNode("n2", "b1")
+	for _, n := range d.nodes {
+		eventually(t, "serves", func() bool { return n.serves("/app/x") })
+	}
+	d.store.SetFaults(metastore.Faults{Silent: true})
+	end := time.Now().Add(3 * time.Second)
+	for time.Now().Before(end) {
+		for _, n := range d.nodes {
+			status, body := n.ask("/app/x")
+			require.Equal(t, 200, status, body)
+			require.True(t, n.ready())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	late := d.startNode("n3", "a1")
+	d.store.SetFaults(metastore.Faults{})
+	eventually(t, "an instance that started meanwhile serves", func() bool { return late.serves("/app/x") })
+	eventually(t, "and is named", func() bool { return len(one.resolve("a1")) == 2 })
+}
+
+// Guards against a planned stop that callers notice.
+func TestPlannedStopIsNotNoticed(t *testing.T) {
+	d := deploy(t)
+	leaver, other := d.startNode("n1", "a1"), d.startNode("n2", "a1")
+	for _, n := range d.nodes {
+		eventually(t, "serves", func() bool { return n.serves("/app/x") })
+	}
+	eventually(t, "both are named", func() bool { return len(other.resolve("a1")) == 2 })
+	leaver.stop()
+	eventually(t, "it is not named any more", func() bool { return len(other.resolve("a1")) == 1 })
+	assert.False(t, leaver.ready())
+	assert.Equal(t, []string{other.settings.Callers}, leaver.resolve("a1"))
+	for range 20 {
+		status, body := leaver.ask("/app/x")
+		require.Equal(t, 200, status, "callers that keep an old answer are served: %s", body)
+		time.Sleep(50 * time.Millisecond)
+	}
+	select {
+	case err := <-leaver.done:
+		require.NoError(t, err)
+	case <-time.After(6 * time.Second):
+		t.Fatal("the stop takes longer than the time for it")
+	}
+	assert.NotContains(t, d.store.Keys("jacinthstall/instances/"), "jacinthstall/instances/n1")
+}
--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -202,6 +202,7 @@
 
 func (t *Target) answer(c *app.RequestContext, id string) {
 	t.tell(c)
+	c.SetStatusCode(200)
 	stamp := "stamp-" + t.options.ID
 	body := fmt.Sprintf("%s %s by %s", c.Method(), c.Request.RequestURI(), t.options.ID)
 	switch string(c.Request.Header.Peek(HeaderFault)) {
