Give test instances loopback hosts of their own

Cause: TestTwoInstancesOfADomainWatchTheStore failed once with 'address already in use': a port that was free a moment before had been taken by another socket.

Change: internal/loopback hands out an IP number per instance; ports on it are fixed and below the ephemeral range.

--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +14,7 @@
 
 	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/internal/loopback"
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
@@ -31,14 +31,6 @@
 	cancel   context.CancelFunc
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { require.NoError(t, conn.Close()) }()
-	return conn.LocalAddr().String()
-}
-
 // startFleet starts instances that know each other's registrations.
 func startFleet(t *testing.T, domains ...string) []*member {
 	t.Helper()
@@ -46,7 +38,7 @@
 	var list []steering.Instance
 	for i, d := range domains {
 		in := steering.Instance{Name: fmt.Sprintf("%s-%d", d, i), Domain: d, Region: regions[d],
-			Address: fmt.Sprintf("10.0.0.%d:80", i), PeerAddress: freeAddress(t), Incarnation: 1}
+			Address: fmt.Sprintf("10.0.0.%d:80", i), PeerAddress: loopback.Host() + ":7000", Incarnation: 1}
 		known[in.Name] = in
 		list = append(list, in)
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/internal/loopback"
 	"github.com/jacinthstall/jacinthstall/node"
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/settings"
@@ -42,14 +43,6 @@
 
 var domains = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { require.NoError(t, l.Close()) }()
-	return l.Addr().String()
-}
-
 func deploy(t *testing.T) *deployment {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -91,8 +84,9 @@
 }
 
 func (d *deployment) startNode(name, domain string) *running {
-	s := settings.Node{Name: name, Domain: domain, Region: domains[domain], Regions: domains, Callers: freeAddress(d.t),
-		Ready: freeAddress(d.t), Directory: freeAddress(d.t), Peer: freeAddress(d.t), Metrics: freeAddress(d.t), Store: d.address,
+	host := loopback.Host()
+	s := settings.Node{Name: name, Domain: domain, Region: domains[domain], Regions: domains, Callers: host + ":7001",
+		Ready: host + ":7002", Directory: host + ":7003", Peer: host + ":7004", Metrics: host + ":7005", Store: d.address,
 		Bounds: settings.Bounds{Grace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}}
 	store, err := platform.NewStore(d.address)
 	require.NoError(d.t, err)
