Spend less processor time per request and per message

Each message of an instance summed the reports of all others again, and each choice went through all targets of a service with two map look-ups each.

Change: counts of other instances are kept up to date by difference; targets are indexed by service and region when the world changes; hot log lines are encoded without maps; messages inside a domain of more than five come less often.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,8 +25,10 @@
 	targets    map[string]*target
 	services   map[string]*service
 	peers      map[string]*peer
+	inFlight   map[uint32]int           // Requests of other instances, by short hash of the target's ID.
 	instances  []steering.Instance      // Live ones, this one included.
 	roundTrips map[string]time.Duration // To other regions, as measured.
+	order      []string                 // Regions by round trip; nil when it has to be made.
 	started    time.Time
 }
 
@@ -37,7 +39,6 @@
 	hash   uint64 // Of its ID.
 
 	own    int // Requests of this instance in flight.
-	peers  int // Those of other instances, as last reported.
 	hidden int // In flight beyond these, by the target's own word.
 	heard  time.Time
 
@@ -59,13 +60,14 @@
 	meanTime time.Duration
 	rate     rate // Requests that callers sent to this instance.
 	regions  weights
-	sequence uint64 // Spreads requests without an object.
+	targets  map[string][]*target // Those that may get requests, by region.
+	sequence uint64               // Spreads requests without an object.
 }
 
 // New returns a balancer without targets.
 func New(o Options, now time.Time) *Balancer {
 	return &Balancer{options: o, world: steering.NewWorld().With(0, nil), targets: map[string]*target{},
-		services: map[string]*service{}, peers: map[string]*peer{}, roundTrips: map[string]time.Duration{}, started: now}
+		services: map[string]*service{}, peers: map[string]*peer{}, inFlight: map[uint32]int{}, roundTrips: map[string]time.Duration{}, started: now}
 }
 
 // Guesses used until requests have been observed.
@@ -77,7 +79,8 @@
 func (b *Balancer) service(name string) *service {
 	s := b.services[name]
 	if s == nil {
-		s = &service{name: name, warmTime: guessWarm, coldTime: guessCold, meanTime: (guessWarm + guessCold) / 2}
+		s = &service{name: name, warmTime: guessWarm, coldTime: guessCold, meanTime: (guessWarm + guessCold) / 2,
+			targets: map[string][]*target{}}
 		b.services[name] = s
 	}
 	return s
@@ -108,6 +111,20 @@
 			b.warmUp(now, domain)
 		}
 	}
+	b.index()
+}
+
+// index sorts the targets that may get requests by service and region.
+func (b *Balancer) index() {
+	for _, s := range b.services {
+		s.targets = map[string][]*target{}
+	}
+	for _, t := range b.targets {
+		if b.world.Usable(t.record) {
+			s := b.service(t.record.Service)
+			s.targets[t.region] = append(s.targets[t.region], t)
+		}
+	}
 }
 
 func (b *Balancer) setTarget(now time.Time, id string, record *steering.Target) {
@@ -143,8 +160,8 @@
 const hiddenMemory = 500 * time.Millisecond
 
 // load is the number of requests in flight at the target.
-func (t *target) load(now time.Time) int {
-	load := t.own + t.peers
+func (b *Balancer) load(now time.Time, t *target) int {
+	load := t.own + b.inFlight[short(t.hash)]
 	if now.Sub(t.heard) < hiddenMemory {
 		load += t.hidden
 	}
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -59,7 +59,7 @@
 	t.own = max(0, t.own-1)
 	if o.Told {
 		t.heard = now
-		t.hidden = max(0, o.Executing+o.Waiting-t.own-t.peers)
+		t.hidden = max(0, o.Executing+o.Waiting-t.own-b.inFlight[short(t.hash)])
 	}
 	if o.Cold > 0 {
 		t.cold = now.Add(o.Cold)
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -1,9 +1,7 @@
 package balance
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/jacinthstall/jacinthstall/steering"
@@ -75,7 +73,6 @@
 	Expected   time.Duration // Of the best target; 0 when there is none.
 	Wait       time.Duration // For a slot of that target.
 	Load       int           // Requests in flight there.
-	Candidates int           // Targets that were compared.
 }
 
 // choice is a candidate with its expected time.
@@ -101,8 +98,8 @@
 		object = mix(s.sequence, b.hashOfSelf())
 	}
 	for _, region := range b.regionOrder(s, want, object) {
-		if list := b.candidates(now, s, want, region, object); len(list) > 0 {
-			return b.decide(now, want, list)
+		if c, ok := b.candidate(now, s, want, region, object); ok {
+			return b.decide(now, want, c)
 		}
 	}
 	return Grant{}, &Refusal{Reason: NoTarget, RetryAfter: noTargetReturn}
@@ -110,57 +107,57 @@
 
 func (b *Balancer) hashOfSelf() uint64 { return hashOf(b.options.Name) }
 
-// candidates returns the usable targets of a region that may take the
-// request. An object has one, its home, as long as that can be used: a second
-// target would have to learn the object, and a request to a target that does
-// not know its object takes the slot of several that do.
-func (b *Balancer) candidates(now time.Time, s *service, want Want, region string, object uint64) []choice {
-	var list []choice
-	var first uint64
-	for _, record := range b.world.Of(want.Service) {
-		t := b.targets[record.ID]
-		if t == nil || t.region != region || !b.world.Usable(record) {
+// candidate returns the target of a region that takes the request, if one can.
+//
+// A request with an object goes to the object's home as long as that can be
+// used: a second target would have to learn the object, and a request to a
+// target that does not know its object takes the slot of several that do.
+// Without an object it goes to the target that is expected to answer first.
+func (b *Balancer) candidate(now time.Time, s *service, want Want, region string, object uint64) (choice, bool) {
+	var best choice
+	var home uint64 // Rank of the object's home, whether it can be used or not.
+	for _, t := range s.targets[region] {
+		rank := mix(object, t.hash)
+		home = max(home, rank)
+		if want.Excluded[t.record.ID] || !b.usable(now, t) {
 			continue
 		}
-		rank := mix(object, t.hash)
-		first = max(first, rank)
-		if !want.Excluded[record.ID] && b.usable(now, t) {
-			list = append(list, choice{target: t, rank: rank})
+		c := choice{target: t, rank: rank}
+		if want.Object == "" {
+			c.wait, c.expected = b.expect(now, s, t, false, want.Objective)
+		}
+		if best.target == nil || c.expected < best.expected || c.expected == best.expected && c.rank > best.rank {
+			best = c
 		}
 	}
-	if want.Object != "" && len(list) > 1 {
-		list = []choice{slices.MaxFunc(list, func(a, c choice) int { return cmp.Compare(a.rank, c.rank) })}
+	if best.target == nil {
+		return best, false
 	}
-	for i := range list {
-		c := &list[i]
-		c.warm = want.Object != "" && (c.rank == first || c.target.warm.has(want.Object))
-		c.wait, c.expected = b.expect(now, s, c.target, c.warm, want.Objective)
+	if want.Object != "" {
+		best.warm = best.rank == home || best.target.warm.has(want.Object)
+		best.wait, best.expected = b.expect(now, s, best.target, best.warm, want.Objective)
 	}
-	return list
+	return best, true
 }
 
-// decide takes the candidate that is expected to answer first, or refuses. A
-// request that will be late is worth less than one in time, but refusing it
-// costs its caller more than a short wait costs the others.
-func (b *Balancer) decide(now time.Time, want Want, list []choice) (Grant, *Refusal) {
-	best := slices.MinFunc(list, func(a, c choice) int {
-		return cmp.Or(cmp.Compare(a.expected, c.expected), cmp.Compare(c.rank, a.rank))
-	})
-	inTime := want.Waited+best.expected <= time.Duration(objectiveMargin*float64(want.Objective))
-	short := best.wait <= time.Duration(lateWait*float64(want.Objective))
-	fits := best.expected < time.Duration(leftPart*float64(want.Left))
-	if best.wait == 0 || fits && (inTime || short) {
-		return b.grant(now, best, want), nil
+// decide takes a candidate, or refuses. A request that will be late is worth
+// less than one in time, but refusing it costs its caller more than a short
+// wait costs the others.
+func (b *Balancer) decide(now time.Time, want Want, c choice) (Grant, *Refusal) {
+	inTime := want.Waited+c.expected <= time.Duration(objectiveMargin*float64(want.Objective))
+	short := c.wait <= time.Duration(lateWait*float64(want.Objective))
+	fits := c.expected < time.Duration(leftPart*float64(want.Left))
+	if c.wait == 0 || fits && (inTime || short) {
+		return b.grant(now, c, want), nil
 	}
-	after := best.wait + time.Duration(rand.Int64N(int64(best.wait)/2+1))
-	return Grant{}, &Refusal{Reason: Overloaded, Region: best.target.region, Expected: best.expected, Wait: best.wait,
-		Load: best.target.load(now), Candidates: len(list),
-		RetryAfter: min(longestReturn, max(shortestReturn, after))}
+	after := c.wait + time.Duration(rand.Int64N(int64(c.wait)/2+1))
+	return Grant{}, &Refusal{Reason: Overloaded, Region: c.target.region, Expected: c.expected, Wait: c.wait,
+		Load: b.load(now, c.target), RetryAfter: min(longestReturn, max(shortestReturn, after))}
 }
 
 // usable reports whether a request may go to a target now.
 func (b *Balancer) usable(now time.Time, t *target) bool {
-	if !b.world.Usable(t.record) || now.Before(t.avoid) {
+	if now.Before(t.avoid) {
 		return false
 	}
 	if t.down && t.own > 0 {
@@ -178,7 +175,7 @@
 		base = s.warmTime
 	}
 	slots := float64(t.record.Slots)
-	load := float64(t.load(now))
+	load := float64(b.load(now, t))
 	speed := max(1, t.speed)
 	if now.Before(t.cold) {
 		speed = max(speed, coldSlowdown)
@@ -195,7 +192,7 @@
 
 func (b *Balancer) grant(now time.Time, c choice, want Want) Grant {
 	t := c.target
-	g := Grant{Target: t.record, Region: t.region, Expected: c.expected, Load: t.load(now), LoadAge: -1,
+	g := Grant{Target: t.record, Region: t.region, Expected: c.expected, Load: b.load(now, t), LoadAge: -1,
 		object: want.Object, Warm: c.warm, queued: c.wait > 0}
 	if !t.heard.IsZero() {
 		g.LoadAge = now.Sub(t.heard)
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -86,31 +87,28 @@
 // regionNames returns the regions that may serve, this one first, then in the
 // order of their round trips.
 func (b *Balancer) regionNames(homes []string) []string {
-	var names []string
+	all := b.nearest()
+	if len(homes) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(r string) bool { return !slices.Contains(homes, r) })
+}
+
+// nearest returns all regions in the order of their round trips. The order is
+// made anew when a round trip was measured.
+func (b *Balancer) nearest() []string {
+	if b.order != nil {
+		return b.order
+	}
 	for _, region := range b.options.Regions {
-		if !slices.Contains(names, region) && (len(homes) == 0 || slices.Contains(homes, region)) {
-			names = append(names, region)
+		if !slices.Contains(b.order, region) {
+			b.order = append(b.order, region)
 		}
 	}
-	slices.SortFunc(names, func(a, c string) int {
-		if a == b.options.Region || c == b.options.Region {
-			if a == c {
-				return 0
-			}
-			if a == b.options.Region {
-				return -1
-			}
-			return 1
-		}
-		if x, y := b.roundTrip(a), b.roundTrip(c); x != y {
-			return int(x - y)
-		}
-		if a < c {
-			return -1
-		}
-		return 1
+	slices.SortFunc(b.order, func(a, c string) int {
+		return cmp.Or(cmp.Compare(b.roundTrip(a), b.roundTrip(c)), cmp.Compare(a, c))
 	})
-	return names
+	return b.order
 }
 
 func (b *Balancer) roundTrip(region string) time.Duration {
@@ -141,6 +139,7 @@
 		d = old + time.Duration(averageWeight*float64(d-old))
 	}
 	b.roundTrips[region] = d
+	b.order = nil
 }
 
 // Step moves the weights of all services towards what the loads call for, and
@@ -149,7 +148,7 @@
 func (b *Balancer) Step(now time.Time) []WeightChange {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sumPeers(now)
+	b.forgetPeers(now)
 	var changes []WeightChange
 	for _, s := range b.services {
 		if now.Before(s.regions.next) {
--- a/balance/report.go
+++ b/balance/report.go
@@ -42,29 +42,35 @@
 // smallestRate is the smallest rate that is worth telling, per second.
 const smallestRate = 0.1
 
-// Heard takes over the report of another instance.
+// Heard takes over the report of another instance, or of a failure domain.
 func (b *Balancer) Heard(now time.Time, name, region string, r Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if old := b.peers[name]; old != nil {
+		b.count(old.report, -1)
+	}
 	b.peers[name] = &peer{region: region, heard: now, report: r}
-	b.sumPeers(now)
+	b.count(r, 1)
+}
+
+// count adds a report to what other instances have in flight, or takes it out.
+func (b *Balancer) count(r Report, sign int) {
+	for hash, n := range r.InFlight {
+		b.inFlight[hash] += sign * n
+		if b.inFlight[hash] == 0 {
+			delete(b.inFlight, hash)
+		}
+	}
 }
 
-// sumPeers adds up what the other instances have in flight.
-func (b *Balancer) sumPeers(now time.Time) {
-	sums := map[uint32]int{}
+// forgetPeers takes out the reports of instances that have been silent.
+func (b *Balancer) forgetPeers(now time.Time) {
 	for name, p := range b.peers {
 		if now.Sub(p.heard) > peerMemory {
+			b.count(p.report, -1)
 			delete(b.peers, name)
-			continue
-		}
-		for hash, n := range p.report.InFlight {
-			sums[hash] += n
 		}
 	}
-	for _, t := range b.targets {
-		t.peers = sums[short(t.hash)]
-	}
 }
 
 // short is the part of a hash that reports carry. Two targets that share it
--- a/events/steering.go
+++ b/events/steering.go
@@ -59,7 +59,7 @@
 	AcceptFailed = define(Event{Number: 525, Name: "accept-failed", Level: log.WarnLevel,
 		Message: "connection of a caller was not accepted", Fields: []string{"error"}, Action: "look for a lack of descriptors"})
 	RequestNotPlaced = define(Event{Number: 526, Name: "request-not-placed", Level: log.InfoLevel,
-		Message: "no target would answer the request in time", Fields: []string{"request", "route", "service", "reason", "region", "candidates", "load", "waitMs", "expectedMs", "sinceFirstMs", "leftMs", "retryAfterMs", "version"},
+		Message: "no target would answer the request in time", Fields: []string{"request", "route", "service", "reason", "region", "load", "waitMs", "expectedMs", "sinceFirstMs", "leftMs", "retryAfterMs", "version"},
 		Action: "add targets when the reason is overloaded and lasts"})
 	RegionWeights = define(Event{Number: 527, Name: "region-weights", Level: log.InfoLevel,
 		Message: "parts of a service's requests that go to each region changed", Fields: []string{"service", "parts", "load", "slots"}, Action: "none"})
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,9 +38,11 @@
 func (g *Gateway) attempt(ctx context.Context, r *carried, grant balance.Grant) ended {
 	started := time.Now()
 	r.excluded[grant.Target.ID] = true
-	g.events.Emit(events.TargetChosen, log.Fields{"request": r.id, "route": r.route.Name, "target": grant.Target.ID,
-		"object": r.object, "warm": grant.Warm, "attempt": r.sent + r.missed + 1, "load": grant.Load, "loadAgeMs": grant.LoadAge.Milliseconds(),
-		"expectedMs": grant.Expected.Milliseconds(), "leftMs": r.deadline.Sub(started).Milliseconds(), "version": uint64(r.version)})
+	g.events.EmitFields(&events.TargetChosen, events.String("request", r.id), events.String("route", r.route.Name),
+		events.String("target", grant.Target.ID), events.String("object", r.object), events.Bool("warm", grant.Warm),
+		events.Int("attempt", int64(r.sent+r.missed+1)), events.Int("load", int64(grant.Load)),
+		events.Int("loadAgeMs", grant.LoadAge.Milliseconds()), events.Int("expectedMs", grant.Expected.Milliseconds()),
+		events.Int("leftMs", r.deadline.Sub(started).Milliseconds()), events.Uint("version", uint64(r.version)))
 	out := g.outgoing(r, grant, started)
 	to := forward.Target{Address: grant.Target.Address, Connections: g.connections(grant.Target.Service),
 		DialTimeout: dialBase + dialPerTrip*g.Balancer.RoundTrip(grant.Region), Unanswered: unanswered}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -113,8 +113,9 @@
 	if r.route != nil {
 		route = r.route.Name
 	}
-	g.events.Emit(events.RequestEnded, log.Fields{"request": r.id, "route": route, "status": a.status, "origin": origin,
-		"reason": a.reason, "attempts": r.sent, "tookMs": took.Milliseconds(), "version": uint64(r.version)})
+	g.events.EmitFields(&events.RequestEnded, events.String("request", r.id), events.String("route", route),
+		events.Int("status", int64(a.status)), events.String("origin", origin), events.String("reason", a.reason),
+		events.Int("attempts", int64(r.sent)), events.Int("tookMs", took.Milliseconds()), events.Uint("version", uint64(r.version)))
 }
 
 func (g *Gateway) answer(ctx context.Context, r *carried) *answer {
@@ -199,7 +200,7 @@
 func (g *Gateway) refused(r *carried, f *balance.Refusal) *answer {
 	now := time.Now()
 	g.events.Emit(events.RequestNotPlaced, log.Fields{"request": r.id, "route": r.route.Name, "service": r.service,
-		"reason": f.Reason, "region": f.Region, "candidates": f.Candidates, "load": f.Load, "waitMs": f.Wait.Milliseconds(),
+		"reason": f.Reason, "region": f.Region, "load": f.Load, "waitMs": f.Wait.Milliseconds(),
 		"expectedMs": f.Expected.Milliseconds(), "sinceFirstMs": now.Sub(r.first).Milliseconds(),
 		"leftMs": r.deadline.Sub(now).Milliseconds(), "retryAfterMs": f.RetryAfter.Milliseconds(), "version": uint64(r.version)})
 	if r.last != nil {
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -29,7 +29,7 @@
 	secondStretch = 4
 	// fullDomain is the number of instances of a domain up to which nearInterval
 	// holds. In larger ones it grows in proportion.
-	fullDomain = 12
+	fullDomain = 5
 	// identityEvery is how many messages carry addresses once.
 	identityEvery = 8
 	// silentAfter is when an instance of the own domain counts as dead, at least.
@@ -136,7 +136,7 @@
 
 // interval is the pause between messages in the own domain.
 func (x *Exchange) interval() time.Duration {
-	return nearInterval * time.Duration(max(1, (len(x.mates)+1)/fullDomain))
+	return max(nearInterval, nearInterval*time.Duration(len(x.mates)+1)/fullDomain)
 }
 
 func (x *Exchange) silence() time.Duration {
