Refuse requests that end the connections of several targets in a row

Cause: a request that crashes each target comes again through any instance; a target is lost for seconds each time.

Change: instances count crashes in a row by fingerprint, exchange the counts, and refuse a request after three; one success clears it.

--- a/events/steering.go
+++ b/events/steering.go
@@ -63,6 +63,9 @@
 		Action: "add targets when the reason is overloaded and lasts"})
 	RegionWeights = define(Event{Number: 527, Name: "region-weights", Level: log.InfoLevel,
 		Message: "parts of a service's requests that go to each region changed", Fields: []string{"service", "parts", "load", "slots"}, Action: "none"})
+	RequestSuspected = define(Event{Number: 528, Name: "request-suspected", Level: log.WarnLevel,
+		Message: "request is refused because it ended the connections of several targets", Fields: []string{"request", "route", "service", "fingerprint", "crashes"},
+		Action: "look at the request and at the targets that crashed"})
 	CallerLeft = define(Event{Number: 524, Name: "caller-left", Level: log.InfoLevel,
 		Message: "caller closed the connection before its answers", Fields: []string{"unanswered"}, Action: "none"})
 )
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -100,6 +100,9 @@
 	case ctx.Err() != nil:
 		result = balance.Silent
 	}
+	if failure != nil && failure.Crashed {
+		g.Suspects.Crashed(time.Now(), r.print)
+	}
 	if stage == forward.StageConnect {
 		r.missed++
 	} else {
@@ -136,6 +139,7 @@
 		g.done(r, grant, started, o, e, err.Error())
 		return e
 	}
+	g.Suspects.Succeeded(r.print)
 	e := ended{answer: a}
 	o.Result = balance.Answered
 	if a.status >= http.StatusInternalServerError {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -110,6 +110,23 @@
 	assert.Equal(t, 2, s.executed("r2"), "an idempotent one is, within its attempts")
 }
 
+// Guards against a request that ends the connection of every target that it
+// reaches, and that its caller sends again and again.
+func TestRequestThatCrashesTargetsIsContained(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fast(6)})
+	reached := 0
+	for i := range 8 {
+		id := fmt.Sprint("r", i)
+		a := s.ask("POST", "/unsafe/poison", id, "b", wiretarget.HeaderFault+": "+wiretarget.FaultReset)
+		reached += s.executed(id)
+		if s.executed(id) == 0 {
+			assert.Equal(t, 503, a.StatusCode)
+		}
+	}
+	assert.Equal(t, 3, reached)
+	assert.Equal(t, 200, s.ask("POST", "/unsafe/other", "good", "b").StatusCode)
+}
+
 // Guards against a request that fails although another target has room, and
 // against a second execution: a shed request was not executed.
 func TestShedRequestGoesToAnotherTarget(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
+	"github.com/jacinthstall/jacinthstall/quarantine"
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
@@ -24,6 +25,8 @@
 	maxUnreached = 4
 	// shedReturn is when to come back after targets had no room.
 	shedReturn = 200 * time.Millisecond
+	// suspectReturn is when to come back with a request that may crash targets.
+	suspectReturn = 2 * time.Second
 )
 
 // Headers reads and writes the headers that instances, callers and targets
@@ -45,6 +48,7 @@
 type Options struct {
 	World     func() *steering.World
 	Balancer  *balance.Balancer
+	Suspects  *balance.Suspects
 	Budget    *balance.Budget
 	Forwarder *forward.Forwarder
 	Headers   Headers
@@ -89,6 +93,7 @@
 	missed   int  // Attempts that reached none.
 	mayRun   bool // A target may have executed the request.
 	last     *answer
+	print    quarantine.Fingerprint
 }
 
 // serve finds the answer to a request.
@@ -162,7 +167,12 @@
 // attempts tries targets until one answers.
 func (g *Gateway) attempts(ctx context.Context, r *carried) *answer {
 	g.Budget.Request(r.arrived, r.service)
+	r.print = quarantine.Request{Service: r.service, Method: r.http.Method, URI: r.uri, Body: r.held,
+		Length: r.http.ContentLength}.Fingerprint()
 	for {
+		if crashes, refused := g.Suspects.Refused(time.Now(), r.print); refused {
+			return g.suspected(r, crashes)
+		}
 		grant, refusal := g.Balancer.Pick(time.Now(), r.want(time.Now()))
 		if refusal != nil {
 			return g.refused(r, refusal)
@@ -212,6 +222,17 @@
 	return retryAfter(http.StatusServiceUnavailable, string(f.Reason), f.RetryAfter)
 }
 
+// suspected answers a request that has ended the connection of several targets
+// in a row.
+func (g *Gateway) suspected(r *carried, crashes int) *answer {
+	g.events.Emit(events.RequestSuspected, log.Fields{"request": r.id, "route": r.route.Name, "service": r.service,
+		"fingerprint": r.print.String(), "crashes": crashes})
+	if r.mayRun {
+		return ownAnswer(http.StatusBadGateway, "suspected-crash")
+	}
+	return retryAfter(http.StatusServiceUnavailable, "suspected-crash", suspectReturn)
+}
+
 // failed answers a request after its last attempt.
 func (r *carried) failed(e ended) *answer {
 	switch {
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -55,6 +55,7 @@
 	Regions  map[string]string // Region of each failure domain.
 	Events   *events.Log
 	Balancer *balance.Balancer
+	Suspects *balance.Suspects
 	Revision func() uint64
 	Ready    func() bool
 	Leaving  func() bool
@@ -283,6 +284,7 @@
 	}
 	x.mu.Unlock()
 	x.options.Balancer.Heard(now, m.Name, x.options.Self.Region, m.Report)
+	x.options.Suspects.Heard(now, m.Name, m.Suspects)
 	x.check(now)
 	if m.Revision > x.options.Revision() {
 		x.options.Advanced()
@@ -319,6 +321,7 @@
 		x.options.Balancer.ObserveRoundTrip(region, trip)
 	}
 	x.options.Balancer.Heard(now, "domain "+m.Domain, region, m.Report)
+	x.options.Suspects.Heard(now, "domain "+m.Domain, m.Suspects)
 	x.check(now)
 	if m.Revision > x.options.Revision() {
 		x.options.Advanced()
@@ -392,7 +395,7 @@
 		return
 	}
 	m := x.self(now)
-	m.Report = report
+	m.Report, m.Suspects = report, x.options.Suspects.Report(now)
 	if x.sent%identityEvery == 0 || m.Leaving || now.Sub(x.started) < staleAfter {
 		m.Domain, m.Address, m.PeerAddress = x.options.Self.Domain, x.options.Self.Address, x.options.Self.PeerAddress
 	}
@@ -415,7 +418,8 @@
 	rank = max(0, rank)
 	m := x.self(now)
 	m.Domain = x.options.Self.Domain
-	m.Report, m.Members = x.sum(now, report), x.members(now)
+	m.Suspects = x.options.Suspects.Report(now)
+	m.Report, m.Members = x.sum(now, report, m.Suspects), x.members(now)
 	for name, d := range x.domains {
 		if !all && now.Before(d.next) {
 			continue
@@ -496,8 +500,8 @@
 	return list
 }
 
-// sum adds up the reports of the own domain.
-func (x *Exchange) sum(now time.Time, own balance.Report) balance.Report {
+// sum adds the reports of the rest of the own domain to this instance's.
+func (x *Exchange) sum(now time.Time, own balance.Report, suspects map[uint64]int) balance.Report {
 	for _, m := range x.mates {
 		if now.Sub(m.heard) >= x.silence() {
 			continue
@@ -508,6 +512,9 @@
 		for hash, r := range m.last.Report.Rates {
 			own.Rates[hash] += r
 		}
+		for fingerprint, n := range m.last.Suspects {
+			suspects[fingerprint] += n
+		}
 	}
 	return own
 }
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -54,7 +54,7 @@
 	m := &member{balancer: balance.New(balance.Options{Name: in.Name, Domain: in.Domain, Region: in.Region, Regions: regions}, time.Now())}
 	m.inTouch.Store(true)
 	x, err := Listen(Options{Self: in, Regions: regions, Events: events.New(&log.Logger{Handler: events.NewDroppingHandler(io.Discard)}),
-		Balancer: m.balancer, Revision: m.revision.Load, Ready: func() bool { return true }, Leaving: m.leaving.Load,
+		Balancer: m.balancer, Suspects: balance.NewSuspects(), Revision: m.revision.Load, Ready: func() bool { return true }, Leaving: m.leaving.Load,
 		InTouch: m.inTouch.Load, Changed: m.balancer.SetInstances, Advanced: func() { m.advanced.Add(1) }})
 	require.NoError(t, err)
 	m.Exchange = x
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -27,6 +27,7 @@
 	Echo        uint64 // Sent of the last message that the sender has from this peer; 0 for none.
 	Held        uint64 // Microseconds since that one arrived.
 	Report      balance.Report
+	Suspects    map[uint64]int // Crashes in a row by the short fingerprint of a request.
 	// Members is set in digests: the live instances of the sender's domain.
 	// Report is then the sum of theirs.
 	Members []Member
@@ -67,6 +68,7 @@
 	fieldMember // A Member with the fields of Message, once for each.
 	fieldRelayed
 	fieldRoundTrip
+	fieldSuspects // Fixed64 fingerprint and varint count, packed.
 )
 
 // Append encodes a message.
@@ -123,6 +125,15 @@
 }
 
 func (m *Message) appendReport(b []byte) []byte {
+	if len(m.Suspects) > 0 {
+		var packed []byte
+		for fingerprint, n := range m.Suspects {
+			packed = protowire.AppendFixed64(packed, fingerprint)
+			packed = protowire.AppendVarint(packed, uint64(n))
+		}
+		b = protowire.AppendTag(b, fieldSuspects, protowire.BytesType)
+		b = protowire.AppendBytes(b, packed)
+	}
 	if len(m.Report.InFlight) > 0 {
 		var packed []byte
 		for hash, n := range m.Report.InFlight {
@@ -252,6 +263,8 @@
 			return false
 		}
 		m.Members = append(m.Members, member)
+	case fieldSuspects:
+		return m.setSuspects(v)
 	case fieldInFlight:
 		return eachPair(v, func(hash uint32, rest []byte) int {
 			count, n := protowire.ConsumeVarint(rest)
@@ -268,6 +281,24 @@
 	return true
 }
 
+func (m *Message) setSuspects(b []byte) bool {
+	m.Suspects = map[uint64]int{}
+	for len(b) > 0 {
+		fingerprint, n := protowire.ConsumeFixed64(b)
+		if n < 0 {
+			return false
+		}
+		b = b[n:]
+		count, n := protowire.ConsumeVarint(b)
+		if n < 0 {
+			return false
+		}
+		b = b[n:]
+		m.Suspects[fingerprint] = int(count)
+	}
+	return true
+}
+
 // eachPair calls take for each hash in packed pairs; take returns the length
 // of the value behind it.
 func eachPair(b []byte, take func(hash uint32, rest []byte) int) bool {
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -21,6 +21,9 @@
 		Report: balance.Report{InFlight: rapid.MapOf(rapid.Uint32(), rapid.IntRange(0, 1<<20)).Draw(t, "inFlight"),
 			Rates: map[uint32]float64{7: 1.5}},
 	}
+	if rapid.Bool().Draw(t, "suspects") {
+		m.Suspects = map[uint64]int{rapid.Uint64().Draw(t, "fingerprint"): 3}
+	}
 	for range rapid.IntRange(0, 3).Draw(t, "members") {
 		m.Members = append(m.Members, Member{Name: rapid.StringN(1, 5, -1).Draw(t, "member"), Address: text.Draw(t, "a"),
 			Ready: rapid.Bool().Draw(t, "r")})
--- a/node/node.go
+++ b/node/node.go
@@ -54,6 +54,7 @@
 	events   *events.Log
 	mirror   *mirror.Mirror
 	balancer *balance.Balancer
+	suspects *balance.Suspects
 	exchange *gossip.Exchange
 	gateway  *gateway.Gateway
 	server   *gateway.Server
@@ -71,7 +72,7 @@
 func New(o Options) (*Node, error) {
 	s := o.Settings
 	now := time.Now()
-	n := &Node{options: o, settings: s, events: events.New(o.Log), forward: forward.New()}
+	n := &Node{options: o, settings: s, events: events.New(o.Log), forward: forward.New(), suspects: balance.NewSuspects()}
 	n.self = steering.Instance{Name: s.Name, Domain: s.Domain, Region: s.Region, Address: s.Callers,
 		PeerAddress: s.Peer, Incarnation: uint64(now.UnixNano())}
 	n.balancer = balance.New(balance.Options{Name: s.Name, Domain: s.Domain, Region: s.Region, Regions: s.Regions,
@@ -85,12 +86,12 @@
 	}
 	n.life = chart.NewMachine(func(_, _, to string) { n.leaving.Store(to != "starting" && to != "serving") })
 	n.exchange, err = gossip.Listen(gossip.Options{Self: n.self, Regions: s.Regions, Events: n.events,
-		Balancer: n.balancer, Revision: n.mirror.Revision, Ready: n.ready, Leaving: n.leaving.Load, InTouch: n.inTouch,
+		Balancer: n.balancer, Suspects: n.suspects, Revision: n.mirror.Revision, Ready: n.ready, Leaving: n.leaving.Load, InTouch: n.inTouch,
 		Changed: n.balancer.SetInstances, Advanced: n.mirror.Wake})
 	if err != nil {
 		return nil, fmt.Errorf("listen for messages of instances: %w", err)
 	}
-	n.gateway = gateway.New(gateway.Options{World: n.mirror.World, Balancer: n.balancer, Budget: balance.NewBudget(s.Bounds),
+	n.gateway = gateway.New(gateway.Options{World: n.mirror.World, Balancer: n.balancer, Suspects: n.suspects, Budget: balance.NewBudget(s.Bounds),
 		Forwarder: n.forward, Headers: o.Headers, Events: n.events, Live: func() int { return len(n.exchange.Live()) }})
 	listener, err := net.Listen("tcp", s.Callers)
 	if err != nil {
