--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -8,17 +8,17 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/standin/wiresite"
 )
 
 const (
-	host            = "shop.example"
 	requestDeadline = 2 * time.Second
 	callerPause     = 15 * time.Millisecond
+	objects         = 20 // Different objects that requests concern.
 )
 
 // told is what a caller was told about a request.
@@ -87,7 +87,7 @@
 		return true
 	}
 	c.at = c.run.instances[c.random.IntN(len(c.run.instances))]
-	conn, err := net.DialTimeout("tcp", net.JoinHostPort(c.at.host, callerPort), 500*time.Millisecond)
+	conn, err := net.DialTimeout("tcp", wiresite.Callers(c.at.host), 500*time.Millisecond)
 	if err != nil {
 		return false
 	}
@@ -105,10 +105,7 @@
 		method, path, body = "GET", "/safe/"+id, ""
 	}
 	_ = c.conn.SetDeadline(o.sent.Add(requestDeadline + time.Second))
-	head := []string{method + " " + path + " HTTP/1.1", "Host: " + host, platform.HeaderRequestID + ": " + id,
-		fmt.Sprintf("%s: %d", platform.HeaderDeadline, requestDeadline.Milliseconds()),
-		fmt.Sprintf("Cookie: X-Jacinthstall-Affinity-Key=%d", c.random.IntN(20)), fmt.Sprint("Content-Length: ", len(body))}
-	_, err := io.WriteString(c.conn, strings.Join(head, "\r\n")+"\r\n\r\n"+body)
+	_, err := io.WriteString(c.conn, wiresite.Request(method, path, id, fmt.Sprint(c.random.IntN(objects)), body, requestDeadline))
 	if err == nil {
 		err = c.receive(method, &o)
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,9 +1,7 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -11,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/jacinthstall/jacinthstall/standin/wiresite"
 )
 
 // instance is an entry instance as a process of its own.
@@ -25,29 +25,13 @@
 	stopping bool // A planned stop is under way.
 }
 
-const (
-	callerPort    = "8001"
-	readyPort     = "8002"
-	directoryPort = "8003"
-)
-
 // writeSettings writes the platform's settings file of the instance.
-func (in *instance) writeSettings(domains map[string]string, store string) error {
-	at := func(port string) string { return net.JoinHostPort(in.host, port) }
-	src, err := json.Marshal(map[string]any{
-		"node": in.name, "bindIp": in.host, "zone": in.domain, "region": domains[in.domain], "zones": domains,
-		"listen":        map[string]string{"front": at(callerPort), "ready": at(readyPort), "directory": at(directoryPort)},
-		"internalPorts": []int{8010, 8020}, "heartbeat": "1500ms", "limits": map[string]int{"memoryMb": 128},
-		"bounds": map[string]any{"stability": "3000ms", "drain": "2500ms", "grace": "6s", "ttl_max": "5s",
-			"retryRatio": 0.2, "retryWindow": "10s", "retrySlack": 56, "shiftMost": 0.15},
-		"platform": map[string]string{"address": store},
-	})
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(filepath.Join(in.dir, "settings.json"), src, 0o600)
+func (in *instance) writeSettings(store string) error {
+	return os.WriteFile(in.settingsFile(), wiresite.Settings(in.name, in.domain, in.host, domains, store), 0o600)
 }
 
+func (in *instance) settingsFile() string { return filepath.Join(in.dir, "settings.json") }
+
 // start runs the process. Its log goes to a file.
 func (in *instance) start() error {
 	in.mu.Lock()
@@ -57,7 +41,7 @@
 		return err
 	}
 	cmd := exec.Command(in.binary)
-	cmd.Env = append(os.Environ(), "JACINTHSTALL_NODE_FILE="+filepath.Join(in.dir, "settings.json"))
+	cmd.Env = append(os.Environ(), wiresite.SettingsVariable+"="+in.settingsFile())
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", in.name, err)
@@ -110,7 +94,7 @@
 
 func (in *instance) ready() bool {
 	client := http.Client{Timeout: time.Second}
-	r, err := client.Get("http://" + net.JoinHostPort(in.host, readyPort) + "/-/ready")
+	r, err := client.Get(wiresite.ReadyURL(in.host))
 	if err != nil {
 		return false
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,6 +14,7 @@
 
 	"github.com/jacinthstall/jacinthstall/internal/loopback"
 	"github.com/jacinthstall/jacinthstall/standin/metastore"
+	"github.com/jacinthstall/jacinthstall/standin/wiresite"
 	"github.com/jacinthstall/jacinthstall/standin/wiretarget"
 )
 
@@ -63,6 +63,9 @@
 const (
 	startLimit  = 15 * time.Second
 	targetSlots = 6
+	service     = "s"
+	// routeTimeout is shorter than the callers' deadline, so that it shows.
+	routeTimeout = 1800 * time.Millisecond
 )
 
 // Soak starts a deployment, runs load and faults, and checks the promises.
@@ -138,18 +141,11 @@
 // configure writes the next version. All versions have the routes of the load.
 func (r *Run) configure() {
 	version := r.version.Add(1)
-	route := func(kind string) map[string]any {
-		return map[string]any{"host": host, "prefix": "/" + kind + "/", "routeKind": kind, "timeout": "1800ms", "goal": "400ms",
-			"service": "s", "attempts": 2, "sticky": true}
+	route := func(name string, idempotent bool) wiresite.Route {
+		return wiresite.Route{Segment: name, Idempotent: idempotent, Timeout: routeTimeout}
 	}
-	value, err := json.Marshal(map[string]any{"version": fmt.Sprintf("r%d", version),
-		"routes":   map[string]any{"safe": route("safe"), "unsafe": route("unsafe"), fmt.Sprint("extra", version): route("extra")},
-		"services": map[string]any{"s": map[string]any{"maxConns": 200, "coldStart": "1s", "coldPerS": 50}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": "15s"}})
-	if err != nil {
-		panic(err) // The value has no content that cannot be encoded.
-	}
-	r.store.Put("op/config", value)
+	r.store.Put(wiresite.ConfigKey, wiresite.Config(version, service, route("safe", true), route("unsafe", false),
+		route(fmt.Sprint("extra", version), true)))
 }
 
 func (r *Run) addTarget(i int) error {
@@ -174,13 +170,8 @@
 
 // record writes the record of a target, as the target itself does.
 func (r *Run) record(i int, state string) {
-	value, err := json.Marshal(map[string]any{"address": r.toTargets[i].listener.Addr().String(), "born": 1,
-		"details": map[string]any{"service": "s", "zone": r.records[i], "concurrency": targetSlots, "version": "v1"},
-		"status":  map[string]any{"state": state, "sequence": 1, "coldLeft": "0ms"}})
-	if err != nil {
-		panic(err) // The value has no content that cannot be encoded.
-	}
-	r.store.Put(fmt.Sprint("servers/t", i), value)
+	id := fmt.Sprint("t", i)
+	r.store.Put(wiresite.TargetKey(id), wiresite.Target(service, r.records[i], r.toTargets[i].listener.Addr().String(), state, targetSlots))
 }
 
 func (r *Run) addInstance(i int, store string) error {
@@ -195,7 +186,7 @@
 	if err := os.MkdirAll(in.dir, 0o700); err != nil {
 		return err
 	}
-	if err := in.writeSettings(domains, p.listener.Addr().String()); err != nil {
+	if err := in.writeSettings(p.listener.Addr().String()); err != nil {
 		return err
 	}
 	r.instances = append(r.instances, in)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -23,6 +23,7 @@
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/settings"
 	"github.com/jacinthstall/jacinthstall/standin/metastore"
+	"github.com/jacinthstall/jacinthstall/standin/wiresite"
 	"github.com/jacinthstall/jacinthstall/standin/wiretarget"
 )
 
@@ -51,7 +52,7 @@
 	h := metastore.NewServer(d.store, listener)
 	go func() { _ = h.Run() }()
 	t.Cleanup(func() { _ = h.Close() })
-	d.configure(1, "/app/")
+	d.configure(1, "app")
 	for i, domain := range []string{"a1", "a2", "b1"} {
 		d.addTarget(fmt.Sprint("t", i), domain)
 	}
@@ -59,9 +60,8 @@
 }
 
 // configure writes a configuration with one route.
-func (d *deployment) configure(version int, prefix string) {
-	d.store.Put("op/config", []byte(fmt.Sprintf(`{"version":"r%d","routes":{"r":{"host":"shop.example","prefix":%q,"routeKind":"safe",
-"timeout":"2s","goal":"400ms","service":"s","attempts":2,"sticky":true}},"services":{"s":{"maxConns":100}},"limits":{"idleTimeout":"10s"}}`, version, prefix)))
+func (d *deployment) configure(version int64, segment string) {
+	d.store.Put(wiresite.ConfigKey, wiresite.Config(version, "s", wiresite.Route{Segment: segment, Idempotent: true, Timeout: 2 * time.Second}))
 }
 
 func (d *deployment) addTarget(id, domain string) {
@@ -76,11 +76,7 @@
 }
 
 func (d *deployment) setTarget(id, domain, address, state string) {
-	value, err := json.Marshal(map[string]any{"address": address, "born": 1,
-		"details": map[string]any{"service": "s", "zone": domain, "concurrency": 8},
-		"status":  map[string]any{"state": state, "sequence": 1, "coldLeft": "0ms"}})
-	require.NoError(d.t, err)
-	d.store.Put("servers/"+id, value)
+	d.store.Put(wiresite.TargetKey(id), wiresite.Target("s", domain, address, state, 8))
 }
 
 func (d *deployment) startNode(name, domain string) *running {
@@ -196,7 +192,7 @@
 	for _, n := range d.nodes {
 		eventually(t, "serves", func() bool { return n.serves("/app/x") })
 	}
-	d.configure(5, "/new/")
+	d.configure(5, "new")
 	started := time.Now()
 	for _, n := range d.nodes {
 		eventually(t, "new route", func() bool { return n.serves("/new/x") })
--- /dev/null
+++ b/standin/wiresite/wiresite.go
@@ -0,0 +1,103 @@
+// Package wiresite writes what the platform, its operators, targets and
+// callers write, for the soak and tests: settings files, records of the store
+// and requests.
+package wiresite
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/platform"
+)
+
+// SettingsVariable names the environment variable with the path of the
+// settings file.
+const SettingsVariable = "JACINTHSTALL_NODE_FILE"
+
+// Host is the host of all routes.
+const Host = "shop.example"
+
+// Ports of an instance.
+const (
+	callerPort    = "8001"
+	readyPort     = "8002"
+	directoryPort = "8003"
+	firstOwnPort  = 8010
+	lastOwnPort   = 8020
+)
+
+// Callers returns the address for callers of an instance at a host.
+func Callers(host string) string { return net.JoinHostPort(host, callerPort) }
+
+// ReadyURL returns where an instance at a host tells whether it is ready.
+func ReadyURL(host string) string { return "http://" + net.JoinHostPort(host, readyPort) + "/-/ready" }
+
+// Settings returns the settings file of an instance. Domains maps failure
+// domains to regions; store is an ip:port address.
+func Settings(name, domain, host string, domains map[string]string, store string) []byte {
+	return encode(map[string]any{
+		"node": name, "bindIp": host, "zone": domain, "region": domains[domain], "zones": domains,
+		"listen": map[string]string{"front": Callers(host), "ready": net.JoinHostPort(host, readyPort),
+			"directory": net.JoinHostPort(host, directoryPort)},
+		"internalPorts": []int{firstOwnPort, lastOwnPort}, "heartbeat": "1500ms", "limits": map[string]int{"memoryMb": 128},
+		"bounds": map[string]any{"stability": "3000ms", "drain": "2500ms", "grace": "6s", "ttl_max": "5s",
+			"retryRatio": 0.2, "retryWindow": "10s", "retrySlack": 56, "shiftMost": 0.15},
+		"platform": map[string]string{"address": store},
+	})
+}
+
+// Route is a route of a configuration; its name is that of its first path
+// segment.
+type Route struct {
+	Segment    string
+	Idempotent bool
+	Timeout    time.Duration
+}
+
+// ConfigKey is the key of the configuration.
+const ConfigKey = "op/config"
+
+// Config returns a configuration with routes to one service.
+func Config(version int64, service string, routes ...Route) []byte {
+	table := map[string]any{}
+	for _, r := range routes {
+		kind := "unsafe"
+		if r.Idempotent {
+			kind = "safe"
+		}
+		table[r.Segment] = map[string]any{"host": Host, "prefix": "/" + r.Segment + "/", "routeKind": kind,
+			"timeout": r.Timeout.String(), "goal": "400ms", "service": service, "attempts": 2, "sticky": true}
+	}
+	return encode(map[string]any{"version": fmt.Sprintf("r%d", version), "routes": table,
+		"services": map[string]any{service: map[string]any{"maxConns": 200, "coldStart": "1s", "coldPerS": 50}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": "15s"}})
+}
+
+// TargetKey is the key of a target's record.
+func TargetKey(id string) string { return "servers/" + id }
+
+// Target returns the record of a target; state is "ready" or "draining".
+func Target(service, domain, address, state string, slots int) []byte {
+	return encode(map[string]any{"address": address, "born": 1,
+		"details": map[string]any{"service": service, "zone": domain, "concurrency": slots, "version": "v1"},
+		"status":  map[string]any{"state": state, "sequence": 1, "coldLeft": "0ms"}})
+}
+
+// Request returns a request as a caller sends it.
+func Request(method, path, id, object, body string, deadline time.Duration) string {
+	lines := []string{method + " " + path + " HTTP/1.1", "Host: " + Host, platform.HeaderRequestID + ": " + id,
+		fmt.Sprintf("%s: %d", platform.HeaderDeadline, deadline.Milliseconds()),
+		"Cookie: X-Jacinthstall-Affinity-Key=" + object, fmt.Sprint("Content-Length: ", len(body))}
+	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+}
+
+func encode(v any) []byte {
+	src, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // The values here have no content that cannot be encoded.
+	}
+	return src
+}
--- a/test.sh
+++ b/test.sh
@@ -9,6 +9,13 @@
   echo "gofmt would change: $unformatted" >&2
   exit 1
 fi
+# Names of the platform are decoded in platform/ only; stand-ins and tests write them.
+outside=$(git grep -nE '"/-/(resolve|ready|kv-)|"(expectRev|seedNodes|routeKind|homeRegions|coldLeft|ttl_time)"|"op/(config|evacuate)|X-Jacinthstall-|JACINTHSTALL_NODE_FILE' -- '*.go' ':!platform' ':!standin' ':!*_test.go' || true)
+if [ -n "$outside" ]; then
+  echo "names of the platform outside platform/:" >&2
+  echo "$outside" >&2
+  exit 1
+fi
 go vet ./...
 (cd tools && go build -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck)
 bin/staticcheck ./...
