End attempts at targets that have gone without closing their connections

Change: bytes that a target leaves unacknowledged end its connection after 0.65 s and two round trips; two connection attempts without any answer end all attempts there; answers of the system leave 20 ms before the caller's deadline.

Keep-alive probes were tried first and changed nothing: their unit is the second.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,11 +45,14 @@
 	speed    float64 // Observed time by expected time; 1 is usual.
 	failing  float64 // Part of the recent answers that are failures.
 	failures int     // Failures in a row.
-	down     bool    // It has refused or ended connections and not answered since.
-	avoid    time.Time
-	cold     time.Time
-	token    time.Time // When the next request may go there while it is cold.
-	warm     *recent   // Objects that it has handled.
+	// unanswered is the number of connection attempts in a row that nothing
+	// answered.
+	unanswered int
+	down       bool // It has refused or ended connections and not answered since.
+	avoid      time.Time
+	cold       time.Time
+	token      time.Time // When the next request may go there while it is cold.
+	warm       *recent   // Objects that it has handled.
 }
 
 // service is what is known of a service.
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -82,3 +82,14 @@
 	home = pick(t, b, start.Add(time.Second), want("x"))
 	assert.NotNil(t, b.Done(start.Add(time.Second), home, balance.Observation{Result: balance.Shed, Told: true, Executing: 1}))
 }
+
+// Pattern: a target loses power while it executes requests. Their connections
+// stay open; only that nothing answers new ones shows it.
+func TestTargetThatAnswersNoConnectionAttemptsIsLost(t *testing.T) {
+	b := newBalancer("n1", "a1")
+	b.SetWorld(start, world(1, 4))
+	one, two, three := pick(t, b, start, want("x")), pick(t, b, start, want("x")), pick(t, b, start, want("x"))
+	assert.False(t, fail(b, start, one, balance.Unresponsive).Lost)
+	assert.True(t, fail(b, start, two, balance.Unresponsive).Lost)
+	assert.False(t, fail(b, start, three, balance.Unreachable).Lost, "a refusal is an answer")
+}
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -7,14 +7,15 @@
 
 // Results.
 const (
-	Answered    Result = iota // A whole answer, that is not a failure of the target.
-	Failed                    // A whole answer that says that the target failed.
-	Shed                      // The target did not execute the request.
-	Misdirected               // Another target has the address.
-	Unreachable               // No connection; the target saw nothing.
-	Broken                    // The connection ended or the answer cannot be used.
-	Silent                    // No answer until the attempt was given up.
-	Abandoned                 // The caller left, or the attempt was cut for another reason.
+	Answered     Result = iota // A whole answer, that is not a failure of the target.
+	Failed                     // A whole answer that says that the target failed.
+	Shed                       // The target did not execute the request.
+	Misdirected                // Another target has the address.
+	Unreachable                // No connection; the target saw nothing.
+	Unresponsive               // As Unreachable, and nothing answered the attempt.
+	Broken                     // The connection ended or the answer cannot be used.
+	Silent                     // No answer until the attempt was given up.
+	Abandoned                  // The caller left, or the attempt was cut for another reason.
 )
 
 const (
@@ -46,8 +47,15 @@
 	Target   string
 	Failures int
 	For      time.Duration
+	// Lost says that the target answers no connection attempts: it has lost
+	// power or the way to it, and answers to what it was sent will not come.
+	Lost bool
 }
 
+// lostAfter is the number of connection attempts in a row without any answer
+// after which a target counts as lost.
+const lostAfter = 2
+
 // Done ends a grant. It returns the target when it is avoided from now on.
 func (b *Balancer) Done(now time.Time, g Grant, o Observation) *Avoided {
 	b.mu.Lock()
@@ -76,7 +84,7 @@
 		// The record changes soon; until then the address is another target's.
 		t.avoid = now.Add(lastAvoid)
 		return &Avoided{Target: t.record.ID, For: lastAvoid}
-	case Unreachable, Broken, Silent:
+	case Unreachable, Unresponsive, Broken, Silent:
 		return b.broke(now, t, o.Result)
 	}
 	return nil
@@ -85,7 +93,7 @@
 // answered learns from a good answer.
 func (b *Balancer) answered(now time.Time, t *target, g Grant, took time.Duration) {
 	t.failing -= averageWeight * t.failing
-	t.failures = 0
+	t.failures, t.unanswered = 0, 0
 	if t.down {
 		t.down = false
 		t.cold = now.Add(b.coldTime(t.record.Service))
@@ -124,13 +132,18 @@
 func (b *Balancer) broke(now time.Time, t *target, r Result) *Avoided {
 	t.failures++
 	t.failing += averageWeight * (1 - t.failing)
-	if r == Unreachable {
+	unreachable := r == Unreachable || r == Unresponsive
+	if unreachable {
 		t.down = true
 	}
-	if r != Unreachable && t.failures < 2 {
+	t.unanswered++
+	if r != Unresponsive {
+		t.unanswered = 0
+	}
+	if !unreachable && t.failures < 2 {
 		return nil
 	}
 	pause := min(lastAvoid, firstAvoid<<min(8, t.failures-1))
 	t.avoid = now.Add(pause)
-	return &Avoided{Target: t.record.ID, Failures: t.failures, For: pause}
+	return &Avoided{Target: t.record.ID, Failures: t.failures, For: pause, Lost: t.unanswered >= lostAfter}
 }
--- a/events/steering.go
+++ b/events/steering.go
@@ -55,7 +55,7 @@
 	RequestEnded = define(Event{Number: 522, Name: "request-ended", Level: log.InfoLevel,
 		Message: "request answered", Fields: []string{"request", "route", "status", "origin", "reason", "attempts", "tookMs", "version"}, Action: "none"})
 	TargetAvoided = define(Event{Number: 523, Name: "target-avoided", Level: log.WarnLevel,
-		Message: "target gets no requests for a while", Fields: []string{"target", "reason", "failures", "forMs"}, Action: "look at the target"})
+		Message: "target gets no requests for a while", Fields: []string{"target", "reason", "failures", "forMs", "lost"}, Action: "look at the target"})
 	AcceptFailed = define(Event{Number: 525, Name: "accept-failed", Level: log.WarnLevel,
 		Message: "connection of a caller was not accepted", Fields: []string{"error"}, Action: "look for a lack of descriptors"})
 	RequestNotPlaced = define(Event{Number: 526, Name: "request-not-placed", Level: log.InfoLevel,
--- a/forward/unanswered_linux.go
+++ b/forward/unanswered_linux.go
@@ -8,7 +8,7 @@
 )
 
 // limitUnanswered sets TCP_USER_TIMEOUT: a connection whose peer has gone
-// without a reset then fails instead of hanging.
+// without a reset then fails when bytes are under way, instead of hanging.
 func limitUnanswered(c *net.TCPConn, d time.Duration) error {
 	raw, err := c.SyscallConn()
 	if err != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -20,11 +21,13 @@
 	// heldAnswerBytes is the largest answer that is read whole before its first
 	// byte goes to the caller. A broken one can then be replaced.
 	heldAnswerBytes = 128 << 10
-	// dialBase and dialPerTrip make up the time for opening a connection.
-	dialBase    = 150 * time.Millisecond
-	dialPerTrip = 2
-	// unanswered bounds how long a target may leave bytes unacknowledged.
-	unanswered = 1200 * time.Millisecond
+	// dialBase is the time for opening a connection, beyond two round trips.
+	dialBase = 150 * time.Millisecond
+	// roundTrips is how many of them bounds on connections leave.
+	roundTrips = 2
+	// unanswered bounds how long a target may leave bytes unacknowledged, beyond
+	// two round trips. Two retransmissions fit into it, after 200 and 400 ms.
+	unanswered = 650 * time.Millisecond
 )
 
 // ended is how an attempt ended.
@@ -44,13 +47,22 @@
 		events.Int("loadAgeMs", grant.LoadAge.Milliseconds()), events.Int("expectedMs", grant.Expected.Milliseconds()),
 		events.Int("leftMs", r.deadline.Sub(started).Milliseconds()), events.Uint("version", uint64(r.version)))
 	out := g.outgoing(r, grant, started)
+	trips := roundTrips * g.Balancer.RoundTrip(grant.Region)
 	to := forward.Target{Address: grant.Target.Address, Connections: g.connections(grant.Target.Service),
-		DialTimeout: dialBase + dialPerTrip*g.Balancer.RoundTrip(grant.Region), Unanswered: unanswered}
-	got, err := g.Forwarder.Do(ctx, to, out)
+		DialTimeout: dialBase + trips, Unanswered: unanswered + trips}
+	sent, done := g.flights.enter(ctx, grant.Target.ID)
+	got, err := g.Forwarder.Do(sent, to, out)
 	if err != nil {
-		return g.noAnswer(ctx, r, grant, started, err)
+		done()
+		return g.noAnswer(ctx, sent, r, grant, started, err)
 	}
-	return g.gotAnswer(ctx, r, grant, started, got)
+	e := g.gotAnswer(ctx, r, grant, started, got)
+	if e.answer != nil && e.answer.stream != nil {
+		e.answer.stream = &cancelling{ReadCloser: e.answer.stream, cancel: done}
+	} else {
+		done()
+	}
+	return e
 }
 
 func (g *Gateway) outgoing(r *carried, grant balance.Grant, now time.Time) *forward.Request {
@@ -80,7 +92,7 @@
 }
 
 // noAnswer ends an attempt without an answer's head.
-func (g *Gateway) noAnswer(ctx context.Context, r *carried, grant balance.Grant, started time.Time, err error) ended {
+func (g *Gateway) noAnswer(ctx, sent context.Context, r *carried, grant balance.Grant, started time.Time, err error) ended {
 	var failure *forward.Error
 	stage := forward.StageWritten
 	if errors.As(err, &failure) {
@@ -88,7 +100,10 @@
 	}
 	result := balance.Broken
 	e := ended{again: r.route.Idempotent}
+	var dial net.Error
 	switch {
+	case errors.Is(context.Cause(sent), errTargetLost):
+		result = balance.Abandoned // What is known of the target already.
 	case ctx.Err() == context.Canceled:
 		result = balance.Abandoned
 	case stage == forward.StageConnect && errors.Is(err, forward.ErrConnectionLimit):
@@ -97,6 +112,9 @@
 		result, e.unreached = balance.Silent, true
 	case stage == forward.StageConnect:
 		result, e.unreached, e.again = balance.Unreachable, true, true
+		if errors.As(err, &dial) && dial.Timeout() {
+			result = balance.Unresponsive
+		}
 	case ctx.Err() != nil:
 		result = balance.Silent
 	}
@@ -217,7 +235,10 @@
 	g.count.attempt(o.Result)
 	if avoided := g.Balancer.Done(now, grant, o); avoided != nil {
 		g.events.Emit(events.TargetAvoided, log.Fields{"target": avoided.Target, "reason": cause,
-			"failures": avoided.Failures, "forMs": avoided.For.Milliseconds()})
+			"failures": avoided.Failures, "forMs": avoided.For.Milliseconds(), "lost": avoided.Lost})
+		if avoided.Lost {
+			g.flights.end(avoided.Target)
+		}
 	}
 	if cause == "" {
 		return
--- a/gateway/policy_test.go
+++ b/gateway/policy_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -38,3 +39,18 @@
 	}
 	assert.Zero(t, p.elapsed("r", time.Second), "a change of habit is learnt")
 }
+
+// Guards against requests that wait for their deadline at a target that is
+// known to have gone.
+func TestAttemptsAtALostTargetEnd(t *testing.T) {
+	var f flights
+	lost, doneLost := f.enter(context.Background(), "a")
+	other, doneOther := f.enter(context.Background(), "b")
+	f.end("a")
+	assert.ErrorIs(t, context.Cause(lost), errTargetLost)
+	assert.NoError(t, other.Err())
+	doneLost()
+	doneOther()
+	assert.Empty(t, f.targets)
+	f.end("a")
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -25,6 +25,8 @@
 	maxUnreached = 4
 	// shedReturn is when to come back after targets had no room.
 	shedReturn = 200 * time.Millisecond
+	// answerMargin is left of the caller's time for the way of the last answer.
+	answerMargin = 20 * time.Millisecond
 	// suspectReturn is when to come back with a request that may crash targets.
 	suspectReturn = 2 * time.Second
 )
@@ -62,6 +64,7 @@
 	events   *events.Log
 	splits   splits
 	patience patience
+	flights  flights
 	count    Counters
 }
 
@@ -139,7 +142,7 @@
 	r.deadline, r.first = r.arrived.Add(r.route.Timeout), r.arrived
 	if d, ok := g.Headers.Deadline(r.http.Header); ok {
 		r.first = r.arrived.Add(-g.patience.elapsed(r.route.Name, d))
-		if left := r.arrived.Add(d); left.Before(r.deadline) || r.route.Timeout == 0 {
+		if left := r.arrived.Add(d - answerMargin); left.Before(r.deadline) || r.route.Timeout == 0 {
 			r.deadline = left
 		}
 	}
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -11,13 +11,20 @@
 
 var next atomic.Uint32
 
-// Host returns an IP number that no other test of this or another process uses.
-// A process has 254 of them.
+const (
+	// perByte is how many hosts differ in the last byte only.
+	perByte = 250
+	// perProcess is the number of hosts of a process.
+	perProcess = 16 * perByte
+)
+
+// Host returns an IP number that no other test of this process uses, nor of
+// another one whose ID is near.
 func Host() string {
 	pid := uint32(os.Getpid())
-	n := next.Add(1)
-	if n > 254 {
+	n := next.Add(1) - 1
+	if n >= perProcess {
 		panic("loopback: out of hosts")
 	}
-	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%254, pid%256, n)
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid%250, (pid/250%16)*16+n/perByte, 1+n%perByte)
 }
