--- a/cmd/jacinth-node/main.go
+++ b/cmd/jacinth-node/main.go
@@ -52,7 +52,8 @@
 		return err
 	}
 	n, err := node.New(node.Options{Settings: s, Platform: platform.Codec{}, Headers: platform.Headers{}, Store: store,
-		Log: logger.WithField("instance", s.Name), Reload: platform.LoadSettings})
+		Log: logger.WithField("instance", s.Name), Reload: platform.LoadSettings,
+		StoreCalls: store.Calls, DroppedLines: handler.Dropped})
 	if err != nil {
 		return err
 	}
--- a/events/handler_test.go
+++ b/events/handler_test.go
@@ -182,3 +182,25 @@
 			"service": "catalogue", "policyVersion": 7, "chosen": 8})
 	}
 }
+
+// stuckWriter blocks until it is released.
+type stuckWriter struct{ release chan struct{} }
+
+func (w stuckWriter) Write(b []byte) (int, error) {
+	<-w.release
+	return len(b), nil
+}
+
+// Guards against requests that wait for a log that is not read.
+func TestDroppingHandlerNeverBlocks(t *testing.T) {
+	w := stuckWriter{release: make(chan struct{})}
+	h := NewDroppingHandler(w)
+	l := New(&log.Logger{Handler: h, Level: log.DebugLevel})
+	const lines = 3 * ringLines
+	for range lines {
+		l.EmitFields(&RequestEnded, String("request", "r"))
+	}
+	assert.GreaterOrEqual(t, h.Dropped(), uint64(lines-2*ringLines))
+	close(w.release)
+	require.NoError(t, h.Close())
+}
--- a/events/steering.go
+++ b/events/steering.go
@@ -50,7 +50,7 @@
 	TargetChosen = define(Event{Number: 520, Name: "target-chosen", Level: log.InfoLevel,
 		Message: "request goes to a target", Fields: []string{"request", "route", "target", "object", "warm", "attempt", "load", "loadAgeMs", "expectedMs", "leftMs", "version"}, Action: "none"})
 	AttemptEnded = define(Event{Number: 521, Name: "attempt-ended", Level: log.InfoLevel,
-		Message: "attempt ended without a usable answer", Fields: []string{"request", "target", "attempt", "stage", "executed", "tookMs", "cause", "again"},
+		Message: "attempt ended without a usable answer", Fields: []string{"request", "target", "attempt", "result", "executed", "tookMs", "cause", "again"},
 		Action: "look at the target when it is named often"})
 	RequestEnded = define(Event{Number: 522, Name: "request-ended", Level: log.InfoLevel,
 		Message: "request answered", Fields: []string{"request", "route", "status", "origin", "reason", "attempts", "tookMs", "version"}, Action: "none"})
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -248,5 +248,5 @@
 		executed = "no"
 	}
 	g.events.Emit(events.AttemptEnded, log.Fields{"request": r.id, "target": grant.Target.ID, "attempt": r.sent + r.missed,
-		"stage": int(o.Result), "executed": executed, "tookMs": o.Took.Milliseconds(), "cause": cause, "again": e.again})
+		"result": resultNames[o.Result], "executed": executed, "tookMs": o.Took.Milliseconds(), "cause": cause, "again": e.again})
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -99,6 +99,15 @@
 	assert.Eventually(t, func() bool { return s.targets[0].Aborted() == 1 }, 500*time.Millisecond, time.Millisecond)
 }
 
+// Guards against a send that no target could answer: an attempt that failed
+// shortly before the route's time is over is not repeated.
+func TestNoAttemptIsMadeWithoutTimeForIt(t *testing.T) {
+	s := startSite(t, siteOptions{targets: slow(2, 250*time.Millisecond), timeout: 300 * time.Millisecond})
+	a := s.ask("GET", "/safe/x", "r1", "", wiretarget.HeaderFault+": "+wiretarget.FaultError)
+	assert.Equal(t, 500, a.StatusCode)
+	assert.Equal(t, 1, s.executed("r1"))
+}
+
 // Guards against "not run" for a request that has run, and against a second
 // execution of one that must run once.
 func TestRequestThatMustRunOnceIsNotRepeatedAfterAReset(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -27,6 +26,9 @@
 	shedReturn = 200 * time.Millisecond
 	// answerMargin is left of the caller's time for the way of the last answer.
 	answerMargin = 20 * time.Millisecond
+	// repeatPart is the part of the objective that must be left for another
+	// attempt. A target could not answer in less.
+	repeatPart = 0.25
 	// suspectReturn is when to come back with a request that may crash targets.
 	suspectReturn = 2 * time.Second
 )
@@ -203,6 +205,9 @@
 	if !e.again || r.stream != nil {
 		return false
 	}
+	if time.Until(r.deadline) < time.Duration(repeatPart*float64(r.route.Objective)) {
+		return false
+	}
 	if e.unreached {
 		return r.missed < maxUnreached
 	}
@@ -264,40 +269,3 @@
 const statusCallerLeft = 499
 
 func newChunks(w io.Writer) io.WriteCloser { return httputil.NewChunkedWriter(w) }
-
-// splits deals the requests of a route to its services in the proportion of
-// their weights (smooth weighted round robin).
-type splits struct {
-	mu   sync.Mutex
-	next map[string][]float64
-}
-
-func (s *splits) service(r *steering.Route) string {
-	if len(r.Split) == 1 {
-		return r.Split[0].Service
-	}
-	if len(r.Split) == 0 {
-		return ""
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	credit := s.next[r.Name]
-	if len(credit) != len(r.Split) {
-		credit = make([]float64, len(r.Split))
-		s.next[r.Name] = credit
-	}
-	total, best := 0.0, -1
-	for i, share := range r.Split {
-		weight := float64(max(0, share.Weight))
-		credit[i] += weight
-		total += weight
-		if weight > 0 && (best < 0 || credit[i] > credit[best]) {
-			best = i
-		}
-	}
-	if best < 0 {
-		return r.Split[0].Service
-	}
-	credit[best] -= total
-	return r.Split[best].Service
-}
--- /dev/null
+++ b/gossip/live.go
@@ -0,0 +1,142 @@
+package gossip
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/steering"
+)
+
+// interval is the pause between messages in the own domain.
+func (x *Exchange) interval() time.Duration {
+	return max(nearInterval, nearInterval*time.Duration(len(x.mates)+1)/fullDomain)
+}
+
+func (x *Exchange) silence() time.Duration {
+	return max(silentAfter, silentMessages*x.interval())
+}
+
+// Live returns the instances that take requests, this one included.
+func (x *Exchange) Live() []steering.Instance {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.live
+}
+
+// Watches reports whether this instance watches the store: it is a speaker of
+// its domain, or none of the speakers hears the store.
+func (x *Exchange) Watches() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	heard := false
+	for _, name := range x.speakers(time.Now()) {
+		if name == x.options.Self.Name {
+			return true
+		}
+		heard = heard || x.mates[name].last.InTouch
+	}
+	return !heard
+}
+
+// speakers returns the names of the instances that speak for the own domain.
+func (x *Exchange) speakers(now time.Time) []string {
+	names := []string{x.options.Self.Name}
+	for name, m := range x.mates {
+		if now.Sub(m.heard) < x.silence() && !m.last.Leaving {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names[:min(speakers, len(names))]
+}
+
+// Newest returns a live instance that has read the store farther than a
+// revision, from the own domain if there is one.
+func (x *Exchange) Newest(revision uint64) (steering.Instance, uint64, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	var best steering.Instance
+	top := revision
+	for _, m := range x.mates {
+		if now.Sub(m.heard) < x.silence() && m.last.Revision > top && m.instance.PeerAddress != "" {
+			best, top = m.instance, m.last.Revision
+		}
+	}
+	if best.Name != "" {
+		return best, top, true
+	}
+	for _, d := range x.domains {
+		if now.Sub(d.heard) < staleAfter && d.last.Revision > top {
+			if in, ok := x.identity(d.last.Name); ok {
+				best, top = in, d.last.Revision
+			}
+		}
+	}
+	return best, top, best.Name != ""
+}
+
+// identity returns what is known of an instance by its name.
+func (x *Exchange) identity(name string) (steering.Instance, bool) {
+	if in, ok := x.known[name]; ok {
+		return in, true
+	}
+	for _, in := range x.live {
+		if in.Name == name {
+			return in, true
+		}
+	}
+	return steering.Instance{}, false
+}
+
+// check finds instances and domains that have fallen silent, and tells when
+// the live instances have changed.
+func (x *Exchange) check(now time.Time) {
+	x.mu.Lock()
+	var live []steering.Instance
+	if !x.options.Leaving() {
+		live = append(live, x.options.Self)
+	}
+	live = append(live, x.liveMates(now)...)
+	for name, d := range x.domains {
+		if now.Sub(d.heard) >= staleAfter {
+			continue
+		}
+		for _, m := range d.last.Members {
+			if m.Ready && !m.Leaving && m.Address != "" {
+				live = append(live, steering.Instance{Name: m.Name, Domain: name, Region: x.options.Regions[name],
+					Address: m.Address, PeerAddress: m.PeerAddress})
+			}
+		}
+	}
+	slices.SortFunc(live, func(a, b steering.Instance) int { return strings.Compare(a.Name, b.Name) })
+	changed := !slices.Equal(live, x.live)
+	x.live = live
+	x.mu.Unlock()
+	if changed {
+		x.options.Changed(live)
+	}
+}
+
+func (x *Exchange) liveMates(now time.Time) []steering.Instance {
+	var live []steering.Instance
+	for name, m := range x.mates {
+		alive := now.Sub(m.heard) < x.silence()
+		if !alive && !m.silent {
+			m.silent = true
+			x.options.Events.Emit(events.PeerSilent, log.Fields{"peer": name, "domain": m.instance.Domain,
+				"silentMs": now.Sub(m.heard).Milliseconds()})
+		}
+		if alive && m.last.Ready && !m.last.Leaving && m.instance.Address != "" {
+			live = append(live, m.instance)
+		}
+		if !alive && now.Sub(m.heard) > forgetAfter && x.known[name].Name == "" {
+			delete(x.mates, name)
+		}
+	}
+	return live
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -136,6 +136,7 @@
 func (r *Run) storeLink(which int, lasts time.Duration) {
 	p := r.proxies[which%len(r.proxies)]
 	m := mode(1 + which/7%4)
+	r.log("link of %s to the store: %s", r.pick(which).name, modeNames[m])
 	r.disturb(r.pick(which), func() {
 		p.set(m)
 		time.Sleep(lasts)
@@ -146,6 +147,7 @@
 func (r *Run) targetLink(which int, lasts time.Duration) {
 	p := r.toTargets[which%len(r.toTargets)]
 	m := mode(1 + which/7%4)
+	r.log("links to target %d: %s", which%len(r.toTargets), modeNames[m])
 	r.disturb(nil, func() {
 		p.set(m)
 		time.Sleep(lasts)
--- a/kv/client.go
+++ b/kv/client.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/url"
 	"sync/atomic"
 	"time"
@@ -139,7 +138,7 @@
 func (c *Client) exchange(ctx context.Context, r request, into any) error {
 	status, body, err := c.do(ctx, r)
 	if err != nil {
-		return &Error{Op: r.op, Key: r.key, Kind: missingAnswer(err, r.lost), Cause: err}
+		return &Error{Op: r.op, Key: r.key, Kind: KindOfFailure(err, r.lost), Cause: err}
 	}
 	if kind := statusKind(status); kind != nil {
 		return &Error{Op: r.op, Key: r.key, Kind: kind}
@@ -169,16 +168,6 @@
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
 }
 
-// missingAnswer returns the kind of a call without an answer. A call whose
-// connection was never made had no effect.
-func missingAnswer(err, lost error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return ErrUnavailable
-	}
-	return lost
-}
-
 // statusKind maps a status to an error. Status 503 says that the call had no effect.
 func statusKind(status int) error {
 	switch status {
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 )
 
@@ -40,6 +41,17 @@
 	return text
 }
 
+// KindOfFailure returns the kind of a call without an answer; lost is that of a
+// call that may have been carried out. A call whose connection was never made
+// had no effect.
+func KindOfFailure(err, lost error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrUnavailable
+	}
+	return lost
+}
+
 // Unwrap returns the kind, so that errors.Is works with the errors above.
 func (e *Error) Unwrap() error { return e.Kind }
 
--- /dev/null
+++ b/mirror/peers.go
@@ -0,0 +1,86 @@
+package mirror
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/events"
+)
+
+// Since returns what has changed after a revision, for a peer: the changes as
+// far as they are still known, else all records.
+func (m *Mirror) Since(after uint64) Snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := Snapshot{Revision: m.revision}
+	if changes, ok := m.recent.since(after); ok {
+		s.Items = changes
+		return s
+	}
+	s.Whole = true
+	for _, k := range slices.Sorted(maps.Keys(m.items)) {
+		s.Items = append(s.Items, m.items[k])
+	}
+	return s
+}
+
+// Wake makes an instance that leaves the watch to others ask for changes now.
+func (m *Mirror) Wake() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// followPeer takes the changes from a peer that watches the store.
+func (m *Mirror) followPeer(ctx context.Context) {
+	m.lost = time.Time{}
+	m.fetch(ctx)
+	t := time.NewTimer(followPause)
+	defer t.Stop()
+	select {
+	case <-m.wake:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// askPeer takes the records of a peer that is ahead while the store does not
+// answer.
+func (m *Mirror) askPeer(ctx context.Context) {
+	if time.Since(m.asked) < peerPause {
+		return
+	}
+	m.asked = time.Now()
+	m.fetch(ctx)
+}
+
+func (m *Mirror) fetch(ctx context.Context) {
+	if m.options.Newer == nil {
+		return
+	}
+	peer, ok := m.options.Newer(m.Revision())
+	if !ok {
+		return
+	}
+	s, err := m.options.Fetch(ctx, peer, m.Revision())
+	if err != nil {
+		m.options.Events.Emit(events.PeerStateNotTaken, log.Fields{"peer": peer.Name, "error": err.Error()})
+		return
+	}
+	if s.Revision <= m.Revision() {
+		return
+	}
+	m.options.Events.Emit(events.PeerStateTaken, log.Fields{"peer": peer.Name, "revision": s.Revision, "items": len(s.Items)})
+	source := "peer " + peer.Name
+	if s.Whole {
+		m.replace(s.Items, s.Revision, time.Now(), source)
+		m.read = true
+		return
+	}
+	m.apply(s.Items, s.Revision, time.Now(), source)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,9 @@
 	Log      log.Interface
 	// Reload reads the settings again.
 	Reload func() (settings.Node, error)
+	// StoreCalls and DroppedLines count for the metrics; both may be nil.
+	StoreCalls   func() uint64
+	DroppedLines func() uint64
 }
 
 // Node is one entry instance.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -179,7 +179,9 @@
 	assert.ElementsMatch(t, []string{one.settings.Callers, two.settings.Callers}, three.resolve("a1"))
 	assert.Len(t, one.resolve("a2"), 2, "a domain without instances gets those of its region")
 	_, metrics := get("http://" + one.settings.Metrics + "/metrics")
-	assert.Contains(t, metrics, "jacinthstall_requests_total")
+	for _, name := range []string{"requests_total", "request_microseconds", "attempts_answered_total", "config_version", "instances_live"} {
+		assert.Contains(t, metrics, "jacinthstall_"+name)
+	}
 }
 
 // Guards against changes that do not come into force everywhere within seconds,
