--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -53,7 +53,7 @@
 	executed map[string]int // Executions by request ID.
 	aborted  int            // Executions whose caller left or whose deadline passed.
 	bodies   map[string]string
-	last     time.Time // Start of the last execution.
+	last     time.Time     // Start of the last execution.
 	free     chan struct{} // Holds a token for each free slot.
 }
 
