--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -158,9 +158,9 @@
 	return time.Time{}
 }
 
-// answered ends a request. It reports whether the connection closes after its
-// answer, which is decided before the answer's head is written.
-func (c *conn) lastAnswer(x *exchange) bool {
+// lastAnswer reports whether the connection closes after the answer that is
+// about to be written. From then on no further request is read.
+func (c *conn) lastAnswer() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
@@ -174,6 +174,8 @@
 	return false
 }
 
+// answerWritten ends a request and starts the time that the connection may be
+// idle.
 func (c *conn) answerWritten() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -16,8 +16,8 @@
 	// heldBodyBytes is the largest body that is held in memory, so that the
 	// request can be sent once more. Longer ones are passed on as they arrive.
 	heldBodyBytes = 64 << 10
-	// statusTooManyHeaders and others are answers to what callers may not send.
-	statusTooManyHeaders = http.StatusRequestHeaderFieldsTooLarge
+	// joinBytes is the buffer between the held part of a body and the rest.
+	joinBytes = 512
 )
 
 // incoming is a request of a caller.
@@ -133,7 +133,7 @@
 	if most > 0 {
 		reader = &bounded{from: body, left: most}
 	}
-	buffered := bufio.NewReaderSize(reader, 512)
+	buffered := bufio.NewReaderSize(reader, joinBytes)
 	held, err := io.ReadAll(io.LimitReader(buffered, heldBodyBytes+1))
 	if err != nil {
 		return err
@@ -168,7 +168,7 @@
 func (c *conn) unreadable(err error) *answer {
 	switch {
 	case c.limit.exceeded:
-		return ownAnswer(statusTooManyHeaders, "head-too-large")
+		return ownAnswer(http.StatusRequestHeaderFieldsTooLarge, "head-too-large")
 	case errors.Is(err, errBodyTooLarge):
 		return ownAnswer(http.StatusRequestEntityTooLarge, "body-too-large")
 	case isTimeout(err):
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -94,10 +94,10 @@
 	deadline time.Time
 	first    time.Time // When the caller first asked, as far as its deadline shows.
 	excluded map[string]bool
-	sent     int  // Attempts that reached a target.
-	missed   int  // Attempts that reached none.
-	mayRun   bool // A target may have executed the request.
-	last     *answer
+	sent     int     // Attempts that reached a target.
+	missed   int     // Attempts that reached none.
+	mayRun   bool    // A target may have executed the request.
+	last     *answer // A target's answer that says that it failed, when nothing better comes.
 	print    quarantine.Fingerprint
 }
 
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -66,7 +66,7 @@
 	if x.request != nil {
 		method = x.request.http.Method
 	}
-	closes := c.lastAnswer(x)
+	closes := c.lastAnswer()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := a.writeHead(w, method, closes); err != nil {
 		return err
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -215,7 +215,7 @@
 		wait = lostWait
 	}
 	for _, until := range m.held {
-		wait = min(wait, max(50*time.Millisecond, until.Sub(now)))
+		wait = min(wait, max(lostWait, until.Sub(now)))
 	}
 	return wait
 }
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -20,9 +20,6 @@
 	lookupTTL = time.Second
 	// maxAddresses bounds the addresses of an answer, as the platform does.
 	maxAddresses = 64
-	// fewAddresses is the number of addresses below which those of other
-	// failure domains are added: a caller needs a second choice.
-	fewAddresses = 1
 	idleTimeout  = 30 * time.Second
 )
 
@@ -99,7 +96,7 @@
 				list = append(list, in.Address)
 			}
 		}
-		if len(list) >= fewAddresses {
+		if len(list) > 0 {
 			break
 		}
 	}
