Tell a revision only when the world at it is in force

The mirror published the revision before it switched the world, so peers and the log could be told of a state that was not in force yet.

Change: the switch comes first, then the revision, then the callback that announces it.

--- a/mirror/apply.go
+++ b/mirror/apply.go
@@ -45,10 +45,7 @@
 		}
 		facts = append(facts, fact)
 	}
-	m.mu.Lock()
-	m.revision = max(m.revision, revision)
-	m.mu.Unlock()
-	m.enforce(facts, source)
+	m.enforce(facts, revision, source)
 }
 
 // take stores a change. It reports whether the change is newer than what is
@@ -102,14 +99,18 @@
 		}
 		facts = append(facts, fact)
 	}
-	m.enforce(facts, "lapsed")
+	m.enforce(facts, m.Revision(), "lapsed")
 }
 
 // enforce switches to the world in which the facts hold, and logs what changed.
-func (m *Mirror) enforce(facts []steering.Fact, source string) {
+// The revision is told to others only when the world at it is in force.
+func (m *Mirror) enforce(facts []steering.Fact, revision uint64, source string) {
 	before := m.world.Load()
-	after := before.With(m.Revision(), facts)
+	after := before.With(max(before.Revision, revision), facts)
 	m.world.Store(after)
+	m.mu.Lock()
+	m.revision = max(m.revision, revision)
+	m.mu.Unlock()
 	if len(facts) == 0 {
 		return
 	}
