Wait until both instances know each other before the planned stop of the test

The test waited only until the other instance named both; the leaver itself need not have heard the other one by then.

Change: both must name both before the stop. What is checked after it is as before.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -246,7 +246,9 @@
 	for _, n := range d.nodes {
 		eventually(t, "serves", func() bool { return n.serves("/app/x") })
 	}
-	eventually(t, "both are named", func() bool { return len(other.resolve("a1")) == 2 })
+	for _, n := range d.nodes {
+		eventually(t, "both name both", func() bool { return len(n.resolve("a1")) == 2 })
+	}
 	leaver.stop()
 	eventually(t, "it is not named any more", func() bool { return len(other.resolve("a1")) == 1 })
 	assert.False(t, leaver.ready())
