Order messages without clocks; hold lapsed records at followers too

An instance whose clock was set back before a restart would not be heard by its peers. Domains that fall silent and a watch that is left to peers are logged.

Tests: TestFollowersHoldLapsedRecordsToo failed before (no targets left), TestOlderMessagesAreIgnored with a lower incarnation after a restart.

--- a/balance/budget.go
+++ b/balance/budget.go
@@ -18,7 +18,8 @@
 // Budget bounds the repeated requests to each service. Each instance has its
 // own requests' part of the ratio and an equal part of the slack.
 type Budget struct {
-	bounds settings.Bounds
+	bounds  settings.Bounds
+	started time.Time // Steps are counted from here, by the steady clock.
 
 	mu       sync.Mutex
 	services map[string]*budgetWindow
@@ -31,8 +32,8 @@
 }
 
 // NewBudget returns a budget of which nothing is used.
-func NewBudget(bounds settings.Bounds) *Budget {
-	return &Budget{bounds: bounds, services: map[string]*budgetWindow{}}
+func NewBudget(bounds settings.Bounds, now time.Time) *Budget {
+	return &Budget{bounds: bounds, started: now, services: map[string]*budgetWindow{}}
 }
 
 // Request counts a request for a service.
@@ -65,7 +66,7 @@
 // window returns the counts of a service, with those that are too old removed.
 func (b *Budget) window(now time.Time, service string) *budgetWindow {
 	length := max(time.Second, b.bounds.RetryWindow) / budgetSteps
-	step := now.UnixNano() / int64(length)
+	step := int64(now.Sub(b.started) / length)
 	w := b.services[service]
 	if w == nil {
 		w = &budgetWindow{step: step}
--- a/balance/budget_test.go
+++ b/balance/budget_test.go
@@ -17,7 +17,7 @@
 	bounds := settings.Bounds{RetryRatio: ratio, RetryWindow: 10 * time.Second, RetrySlack: slack}
 	var budgets []*balance.Budget
 	for range instances {
-		budgets = append(budgets, balance.NewBudget(bounds))
+		budgets = append(budgets, balance.NewBudget(bounds, start))
 	}
 	var requests, repeats []time.Time
 	for i := range instances * perSecond * 40 {
@@ -47,7 +47,7 @@
 }
 
 func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
-	b := balance.NewBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 4})
+	b := balance.NewBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 4}, start)
 	n := 0
 	for b.Repeat(start, "a", 1) {
 		n++
--- a/events/steering.go
+++ b/events/steering.go
@@ -27,7 +27,7 @@
 	SteeringConfigInForce = define(Event{Number: 918, Name: "steering-config-in-force", Level: log.InfoLevel,
 		Message: "operators' configuration in force", Fields: []string{"version", "routes", "services", "revision", "source"}, Action: "none"})
 	PeerStateTaken = define(Event{Number: 919, Name: "peer-state-taken", Level: log.InfoLevel,
-		Message: "state taken from a peer because the store does not answer", Fields: []string{"peer", "revision", "items"}, Action: "none"})
+		Message: "changes taken from a peer that is ahead", Fields: []string{"peer", "revision", "items"}, Action: "none"})
 	PeerStateNotTaken = define(Event{Number: 920, Name: "peer-state-not-taken", Level: log.WarnLevel,
 		Message: "state could not be taken from a peer", Fields: []string{"peer", "error"},
 		Action: "check the network between the instances"})
@@ -44,6 +44,8 @@
 		Message: "planned stop complete", Fields: []string{"cut", "tookMs"}, Action: "look for slow requests when cut is above 0"})
 	SettingsReloaded = define(Event{Number: 926, Name: "settings-reloaded", Level: log.InfoLevel,
 		Message: "settings read again", Fields: []string{"changed"}, Action: "restart the instance when addresses changed"})
+	StoreLeftToPeers = define(Event{Number: 928, Name: "store-left-to-peers", Level: log.InfoLevel,
+		Message: "store does not answer here; a peer that hears it passes changes on", Fields: []string{"revision", "lostMs"}, Action: "none"})
 	SettingsRejected = define(Event{Number: 927, Name: "settings-rejected", Level: log.WarnLevel,
 		Message: "settings cannot be used; those in force stay", Fields: []string{"error"}, Action: "correct the settings file"})
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -57,7 +57,7 @@
 	Forwarder *forward.Forwarder
 	Headers   Headers
 	Events    *events.Log
-	Live      func() int // Number of live instances, this one included.
+	Live      func() int // Instances among which budgets are divided, this one included.
 }
 
 // Gateway carries requests to targets.
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -78,6 +78,7 @@
 // mate is another instance of the own domain.
 type mate struct {
 	instance steering.Instance
+	order    order
 	last     Message
 	heard    time.Time
 	silent   bool // It was logged that it is silent, or it was never heard.
@@ -85,7 +86,9 @@
 
 // domain is another failure domain.
 type domain struct {
-	last    Message // The last digest.
+	senders map[string]*order // By name; emptied while the domain is silent.
+	silent  bool              // It was logged that it is silent.
+	last    Message           // The last digest.
 	heard   time.Time
 	direct  Message // The last digest that came from the domain itself.
 	arrived time.Time
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -138,18 +138,36 @@
 	assert.False(t, ok)
 }
 
+// Guards against late datagrams that undo newer ones, and against an instance
+// that nobody hears after a restart because its clock was set back meanwhile.
 func TestOlderMessagesAreIgnored(t *testing.T) {
-	last := Message{Name: "n", Incarnation: 2, Sequence: 5}
+	var o order
 	for _, c := range []struct {
-		m     Message
-		older bool
+		incarnation, sequence uint64
+		taken                 bool
 	}{
-		{Message{Name: "n", Incarnation: 2, Sequence: 5}, true},
-		{Message{Name: "n", Incarnation: 2, Sequence: 6}, false},
-		{Message{Name: "n", Incarnation: 1, Sequence: 9}, true},
-		{Message{Name: "n", Incarnation: 3, Sequence: 1}, false},
-		{Message{Name: "other", Incarnation: 1, Sequence: 1}, false},
+		{20, 5, true},
+		{20, 5, false},
+		{20, 4, false},
+		{20, 6, true},
+		{3, 1, true}, // Started again; its number is no time.
+		{20, 9, false},
+		{3, 1, false},
+		{3, 2, true},
+		{50, 1, true},
+		{3, 3, false},
+		{50, 2, true},
 	} {
-		assert.Equal(t, c.older, c.m.older(&last), c.m)
+		assert.Equal(t, c.taken, o.take(&Message{Name: "n", Incarnation: c.incarnation, Sequence: c.sequence}), c)
 	}
 }
+
+// Guards against digests of two senders that hide each other's.
+func TestSendersOfADomainAreOrderedOnTheirOwn(t *testing.T) {
+	now := time.Now()
+	d := &domain{heard: now}
+	assert.True(t, d.take(now, &Message{Name: "a", Incarnation: 9, Sequence: 7}))
+	assert.True(t, d.take(now, &Message{Name: "b", Incarnation: 4, Sequence: 1}))
+	assert.False(t, d.take(now, &Message{Name: "a", Incarnation: 9, Sequence: 6}))
+	assert.True(t, d.take(now.Add(staleAfter+1), &Message{Name: "a", Incarnation: 9, Sequence: 6}), "nothing is late after such a silence")
+}
--- a/gossip/hear.go
+++ b/gossip/hear.go
@@ -27,12 +27,6 @@
 	}
 }
 
-// older reports whether a message was sent before another one of its sender.
-func (m *Message) older(last *Message) bool {
-	return m.Name == last.Name &&
-		(m.Incarnation < last.Incarnation || m.Incarnation == last.Incarnation && m.Sequence <= last.Sequence)
-}
-
 // heardMate takes over a message of an instance of the own domain.
 func (x *Exchange) heardMate(now time.Time, m *Message) {
 	x.mu.Lock()
@@ -41,7 +35,7 @@
 		p = &mate{silent: true}
 		x.mates[m.Name] = p
 	}
-	if m.older(&p.last) {
+	if !p.order.take(m) {
 		x.mu.Unlock()
 		return
 	}
@@ -70,11 +64,12 @@
 func (x *Exchange) heardDigest(now time.Time, m *Message) {
 	x.mu.Lock()
 	d := x.domains[m.Domain]
-	if d == nil || m.older(&d.last) {
+	if d == nil || !d.take(now, m) {
 		x.mu.Unlock()
 		return
 	}
-	if now.Sub(d.heard) > staleAfter {
+	if d.silent || d.heard.IsZero() {
+		d.silent = false
 		x.options.Events.Emit(events.PeerHeard, log.Fields{"peer": m.Name, "domain": m.Domain})
 	}
 	if len(m.Members) > 0 && m.Members[0].PeerAddress == "" {
@@ -102,6 +97,17 @@
 	}
 }
 
+// take reports whether a digest is newer than all that its sender sent before.
+func (d *domain) take(now time.Time, m *Message) bool {
+	if d.senders == nil || now.Sub(d.heard) > staleAfter {
+		d.senders = map[string]*order{}
+	}
+	if d.senders[m.Name] == nil {
+		d.senders[m.Name] = &order{}
+	}
+	return d.senders[m.Name].take(m)
+}
+
 // maxRoundTrip bounds what is believed of a measured round trip.
 const maxRoundTrip = time.Second
 
--- a/gossip/live.go
+++ b/gossip/live.go
@@ -104,6 +104,7 @@
 	live = append(live, x.liveMates(now)...)
 	for name, d := range x.domains {
 		if now.Sub(d.heard) >= staleAfter {
+			x.noteSilent(now, name, d)
 			continue
 		}
 		for _, m := range d.last.Members {
@@ -122,6 +123,16 @@
 	}
 }
 
+// noteSilent logs once that no digests of a domain arrive any more.
+func (x *Exchange) noteSilent(now time.Time, name string, d *domain) {
+	if d.silent || d.heard.IsZero() {
+		return
+	}
+	d.silent = true
+	x.options.Events.Emit(events.PeerSilent, log.Fields{"peer": d.last.Name, "domain": name,
+		"silentMs": now.Sub(d.heard).Milliseconds()})
+}
+
 func (x *Exchange) liveMates(now time.Time) []steering.Instance {
 	var live []steering.Instance
 	for name, m := range x.mates {
--- a/mirror/apply.go
+++ b/mirror/apply.go
@@ -76,8 +76,8 @@
 	if !gone || !c.Deleted {
 		return false
 	}
-	until := m.returned.Add(returnGrace)
-	if m.returned.IsZero() || !now.Before(until) {
+	until := m.heldUntil()
+	if !now.Before(until) {
 		return false
 	}
 	m.held[c.Key] = until
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -77,6 +77,9 @@
 	Revision uint64    `json:"revision"`
 	Whole    bool      `json:"whole"` // Items are all records.
 	Items    []kv.Item `json:"items"`
+	// ReturnedMs is how long ago the store began to answer again, in
+	// milliseconds. It is 0 when that is too long ago to matter.
+	ReturnedMs int64 `json:"returnedMs,omitempty"`
 }
 
 // Mirror holds the records and the world built from them. World, Snapshot and
@@ -84,19 +87,19 @@
 type Mirror struct {
 	options Options
 	world   atomic.Pointer[steering.World]
-	heard   atomic.Int64 // Unix nanoseconds of the store's last answer.
+	heard   atomic.Pointer[time.Time] // When the store last answered; a steady time, which setting the clock does not change.
 
-	mu       sync.Mutex // Guards items and revision.
+	mu       sync.Mutex // Guards items, revision, recent and returned.
 	items    map[string]kv.Item
 	revision uint64
 	recent   history
+	returned time.Time // When the store last answered again, here or at a peer.
 
-	wake     chan struct{} // Holds a token when a peer has told of a change.
-	read     bool          // All records were read from the store.
-	lost     time.Time     // Since when the store does not answer; zero when it does.
-	returned time.Time     // When it last answered again.
-	held     map[string]time.Time
-	asked    time.Time // Last exchange with a peer.
+	wake  chan struct{} // Holds a token when a peer has told of a change.
+	read  bool          // All records were read from the store.
+	lost  time.Time     // Since when the store does not answer; zero when it does.
+	held  map[string]time.Time
+	asked time.Time // Last exchange with a peer.
 }
 
 // New returns a mirror without records.
@@ -111,11 +114,10 @@
 
 // Heard returns when the store last answered; zero when it never has.
 func (m *Mirror) Heard() time.Time {
-	ns := m.heard.Load()
-	if ns == 0 {
-		return time.Time{}
+	if at := m.heard.Load(); at != nil {
+		return *at
 	}
-	return time.Unix(0, ns)
+	return time.Time{}
 }
 
 // Run follows the store until ctx ends.
@@ -241,12 +243,30 @@
 }
 
 func (m *Mirror) answered(now time.Time, revision uint64) {
-	m.heard.Store(now.UnixNano())
+	m.heard.Store(&now)
 	if m.lost.IsZero() {
 		return
 	}
 	m.options.Events.Emit(events.StoreRegained, log.Fields{"revision": revision, "lostMs": now.Sub(m.lost).Milliseconds()})
-	m.lost, m.returned = time.Time{}, now
+	m.lost = time.Time{}
+	m.setReturned(now)
+}
+
+func (m *Mirror) setReturned(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.returned = at
+}
+
+// heldUntil returns when the writers of records that lapsed during the store's
+// last absence have had time to renew them.
+func (m *Mirror) heldUntil() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.returned.IsZero() {
+		return time.Time{}
+	}
+	return m.returned.Add(returnGrace)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -239,3 +239,25 @@
 	require.Eventually(t, func() bool { return m.Revision() == 6 }, time.Second, time.Millisecond)
 	assert.Equal(t, 1, s.ranges)
 }
+
+// Guards against instances that follow a peer and lose all targets whose
+// records lapsed while the store was away, although the peer holds them.
+func TestFollowersHoldLapsedRecordsToo(t *testing.T) {
+	now := time.Now()
+	peer := newMirror(nil)
+	peer.replace([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, 2, now, "store")
+	follower := newMirror(nil)
+	follower.replace([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, 2, now, "store")
+	follower.options.Newer = func(revision uint64) (Peer, bool) { return Peer{Name: "p"}, peer.Revision() > revision }
+	follower.options.Fetch = func(_ context.Context, _ Peer, after uint64) (Snapshot, error) { return peer.Since(after), nil }
+
+	peer.lost = now.Add(-5 * time.Second)
+	peer.answered(now, 4)
+	peer.apply([]kv.Item{{Key: "t:1", Revision: 3, Deleted: true}, {Key: "t:2", Revision: 4, Deleted: true}}, 4, now, "store")
+	follower.fetch(context.Background())
+	assert.Equal(t, uint64(4), follower.Revision())
+	assert.ElementsMatch(t, []string{"1", "2"}, ids(follower.World()))
+	follower.apply([]kv.Item{put("t:2", "b", 5)}, 5, now, "peer")
+	follower.releaseHeld(now.Add(returnGrace + time.Second))
+	assert.Equal(t, []string{"2"}, ids(follower.World()), "a record that does not come back is gone")
+}
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -17,6 +17,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := Snapshot{Revision: m.revision}
+	if ago := time.Since(m.returned); !m.returned.IsZero() && ago < returnGrace {
+		s.ReturnedMs = ago.Milliseconds() + 1
+	}
 	if changes, ok := m.recent.since(after); ok {
 		s.Items = changes
 		return s
@@ -38,7 +41,10 @@
 
 // followPeer takes the changes from a peer that watches the store.
 func (m *Mirror) followPeer(ctx context.Context) {
-	m.lost = time.Time{}
+	if !m.lost.IsZero() {
+		m.options.Events.Emit(events.StoreLeftToPeers, log.Fields{"revision": m.Revision(), "lostMs": time.Since(m.lost).Milliseconds()})
+		m.lost = time.Time{}
+	}
 	m.fetch(ctx)
 	t := time.NewTimer(followPause)
 	defer t.Stop()
@@ -76,6 +82,9 @@
 		return
 	}
 	m.options.Events.Emit(events.PeerStateTaken, log.Fields{"peer": peer.Name, "revision": s.Revision, "items": len(s.Items)})
+	if s.ReturnedMs > 0 {
+		m.setReturned(time.Now().Add(-time.Duration(s.ReturnedMs) * time.Millisecond))
+	}
 	source := "peer " + peer.Name
 	if s.Whole {
 		m.replace(s.Items, s.Revision, time.Now(), source)
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"time"
@@ -77,7 +78,7 @@
 	now := time.Now()
 	n := &Node{options: o, settings: s, events: events.New(o.Log), forward: forward.New(), suspects: balance.NewSuspects()}
 	n.self = steering.Instance{Name: s.Name, Domain: s.Domain, Region: s.Region, Address: s.Callers,
-		PeerAddress: s.Peer, Incarnation: uint64(now.UnixNano())}
+		PeerAddress: s.Peer, Incarnation: rand.Uint64()}
 	n.balancer = balance.New(balance.Options{Name: s.Name, Domain: s.Domain, Region: s.Region, Regions: s.Regions,
 		ShiftMost: s.Bounds.ShiftMost}, now)
 	n.balancer.SetInstances([]steering.Instance{n.self})
@@ -94,8 +95,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for messages of instances: %w", err)
 	}
-	n.gateway = gateway.New(gateway.Options{World: n.mirror.World, Balancer: n.balancer, Suspects: n.suspects, Budget: balance.NewBudget(s.Bounds),
-		Forwarder: n.forward, Headers: o.Headers, Events: n.events, Live: func() int { return len(n.exchange.Live()) }})
+	n.gateway = gateway.New(gateway.Options{World: n.mirror.World, Balancer: n.balancer, Suspects: n.suspects, Budget: balance.NewBudget(s.Bounds, now),
+		Forwarder: n.forward, Headers: o.Headers, Events: n.events, Live: n.fleetSize})
 	listener, err := net.Listen("tcp", s.Callers)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
@@ -151,6 +152,11 @@
 // inTouch reports whether the store answers this instance.
 func (n *Node) inTouch() bool { return time.Since(n.mirror.Heard()) < inTouchFor }
 
+// fleetSize is the number of instances among which the deployment's budgets are
+// divided. Instances that are cut off from this one still use their share, so
+// registered ones count although they are not heard.
+func (n *Node) fleetSize() int { return max(len(n.exchange.Live()), len(n.mirror.World().Instances)) }
+
 func (n *Node) watches() bool { return n.exchange.Watches() }
 
 func (n *Node) worldChanged(_, after *steering.World) {
