Retry shed requests where their object is known; leave grey targets alone

A target that shed although it had free slots was left alone for 150 ms, so the objects of all other requests moved to targets that did not know them, and the request itself could only go to such a target.

Change: a request that a target with free slots shed may go to the same target once more. Repeats of requests whose callers were refused before come first in the retry budget; its window counts one step more, so 0.85 of it may be used. A caller that no full target refused comes back after 50 ms instead of 200.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,8 +47,8 @@
 	heard  time.Time
 
 	speed    float64 // Observed time by expected time; 1 is usual.
-	failing  float64 // Part of the recent answers that are failures.
-	failures int     // Failures in a row.
+	fails    failRate
+	failures int // Failures in a row.
 	// unanswered is the number of connection attempts in a row that nothing
 	// answered.
 	unanswered int
@@ -72,7 +72,9 @@
 	targets  map[string][]*target // Those that may get requests, by region.
 	byHash   map[uint32]*target   // The same, by short hash of the ID.
 	demand   demand               // Of objects, in the own region.
-	sequence uint64               // Spreads requests without an object.
+	// usualFails is the part of attempts that fails at most targets, by region.
+	usualFails map[string]float64
+	sequence   uint64 // Spreads requests without an object.
 }
 
 // New returns a balancer without targets.
--- a/balance/budget.go
+++ b/balance/budget.go
@@ -9,10 +9,17 @@
 
 const (
 	// budgetShare is the part of the deployment's retry budget that is used.
-	// The rest covers instances that disagree about how many they are.
-	budgetShare = 0.7
-	// budgetSteps is the number of parts that a window is counted in.
+	// The rest covers instances that have just started and do not know each
+	// other yet.
+	budgetShare = 0.85
+	// freshPart is the part of it that requests may use whose callers ask for
+	// the first time. They can come back; a request that was refused before
+	// fails when it is refused again.
+	freshPart = 0.6
+	// budgetSteps is the number of parts that a window is counted in. One more
+	// is kept, so that the oldest repeats of any window of that length count.
 	budgetSteps = 10
+	budgetKept  = budgetSteps + 1
 )
 
 // Budget bounds the repeated requests to each service. Each instance has its
@@ -27,7 +34,7 @@
 
 // budgetWindow counts requests and repeats in the last window.
 type budgetWindow struct {
-	requests, repeats [budgetSteps]int
+	requests, repeats [budgetKept]int
 	step              int64
 }
 
@@ -41,25 +48,31 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
-	w.requests[w.step%budgetSteps]++
+	w.requests[w.step%budgetKept]++
 }
 
-// Repeat reports whether a request may be sent once more, and counts it. live
-// is the number of instances.
-func (b *Budget) Repeat(now time.Time, service string, live int) bool {
+// Repeat reports whether a request may be sent once more, and counts it. fleet
+// is the number of instances; returned says that the caller was refused before.
+func (b *Budget) Repeat(now time.Time, service string, fleet int, returned bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
 	requests, repeats := 0, 0
-	for i := range budgetSteps {
-		requests += w.requests[i]
+	for i := range budgetKept {
 		repeats += w.repeats[i]
+		if int64(i) != (w.step+1)%budgetKept { // The oldest step.
+			requests += w.requests[i]
+		}
 	}
-	slack := float64(b.bounds.RetrySlack) / float64(max(1, live))
-	if float64(repeats+1) > budgetShare*(b.bounds.RetryRatio*float64(requests)+slack) {
+	share := budgetShare
+	if !returned {
+		share *= freshPart
+	}
+	slack := float64(b.bounds.RetrySlack) / float64(max(1, fleet))
+	if float64(repeats+1) > share*(b.bounds.RetryRatio*float64(requests)+slack) {
 		return false
 	}
-	w.repeats[w.step%budgetSteps]++
+	w.repeats[w.step%budgetKept]++
 	return true
 }
 
@@ -72,9 +85,9 @@
 		w = &budgetWindow{step: step}
 		b.services[service] = w
 	}
-	for i := 0; w.step < step && i < budgetSteps; i++ {
+	for i := 0; w.step < step && i < budgetKept; i++ {
 		w.step++
-		w.requests[w.step%budgetSteps], w.repeats[w.step%budgetSteps] = 0, 0
+		w.requests[w.step%budgetKept], w.repeats[w.step%budgetKept] = 0, 0
 	}
 	w.step = max(w.step, step)
 	return w
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/steering"
+)
 
 // Result says how an attempt ended.
 type Result int
@@ -24,8 +28,6 @@
 	// Pauses for a target that fails, doubled with each failure in a row.
 	firstAvoid = 300 * time.Millisecond
 	lastAvoid  = 4 * time.Second
-	// shedAvoid is the pause for a target that sheds below its slots.
-	shedAvoid = 150 * time.Millisecond
 	// Bounds of a target's observed speed.
 	fastest = 0.3
 	slowest = 20.0
@@ -76,10 +78,12 @@
 	case Answered:
 		b.answered(now, t, g, o.Took)
 	case Failed:
-		t.failing += averageWeight * (1 - t.failing)
+		t.fails.note(now, true)
 		t.failures = 0
 	case Shed:
-		return b.shed(now, t, o)
+		if !o.full(t.record) {
+			t.fails.note(now, true)
+		}
 	case Misdirected:
 		// The record changes soon; until then the address is another target's.
 		t.avoid = now.Add(lastAvoid)
@@ -92,7 +96,7 @@
 
 // answered learns from a good answer.
 func (b *Balancer) answered(now time.Time, t *target, g Grant, took time.Duration) {
-	t.failing -= averageWeight * t.failing
+	t.fails.note(now, false)
 	t.failures, t.unanswered = 0, 0
 	if t.down {
 		t.down = false
@@ -116,22 +120,21 @@
 	*usual += time.Duration(averageWeight / 2 * float64(work-*usual))
 }
 
-// shed notes that the target has no room. When it had slots free by all that
-// is known, it is left alone for a moment.
-func (b *Balancer) shed(now time.Time, t *target, o Observation) *Avoided {
-	if !o.Told || o.Executing < t.record.Slots {
-		t.failing += averageWeight * (1 - t.failing)
-		t.avoid = now.Add(shedAvoid)
-		return &Avoided{Target: t.record.ID, For: shedAvoid}
-	}
-	return nil
+// full reports whether the target says that all its slots are taken. A target
+// that sheds although some are free is no worse off for another attempt.
+func (o Observation) full(t *steering.Target) bool { return o.Told && o.Executing >= t.Slots }
+
+// MayRetry reports whether a request that the target shed may go to the same
+// target once more at once: it says that slots are free.
+func (o Observation) MayRetry(t *steering.Target) bool {
+	return o.Result == Shed && o.Told && !o.full(t)
 }
 
 // broke notes a failure of the connection. One lost answer alone says little;
 // a target that cannot be reached is left alone at once.
 func (b *Balancer) broke(now time.Time, t *target, r Result) *Avoided {
 	t.failures++
-	t.failing += averageWeight * (1 - t.failing)
+	t.fails.note(now, true)
 	unreachable := r == Unreachable || r == Unresponsive
 	if unreachable {
 		t.down = true
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -119,7 +119,7 @@
 		return b.fastest(now, s, want, region, object)
 	}
 	c := choice{target: b.movedTo(s, region, object), warm: true}
-	if c.target == nil || want.Excluded[c.target.record.ID] || !b.usable(now, c.target) {
+	if c.target == nil || want.Excluded[c.target.record.ID] || !b.usable(now, c.target) || b.grey(now, s, c.target) {
 		c = b.nextHome(now, s, want, region, object)
 	}
 	if c.target == nil {
@@ -130,19 +130,29 @@
 	return c, true
 }
 
-// nextHome returns the usable target to which an object belongs by its hash.
-// It is warm when no other one, usable or not, comes before it.
+// nextHome returns the usable target to which an object belongs by its hash. A
+// grey one is taken only when all are. It is warm when no other one, usable or
+// not, comes before it.
 func (b *Balancer) nextHome(now time.Time, s *service, want Want, region string, object uint64) choice {
-	var best choice
-	var rank, home uint64
+	var best, last choice // Among those that are not grey, and among all.
+	var bestRank, lastRank, home uint64
 	for _, t := range s.targets[region] {
 		r := mix(object, t.hash)
 		home = max(home, r)
-		if !want.Excluded[t.record.ID] && b.usable(now, t) && (best.target == nil || r > rank) {
-			best.target, rank = t, r
+		if want.Excluded[t.record.ID] || !b.usable(now, t) {
+			continue
 		}
+		if last.target == nil || r > lastRank {
+			last, lastRank = choice{target: t}, r
+		}
+		if !b.grey(now, s, t) && (best.target == nil || r > bestRank) {
+			best, bestRank = choice{target: t}, r
+		}
+	}
+	if best.target == nil {
+		best, bestRank = last, lastRank
 	}
-	best.warm = rank == home
+	best.warm = bestRank == home
 	return best
 }
 
@@ -210,7 +220,7 @@
 	}
 	total = wait + time.Duration(work) + b.roundTrip(t.region)
 	total += time.Duration(min(1, load/slots) * crowding * work)
-	total += time.Duration(t.failing * failureCost * float64(objective))
+	total += time.Duration(t.fails.value(now) * failureCost * float64(objective))
 	return wait, total
 }
 
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -152,6 +152,7 @@
 	if !now.Before(b.levelled) {
 		b.levelled = now.Add(weightStep)
 		b.measureLevels(now)
+		b.measureFails(now)
 	}
 	var changes []WeightChange
 	for _, s := range b.services {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -142,6 +142,11 @@
 		if got.Status == http.StatusMisdirectedRequest {
 			o.Result = balance.Misdirected
 		}
+		if o.MayRetry(grant.Target) {
+			delete(r.excluded, grant.Target.ID)
+		} else {
+			r.full = true
+		}
 		e := ended{again: true}
 		g.done(r, grant, started, o, e, fmt.Sprintf("not executed, status %d", got.Status))
 		return e
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -24,6 +24,9 @@
 	maxUnreached = 4
 	// shedReturn is when to come back after targets had no room.
 	shedReturn = 200 * time.Millisecond
+	// againReturn is when to come back after targets that have room refused, or
+	// none was reached: another attempt may succeed at once.
+	againReturn = 50 * time.Millisecond
 	// answerMargin is left of the caller's time for the way of the last answer.
 	answerMargin = 20 * time.Millisecond
 	// repeatPart is the part of the objective that must be left for another
@@ -98,6 +101,7 @@
 	missed   int     // Attempts that reached none.
 	mayRun   bool    // A target may have executed the request.
 	last     *answer // A target's answer that says that it failed, when nothing better comes.
+	full     bool    // A target had no room.
 	print    quarantine.Fingerprint
 }
 
@@ -211,7 +215,7 @@
 	if e.unreached {
 		return r.missed < maxUnreached
 	}
-	return r.sent < r.route.Attempts && g.Budget.Repeat(time.Now(), r.service, g.Live())
+	return r.sent < r.route.Attempts && g.Budget.Repeat(time.Now(), r.service, g.Live(), r.first.Before(r.arrived))
 }
 
 // refused answers a request for which no target was chosen.
@@ -251,6 +255,9 @@
 	case r.mayRun:
 		return ownAnswer(http.StatusBadGateway, "attempt-failed")
 	}
+	if !r.full {
+		return retryAfter(http.StatusServiceUnavailable, "not-executed", againReturn)
+	}
 	return retryAfter(http.StatusServiceUnavailable, "not-executed", shedReturn)
 }
 
