--- a/balance/report.go
+++ b/balance/report.go
@@ -15,6 +15,16 @@
 	Rates    map[uint32]float64 // Requests per second from callers, by short hash of the service's name.
 }
 
+// Merge adds the report of another instance of the same domain.
+func (r *Report) Merge(o Report) {
+	for hash, n := range o.InFlight {
+		r.InFlight[hash] += n
+	}
+	for hash, perSecond := range o.Rates {
+		r.Rates[hash] += perSecond
+	}
+}
+
 type peer struct {
 	region string
 	heard  time.Time
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -125,34 +125,29 @@
 }
 
 func (m *Message) appendReport(b []byte) []byte {
-	if len(m.Suspects) > 0 {
-		var packed []byte
-		for fingerprint, n := range m.Suspects {
-			packed = protowire.AppendFixed64(packed, fingerprint)
-			packed = protowire.AppendVarint(packed, uint64(n))
-		}
-		b = protowire.AppendTag(b, fieldSuspects, protowire.BytesType)
-		b = protowire.AppendBytes(b, packed)
-	}
-	if len(m.Report.InFlight) > 0 {
-		var packed []byte
-		for hash, n := range m.Report.InFlight {
-			packed = protowire.AppendFixed32(packed, hash)
-			packed = protowire.AppendVarint(packed, uint64(n))
-		}
-		b = protowire.AppendTag(b, fieldInFlight, protowire.BytesType)
-		b = protowire.AppendBytes(b, packed)
+	b = appendPairs(b, fieldSuspects, m.Suspects, func(b []byte, fingerprint uint64, n int) []byte {
+		return protowire.AppendVarint(protowire.AppendFixed64(b, fingerprint), uint64(n))
+	})
+	b = appendPairs(b, fieldInFlight, m.Report.InFlight, func(b []byte, hash uint32, n int) []byte {
+		return protowire.AppendVarint(protowire.AppendFixed32(b, hash), uint64(n))
+	})
+	return appendPairs(b, fieldRates, m.Report.Rates, func(b []byte, hash uint32, r float64) []byte {
+		return protowire.AppendFixed32(protowire.AppendFixed32(b, hash), math.Float32bits(float32(r)))
+	})
+}
+
+// appendPairs packs the entries of a map into one field. An empty map is left
+// out.
+func appendPairs[K comparable, V any](b []byte, field protowire.Number, pairs map[K]V, pack func([]byte, K, V) []byte) []byte {
+	if len(pairs) == 0 {
+		return b
 	}
-	if len(m.Report.Rates) > 0 {
-		var packed []byte
-		for hash, r := range m.Report.Rates {
-			packed = protowire.AppendFixed32(packed, hash)
-			packed = protowire.AppendFixed32(packed, math.Float32bits(float32(r)))
-		}
-		b = protowire.AppendTag(b, fieldRates, protowire.BytesType)
-		b = protowire.AppendBytes(b, packed)
+	var packed []byte
+	for k, v := range pairs {
+		packed = pack(packed, k, v)
 	}
-	return b
+	b = protowire.AppendTag(b, field, protowire.BytesType)
+	return protowire.AppendBytes(b, packed)
 }
 
 var errMessage = errors.New("message cannot be read")
@@ -264,54 +259,33 @@
 		}
 		m.Members = append(m.Members, member)
 	case fieldSuspects:
-		return m.setSuspects(v)
+		m.Suspects = map[uint64]int{}
+		return eachPair(v, protowire.ConsumeFixed64, protowire.ConsumeVarint, func(fingerprint, n uint64) { m.Suspects[fingerprint] = int(n) })
 	case fieldInFlight:
-		return eachPair(v, func(hash uint32, rest []byte) int {
-			count, n := protowire.ConsumeVarint(rest)
-			m.Report.InFlight[hash] = int(count)
-			return n
-		})
+		return eachPair(v, protowire.ConsumeFixed32, protowire.ConsumeVarint, func(hash uint32, n uint64) { m.Report.InFlight[hash] = int(n) })
 	case fieldRates:
-		return eachPair(v, func(hash uint32, rest []byte) int {
-			bits, n := protowire.ConsumeFixed32(rest)
+		return eachPair(v, protowire.ConsumeFixed32, protowire.ConsumeFixed32, func(hash, bits uint32) {
 			m.Report.Rates[hash] = float64(math.Float32frombits(bits))
-			return n
 		})
 	}
 	return true
 }
 
-func (m *Message) setSuspects(b []byte) bool {
-	m.Suspects = map[uint64]int{}
+// eachPair calls a function for each of the packed pairs. It reports whether
+// all of them could be read.
+func eachPair[K, V any](b []byte, key func([]byte) (K, int), value func([]byte) (V, int), take func(K, V)) bool {
 	for len(b) > 0 {
-		fingerprint, n := protowire.ConsumeFixed64(b)
+		k, n := key(b)
 		if n < 0 {
 			return false
 		}
 		b = b[n:]
-		count, n := protowire.ConsumeVarint(b)
+		v, n := value(b)
 		if n < 0 {
 			return false
 		}
 		b = b[n:]
-		m.Suspects[fingerprint] = int(count)
-	}
-	return true
-}
-
-// eachPair calls take for each hash in packed pairs; take returns the length
-// of the value behind it.
-func eachPair(b []byte, take func(hash uint32, rest []byte) int) bool {
-	for len(b) > 0 {
-		hash, n := protowire.ConsumeFixed32(b)
-		if n < 0 {
-			return false
-		}
-		b = b[n:]
-		if n = take(hash, b); n < 0 {
-			return false
-		}
-		b = b[n:]
+		take(k, v)
 	}
 	return true
 }
--- a/gossip/speak.go
+++ b/gossip/speak.go
@@ -157,12 +157,7 @@
 		if now.Sub(m.heard) >= x.silence() {
 			continue
 		}
-		for hash, n := range m.last.Report.InFlight {
-			own.InFlight[hash] += n
-		}
-		for hash, r := range m.last.Report.Rates {
-			own.Rates[hash] += r
-		}
+		own.Merge(m.last.Report)
 		for fingerprint, n := range m.last.Suspects {
 			suspects[fingerprint] += n
 		}
