Send requests that must run once on fresh connections only

Cause: targets that forget idle connections reset whatever is sent next. Such a request may have been executed, so one that must run once ended 502, and the target counted as failing.

Change: requests that must run once use connections that were idle for at most 200 ms, others up to 5 s as before. A connection that ends as soon as it is used again is told apart from a crash: the target keeps its standing, and an idempotent request goes to the same target on a new connection. An idle connection makes room for a new one at the target's bound. Requests are fingerprinted only when a crash is known.

--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -49,6 +49,13 @@
 // key shortens a fingerprint for messages.
 func key(f quarantine.Fingerprint) uint64 { return binary.BigEndian.Uint64(f[:8]) }
 
+// Any reports whether any crash is remembered, here or at another instance.
+func (s *Suspects) Any() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.own)+len(s.peers) > 0
+}
+
 // Crashed counts a request that ended a target's connection.
 func (s *Suspects) Crashed(now time.Time, f quarantine.Fingerprint) {
 	s.mu.Lock()
--- a/balance/suspects_test.go
+++ b/balance/suspects_test.go
@@ -76,3 +76,17 @@
 	_, refused := s.Refused(now, quarantine.Fingerprint{4999 & 0xff, 4999 >> 8})
 	assert.True(t, refused, "the latest is known")
 }
+
+// Guards against requests that are hashed although no crash is known.
+func TestAnyTellsWhetherACrashIsRemembered(t *testing.T) {
+	s := balance.NewSuspects()
+	assert.False(t, s.Any())
+	s.Crashed(start, quarantine.Fingerprint{1})
+	assert.True(t, s.Any())
+	s.Succeeded(quarantine.Fingerprint{1})
+	assert.False(t, s.Any())
+	s.Heard(start, "n2", map[uint64]int{5: 1})
+	assert.True(t, s.Any())
+	s.Heard(start, "n2", nil)
+	assert.False(t, s.Any())
+}
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -21,6 +21,7 @@
 	reader *bufio.Reader
 	limit  headLimit
 	wrote  atomic.Bool // Set before the first byte of a request is written.
+	reused bool        // It carried another request before.
 }
 
 // headLimit bounds what is read while a head is expected. It notes the end of
@@ -30,6 +31,7 @@
 	active bool
 	left   int
 	ended  bool // The target closed or reset the connection.
+	read   int  // Bytes read since a head is expected.
 }
 
 // Read fails when a head is longer than the bound.
@@ -42,6 +44,7 @@
 	}
 	n, err := l.from.Read(p)
 	l.left -= n
+	l.read += n
 	if err == io.EOF || errors.Is(err, syscall.ECONNRESET) {
 		l.ended = true
 	}
@@ -55,7 +58,7 @@
 	return c
 }
 
-func (c *conn) expectHead() { c.limit.active, c.limit.left = true, maxHeadBytes }
+func (c *conn) expectHead() { c.limit.active, c.limit.left, c.limit.read = true, maxHeadBytes, 0 }
 func (c *conn) expectBody() { c.limit.active = false }
 
 // Write notes that bytes may have reached the target.
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -42,7 +42,11 @@
 	// Crashed is true when the target closed or reset the connection before
 	// its answer was complete.
 	Crashed bool
-	Err     error
+	// Stale is true when a connection that was idle before ended as soon as it
+	// was used: the target had dropped it, or dropped it just then. Whether it
+	// has executed the request is not known.
+	Stale bool
+	Err   error
 }
 
 // Error describes the failure.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 const (
@@ -13,6 +14,9 @@
 	maxLate = 4
 	// maxLateBytes bounds the body of a late answer that is skipped.
 	maxLateBytes = 1 << 20
+	// staleTime is how soon a dropped connection shows after it was used: a round
+	// trip between regions, with some room. A request takes longer to fail.
+	staleTime = 150 * time.Millisecond
 )
 
 // Forwarder sends requests over its own connections. It is safe for concurrent
@@ -45,7 +49,8 @@
 	ctx       context.Context
 	target    Target
 	conn      *conn
-	stop      func() bool   // Ends the closing of the connection by ctx.
+	stop      func() bool // Ends the closing of the connection by ctx.
+	started   time.Time
 	written   chan struct{} // Closed when the request is not written any more.
 	writeErr  error         // Valid after written is closed.
 }
@@ -62,7 +67,7 @@
 	if err != nil {
 		return nil, &Error{Target: t.Address, Stage: StageConnect, Err: err}
 	}
-	x := &exchange{forwarder: f, ctx: ctx, target: t, conn: c, written: make(chan struct{})}
+	x := &exchange{forwarder: f, ctx: ctx, target: t, conn: c, started: time.Now(), written: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	x.start(r)
 	response, err := x.readAnswer(r)
@@ -139,6 +144,7 @@
 		failure.Stage = StageConnect
 	}
 	failure.Crashed = failure.Stage == StageWritten && x.crashed() && !errors.Is(err, ErrSource)
+	failure.Stale = failure.Crashed && x.conn.reused && x.conn.limit.read == 0 && time.Since(x.started) < staleTime
 	if cause := x.ctx.Err(); cause != nil {
 		failure.Err = cause
 	}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	dialTimeout     = 500 * time.Millisecond
-	maxIdlePerHost  = 64
+	dialTimeout    = 500 * time.Millisecond
+	maxIdlePerHost = 64
+	// maxIdleDuration is shorter than the time after which targets usually close
+	// an idle connection.
 	maxIdleDuration = 5 * time.Second
 )
 
@@ -22,6 +25,10 @@
 	// Unanswered bounds how long sent bytes may stay unacknowledged before the
 	// connection counts as lost; 0 means the system's own bound.
 	Unanswered time.Duration
+	// MaxIdle bounds how long a connection may have been idle before this request
+	// uses it; 0 means the default. A target may drop an idle connection without
+	// notice, and what is sent on it then has an unknown outcome.
+	MaxIdle time.Duration
 }
 
 type idleConn struct {
@@ -45,11 +52,19 @@
 
 // take returns an idle connection or opens one within the target's bound.
 func (p *pool) take(ctx context.Context, t Target) (*conn, error) {
-	if c := p.takeIdle(t.Address); c != nil {
+	maxIdle := maxIdleDuration
+	if t.MaxIdle > 0 {
+		maxIdle = min(maxIdle, t.MaxIdle)
+	}
+	if c := p.takeIdle(t.Address, maxIdle); c != nil {
 		return c, nil
 	}
-	if !p.reserve(t) {
-		return nil, ErrConnectionLimit
+	for !p.reserve(t) {
+		old := p.popOldest(t.Address)
+		if old == nil {
+			return nil, ErrConnectionLimit
+		}
+		p.drop(t.Address, old)
 	}
 	raw, err := p.dial(ctx, t)
 	if err != nil {
@@ -96,33 +111,67 @@
 	}
 }
 
-func (p *pool) takeIdle(address string) *conn {
+// takeIdle returns the connection that was idle for the shortest time, unless
+// that is too long for this request. Others may still use it then.
+func (p *pool) takeIdle(address string, maxIdle time.Duration) *conn {
 	for {
-		c, since := p.popIdle(address)
+		c := p.popYoung(address, time.Now().Add(-maxIdle))
 		if c == nil {
-			return nil
+			break
 		}
-		if time.Since(since) < maxIdleDuration && c.quiet() {
+		if c.quiet() {
 			c.wrote.Store(false)
+			c.reused = true
 			return c
 		}
 		p.drop(address, c)
 	}
+	for {
+		c := p.popOld(address, time.Now().Add(-maxIdleDuration))
+		if c == nil {
+			return nil
+		}
+		p.drop(address, c)
+	}
+}
+
+// popYoung takes out the connection that has been idle for the shortest time,
+// when that began after a moment.
+func (p *pool) popYoung(address string, after time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[address]
+	if len(conns) == 0 || conns[len(conns)-1].since.Before(after) {
+		return nil
+	}
+	return p.popAt(address, len(conns)-1)
 }
 
-func (p *pool) popIdle(address string) (*conn, time.Time) {
+// popOld takes out the connection that has been idle for the longest time, when
+// that began before a moment.
+func (p *pool) popOld(address string, before time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil, time.Time{}
+	if len(conns) == 0 || !conns[0].since.Before(before) {
+		return nil
 	}
-	last := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	if len(conns) == 1 {
+	return p.popAt(address, 0)
+}
+
+// popOldest takes out the connection that has been idle for the longest time.
+func (p *pool) popOldest(address string) *conn {
+	return p.popOld(address, time.Now().Add(time.Nanosecond))
+}
+
+func (p *pool) popAt(address string, i int) *conn {
+	conns := p.idle[address]
+	c := conns[i].conn
+	p.idle[address] = slices.Delete(conns, i, i+1)
+	if len(p.idle[address]) == 0 {
 		delete(p.idle, address)
 	}
-	return last.conn, last.since
+	return c
 }
 
 // put keeps a connection for the next request.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -28,6 +28,10 @@
 	// unanswered bounds how long a target may leave bytes unacknowledged, beyond
 	// two round trips. Two retransmissions fit into it, after 200 and 400 ms.
 	unanswered = 650 * time.Millisecond
+	// freshIdle is how long a connection may have been idle that carries a
+	// request which must run once: such a request cannot be repeated when the
+	// target has dropped the connection meanwhile.
+	freshIdle = 200 * time.Millisecond
 )
 
 // ended is how an attempt ended.
@@ -50,6 +54,9 @@
 	trips := roundTrips * g.Balancer.RoundTrip(grant.Region)
 	to := forward.Target{Address: grant.Target.Address, Connections: g.connections(grant.Target.Service),
 		DialTimeout: dialBase + trips, Unanswered: unanswered + trips}
+	if !r.route.Idempotent {
+		to.MaxIdle = freshIdle
+	}
 	sent, done := g.flights.enter(ctx, grant.Target.ID)
 	got, err := g.Forwarder.Do(sent, to, out)
 	if err != nil {
@@ -117,9 +124,12 @@
 		}
 	case ctx.Err() != nil:
 		result = balance.Silent
+	case failure != nil && failure.Stale:
+		result = balance.Abandoned // The connection says nothing of the target.
+		delete(r.excluded, grant.Target.ID)
 	}
-	if failure != nil && failure.Crashed {
-		g.Suspects.Crashed(time.Now(), r.print)
+	if failure != nil && failure.Crashed && !failure.Stale {
+		g.Suspects.Crashed(time.Now(), r.fingerprint())
 	}
 	if stage == forward.StageConnect {
 		r.missed++
@@ -162,7 +172,9 @@
 		g.done(r, grant, started, o, e, err.Error())
 		return e
 	}
-	g.Suspects.Succeeded(r.print)
+	if g.Suspects.Any() {
+		g.Suspects.Succeeded(r.fingerprint())
+	}
 	e := ended{answer: a}
 	o.Result = balance.Answered
 	if a.status >= http.StatusInternalServerError {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -97,12 +97,23 @@
 	deadline time.Time
 	first    time.Time // When the caller first asked, as far as its deadline shows.
 	excluded map[string]bool
-	sent     int     // Attempts that reached a target.
-	missed   int     // Attempts that reached none.
-	mayRun   bool    // A target may have executed the request.
-	last     *answer // A target's answer that says that it failed, when nothing better comes.
-	full     bool    // A target had no room.
-	print    quarantine.Fingerprint
+	sent     int                     // Attempts that reached a target.
+	missed   int                     // Attempts that reached none.
+	mayRun   bool                    // A target may have executed the request.
+	last     *answer                 // A target's answer that says that it failed, when nothing better comes.
+	full     bool                    // A target had no room.
+	print    *quarantine.Fingerprint // Nil until it is needed.
+}
+
+// fingerprint tells requests that are the same apart from others. It hashes the
+// whole request, so it is made only when a crash is known.
+func (r *carried) fingerprint() quarantine.Fingerprint {
+	if r.print == nil {
+		f := quarantine.Request{Service: r.service, Method: r.http.Method, URI: r.uri, Body: r.held,
+			Length: r.http.ContentLength}.Fingerprint()
+		r.print = &f
+	}
+	return *r.print
 }
 
 // serve finds the answer to a request.
@@ -176,10 +187,8 @@
 // attempts tries targets until one answers.
 func (g *Gateway) attempts(ctx context.Context, r *carried) *answer {
 	g.Budget.Request(r.arrived, r.service)
-	r.print = quarantine.Request{Service: r.service, Method: r.http.Method, URI: r.uri, Body: r.held,
-		Length: r.http.ContentLength}.Fingerprint()
 	for {
-		if crashes, refused := g.Suspects.Refused(time.Now(), r.print); refused {
+		if crashes, refused := g.refusedAsSuspect(r); refused {
 			return g.suspected(r, crashes)
 		}
 		grant, refusal := g.Balancer.Pick(time.Now(), r.want(time.Now()))
@@ -234,11 +243,20 @@
 	return retryAfter(http.StatusServiceUnavailable, string(f.Reason), f.RetryAfter)
 }
 
+// refusedAsSuspect reports whether the request must not go to a target any more,
+// and how often it has ended a target's connection.
+func (g *Gateway) refusedAsSuspect(r *carried) (int, bool) {
+	if !g.Suspects.Any() {
+		return 0, false
+	}
+	return g.Suspects.Refused(time.Now(), r.fingerprint())
+}
+
 // suspected answers a request that has ended the connection of several targets
 // in a row.
 func (g *Gateway) suspected(r *carried, crashes int) *answer {
 	g.events.Emit(events.RequestSuspected, log.Fields{"request": r.id, "route": r.route.Name, "service": r.service,
-		"fingerprint": r.print.String(), "crashes": crashes})
+		"fingerprint": r.fingerprint().String(), "crashes": crashes})
 	if r.mayRun {
 		return ownAnswer(http.StatusBadGateway, "suspected-crash")
 	}
