Keep processor time and messages bounded in large deployments

Each domain's digests go to another member; it acknowledges them, which measures the round trip. Reports with more than 256 targets tell other regions of their own targets only. A failed call counts at once.

Tests: TestOneInstanceOfEachOfManyDomainsWatchesTheStore, TestDigestsAreSpreadOverTheReceivingDomain.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -23,17 +24,21 @@
 type Balancer struct {
 	options Options
 
-	mu         sync.Mutex
-	world      *steering.World
-	targets    map[string]*target
-	services   map[string]*service
-	peers      map[string]*peer
-	inFlight   map[uint32]int           // Requests of other instances, by short hash of the target's ID.
-	instances  []steering.Instance      // Live ones, this one included.
-	roundTrips map[string]time.Duration // To other regions, as measured.
-	order      []string                 // Regions by round trip; nil when it has to be made.
-	levelled   time.Time                // When levels are measured again.
-	started    time.Time
+	mu        sync.Mutex
+	world     *steering.World
+	targets   map[string]*target
+	services  map[string]*service
+	peers     map[string]*peer
+	inFlight  map[uint32]int      // Requests of other instances, by short hash of the target's ID.
+	instances []steering.Instance // Live ones, this one included.
+	// instanceHash is that of the name of each of the instances; generation
+	// counts their changes.
+	instanceHash []uint64
+	generation   uint64
+	roundTrips   map[string]time.Duration // To other regions, as measured.
+	order        []string                 // Regions by round trip; nil when it has to be made.
+	levelled     time.Time                // When levels are measured again.
+	started      time.Time
 }
 
 // target is what is known of one incarnation of a target.
@@ -56,6 +61,10 @@
 	avoid      time.Time
 	cold       time.Time
 	token      time.Time // When the next request may go there while it is cold.
+	// ownsCold tells whether this instance may use it while it is cold, as of a
+	// generation of instances.
+	ownsCold   bool
+	generation uint64
 	warm       *recent   // Objects that it has handled.
 	level      float64   // Requests in flight by slots, averaged.
 	rest       time.Time // Until then its objects do not move.
@@ -109,35 +118,53 @@
 	defer b.mu.Unlock()
 	before := b.world
 	b.world = w
-	for id, record := range w.Targets {
-		b.setTarget(now, id, record)
-	}
-	for id := range b.targets {
-		if w.Targets[id] == nil {
-			delete(b.targets, id)
-		}
-	}
 	if w.Config != nil {
 		for name := range w.Config.Services {
 			b.service(name)
 		}
 	}
+	evacuations := !maps.Equal(before.Evacuated, w.Evacuated)
+	for _, name := range w.Services() {
+		changed := !sameList(before.Of(name), w.Of(name))
+		if changed {
+			b.setTargets(now, before.Of(name), w.Of(name))
+		}
+		if changed || evacuations {
+			b.index(b.service(name))
+		}
+	}
 	for domain := range before.Evacuated {
 		if !w.Evacuated[domain] {
 			b.warmUp(now, domain)
 		}
 	}
-	b.index()
 }
 
-// index sorts the targets that may get requests by service and region.
-func (b *Balancer) index() {
-	for _, s := range b.services {
-		s.targets, s.byHash = map[string][]*target{}, map[uint32]*target{}
+// sameList reports whether two lists of a service's targets are one. A world
+// shares the lists that have not changed with the world before.
+func sameList(a, b []*steering.Target) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// setTargets takes over the changed targets of a service.
+func (b *Balancer) setTargets(now time.Time, before, after []*steering.Target) {
+	for _, record := range after {
+		if t := b.targets[record.ID]; t == nil || t.record != record {
+			b.setTarget(now, record.ID, record)
+		}
 	}
-	for _, t := range b.targets {
-		if b.world.Usable(t.record) {
-			s := b.service(t.record.Service)
+	for _, record := range before {
+		if b.world.Targets[record.ID] == nil {
+			delete(b.targets, record.ID)
+		}
+	}
+}
+
+// index sorts the targets of a service that may get requests by region.
+func (b *Balancer) index(s *service) {
+	s.targets, s.byHash = map[string][]*target{}, map[uint32]*target{}
+	for _, record := range b.world.Of(s.name) {
+		if t := b.targets[record.ID]; t != nil && b.world.Usable(record) {
 			s.targets[t.region] = append(s.targets[t.region], t)
 			s.byHash[short(t.hash)] = t
 		}
@@ -171,6 +198,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.instances = list
+	b.generation++
+	b.instanceHash = make([]uint64, len(list))
+	for i, in := range list {
+		b.instanceHash[i] = hashOf(in.Name)
+	}
 }
 
 // hiddenMemory is how long a load that only the target itself told counts.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -182,7 +182,7 @@
 	for range 6 {
 		pick(t, other, start, want("x"))
 	}
-	b.Heard(start, "n2", "a", other.Report(start))
+	b.Heard(start, "n2", "a", other.Report(start), 1500*time.Millisecond)
 	assert.Equal(t, 6, pick(t, b, start, want("x")).Load)
 	later := start.Add(2 * time.Second)
 	b.Step(later)
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -1,9 +1,10 @@
 package balance
 
 import (
-	"cmp"
 	"slices"
 	"time"
+
+	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 const (
@@ -47,34 +48,40 @@
 }
 
 // ownsCold reports whether this instance is among those that use the target
-// while it is cold: the first by rendezvous hashing, near ones before others.
+// while it is cold.
 func (b *Balancer) ownsCold(t *target) bool {
-	type ranked struct {
-		name string
-		near int
-		hash uint64
+	if t.generation != b.generation {
+		t.ownsCold, t.generation = b.findsOwnName(t), b.generation
 	}
-	list := make([]ranked, 0, len(b.instances))
-	for _, in := range b.instances {
-		r := ranked{name: in.Name, hash: mix(t.hash, hashOf(in.Name))}
-		switch {
-		case in.Domain == t.record.Domain:
-			r.near = 2
-		case in.Region == t.region:
-			r.near = 1
-		}
-		list = append(list, r)
+	return t.ownsCold
+}
+
+// findsOwnName reports whether fewer than coldOwners instances come before this
+// one for a target: near ones come first, then by rendezvous hashing.
+func (b *Balancer) findsOwnName(t *target) bool {
+	self := slices.IndexFunc(b.instances, func(in steering.Instance) bool { return in.Name == b.options.Name })
+	if self < 0 {
+		return false
 	}
-	slices.SortFunc(list, func(a, c ranked) int {
-		return cmp.Or(cmp.Compare(c.near, a.near), cmp.Compare(c.hash, a.hash))
-	})
-	for i, r := range list {
-		if i >= coldOwners {
-			break
-		}
-		if r.name == b.options.Name {
-			return true
+	near, rank := b.nearness(self, t), mix(t.hash, b.instanceHash[self])
+	before := 0
+	for i := range b.instances {
+		other := b.nearness(i, t)
+		if other > near || other == near && mix(t.hash, b.instanceHash[i]) > rank {
+			before++
 		}
 	}
-	return false
+	return before < coldOwners
+}
+
+// nearness is 2 for an instance of the target's domain, 1 for one of its region
+// and 0 for others.
+func (b *Balancer) nearness(i int, t *target) int {
+	switch {
+	case b.instances[i].Domain == t.record.Domain:
+		return 2
+	case b.instances[i].Region == t.region:
+		return 1
+	}
+	return 0
 }
--- a/balance/grey.go
+++ b/balance/grey.go
@@ -27,6 +27,9 @@
 }
 
 func (f *failRate) value(now time.Time) float64 {
+	if f.part == 0 {
+		return 0
+	}
 	return f.part * math.Exp(-now.Sub(f.at).Seconds()/failMemory.Seconds())
 }
 
--- a/balance/model_test.go
+++ b/balance/model_test.go
@@ -129,7 +129,7 @@
 		report := from.Report(m.now)
 		for _, to := range m.nodes {
 			if from != to && (from.region != to.region) == across {
-				to.Heard(m.now, from.name, from.region, report)
+				to.Heard(m.now, from.name, from.region, report, 1500*time.Millisecond)
 			}
 		}
 	}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -139,6 +139,9 @@
 	for _, t := range s.targets[region] {
 		r := mix(object, t.hash)
 		home = max(home, r)
+		if last.target != nil && r < lastRank && best.target != nil && r < bestRank {
+			continue
+		}
 		if want.Excluded[t.record.ID] || !b.usable(now, t) {
 			continue
 		}
--- a/balance/report.go
+++ b/balance/report.go
@@ -4,17 +4,27 @@
 	"time"
 )
 
-// peerMemory is how long the report of an instance counts. Instances report
-// several times a second; one that has been silent for longer is dead or cut
-// off, and what it had in flight ends or shows in the targets' own word.
-const peerMemory = 1500 * time.Millisecond
-
 // Report is what an instance tells others.
 type Report struct {
 	InFlight map[uint32]int     // By short hash of the target's ID; targets without requests are left out.
 	Rates    map[uint32]float64 // Requests per second from callers, by short hash of the service's name.
 }
 
+// OnlyIn returns the part of a report that concerns the targets of a region.
+func (b *Balancer) OnlyIn(r Report, region string) Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	part := Report{InFlight: map[uint32]int{}, Rates: r.Rates}
+	for _, s := range b.services {
+		for _, t := range s.targets[region] {
+			if n := r.InFlight[short(t.hash)]; n > 0 {
+				part.InFlight[short(t.hash)] = n
+			}
+		}
+	}
+	return part
+}
+
 // Merge adds the report of another instance of the same domain.
 func (r *Report) Merge(o Report) {
 	for hash, n := range o.InFlight {
@@ -27,7 +37,7 @@
 
 type peer struct {
 	region string
-	heard  time.Time
+	until  time.Time
 	report Report
 }
 
@@ -52,14 +62,16 @@
 // smallestRate is the smallest rate that is worth telling, per second.
 const smallestRate = 0.1
 
-// Heard takes over the report of another instance, or of a failure domain.
-func (b *Balancer) Heard(now time.Time, name, region string, r Report) {
+// Heard takes over the report of another instance, or of a failure domain. It
+// counts for a time: a sender that has been silent for longer is dead or cut
+// off, and what it had in flight ends or shows in the targets' own word.
+func (b *Balancer) Heard(now time.Time, name, region string, r Report, keep time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if old := b.peers[name]; old != nil {
 		b.count(old.report, -1)
 	}
-	b.peers[name] = &peer{region: region, heard: now, report: r}
+	b.peers[name] = &peer{region: region, until: now.Add(keep), report: r}
 	b.count(r, 1)
 }
 
@@ -76,7 +88,7 @@
 // forgetPeers takes out the reports of instances that have been silent.
 func (b *Balancer) forgetPeers(now time.Time) {
 	for name, p := range b.peers {
-		if now.Sub(p.heard) > peerMemory {
+		if now.After(p.until) {
 			b.count(p.report, -1)
 			delete(b.peers, name)
 		}
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -17,14 +17,20 @@
 	// milliseconds, so counts that are 100 ms old are still good for choosing a
 	// target.
 	nearInterval = 100 * time.Millisecond
-	// farInterval is the pause between digests to other regions.
+	// farInterval is the pause between digests to other regions, at least. In
+	// large domains it is farStretch times that between messages in a domain.
 	farInterval = 500 * time.Millisecond
+	farStretch  = 2
 	// secondStretch is how much less often the second speaker sends digests. It
 	// covers the time until a dead first one is noticed.
 	secondStretch = 4
 	// fullDomain is the number of instances of a domain up to which nearInterval
 	// holds. In larger ones it grows in proportion.
-	fullDomain = 5
+	fullDomain = 8
+	// fullReport is the number of targets with requests up to which digests tell
+	// other regions of all of them, in about 1.5 KB. Larger ones tell a region
+	// only of its own targets.
+	fullReport = 256
 	// identityEvery is how many messages carry addresses once.
 	identityEvery = 8
 	// silentAfter is when an instance of the own domain counts as dead, at least.
@@ -33,11 +39,15 @@
 	// silentMessages is the number of missed messages after which it does.
 	silentMessages = 5
 	// staleAfter is when a domain whose digests no longer arrive counts as
-	// unreachable.
+	// unreachable, at least.
 	staleAfter = 2 * time.Second
-	// speakers is the number of instances of a domain that speak for it, and
-	// that watch the store for it.
+	// staleDigests is the number of missed digests after which it does.
+	staleDigests = 4
+	// speakers is the number of instances of a domain that speak for it.
 	speakers = 2
+	// manyDomains is the number of domains from which on one instance of each
+	// watches the store: news that it misses come from the watchers of the others.
+	manyDomains = 4
 	// maxMessage is the largest datagram that is read.
 	maxMessage = 64 << 10
 	// forgetAfter is when a silent instance that is not registered is dropped.
@@ -66,6 +76,7 @@
 	options Options
 	conn    net.PacketConn
 	started time.Time
+	number  int // Of the own domain among all, by name.
 
 	mu      sync.Mutex
 	known   map[string]steering.Instance // Registered ones, by name.
@@ -90,10 +101,9 @@
 	silent  bool              // It was logged that it is silent.
 	last    Message           // The last digest.
 	heard   time.Time
-	direct  Message // The last digest that came from the domain itself.
-	arrived time.Time
-	next    time.Time // When to send to it again.
-	tries   int       // Digests sent since it was last heard.
+	trip    time.Duration // Round trip to it, as measured here; 0 when it is not known.
+	next    time.Time     // When to send to it again.
+	tries   int           // Digests sent since it was last heard.
 }
 
 // Listen opens the socket of an exchange.
@@ -108,6 +118,9 @@
 		if name != o.Self.Domain {
 			x.domains[name] = &domain{}
 		}
+		if name < o.Self.Domain {
+			x.number++
+		}
 	}
 	x.live = []steering.Instance{o.Self}
 	return x, nil
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -99,6 +99,33 @@
 	}
 }
 
+// Guards against calls to the store by two instances of every domain where the
+// watchers of other domains tell of what one misses.
+func TestOneInstanceOfEachOfManyDomainsWatchesTheStore(t *testing.T) {
+	fleet := startFleet(t, "a1", "a1", "a1")
+	for _, m := range fleet {
+		m.mu.Lock()
+		for i := range manyDomains {
+			m.domains[fmt.Sprint("far", i)] = &domain{}
+		}
+		m.mu.Unlock()
+	}
+	waitLive(t, fleet[2], "a1-0", "a1-1", "a1-2")
+	watching := func() []bool { return []bool{fleet[0].Watches(), fleet[1].Watches(), fleet[2].Watches()} }
+	require.Eventually(t, func() bool { return assert.ObjectsAreEqual([]bool{true, false, false}, watching()) },
+		5*time.Second, 10*time.Millisecond)
+	fleet[0].inTouch.Store(false)
+	require.Eventually(t, func() bool { return assert.ObjectsAreEqual([]bool{true, true, false}, watching()) },
+		5*time.Second, 10*time.Millisecond, "the next one takes over")
+	fleet[1].inTouch.Store(false)
+	require.Eventually(t, func() bool { return assert.ObjectsAreEqual([]bool{true, true, true}, watching()) },
+		5*time.Second, 10*time.Millisecond)
+	fleet[0].cancel()
+	fleet[1].inTouch.Store(true)
+	require.Eventually(t, func() bool { return assert.ObjectsAreEqual([]bool{true, false}, watching()[1:]) },
+		5*time.Second, 10*time.Millisecond)
+}
+
 // Guards against a domain of which no instance hears the store, and against one
 // in which all of them watch it.
 func TestTwoInstancesOfADomainWatchTheStore(t *testing.T) {
@@ -171,3 +198,24 @@
 	assert.False(t, d.take(now, &Message{Name: "a", Incarnation: 9, Sequence: 6}))
 	assert.True(t, d.take(now.Add(staleAfter+1), &Message{Name: "a", Incarnation: 9, Sequence: 6}), "nothing is late after such a silence")
 }
+
+// Guards against digests that no instance of a domain passes on, against one
+// that has to pass on those of all domains, and against round trips that are
+// known to speakers only.
+func TestDigestsAreSpreadOverTheReceivingDomain(t *testing.T) {
+	fleet := startFleet(t, "a1", "a1", "a2", "a2", "b1", "b1")
+	for _, m := range fleet {
+		waitLive(t, m, "a1-0", "a1-1", "a2-2", "a2-3", "b1-4", "b1-5")
+	}
+	receivers := map[string]bool{}
+	for _, i := range []int{2, 4} { // First speakers of the other domains.
+		x := fleet[i].Exchange
+		x.mu.Lock()
+		receivers[x.receiverOf(time.Now(), "a1", x.domains["a1"], 0)] = true
+		x.mu.Unlock()
+	}
+	assert.Len(t, receivers, 2)
+	for _, m := range fleet[:4] {
+		require.Eventually(t, func() bool { return m.balancer.RoundTrip("b") < 50*time.Millisecond }, 10*time.Second, 10*time.Millisecond)
+	}
+}
--- a/gossip/hear.go
+++ b/gossip/hear.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"net"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -12,15 +14,17 @@
 func (x *Exchange) receive() {
 	buffer := make([]byte, maxMessage)
 	for {
-		n, _, err := x.conn.ReadFrom(buffer)
+		n, from, err := x.conn.ReadFrom(buffer)
 		if err != nil {
 			return
 		}
 		m, err := Parse(buffer[:n])
 		switch {
 		case err != nil || m.Name == x.options.Self.Name:
+		case m.Echo != 0:
+			x.heardEcho(time.Now(), m)
 		case m.digest():
-			x.heardDigest(time.Now(), m)
+			x.heardDigest(time.Now(), m, from)
 		default:
 			x.heardMate(time.Now(), m)
 		}
@@ -39,64 +43,94 @@
 		x.mu.Unlock()
 		return
 	}
+	before := p.instance
 	if m.Domain != "" {
 		p.instance = steering.Instance{Name: m.Name, Domain: m.Domain, Region: x.options.Regions[m.Domain],
 			Address: m.Address, PeerAddress: m.PeerAddress, Incarnation: m.Incarnation}
 	} else if known, ok := x.known[m.Name]; ok && p.instance.Name == "" {
 		p.instance = known
 	}
+	changed := p.silent || p.last.Ready != m.Ready || p.last.Leaving != m.Leaving || m.Domain != "" && p.instance != before
 	p.last, p.heard = *m, now
 	if p.silent {
 		p.silent = false
 		x.options.Events.Emit(events.PeerHeard, log.Fields{"peer": m.Name, "domain": x.options.Self.Domain})
 	}
+	keep := x.silence()
 	x.mu.Unlock()
-	x.options.Balancer.Heard(now, m.Name, x.options.Self.Region, m.Report)
+	x.options.Balancer.Heard(now, m.Name, x.options.Self.Region, m.Report, keep)
 	x.options.Suspects.Heard(now, m.Name, m.Suspects)
-	x.check(now)
+	if changed {
+		x.check(now)
+	}
 	if m.Revision > x.options.Revision() {
 		x.options.Advanced()
 	}
 }
 
-// heardDigest takes over a digest of another domain and passes it on when it
-// came from there.
-func (x *Exchange) heardDigest(now time.Time, m *Message) {
+// heardDigest takes over a digest of another domain. One that came from there
+// is acknowledged and passed on in the own domain.
+func (x *Exchange) heardDigest(now time.Time, m *Message, from net.Addr) {
 	x.mu.Lock()
 	d := x.domains[m.Domain]
 	if d == nil || !d.take(now, m) {
 		x.mu.Unlock()
 		return
 	}
-	if d.silent || d.heard.IsZero() {
+	back := d.silent || d.heard.IsZero()
+	if back {
 		d.silent = false
 		x.options.Events.Emit(events.PeerHeard, log.Fields{"peer": m.Name, "domain": m.Domain})
 	}
 	if len(m.Members) > 0 && m.Members[0].PeerAddress == "" {
 		x.complete(m, d)
 	}
+	changed := back || !slices.Equal(d.last.Members, m.Members)
 	d.last, d.heard, d.tries = *m, now, 0
-	region := x.options.Regions[m.Domain]
-	trip := time.Duration(m.RoundTrip) * time.Microsecond
 	if !m.Relayed {
-		d.direct, d.arrived = *m, now
-		if m.Echo != 0 {
-			trip = time.Duration(x.micros(now)-m.Echo-m.Held) * time.Microsecond
-		}
-		x.relay(m, trip)
+		x.echo(m, from)
+		x.relay(m)
 	}
+	region, keep := x.options.Regions[m.Domain], x.stale()
 	x.mu.Unlock()
-	if trip > 0 && trip < maxRoundTrip {
-		x.options.Balancer.ObserveRoundTrip(region, trip)
-	}
-	x.options.Balancer.Heard(now, "domain "+m.Domain, region, m.Report)
+	x.observeTrip(region, time.Duration(m.RoundTrip)*time.Microsecond)
+	x.options.Balancer.Heard(now, "domain "+m.Domain, region, m.Report, keep)
 	x.options.Suspects.Heard(now, "domain "+m.Domain, m.Suspects)
-	x.check(now)
+	if changed {
+		x.check(now)
+	}
 	if m.Revision > x.options.Revision() {
 		x.options.Advanced()
 	}
 }
 
+// echo answers a digest, so that its sender learns the round trip.
+func (x *Exchange) echo(m *Message, to net.Addr) {
+	out := Message{Name: x.options.Self.Name, Domain: x.options.Self.Domain, Echo: m.Sent}
+	// A lost answer is repaired by that to the next digest.
+	_, _ = x.conn.WriteTo(out.Append(nil), to)
+}
+
+// heardEcho measures the round trip to the domain that answers.
+func (x *Exchange) heardEcho(now time.Time, m *Message) {
+	trip := time.Duration(x.micros(now)-m.Echo) * time.Microsecond
+	x.mu.Lock()
+	d := x.domains[m.Domain]
+	if d == nil || trip <= 0 || trip >= maxRoundTrip {
+		x.mu.Unlock()
+		return
+	}
+	d.trip = trip
+	x.mu.Unlock()
+	x.observeTrip(x.options.Regions[m.Domain], trip)
+}
+
+func (x *Exchange) observeTrip(region string, trip time.Duration) {
+	if trip > 0 && trip < maxRoundTrip {
+		x.options.Balancer.ObserveRoundTrip(region, trip)
+	}
+}
+
 // take reports whether a digest is newer than all that its sender sent before.
 func (d *domain) take(now time.Time, m *Message) bool {
 	if d.senders == nil || now.Sub(d.heard) > staleAfter {
@@ -127,10 +161,9 @@
 }
 
 // relay passes a digest on to the own domain.
-func (x *Exchange) relay(m *Message, trip time.Duration) {
+func (x *Exchange) relay(m *Message) {
 	out := *m
-	out.Relayed, out.Echo, out.Sent, out.Held = true, 0, 0, 0
-	out.RoundTrip = uint64(max(0, trip).Microseconds())
+	out.Relayed, out.Sent = true, 0
 	b := out.Append(nil)
 	for _, address := range x.mateAddresses() {
 		x.sendTo(address, b)
--- a/gossip/live.go
+++ b/gossip/live.go
@@ -16,6 +16,15 @@
 	return max(nearInterval, nearInterval*time.Duration(len(x.mates)+1)/fullDomain)
 }
 
+// stale is when a domain whose digests no longer arrive counts as unreachable.
+// Domains are about as large as this one.
+func (x *Exchange) stale() time.Duration {
+	return max(staleAfter, staleDigests*x.farInterval())
+}
+
+// farInterval is the pause between digests to other regions.
+func (x *Exchange) farInterval() time.Duration { return max(farInterval, farStretch*x.interval()) }
+
 func (x *Exchange) silence() time.Duration {
 	return max(silentAfter, silentMessages*x.interval())
 }
@@ -27,19 +36,30 @@
 	return x.live
 }
 
-// Watches reports whether this instance watches the store: it is a speaker of
-// its domain, or none of the speakers hears the store.
+// Watches reports whether this instance watches the store. The first speaker of
+// a domain that hears the store watches for all, since news of the store comes
+// from other domains too; with few domains both speakers do. When no speaker
+// hears the store, every instance tries.
 func (x *Exchange) Watches() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	heard := false
+	watchers := speakers
+	if len(x.domains)+1 >= manyDomains {
+		watchers = 1
+	}
+	heard := 0
 	for _, name := range x.speakers(time.Now()) {
 		if name == x.options.Self.Name {
 			return true
 		}
-		heard = heard || x.mates[name].last.InTouch
+		if x.mates[name].last.InTouch {
+			heard++
+		}
+		if heard == watchers {
+			return false
+		}
 	}
-	return !heard
+	return heard == 0
 }
 
 // speakers returns the names of the instances that speak for the own domain.
@@ -71,7 +91,7 @@
 		return best, top, true
 	}
 	for _, d := range x.domains {
-		if now.Sub(d.heard) < staleAfter && d.last.Revision > top {
+		if now.Sub(d.heard) < x.stale() && d.last.Revision > top {
 			if in, ok := x.identity(d.last.Name); ok {
 				best, top = in, d.last.Revision
 			}
@@ -103,7 +123,7 @@
 	}
 	live = append(live, x.liveMates(now)...)
 	for name, d := range x.domains {
-		if now.Sub(d.heard) >= staleAfter {
+		if now.Sub(d.heard) >= x.stale() {
 			x.noteSilent(now, name, d)
 			continue
 		}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -24,16 +24,15 @@
 	InTouch     bool   // Watches the store and hears it.
 	Revision    uint64 // Of the store, as far as the sender has read it.
 	Sent        uint64 // Sender's clock in microseconds.
-	Echo        uint64 // Sent of the last message that the sender has from this peer; 0 for none.
-	Held        uint64 // Microseconds since that one arrived.
+	Echo        uint64 // Sent of the digest that this message acknowledges; 0 in others.
 	Report      balance.Report
 	Suspects    map[uint64]int // Crashes in a row by the short fingerprint of a request.
 	// Members is set in digests: the live instances of the sender's domain.
 	// Report is then the sum of theirs.
 	Members []Member
 	Relayed bool // A digest that an instance of the receiver's domain passes on.
-	// RoundTrip is that between the two domains in microseconds, as the relaying
-	// instance measured it; 0 when it is not known.
+	// RoundTrip is that between the two domains in microseconds, as the sender
+	// measured it; 0 when it is not known.
 	RoundTrip uint64
 }
 
@@ -61,7 +60,7 @@
 	fieldRevision
 	fieldSent
 	fieldEcho
-	fieldHeld
+	_
 	fieldInFlight // Fixed32 hash and varint count, packed.
 	fieldRates    // Fixed32 hash and float32 rate, packed.
 	fieldInTouch
@@ -81,7 +80,7 @@
 		{fieldIncarnation, m.Incarnation}, {fieldSequence, m.Sequence},
 		{fieldReady, protowire.EncodeBool(m.Ready)}, {fieldLeaving, protowire.EncodeBool(m.Leaving)},
 		{fieldInTouch, protowire.EncodeBool(m.InTouch)}, {fieldRelayed, protowire.EncodeBool(m.Relayed)},
-		{fieldRevision, m.Revision}, {fieldSent, m.Sent}, {fieldEcho, m.Echo}, {fieldHeld, m.Held},
+		{fieldRevision, m.Revision}, {fieldSent, m.Sent}, {fieldEcho, m.Echo},
 		{fieldRoundTrip, m.RoundTrip},
 	})
 	for i := range m.Members {
@@ -231,8 +230,6 @@
 		m.Sent = v
 	case fieldEcho:
 		m.Echo = v
-	case fieldHeld:
-		m.Held = v
 	case fieldInTouch:
 		m.InTouch = protowire.DecodeBool(v)
 	case fieldRelayed:
--- a/gossip/speak.go
+++ b/gossip/speak.go
@@ -76,29 +76,36 @@
 			continue
 		}
 		d.next = now.Add(x.digestInterval(name, rank) - nearInterval/2)
-		if address := x.speakerOf(now, name, d, rank); address != "" {
-			x.sendDigest(now, m, d, address)
+		address := x.receiverOf(now, name, d, rank)
+		if address == "" {
+			continue
+		}
+		out := m
+		if region := x.options.Regions[name]; region != x.options.Self.Region && len(m.Report.InFlight) > fullReport {
+			out.Report = x.options.Balancer.OnlyIn(m.Report, region)
 		}
+		x.sendDigest(now, out, d, address)
 	}
 }
 
 func (x *Exchange) digestInterval(name string, rank int) time.Duration {
-	interval := farInterval
+	interval := x.farInterval()
 	if x.options.Regions[name] == x.options.Self.Region {
-		interval = nearInterval
+		interval = x.interval()
 	}
 	if rank > 0 {
-		interval = max(farInterval, interval*secondStretch)
+		interval = max(x.farInterval(), interval*secondStretch)
 	}
 	return interval
 }
 
-// speakerOf returns the address of the instance of a domain that gets this
-// one's digests. While the domain is not heard, its registered instances are
-// tried in turn.
-func (x *Exchange) speakerOf(now time.Time, name string, d *domain, rank int) string {
+// receiverOf returns the address of the instance of a domain that gets this
+// one's digests and passes them on there. Each domain sends to another one, so
+// that no instance passes on all. While the domain is not heard, its registered
+// instances are tried in turn.
+func (x *Exchange) receiverOf(now time.Time, name string, d *domain, rank int) string {
 	var addresses []string
-	if now.Sub(d.heard) < staleAfter {
+	if now.Sub(d.heard) < x.stale() {
 		for _, m := range d.last.Members {
 			if !m.Leaving && m.PeerAddress != "" {
 				addresses = append(addresses, m.PeerAddress)
@@ -106,7 +113,7 @@
 		}
 	}
 	if len(addresses) > 0 {
-		return addresses[rank%len(addresses)]
+		return addresses[(x.number+rank)%len(addresses)]
 	}
 	for _, in := range x.known {
 		if in.Domain == name {
@@ -122,10 +129,7 @@
 }
 
 func (x *Exchange) sendDigest(now time.Time, m Message, d *domain, address string) {
-	m.Sent = x.micros(now)
-	if d.direct.Sent != 0 {
-		m.Echo, m.Held = d.direct.Sent, uint64(now.Sub(d.arrived).Microseconds())
-	}
+	m.Sent, m.RoundTrip = x.micros(now), uint64(d.trip.Microseconds())
 	if x.sent%identityEvery != 0 && now.Sub(x.started) > staleAfter && !m.Leaving {
 		m.Members = slices.Clone(m.Members)
 		for i := range m.Members {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -83,10 +83,11 @@
 }
 
 // Mirror holds the records and the world built from them. World, Snapshot and
-// InTouch may be called from any goroutine.
+// Hears may be called from any goroutine.
 type Mirror struct {
 	options Options
 	world   atomic.Pointer[steering.World]
+	failing atomic.Bool               // The last call to the store failed.
 	heard   atomic.Pointer[time.Time] // When the store last answered; a steady time, which setting the clock does not change.
 
 	mu       sync.Mutex // Guards items, revision, recent and returned.
@@ -112,12 +113,11 @@
 // World returns what is in force. It is never nil.
 func (m *Mirror) World() *steering.World { return m.world.Load() }
 
-// Heard returns when the store last answered; zero when it never has.
-func (m *Mirror) Heard() time.Time {
-	if at := m.heard.Load(); at != nil {
-		return *at
-	}
-	return time.Time{}
+// Hears reports whether the store answered here within a time, and every call
+// since.
+func (m *Mirror) Hears(now time.Time, within time.Duration) bool {
+	at := m.heard.Load()
+	return at != nil && now.Sub(*at) < within && !m.failing.Load()
 }
 
 // Run follows the store until ctx ends.
@@ -230,6 +230,7 @@
 }
 
 func (m *Mirror) failed(err error) {
+	m.failing.Store(true)
 	if !m.lost.IsZero() {
 		return
 	}
@@ -244,6 +245,7 @@
 
 func (m *Mirror) answered(now time.Time, revision uint64) {
 	m.heard.Store(&now)
+	m.failing.Store(false)
 	if m.lost.IsZero() {
 		return
 	}
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -45,7 +45,10 @@
 		m.options.Events.Emit(events.StoreLeftToPeers, log.Fields{"revision": m.Revision(), "lostMs": time.Since(m.lost).Milliseconds()})
 		m.lost = time.Time{}
 	}
-	m.fetch(ctx)
+	if m.fetch(ctx) {
+		sleep(ctx, settle)
+		return
+	}
 	t := time.NewTimer(followPause)
 	defer t.Stop()
 	select {
@@ -65,21 +68,23 @@
 	m.fetch(ctx)
 }
 
-func (m *Mirror) fetch(ctx context.Context) {
+// fetch takes what has changed from a peer that is ahead. It reports whether
+// there was anything.
+func (m *Mirror) fetch(ctx context.Context) bool {
 	if m.options.Newer == nil {
-		return
+		return false
 	}
 	peer, ok := m.options.Newer(m.Revision())
 	if !ok {
-		return
+		return false
 	}
 	s, err := m.options.Fetch(ctx, peer, m.Revision())
 	if err != nil {
 		m.options.Events.Emit(events.PeerStateNotTaken, log.Fields{"peer": peer.Name, "error": err.Error()})
-		return
+		return false
 	}
 	if s.Revision <= m.Revision() {
-		return
+		return false
 	}
 	m.options.Events.Emit(events.PeerStateTaken, log.Fields{"peer": peer.Name, "revision": s.Revision, "items": len(s.Items)})
 	if s.ReturnedMs > 0 {
@@ -89,7 +94,8 @@
 	if s.Whole {
 		m.replace(s.Items, s.Revision, time.Now(), source)
 		m.read = true
-		return
+		return true
 	}
 	m.apply(s.Items, s.Revision, time.Now(), source)
+	return true
 }
--- a/node/node.go
+++ b/node/node.go
@@ -153,7 +153,7 @@
 const inTouchFor = 3500 * time.Millisecond
 
 // inTouch reports whether the store answers this instance.
-func (n *Node) inTouch() bool { return time.Since(n.mirror.Heard()) < inTouchFor }
+func (n *Node) inTouch() bool { return n.mirror.Hears(time.Now(), inTouchFor) }
 
 // fleetSize is the number of instances among which the deployment's budgets are
 // divided. Instances that are cut off from this one still use their share, so
--- a/steering/homes.go
+++ b/steering/homes.go
@@ -14,10 +14,11 @@
 	Table  *HomeTable // Nil when there is none any more.
 }
 
-func (f HomesAre) apply(w *World) {
+func (f HomesAre) apply(d *draft) {
+	own(&d.Homes, &d.owned.homes)
 	if f.Table == nil {
-		delete(w.Homes, f.Region)
+		delete(d.Homes, f.Region)
 		return
 	}
-	w.Homes[f.Region] = f.Table
+	d.Homes[f.Region] = f.Table
 }
--- a/steering/world.go
+++ b/steering/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -54,52 +55,35 @@
 // Of returns the targets of a service, in no order. The slice must not be changed.
 func (w *World) Of(service string) []*Target { return w.byService[service] }
 
+// Services returns the names of the services that have or had targets.
+func (w *World) Services() []string { return slices.Collect(maps.Keys(w.byService)) }
+
 // Usable reports whether new requests may go to the target.
 func (w *World) Usable(t *Target) bool { return !t.Draining && !w.Evacuated[t.Domain] }
 
-// With returns a new world in which the facts hold, at a revision.
-func (w *World) With(revision uint64, facts []Fact) *World {
-	next := &World{
-		Revision:  revision,
-		Config:    w.Config,
-		Targets:   maps.Clone(w.Targets),
-		Evacuated: maps.Clone(w.Evacuated),
-		Instances: maps.Clone(w.Instances),
-		Homes:     maps.Clone(w.Homes),
-	}
-	for _, f := range facts {
-		f.apply(next)
-	}
-	next.byService = map[string][]*Target{}
-	for _, t := range next.Targets {
-		next.byService[t.Service] = append(next.byService[t.Service], t)
-	}
-	return next
-}
-
 // Fact is one statement about the deployment. Exactly one implementation
 // exists for each kind of record.
-type Fact interface{ apply(*World) }
+type Fact interface{ apply(*draft) }
 
 // ConfigIs states the operators' configuration. An older one than that in
 // force is ignored.
 type ConfigIs struct{ Config *Config }
 
-func (f ConfigIs) apply(w *World) {
-	if w.Config == nil || f.Config.Version > w.Config.Version {
-		w.Config = f.Config
+func (f ConfigIs) apply(d *draft) {
+	if d.Config == nil || f.Config.Version > d.Config.Version {
+		d.Config = f.Config
 	}
 }
 
 // TargetIs states the condition of a target.
 type TargetIs struct{ Target *Target }
 
-func (f TargetIs) apply(w *World) { w.Targets[f.Target.ID] = f.Target }
+func (f TargetIs) apply(d *draft) { d.setTarget(f.Target.ID, f.Target) }
 
 // TargetGone states that a target has no record any more.
 type TargetGone struct{ ID string }
 
-func (f TargetGone) apply(w *World) { delete(w.Targets, f.ID) }
+func (f TargetGone) apply(d *draft) { d.setTarget(f.ID, nil) }
 
 // DomainEvacuated states whether a failure domain is evacuated.
 type DomainEvacuated struct {
@@ -107,20 +91,27 @@
 	On     bool
 }
 
-func (f DomainEvacuated) apply(w *World) {
+func (f DomainEvacuated) apply(d *draft) {
+	own(&d.Evacuated, &d.owned.evacuated)
 	if f.On {
-		w.Evacuated[f.Domain] = true
+		d.Evacuated[f.Domain] = true
 	} else {
-		delete(w.Evacuated, f.Domain)
+		delete(d.Evacuated, f.Domain)
 	}
 }
 
 // InstanceIs states that an instance is registered.
 type InstanceIs struct{ Instance Instance }
 
-func (f InstanceIs) apply(w *World) { w.Instances[f.Instance.Name] = f.Instance }
+func (f InstanceIs) apply(d *draft) {
+	own(&d.Instances, &d.owned.instances)
+	d.Instances[f.Instance.Name] = f.Instance
+}
 
 // InstanceGone states that the registration of an instance has ended.
 type InstanceGone struct{ Name string }
 
-func (f InstanceGone) apply(w *World) { delete(w.Instances, f.Name) }
+func (f InstanceGone) apply(d *draft) {
+	own(&d.Instances, &d.owned.instances)
+	delete(d.Instances, f.Name)
+}
