One client of key-value services; one test of a route's regions

kv.Client and platform.Store each had the same exchange over HTTP, and balance filtered regions by itself beside steering.Route.AllowsRegion, which only its test called. kv.Caller makes the calls for both; steering.Homes answers for both. A status that is not known leaves the outcome of a write open now; it counted as not executed.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -35,7 +35,7 @@
 type Want struct {
 	Service   string
 	Object    string // Empty when the request names none, or the route is not sticky.
-	Homes     []string
+	Homes     steering.Homes
 	Objective time.Duration // Time within which the answer has its full value.
 	Waited    time.Duration // Time since the caller first asked.
 	Left      time.Duration // Time until it must be answered.
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 const (
@@ -89,12 +91,12 @@
 
 // regionNames returns the regions that may serve, this one first, then in the
 // order of their round trips.
-func (b *Balancer) regionNames(homes []string) []string {
+func (b *Balancer) regionNames(homes steering.Homes) []string {
 	all := b.nearest()
 	if len(homes) == 0 {
 		return all
 	}
-	return slices.DeleteFunc(slices.Clone(all), func(r string) bool { return !slices.Contains(homes, r) })
+	return slices.DeleteFunc(slices.Clone(all), func(r string) bool { return !homes.Allow(r) })
 }
 
 // nearest returns all regions in the order of their round trips. The order is
--- a/kv/client.go
+++ b/kv/client.go
@@ -2,32 +2,27 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/url"
 	"sync/atomic"
 	"time"
-
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
 )
 
-const (
-	dialTimeout = 500 * time.Millisecond
-	callTimeout = 2 * time.Second
-)
+// callTimeout is the longest wait for an answer, beyond the time that a watch
+// asks for.
+const callTimeout = 2 * time.Second
 
 // Client talks to the platform at one address. Failed calls return *Error.
 type Client struct {
-	base     string
-	reads    *client.Client
-	writes   *client.Client
+	caller   *Caller
 	counters counters
 }
 
+// statusKinds are the errors that statuses stand for. Status 503 says that the
+// call had no effect.
+var statusKinds = map[int]error{200: nil, 404: ErrNotFound, 409: ErrConflict, 429: ErrRateLimited, 503: ErrUnavailable}
+
 var (
 	_ KV     = (*Client)(nil)
 	_ Leases = (*Client)(nil)
@@ -36,41 +31,21 @@
 
 // NewClient returns a client for the platform at an ip:port address.
 func NewClient(address string) (*Client, error) {
-	options := []config.ClientOption{client.WithDialTimeout(dialTimeout), client.WithDialer(standard.NewDialer())}
-	reads, err := client.NewClient(options...)
+	caller, err := NewCaller(address, statusKinds)
 	if err != nil {
-		return nil, fmt.Errorf("platform client: %w", err)
+		return nil, err
 	}
-	// The HTTP client repeats a PUT itself when a kept connection ends without
-	// a response. A repeated compare-and-swap whose first attempt took effect
-	// would then be reported as a conflict, so writes keep no connections.
-	writes, err := client.NewClient(append(options, client.WithKeepAlive(false))...)
-	if err != nil {
-		return nil, fmt.Errorf("platform client: %w", err)
-	}
-	return &Client{base: "http://" + address, reads: reads, writes: writes}, nil
+	return &Client{caller: caller}, nil
 }
 
 // Counts returns the calls made so far.
 func (c *Client) Counts() Counts { return c.counters.counts() }
 
-// request describes one call.
-type request struct {
-	op, key string
-	method  string
-	path    string
-	query   url.Values
-	body    []byte
-	timeout time.Duration
-	count   *atomic.Uint64
-	lost    error // Kind of a call whose answer is missing.
-}
-
 // Get implements KV.
 func (c *Client) Get(ctx context.Context, key string) (Value, error) {
 	var v Value
-	err := c.call(ctx, request{op: "get", key: key, method: "GET", path: "/v1/kv", query: url.Values{"key": {key}},
-		timeout: callTimeout, count: &c.counters.reads, lost: ErrUnavailable}, &v)
+	err := c.call(ctx, Call{Op: "get", Key: key, Method: "GET", Path: "/v1/kv", Query: url.Values{"key": {key}},
+		Timeout: callTimeout}, &c.counters.reads, &v)
 	return v, err
 }
 
@@ -78,8 +53,8 @@
 func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
 	query := url.Values{"key": {key}, "after": {fmt.Sprint(after)}, "waitMs": {fmt.Sprint(wait.Milliseconds())}}
 	var v Value
-	err := c.call(ctx, request{op: "watch", key: key, method: "GET", path: "/v1/watch", query: query,
-		timeout: wait + callTimeout, count: &c.counters.watches, lost: ErrUnavailable}, &v)
+	err := c.call(ctx, Call{Op: "watch", Key: key, Method: "GET", Path: "/v1/watch", Query: query,
+		Timeout: wait + callTimeout}, &c.counters.watches, &v)
 	return v, err
 }
 
@@ -87,16 +62,15 @@
 func (c *Client) Put(ctx context.Context, key string, data []byte, revision uint64) (uint64, error) {
 	query := url.Values{"key": {key}, "revision": {fmt.Sprint(revision)}}
 	var v Value
-	err := c.call(ctx, request{op: "put", key: key, method: "PUT", path: "/v1/kv", query: query, body: data,
-		timeout: callTimeout, count: &c.counters.writes, lost: ErrUncertain}, &v)
+	err := c.call(ctx, Call{Op: "put", Key: key, Method: "PUT", Path: "/v1/kv", Query: query, Body: data,
+		Timeout: callTimeout}, &c.counters.writes, &v)
 	return v.Revision, err
 }
 
 // Instances implements Lister.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
 	var list []Instance
-	err := c.call(ctx, request{op: "list instances", method: "GET", path: "/v1/instances",
-		timeout: callTimeout, count: &c.counters.lists, lost: ErrUnavailable}, &list)
+	err := c.call(ctx, Call{Op: "list instances", Method: "GET", Path: "/v1/instances", Timeout: callTimeout}, &c.counters.lists, &list)
 	return list, err
 }
 
@@ -120,66 +94,17 @@
 
 func (c *Client) lease(ctx context.Context, op, name string, query url.Values) (Lease, error) {
 	var l Lease
-	err := c.call(ctx, request{op: op, key: name, method: "POST", path: "/v1/lease/" + op, query: query,
-		timeout: callTimeout, count: &c.counters.leases, lost: ErrUncertain}, &l)
+	err := c.call(ctx, Call{Op: op, Key: name, Method: "POST", Path: "/v1/lease/" + op, Query: query,
+		Timeout: callTimeout}, &c.counters.leases, &l)
 	return l, err
 }
 
-// call sends a request and decodes its answer.
-func (c *Client) call(ctx context.Context, r request, into any) error {
-	r.count.Add(1)
-	err := c.exchange(ctx, r, into)
+// call makes a call and counts it.
+func (c *Client) call(ctx context.Context, r Call, count *atomic.Uint64, into any) error {
+	count.Add(1)
+	err := c.caller.Do(ctx, r, into)
 	if err != nil && !errors.Is(err, ErrNotFound) && !errors.Is(err, ErrConflict) {
 		c.counters.failed.Add(1)
 	}
 	return err
 }
-
-func (c *Client) exchange(ctx context.Context, r request, into any) error {
-	status, body, err := c.do(ctx, r)
-	if err != nil {
-		return &Error{Op: r.op, Key: r.key, Kind: KindOfFailure(err, r.lost), Cause: err}
-	}
-	if kind := statusKind(status); kind != nil {
-		return &Error{Op: r.op, Key: r.key, Kind: kind}
-	}
-	if err := json.Unmarshal(body, into); err != nil {
-		return &Error{Op: r.op, Key: r.key, Kind: r.lost, Cause: err}
-	}
-	return nil
-}
-
-func (c *Client) do(ctx context.Context, r request) (int, []byte, error) {
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
-	req.SetMethod(r.method)
-	req.SetRequestURI(c.base + r.path + "?" + r.query.Encode())
-	if r.body != nil {
-		req.SetBody(r.body)
-	}
-	http := c.reads
-	if r.method != "GET" {
-		http = c.writes
-	}
-	if err := http.DoTimeout(ctx, req, resp, r.timeout); err != nil {
-		return 0, nil, err
-	}
-	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
-}
-
-// statusKind maps a status to an error. Status 503 says that the call had no effect.
-func statusKind(status int) error {
-	switch status {
-	case 200:
-		return nil
-	case 404:
-		return ErrNotFound
-	case 409:
-		return ErrConflict
-	case 429:
-		return ErrRateLimited
-	default:
-		return ErrUnavailable
-	}
-}
--- a/steering/config.go
+++ b/steering/config.go
@@ -32,7 +32,7 @@
 	Attempts   int           // Largest number of targets for one request.
 	Sticky     bool          // A target that has handled the same object lately is faster.
 	Split      []Share
-	Homes      []string // Regions that may serve the route; empty means all.
+	Homes      Homes
 }
 
 // Share is the part of a route's requests that goes to a service.
@@ -95,10 +95,11 @@
 	return strings.ToLower(host)
 }
 
-// AllowsRegion reports whether targets of the region may serve the route.
-func (r *Route) AllowsRegion(region string) bool {
-	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
-}
+// Homes are the regions that may serve a route; none means all.
+type Homes []string
+
+// Allow reports whether targets of the region may serve the route.
+func (h Homes) Allow(region string) bool { return len(h) == 0 || slices.Contains(h, region) }
 
 // SortRoutes puts routes into the order of their names, so that equal
 // configurations have equal content.
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -51,7 +51,7 @@
 }
 
 func TestHomes(t *testing.T) {
-	assert.True(t, (&steering.Route{}).AllowsRegion("x"))
-	assert.True(t, (&steering.Route{Homes: []string{"x"}}).AllowsRegion("x"))
-	assert.False(t, (&steering.Route{Homes: []string{"x"}}).AllowsRegion("y"))
+	assert.True(t, steering.Homes(nil).Allow("x"))
+	assert.True(t, steering.Homes{"x"}.Allow("x"))
+	assert.False(t, steering.Homes{"x"}.Allow("y"))
 }
