Pass large changes on from several instances, packed

Each of the 49 others of a domain took a change from the one that watches, which knew only the last 256 changes and sent all records as JSON instead.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -46,8 +46,12 @@
 	// speakers is the number of instances of a domain that speak for it.
 	speakers = 2
 	// manyDomains is the number of domains from which on one instance of each
-	// watches the store: news that it misses come from the watchers of the others.
+	// may watch the store: news that it misses come from the watchers of the others.
 	manyDomains = 4
+	// followersPerWatcher is how many others take the changes from one instance
+	// that watches the store. A large configuration has some 100 KB, and the
+	// smallest instances send 1 MB/s.
+	followersPerWatcher = 15
 	// maxMessage is the largest datagram that is read.
 	maxMessage = 64 << 10
 	// forgetAfter is when a silent instance that is not registered is dropped.
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -219,3 +219,14 @@
 		require.Eventually(t, func() bool { return m.balancer.RoundTrip("b") < 50*time.Millisecond }, 10*time.Second, 10*time.Millisecond)
 	}
 }
+
+// Guards against a large domain in which all instances take large changes from
+// one, whose link is too slow for that.
+func TestWatchersGrowWithTheDomain(t *testing.T) {
+	x := &Exchange{domains: map[string]*domain{"b": {}, "c": {}, "d": {}}}
+	for size, want := range map[int]int{1: 1, 11: 1, 16: 1, 17: 2, 50: 4, 143: 9} {
+		assert.Equal(t, want, x.watchers(size), size)
+	}
+	x.domains = map[string]*domain{"b": {}}
+	assert.Equal(t, 2, x.watchers(1))
+}
--- a/gossip/live.go
+++ b/gossip/live.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -36,19 +37,16 @@
 	return x.live
 }
 
-// Watches reports whether this instance watches the store. The first speaker of
-// a domain that hears the store watches for all, since news of the store comes
-// from other domains too; with few domains both speakers do. When no speaker
-// hears the store, every instance tries.
+// Watches reports whether this instance watches the store. The first instances
+// of a domain that hear the store watch for all. When none of them hears it,
+// every instance tries.
 func (x *Exchange) Watches() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	watchers := speakers
-	if len(x.domains)+1 >= manyDomains {
-		watchers = 1
-	}
+	names := x.names(time.Now())
+	watchers := x.watchers(len(names))
 	heard := 0
-	for _, name := range x.speakers(time.Now()) {
+	for _, name := range names[:min(len(names), max(watchers, speakers))] {
 		if name == x.options.Self.Name {
 			return true
 		}
@@ -62,8 +60,19 @@
 	return heard == 0
 }
 
-// speakers returns the names of the instances that speak for the own domain.
-func (x *Exchange) speakers(now time.Time) []string {
+// watchers is how many instances of a domain of a size watch the store. One is
+// enough where news that it misses come from those of other domains, but the
+// others of a large domain take the changes from several.
+func (x *Exchange) watchers(size int) int {
+	if len(x.domains)+1 < manyDomains {
+		return speakers
+	}
+	return (size + followersPerWatcher) / (followersPerWatcher + 1)
+}
+
+// names returns the names of the live instances of the own domain that are not
+// leaving.
+func (x *Exchange) names(now time.Time) []string {
 	names := []string{x.options.Self.Name}
 	for name, m := range x.mates {
 		if now.Sub(m.heard) < x.silence() && !m.last.Leaving {
@@ -71,6 +80,12 @@
 		}
 	}
 	slices.Sort(names)
+	return names
+}
+
+// speakers returns the names of the instances that speak for the own domain.
+func (x *Exchange) speakers(now time.Time) []string {
+	names := x.names(now)
 	return names[:min(speakers, len(names))]
 }
 
@@ -81,10 +96,18 @@
 	defer x.mu.Unlock()
 	now := time.Now()
 	var best steering.Instance
-	top := revision
+	top, equal := revision, 0
 	for _, m := range x.mates {
-		if now.Sub(m.heard) < x.silence() && m.last.Revision > top && m.instance.PeerAddress != "" {
-			best, top = m.instance, m.last.Revision
+		if now.Sub(m.heard) >= x.silence() || m.last.Revision <= revision || m.instance.PeerAddress == "" {
+			continue
+		}
+		switch {
+		case m.last.Revision > top:
+			best, top, equal = m.instance, m.last.Revision, 1
+		case m.last.Revision == top:
+			if equal++; rand.IntN(equal) == 0 { // Each of them with the same chance.
+				best = m.instance
+			}
 		}
 	}
 	if best.Name != "" {
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -2,30 +2,57 @@
 
 import "github.com/jacinthstall/jacinthstall/kv"
 
-// historyItems bounds the changes that are kept for peers. It covers several
-// minutes of ordinary changes; a peer that is farther behind gets all records.
-const historyItems = 256
+// historyItems bounds the changes that are kept for peers. It covers the
+// registrations of all instances and targets of a large deployment that
+// starts; a peer that is farther behind gets all records.
+const historyItems = 4096
 
-// history is the latest changes.
+// history is the latest change of each of the keys that changed lately. Peers
+// need no older ones, and a configuration of some 100 KB may change often.
 type history struct {
-	items []kv.Item // In the order of arrival.
+	items []kv.Item      // In the order of arrival; a later change of the key leaves an empty item.
+	at    map[string]int // Index of the latest change of a key.
 	// from is the revision after which all changes are held; 0 means none are.
 	from uint64
 }
 
 // restart forgets all changes: those up to a revision are not known one by one.
-func (h *history) restart(revision uint64) { h.items, h.from = nil, revision }
+func (h *history) restart(revision uint64) {
+	h.items, h.at, h.from = nil, map[string]int{}, revision
+}
 
 func (h *history) add(c kv.Item) {
+	if h.at == nil {
+		h.at = map[string]int{}
+	}
+	if i, known := h.at[c.Key]; known {
+		h.items[i] = kv.Item{}
+	}
+	h.at[c.Key] = len(h.items)
 	h.items = append(h.items, c)
-	if len(h.items) <= historyItems {
-		return
+	if len(h.items) > 2*historyItems {
+		h.compact()
 	}
-	dropped := len(h.items) - historyItems
-	for _, old := range h.items[:dropped] {
-		h.from = max(h.from, old.Revision)
+}
+
+// compact removes empty items, and the oldest ones beyond the bound.
+func (h *history) compact() {
+	excess := len(h.at) - historyItems
+	kept := make([]kv.Item, 0, historyItems)
+	h.at = make(map[string]int, historyItems)
+	for _, c := range h.items {
+		if c.Key == "" {
+			continue
+		}
+		if excess > 0 {
+			excess--
+			h.from = max(h.from, c.Revision)
+			continue
+		}
+		h.at[c.Key] = len(kept)
+		kept = append(kept, c)
 	}
-	h.items = append([]kv.Item(nil), h.items[dropped:]...)
+	h.items = kept
 }
 
 // since returns the changes after a revision. It reports whether all of them
@@ -36,7 +63,7 @@
 	}
 	var changes []kv.Item
 	for _, c := range h.items {
-		if c.Revision > after {
+		if c.Key != "" && c.Revision > after {
 			changes = append(changes, c)
 		}
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -74,12 +74,12 @@
 // Snapshot is what peers exchange: all records at a revision, or the changes
 // that lead to it.
 type Snapshot struct {
-	Revision uint64    `json:"revision"`
-	Whole    bool      `json:"whole"` // Items are all records.
-	Items    []kv.Item `json:"items"`
+	Revision uint64
+	Whole    bool // Items are all records.
+	Items    []kv.Item
 	// ReturnedMs is how long ago the store began to answer again, in
 	// milliseconds. It is 0 when that is too long ago to matter.
-	ReturnedMs int64 `json:"returnedMs,omitempty"`
+	ReturnedMs int64
 }
 
 // Mirror holds the records and the world built from them. World, Snapshot and
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -180,11 +181,26 @@
 	other := newMirror(nil)
 	other.replace(whole.Items, whole.Revision, now, "peer")
 	assert.ElementsMatch(t, ids(m.World()), ids(other.World()))
-	for i := range uint64(historyItems + 10) {
-		m.apply([]kv.Item{put("t:2", "b", 20+i)}, 20+i, now, "store")
+	for i := range uint64(2*historyItems + 10) {
+		m.apply([]kv.Item{put(fmt.Sprint("t:new", i), "b", 20+i)}, 20+i, now, "store")
 	}
 	assert.True(t, m.Since(12).Whole)
-	assert.False(t, m.Since(40).Whole)
+	assert.False(t, m.Since(20+2*historyItems).Whole)
+}
+
+// Guards against a history that holds many versions of a large configuration.
+func TestHistoryHoldsTheLatestChangeOfAKey(t *testing.T) {
+	m := newMirror(nil)
+	now := time.Now()
+	m.replace(nil, 10, now, "store")
+	m.apply([]kv.Item{put("t:1", "a", 11)}, 11, now, "store")
+	for i := range uint64(5 * historyItems) {
+		m.apply([]kv.Item{put("c", "", 20+i)}, 20+i, now, "store")
+	}
+	s := m.Since(10)
+	assert.False(t, s.Whole)
+	assert.Equal(t, []kv.Item{put("t:1", "a", 11), put("c", "", 19+5*historyItems)}, s.Items)
+	assert.LessOrEqual(t, len(m.recent.items), 2*historyItems)
 }
 
 // Guards against an instance that the store refuses and that then misses a
--- a/node/snapshots.go
+++ b/node/snapshots.go
@@ -1,9 +1,14 @@
 package node
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
-	"encoding/json"
+	"encoding/gob"
+	"errors"
+	"io"
 	"net"
+	"sync"
 	"time"
 
 	"storj.io/drpc"
@@ -22,15 +27,62 @@
 
 // snapshotRequest asks for what has changed after a revision.
 type snapshotRequest struct {
-	After uint64 `json:"after"`
+	After uint64
 }
 
-// jsonEncoding encodes the messages of this service. One is exchanged for each
-// change of the records.
-type jsonEncoding struct{}
+// packedEncoding compresses long messages: a snapshot may hold a whole
+// configuration or the records of all targets, which repeat the names of their
+// fields. The first byte tells whether a message is compressed.
+type packedEncoding struct{}
 
-func (jsonEncoding) Marshal(m drpc.Message) ([]byte, error)   { return json.Marshal(m) }
-func (jsonEncoding) Unmarshal(b []byte, m drpc.Message) error { return json.Unmarshal(b, m) }
+const (
+	plain  = 0
+	packed = 1
+	// packFrom is the length of messages from which on they are compressed.
+	packFrom = 4 << 10
+)
+
+// packers are compressors for reuse. Each takes some 100 KB.
+var packers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err) // The level is valid.
+	}
+	return w
+}}
+
+func (packedEncoding) Marshal(m drpc.Message) ([]byte, error) {
+	var b bytes.Buffer
+	b.WriteByte(plain)
+	if err := gob.NewEncoder(&b).Encode(m); err != nil || b.Len() < packFrom {
+		return b.Bytes(), err
+	}
+	w := packers.Get().(*flate.Writer)
+	defer packers.Put(w)
+	var out bytes.Buffer
+	out.WriteByte(packed)
+	w.Reset(&out)
+	if _, err := w.Write(b.Bytes()[1:]); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+var errEmptyMessage = errors.New("message of a peer is empty")
+
+func (packedEncoding) Unmarshal(b []byte, m drpc.Message) error {
+	if len(b) == 0 {
+		return errEmptyMessage
+	}
+	var from io.Reader = bytes.NewReader(b[1:])
+	if b[0] == packed {
+		from = flate.NewReader(from)
+	}
+	return gob.NewDecoder(from).Decode(m)
+}
 
 // snapshotService answers with the records of a mirror.
 type snapshotService struct{ mirror *mirror.Mirror }
@@ -49,7 +101,7 @@
 	receive := func(srv any, ctx context.Context, in1, _ any) (drpc.Message, error) {
 		return srv.(*snapshotService).Snapshot(ctx, in1.(*snapshotRequest))
 	}
-	return rpcSnapshot, jsonEncoding{}, receive, (*snapshotService).Snapshot, true
+	return rpcSnapshot, packedEncoding{}, receive, (*snapshotService).Snapshot, true
 }
 
 func servePeers(ctx context.Context, l net.Listener, m *mirror.Mirror) error {
@@ -71,6 +123,6 @@
 	conn := drpcconn.New(raw)
 	defer func() { _ = conn.Close() }()
 	var s mirror.Snapshot
-	err = conn.Invoke(ctx, rpcSnapshot, jsonEncoding{}, &snapshotRequest{After: after}, &s)
+	err = conn.Invoke(ctx, rpcSnapshot, packedEncoding{}, &snapshotRequest{After: after}, &s)
 	return s, err
 }
