Give an object that fills its home alone further homes

Pattern: one object needs more slots than a target has. Moving it carries its load elsewhere, and its requests are late or refused while others idle.

Change: the instance that decides for a region gives such an object up to four homes in the table; a request goes to the one with the most room. When all of them are idle, the further ones go with the next table.

TestObjectThatFillsItsHomeGetsAnother replaces TestOneObjectThatFillsATargetStays: the object still does not move, and now gets another home.

--- a/balance/homes.go
+++ b/balance/homes.go
@@ -27,6 +27,11 @@
 	leastGap = 0.3
 	// leastGain is how much lower the higher of two levels must be after a move.
 	leastGain = 0.1
+	// hotPart is the part of a target's slots that one object must keep busy to
+	// get another home. It fills its home alone, wherever that is.
+	hotPart = 0.5
+	// maxHomesOfObject bounds the homes of one object.
+	maxHomesOfObject = 4
 	// moveRest is how long a target keeps its objects after a move, until its
 	// load shows what the move has changed.
 	moveRest = 3 * time.Second
@@ -42,14 +47,15 @@
 	maxHomes = 8192
 )
 
-// HomeMove is the decision to give an object another home, with the levels
-// that led to it.
+// HomeMove is the decision to give an object another home, or one more, with the
+// levels that led to it.
 type HomeMove struct {
 	Service   string
 	From, To  string  // IDs of targets.
 	FromLevel float64 // Requests in flight by slots, averaged.
 	ToLevel   float64
 	Object    float64 // The object's part of FromLevel.
+	More      bool    // The object keeps its other homes.
 }
 
 // demand counts requests for objects in the last one or two windows.
@@ -78,16 +84,22 @@
 	return sum
 }
 
-// homeKey names an object of a service in a table of homes.
-func homeKey(service string, object uint64) uint32 { return short(mix(hashOf(service), object)) }
+// homeKey names one of the homes of an object of a service in a table of homes.
+// Number 0 stands for the first one.
+func homeKey(service string, object uint64, number int) uint32 {
+	if number > 0 {
+		object = mix(object, uint64(number))
+	}
+	return short(mix(hashOf(service), object))
+}
 
-// movedTo returns the target that a table names for an object, or nil.
-func (b *Balancer) movedTo(s *service, region string, object uint64) *target {
+// movedTo returns the target that a table names for a home of an object, or nil.
+func (b *Balancer) movedTo(s *service, region string, object uint64, number int) *target {
 	table := b.world.Homes[region]
 	if table == nil {
 		return nil
 	}
-	hash, moved := table.Objects[homeKey(s.name, object)]
+	hash, moved := table.Objects[homeKey(s.name, object, number)]
 	if !moved {
 		return nil
 	}
@@ -137,6 +149,7 @@
 		return nil
 	}
 	objects := b.objectsByHome(s)
+	b.dropIdleHomes(s, table)
 	var moves []HomeMove
 	for range int(math.Ceil(movePart * float64(len(list)))) {
 		if len(list) < 2 {
@@ -148,13 +161,18 @@
 			break
 		}
 		list = list[:len(list)-1]
-		object, part := bestMove(from, to, objects[from])
-		if part == 0 {
-			continue
+		move := HomeMove{Service: s.name, From: from.record.ID, To: to.record.ID, FromLevel: from.level, ToLevel: to.level}
+		object, number := uint64(0), 0
+		if object, move.Object = bestMove(from, to, objects[from]); move.Object == 0 {
+			object, move.Object = hottest(from, objects[from])
+			number = b.nextNumber(s, object, to)
+			if move.Object < hotPart || number == 0 {
+				continue
+			}
+			move.More = true
 		}
-		table.Objects[homeKey(s.name, object)] = short(to.hash)
-		moves = append(moves, HomeMove{Service: s.name, From: from.record.ID, To: to.record.ID,
-			FromLevel: from.level, ToLevel: to.level, Object: part})
+		table.Objects[homeKey(s.name, object, number)] = short(to.hash)
+		moves = append(moves, move)
 		from.rest, to.rest = now.Add(moveRest), now.Add(moveRest)
 		list = list[1:]
 	}
@@ -174,23 +192,90 @@
 	return list
 }
 
-// objectsByHome returns the requests for each object, by the object's home.
-func (b *Balancer) objectsByHome(s *service) map[*target]map[uint64]int {
-	homes := map[*target]map[uint64]int{}
+// sample is what is known of the requests for an object at one of its homes.
+type sample struct {
+	requests float64
+	several  bool // The object has several homes, so none of them moves.
+}
+
+// objectsByHome returns the requests for each object, by the object's homes.
+func (b *Balancer) objectsByHome(s *service) map[*target]map[uint64]sample {
+	byHome := map[*target]map[uint64]sample{}
 	for object, n := range s.demand.counts() {
-		home := b.movedTo(s, b.options.Region, object)
-		if home == nil {
-			home = highest(s.targets[b.options.Region], object)
+		homes := b.homesOf(s, b.options.Region, object)
+		for _, home := range homes {
+			if byHome[home] == nil {
+				byHome[home] = map[uint64]sample{}
+			}
+			byHome[home][object] = sample{float64(n) / float64(len(homes)), len(homes) > 1}
+		}
+	}
+	return byHome
+}
+
+// homesOf returns the homes of an object in a region, whether they can be used
+// or not.
+func (b *Balancer) homesOf(s *service, region string, object uint64) []*target {
+	first := b.movedTo(s, region, object, 0)
+	if first == nil {
+		first = highest(s.targets[region], object)
+	}
+	if first == nil {
+		return nil
+	}
+	homes := []*target{first}
+	for number := 1; number < maxHomesOfObject; number++ {
+		if t := b.movedTo(s, region, object, number); t != nil {
+			homes = append(homes, t)
 		}
-		if home == nil {
+	}
+	return homes
+}
+
+// nextNumber returns the number of a further home for an object; 0 when it has
+// as many as it may have, or has one at the target already.
+func (b *Balancer) nextNumber(s *service, object uint64, to *target) int {
+	if slices.Contains(b.homesOf(s, b.options.Region, object), to) {
+		return 0
+	}
+	for number := 1; number < maxHomesOfObject; number++ {
+		if b.movedTo(s, b.options.Region, object, number) == nil {
+			return number
+		}
+	}
+	return 0
+}
+
+// dropIdleHomes takes their further homes from objects of which all homes are
+// idle. The table is written with the next move.
+func (b *Balancer) dropIdleHomes(s *service, table *steering.HomeTable) {
+	for object := range s.demand.counts() {
+		homes := b.homesOf(s, b.options.Region, object)
+		busy := func(t *target) bool { return t.level >= busyLevel/2 }
+		if len(homes) < 2 || slices.ContainsFunc(homes, busy) {
 			continue
 		}
-		if homes[home] == nil {
-			homes[home] = map[uint64]int{}
+		for number := 1; number < maxHomesOfObject; number++ {
+			delete(table.Objects, homeKey(s.name, object, number))
 		}
-		homes[home][object] = n
 	}
-	return homes
+}
+
+// hottest returns the object that keeps most of a target's slots busy, and its
+// part.
+func hottest(from *target, objects map[uint64]sample) (uint64, float64) {
+	total, most := 0.0, 0.0
+	var best uint64
+	for object, n := range objects {
+		total += n.requests
+		if n.requests > most || n.requests == most && object < best {
+			best, most = object, n.requests
+		}
+	}
+	if total == 0 {
+		return 0, 0
+	}
+	return best, from.level * most / total
 }
 
 // highest returns the target that rendezvous hashing gives an object.
@@ -207,15 +292,18 @@
 
 // bestMove returns the object whose move makes the higher one of two levels
 // lowest, and the object's part of the level; 0 when no move gains enough.
-func bestMove(from, to *target, objects map[uint64]int) (uint64, float64) {
-	total := 0
+func bestMove(from, to *target, objects map[uint64]sample) (uint64, float64) {
+	total := 0.0
 	for _, n := range objects {
-		total += n
+		total += n.requests
 	}
 	var best uint64
 	bestPart, lowest := 0.0, from.level-leastGain
 	for object, n := range objects {
-		part := from.level * float64(n) / float64(total)
+		if n.several {
+			continue
+		}
+		part := from.level * n.requests / total
 		after := to.level + part*float64(from.record.Slots)/float64(to.record.Slots)
 		if after > fullLevel {
 			continue
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -118,7 +118,7 @@
 	if want.Object == "" {
 		return b.fastest(now, s, want, region, object)
 	}
-	c := choice{target: b.movedTo(s, region, object), warm: true}
+	c := choice{target: b.leastLoadedHome(now, s, want, region, object), warm: true}
 	if c.target == nil || want.Excluded[c.target.record.ID] || !b.usable(now, c.target) || b.grey(now, s, c.target) {
 		c = b.nextHome(now, s, want, region, object)
 	}
@@ -130,6 +130,27 @@
 	return c, true
 }
 
+// leastLoadedHome returns the home that a table names for an object. Of several
+// ones it is the usable one with the most room; nil when the table names none.
+func (b *Balancer) leastLoadedHome(now time.Time, s *service, want Want, region string, object uint64) *target {
+	first := b.movedTo(s, region, object, 0)
+	if b.movedTo(s, region, object, 1) == nil {
+		return first
+	}
+	var best *target
+	least := 0.0
+	for _, t := range b.homesOf(s, region, object) {
+		if want.Excluded[t.record.ID] || !b.usable(now, t) || b.grey(now, s, t) {
+			continue
+		}
+		level := float64(b.load(now, t)) / float64(t.record.Slots)
+		if best == nil || level < least {
+			best, least = t, level
+		}
+	}
+	return best
+}
+
 // nextHome returns the usable target to which an object belongs by its hash. A
 // grey one is taken only when all are. It is warm when no other one, usable or
 // not, comes before it.
--- a/events/steering.go
+++ b/events/steering.go
@@ -51,7 +51,7 @@
 	HomesNotWritten = define(Event{Number: 930, Name: "homes-not-written", Level: log.InfoLevel,
 		Message: "table of homes could not be written; the one in force stays", Fields: []string{"region", "revision", "error"}, Action: "check the store when the event repeats"})
 	HomeMoved = define(Event{Number: 931, Name: "home-moved", Level: log.InfoLevel,
-		Message: "object gets another home because the load of targets differs", Fields: []string{"service", "from", "to", "fromLevel", "toLevel", "part"}, Action: "none"})
+		Message: "object gets another home because the load of targets differs", Fields: []string{"service", "from", "to", "fromLevel", "toLevel", "part", "more"}, Action: "none"})
 	SettingsRejected = define(Event{Number: 927, Name: "settings-rejected", Level: log.WarnLevel,
 		Message: "settings cannot be used; those in force stay", Fields: []string{"error"}, Action: "correct the settings file"})
 
