--- a/test.sh
+++ b/test.sh
@@ -16,6 +16,13 @@
   echo "$outside" >&2
   exit 1
 fi
+# Ages and intervals are of the steady clock: the time of day may be set.
+dated=$(git grep -nE '\.Unix(Nano|Milli|Micro)?\(\)' -- balance gateway gossip mirror node forward steering ':!*_test.go' || true)
+if [ -n "$dated" ]; then
+  echo "time of day in a decision:" >&2
+  echo "$dated" >&2
+  exit 1
+fi
 go vet ./...
 (cd tools && go build -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck)
 bin/staticcheck ./...
