--- a/balance/doc.go
+++ b/balance/doc.go
@@ -5,9 +5,10 @@
 // to the home of its object, or, when it names none, to the target that is
 // expected to answer first (pick.go). Homes follow from hashing, and from a
 // table by which one instance of the region moves objects from busy targets to
-// idle ones (homes.go, rebalance.go). Cold targets (cold.go) and targets that fail (outcome.go,
-// grey.go) get fewer requests or none. Instances tell each other what they have
-// in flight (report.go); what a target says of its own load counts more.
+// idle ones (homes.go, rebalance.go). Cold targets (cold.go) and targets that
+// fail (outcome.go, grey.go) get fewer requests or none. Instances tell each
+// other what they have in flight (report.go); what a target says of its own load
+// counts more.
 //
 // Load pattern answered: many instances, few slots per target, and objects
 // that are several times cheaper at a target that knows them. A choice by own
