Count a crash on a kept connection as a crash

A request that crashes its target as soon as it runs looks like a connection that the target had dropped while it was idle, and did not count towards the crashes after which it is refused: all of 8 such requests reached a target (TestCrashesOnKeptConnectionsCountToo, 3 now). A dropped connection alone is cleared by the success of the repeated attempt.

The test of dropped connections gives the forwarder its own bound, so that it does not depend on the machine.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -22,12 +22,13 @@
 // Forwarder sends requests over its own connections. It is safe for concurrent
 // use.
 type Forwarder struct {
-	pool *pool
+	pool  *pool
+	stale time.Duration // See staleTime.
 }
 
 // New returns a Forwarder without connections.
 func New() *Forwarder {
-	return &Forwarder{pool: newPool()}
+	return &Forwarder{pool: newPool(), stale: staleTime}
 }
 
 // Close closes the idle connections. Connections in use are closed when their
@@ -144,7 +145,7 @@
 		failure.Stage = StageConnect
 	}
 	failure.Crashed = failure.Stage == StageWritten && x.crashed() && !errors.Is(err, ErrSource)
-	failure.Stale = failure.Crashed && x.conn.reused && x.conn.limit.read == 0 && time.Since(x.started) < staleTime
+	failure.Stale = failure.Crashed && x.conn.reused && x.conn.limit.read == 0 && time.Since(x.started) < x.forwarder.stale
 	if cause := x.ctx.Err(); cause != nil {
 		failure.Err = cause
 	}
--- a/forward/idle_test.go
+++ b/forward/idle_test.go
@@ -25,6 +25,7 @@
 func TestDroppedIdleConnectionIsToldApart(t *testing.T) {
 	to := newRawTarget(t, forgetful)
 	f := New()
+	f.stale = time.Minute // The test must not depend on the speed of the machine.
 	defer f.Close()
 	_, _, err := exchangeOnce(t, f, to.target(), get("/"))
 	require.NoError(t, err)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -128,7 +128,7 @@
 		result = balance.Abandoned // The connection says nothing of the target.
 		delete(r.excluded, grant.Target.ID)
 	}
-	if failure != nil && failure.Crashed && !failure.Stale {
+	if failure != nil && failure.Crashed {
 		g.Suspects.Crashed(time.Now(), r.fingerprint())
 	}
 	if stage == forward.StageConnect {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -136,6 +136,23 @@
 	assert.Equal(t, 200, s.ask("POST", "/unsafe/other", "good", "b").StatusCode)
 }
 
+// Guards against crashes that are taken for connections which a target had
+// dropped while they were idle. A request that meets only such connections is
+// cleared by its next success.
+func TestCrashesOnKeptConnectionsCountToo(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fast(6)})
+	reached := 0
+	for i := range 8 {
+		for j := range 12 { // Leaves a kept connection at each target.
+			s.ask("POST", fmt.Sprint("/unsafe/w", j), fmt.Sprintf("w%d-%d", i, j), "b")
+		}
+		id := fmt.Sprint("r", i)
+		s.ask("POST", "/unsafe/poison", id, "b", wiretarget.HeaderFault+": "+wiretarget.FaultReset)
+		reached += s.executed(id)
+	}
+	assert.Equal(t, 3, reached)
+}
+
 // Guards against a request that fails although another target has room, and
 // against a second execution: a shed request was not executed.
 func TestShedRequestGoesToAnotherTarget(t *testing.T) {
