Log the rate limits that targets state, and unknown response headers

Change: events 532 target-limit and 533 unknown-header, gauge targets_limited. The header is read under both names, with the prefix of the platform's other headers and without it as the platform announced it. The belief is recorded per target and used by no decision yet. The stand-in target can state a limit and records arrivals.

Measured: tests of platform, balance, gateway, node and events pass, the gateway's with the race detector.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -70,8 +70,9 @@
 	coldSender           bool
 	coldSenderGeneration uint64
 	recentObjects        *objectLRU // Objects handled recently.
-	utilization          float64    // Moving average of requests in flight divided by slots.
-	rebalanceAfter       time.Time  // Excluded from rebalancing until then.
+	limit                limitStatement
+	utilization          float64   // Moving average of requests in flight divided by slots.
+	rebalanceAfter       time.Time // Excluded from rebalancing until then.
 }
 
 // service is the state of one service.
--- a/events/steering.go
+++ b/events/steering.go
@@ -80,6 +80,12 @@
 		Message: "failed to connect to a relay", Fields: []string{"relay", "error"}, Action: "check the relay instance if this persists"})
 	InstancePaused = register(Event{Number: 531, Name: "instance-paused", Level: log.WarnLevel,
 		Message: "process was suspended; state that may have expired in the meantime is discarded", Fields: []string{"pausedMs"}, Action: "check for a suspended or overloaded machine"})
+	TargetLimit = register(Event{Number: 532, Name: "target-limit", Level: log.InfoLevel,
+		Message: "target changed the rate of requests that it takes from all instances together", Fields: []string{"target", "limited", "perSecond", "relayed"},
+		Action: "check the target"})
+	UnknownHeader = register(Event{Number: 533, Name: "unknown-header", Level: log.InfoLevel,
+		Message: "target sent a response header that this version does not know", Fields: []string{"header", "target"},
+		Action: "check the platform's protocol for changes"})
 	CallerLeft = register(Event{Number: 524, Name: "caller-left", Level: log.InfoLevel,
 		Message: "caller closed the connection before all responses were sent", Fields: []string{"unanswered"}, Action: "none"})
 )
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -102,6 +102,7 @@
 		done()
 		return g.attemptFailed(ctx, attemptCtx, request, grant, started, targetAtFault, err)
 	}
+	g.observeResponse(started, grant.Target, response, relayed)
 	outcome := g.responseReceived(ctx, request, grant, started, response)
 	if outcome.response != nil && outcome.response.stream != nil {
 		outcome.response.stream = &cancelOnClose{ReadCloser: outcome.response.stream, cancel: done}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -46,6 +46,7 @@
 	// called for each request with the number of the request on its connection,
 	// and returns whether to keep the connection open.
 	scripts []script
+	logs    log.Handler // Receives the log of the gateway; nil discards it.
 }
 
 type script func(number int, r *http.Request, c net.Conn) bool
@@ -74,7 +75,10 @@
 		record := &steering.Target{ID: fmt.Sprint("script", i), Service: "s", Address: s.startScript(script), Domain: "d", Slots: 4}
 		updates = append(updates, steering.TargetUpdate{Target: record})
 	}
-	s.startGateway(steering.NewState().Apply(1, updates))
+	if o.logs == nil {
+		o.logs = events.NewDroppingHandler(io.Discard)
+	}
+	s.startGateway(steering.NewState().Apply(1, updates), o.logs)
 	return s
 }
 
@@ -128,14 +132,14 @@
 	return record
 }
 
-func (s *site) startGateway(state *steering.State) {
+func (s *site) startGateway(state *steering.State, logs log.Handler) {
 	now := time.Now()
 	balancer := balance.New(balance.Options{Name: "n", Domain: "d", Region: "r", Regions: map[string]string{"d": "r"}}, now)
 	balancer.SetState(now, state)
 	gw := gateway.New(gateway.Options{State: func() *steering.State { return state }, Balancer: balancer, Suspects: balance.NewSuspects(),
 		Budget:    balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}, time.Now()),
 		Forwarder: forward.New(), RelayForwarder: forward.New(), Headers: platform.Headers{}, LiveInstances: func() int { return 1 },
-		Events: events.New(&log.Logger{Handler: events.NewDroppingHandler(io.Discard)})})
+		Events: events.New(&log.Logger{Handler: logs})})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
 	s.address, s.gateway = listener.Addr().String(), gw
--- /dev/null
+++ b/gateway/observe_test.go
@@ -0,0 +1,52 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/stretchr/testify/assert"
+)
+
+// entriesNamed returns the log entries of an event.
+func entriesNamed(logs *memory.Handler, name string) []*log.Entry {
+	var found []*log.Entry
+	for _, entry := range logs.Entries {
+		if entry.Fields["name"] == name {
+			found = append(found, entry)
+		}
+	}
+	return found
+}
+
+// Guards against a limit of a target, or an unknown header, that leaves no trace
+// in the log.
+func TestLimitsAndUnknownHeadersOfTargetsAreLogged(t *testing.T) {
+	var header atomic.Value
+	header.Store("")
+	logs := memory.New()
+	s := startSite(t, siteOptions{logs: logs, scripts: []script{func(_ int, r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, stampedHead(200, r)+header.Load().(string)+"Content-Length: 4\r\n\r\nbody")
+		return err == nil
+	}}})
+	for i, line := range []string{"", "X-Jacinthstall-Server-Limit: 4.5\r\n", "X-Jacinthstall-Server-Limit: 4.5\r\n", "Server-Limit: 2\r\n",
+		"Server-Limit: none\r\n", "", "X-Mood: blue\r\n", "X-Mood: red\r\n"} {
+		header.Store(line)
+		assert.Equal(t, 200, s.request("GET", "/safe/x", fmt.Sprint("r", i), "").StatusCode)
+	}
+	var limits []any
+	for _, entry := range entriesNamed(logs, "target-limit") {
+		assert.Equal(t, "script0", entry.Fields["target"])
+		limits = append(limits, entry.Fields["limited"], entry.Fields["perSecond"])
+	}
+	assert.Equal(t, []any{true, 4.5, true, 2.0, false, 0.0}, limits)
+	unknown := entriesNamed(logs, "unknown-header")
+	if assert.Len(t, unknown, 1) {
+		assert.Equal(t, "X-Mood", unknown[0].Fields["header"])
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -331,11 +331,13 @@
 		destination.MaxIdleTime = nonIdempotentMaxIdle
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.deadline)
-	received, err := g.Forwarder.Do(ctx, destination, g.newForwardRequest(request, balance.Grant{Target: record}, time.Now()))
+	sent := time.Now()
+	received, err := g.Forwarder.Do(ctx, destination, g.newForwardRequest(request, balance.Grant{Target: record}, sent))
 	if err != nil {
 		cancel()
 		return failed(relayResultOf(err))
 	}
+	g.observeResponse(sent, record, received, true)
 	if g.Headers.NotExecuted(received.Status, received.Header) {
 		defer cancel()
 		_ = received.Body.Close()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -65,6 +65,13 @@
 	Load(http.Header) (executing, waiting int, ok bool)
 	// ColdStart returns how long the target will stay cold.
 	ColdStart(http.Header) time.Duration
+	// RateLimit returns the requests per second that the target takes from all
+	// instances together, +Inf if it states no limit; ok is false if the header is
+	// invalid.
+	RateLimit(http.Header) (perSecond float64, ok bool)
+	// KnownResponseHeader reports whether a response header, in canonical form, is
+	// known.
+	KnownResponseHeader(name string) bool
 	// EchoRequestID sets the request's ID in a response that this system generates.
 	EchoRequestID(h http.Header, id string)
 }
@@ -91,6 +98,8 @@
 	inFlight  inFlightAttempts
 	relays    relaySet
 	counters  Counters
+	// unknownHeaders holds the response headers that were logged as unknown.
+	unknownHeaders nameSet
 }
 
 func New(o Options) *Gateway {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -17,6 +17,7 @@
 	gauge("requests_in_flight", node.callerServer.InFlight())
 	gauge("caller_connections", int64(node.callerServer.Connections()))
 	gauge("instances_live", int64(len(node.exchange.Live())))
+	gauge("targets_limited", int64(node.balancer.LimitedTargets()))
 	gauge("store_revision", int64(node.mirror.Revision()))
 	if config := node.mirror.State().Config; config != nil {
 		gauge("config_version", int64(config.Version))
--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -1,14 +1,15 @@
 // Package wiretarget is a stand-in for a target of the platform, used by tests and
 // the soak. It reports its load, rejects requests that are addressed to another
 // target, sheds requests with a statement that they were not executed, is slower
-// for objects that it has not served before, and records its executions. Faults
-// are selected by request headers.
+// for objects that it has not served before, may state a rate limit, and records
+// arrivals and executions. Faults are selected by request headers.
 package wiretarget
 
 import (
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -54,6 +55,8 @@
 	aborted      int            // Executions ended by a disconnected client or a passed deadline.
 	bodies       map[string]string
 	lastStart    time.Time     // Time at which the latest execution started.
+	rateLimit    string        // Stated in responses; empty for none.
+	arrivals     []time.Time   // Of all requests, rejected ones included.
 	freeSlots    chan struct{} // Contains one element for each free slot.
 }
 
@@ -104,6 +107,28 @@
 	return target.lastStart
 }
 
+// SetRateLimit makes the target state that it takes a number of requests per
+// second from all instances together. It does not enforce the limit.
+func (target *Target) SetRateLimit(perSecond float64) {
+	target.setRateLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
+}
+
+// ClearRateLimit makes the target state no limit.
+func (target *Target) ClearRateLimit() { target.setRateLimit("") }
+
+func (target *Target) setRateLimit(stated string) {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.rateLimit = stated
+}
+
+// Arrivals returns the times at which requests arrived, in ascending order.
+func (target *Target) Arrivals() []time.Time {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	return slices.Clone(target.arrivals)
+}
+
 // Body returns the request body of the latest execution of a request ID.
 func (target *Target) Body(id string) string {
 	target.mu.Lock()
@@ -114,6 +139,7 @@
 func (target *Target) handleRequest(ctx context.Context, c *app.RequestContext) {
 	id := string(c.Request.Header.Peek(platform.HeaderRequestID))
 	c.Response.Header.Set(platform.HeaderRequestID, id)
+	target.recordArrival()
 	expected := string(c.Request.Header.Peek(platform.HeaderExpectTarget))
 	switch {
 	case expected != "" && expected != target.options.ID:
@@ -205,10 +231,19 @@
 	return false
 }
 
-// setLoadHeader adds the current load to a response.
+func (target *Target) recordArrival() {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.arrivals = append(target.arrivals, time.Now())
+}
+
+// setLoadHeader adds the current load and the rate limit to a response.
 func (target *Target) setLoadHeader(c *app.RequestContext) {
 	target.mu.Lock()
 	defer target.mu.Unlock()
+	if target.rateLimit != "" {
+		c.Response.Header.Set(platform.HeaderServerLimit, target.rateLimit)
+	}
 	c.Response.Header.Set(platform.HeaderServerLoad, fmt.Sprintf("%d,%d,%d", target.running, target.waiting, target.options.Slots))
 }
 
