Relay: name the request in responses that are not the target's

Callers saw: a non-idempotent request to a far region got 502 although it had not been sent, when a relay refused it or could not reach the target; an idempotent one lost an attempt.

Cause: the relay's own responses carry no request ID, and an instance accepts a response without ID on a new connection only. On a kept connection to the relay it discarded the relay's word "not sent" and took the outcome as unknown.

Evidence: TestResponsesOfRelayCarryRequestID fails without the change.

Why it works: the ID tells the response from a late one, as with targets.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -309,6 +309,9 @@
 	id, target := g.Headers.RequestID(incoming.httpRequest.Header), incoming.httpRequest.Header.Get(headerRelayTarget)
 	resp, result := g.forwardRelayed(ctx, incoming, id, target)
 	resp.header.Set(headerRelayResult, string(result))
+	if result != relayResponded {
+		g.Headers.EchoRequestID(resp.header, id)
+	}
 	g.events.EmitFields(&events.PeerRequestEnded, events.String("request", id), events.String("target", target),
 		events.String("result", string(result)), events.Int("status", int64(resp.status)), events.Int("tookMs", time.Since(incoming.arrived).Milliseconds()))
 	return resp
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -30,8 +30,9 @@
 // farSite is an instance in one region, and a relay and targets in another.
 type farSite struct {
 	*site
-	relay   *gateway.Server
-	gateway *gateway.Gateway
+	relay        *gateway.Server
+	relayAddress string
+	gateway      *gateway.Gateway
 }
 
 func (f *farSite) newGateway(name, domain string, state *steering.State) *gateway.Gateway {
@@ -75,12 +76,11 @@
 			Address: f.startScript(handle), Domain: "d", Slots: 8}})
 	}
 	state := steering.NewState().Apply(1, updates)
-	var address string
-	f.relay, address = f.serve(gateway.NewRelayServer, f.newGateway("beside", "d", state))
+	f.relay, f.relayAddress = f.serve(gateway.NewRelayServer, f.newGateway("beside", "d", state))
 	f.gateway = f.newGateway("asked", "near", state)
 	f.server, f.address = f.serve(gateway.NewServer, f.gateway)
 	f.gateway.UpdateRelays(steering.Instance{Name: "asked", Domain: "near", Region: "r1"},
-		[]steering.Instance{{Name: "beside", Domain: "d", Region: "r2"}}, func(steering.Instance) string { return address })
+		[]steering.Instance{{Name: "beside", Domain: "d", Region: "r2"}}, func(steering.Instance) string { return f.relayAddress })
 	return f
 }
 
@@ -136,6 +136,21 @@
 	assert.Equal(t, 200, first.receive("POST").StatusCode)
 }
 
+// Responses without the request's ID are not accepted on a connection that was used
+// before. Guards against a relay that has not sent a request, and whose word is
+// discarded: the peer would have to assume that the request was executed.
+func TestResponsesOfRelayCarryRequestID(t *testing.T) {
+	f := startFarSite(t, fastTargets(1))
+	c := (&site{t: t, address: f.relayAddress}).dial()
+	for i := range 2 {
+		id := fmt.Sprint("r", i)
+		c.send("POST", "/unsafe/x", id, "b", "Jacinth-Relay-Target: unknown")
+		resp := c.receive("POST")
+		assert.Equal(t, "refused", resp.Header.Get("Jacinth-Relay-Result"))
+		assert.Equal(t, id, resp.Header.Get(platform.HeaderRequestID))
+	}
+}
+
 // Guards against executing a request at a target after its caller has
 // disconnected from the instance in the other region.
 func TestCallerDisconnectReachesTargetThroughRelay(t *testing.T) {
