Keep a target's rate limit over all instances, by one owner per target

Callers noticed nothing; the target, in need, got its full load.

Cause: no instance read the limit.

Change: while a target states a limit, one instance, its owner (first by proximity, then by rendezvous hashing), admits the requests of all and sends them; the others use it as a relay. It refuses what the rate does not allow, with a time to come back, and the request goes to another target. Instances report limits and their ends with their age; of two statements the later one counts, and a response ends a limit only if its request was sent after the limit was last stated. A new owner, and one that was paused, admits nothing until connected instances have heard of each other. In a partition each part uses the share of the rate that corresponds to its registered instances. No permission to send is ever outstanding, so none can be used late or twice.

The committed test is corrected: it counted windows that begin up to a second before the target stated its limit, with requests that nobody can take back. It now checks every window that begins 0.5 s after the statement or later, which includes those that the rule checks (from 3 s on).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -16,6 +16,9 @@
 	Region         string
 	Regions        map[string]string // Region of each failure domain.
 	MaxWeightShift float64           // Limit on the share of requests that weights may shift between regions; see settings.Bounds.
+	// BootClock returns the time since boot, including suspensions of the machine.
+	// It is used to detect pauses of the process; nil turns this off.
+	BootClock func() time.Duration
 	// Random returns a number in [0, n); nil selects rand.Int64N.
 	Random func(n int64) int64
 }
@@ -42,6 +45,11 @@
 	regionsByRoundTrip  []string                 // Sorted by round trip; nil when it must be rebuilt.
 	nextLoadSample      time.Time                // When target utilization is sampled next.
 	started             time.Time
+	instancesChangedAt  time.Time     // When the list of live instances last changed.
+	settleTime          time.Duration // From becoming the owner of a limited target to the first admission.
+	lastTick            time.Duration // Reading of the boot clock at the last Tick.
+	resumedAt           time.Time     // When the process last continued after a pause.
+	limitChanges        []LimitChange // Since the last call of LimitChanges.
 }
 
 // target is the state of one incarnation of a target.
@@ -71,8 +79,11 @@
 	coldSenderGeneration uint64
 	recentObjects        *objectLRU // Objects handled recently.
 	limit                limitStatement
-	utilization          float64   // Moving average of requests in flight divided by slots.
-	rebalanceAfter       time.Time // Excluded from rebalancing until then.
+	owner                steering.Instance // Admits requests while the target has a limit; valid while limit.Active.
+	bucket               tokenBucket       // Requests that this instance may admit as the owner.
+	deferredUntil        time.Time         // Until when this instance does not ask the owner again.
+	utilization          float64           // Moving average of requests in flight divided by slots.
+	rebalanceAfter       time.Time         // Excluded from rebalancing until then.
 }
 
 // service is the state of one service.
@@ -110,8 +121,13 @@
 	if options.Random == nil {
 		options.Random = rand.Int64N
 	}
-	return &Balancer{options: options, state: steering.NewState().Apply(0, nil), targets: map[string]*target{},
-		services: map[string]*service{}, peers: map[string]*peer{}, peerInFlight: map[uint32]int{}, peerEvidence: map[uint32]int{}, roundTrips: map[string]time.Duration{}, started: now}
+	balancer := &Balancer{options: options, state: steering.NewState().Apply(0, nil), targets: map[string]*target{},
+		services: map[string]*service{}, peers: map[string]*peer{}, peerInFlight: map[uint32]int{}, peerEvidence: map[uint32]int{}, roundTrips: map[string]time.Duration{},
+		started: now, instancesChangedAt: now, settleTime: minSettleTime}
+	if options.BootClock != nil {
+		balancer.lastTick = options.BootClock()
+	}
+	return balancer
 }
 
 // Execution times assumed until requests have been observed.
@@ -193,7 +209,11 @@
 func (balancer *Balancer) updateTarget(now time.Time, id string, record *steering.Target) {
 	t := balancer.targets[id]
 	if t == nil || !t.record.SameIncarnation(record) {
+		restarted := t != nil
 		t = &target{region: balancer.options.Regions[record.Domain], hash: hashOf(id), slowdown: 1, recentObjects: newObjectLRU()}
+		if restarted {
+			t.limit.at = now // Statements of the previous incarnation are void.
+		}
 		balancer.targets[id] = t
 	}
 	t.record = record
@@ -212,16 +232,20 @@
 	}
 }
 
-// SetInstances replaces the list of live instances, which includes this one.
-func (balancer *Balancer) SetInstances(instances []steering.Instance) {
+// SetInstances replaces the list of live instances, which includes this one unless
+// it is shutting down. settleTime is the time in which connected instances hear of
+// each other.
+func (balancer *Balancer) SetInstances(now time.Time, instances []steering.Instance, settleTime time.Duration) {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
 	balancer.liveInstances = instances
 	balancer.instancesGeneration++
+	balancer.instancesChangedAt, balancer.settleTime = now, max(minSettleTime, settleTime)
 	balancer.instanceHashes = make([]uint64, len(instances))
 	for i, in := range instances {
 		balancer.instanceHashes[i] = hashOf(in.Name)
 	}
+	balancer.updateOwners(now)
 }
 
 // unreportedLoadTTL is how long a target's own report of its load is used for
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -60,32 +60,17 @@
 }
 
 // ranksAsColdSender reports whether this instance is among the first
-// coldSenders instances for a target, by proximity and then by rendezvous
-// hashing.
+// coldSenders instances for a target.
 func (balancer *Balancer) ranksAsColdSender(t *target) bool {
 	self := slices.IndexFunc(balancer.liveInstances, func(in steering.Instance) bool { return in.Name == balancer.options.Name })
 	if self < 0 {
 		return false
 	}
-	ownProximity, ownRank := balancer.proximity(self, t), mix(t.hash, balancer.instanceHashes[self])
 	higherRanked := 0
 	for i := range balancer.liveInstances {
-		otherProximity := balancer.proximity(i, t)
-		if otherProximity > ownProximity || otherProximity == ownProximity && mix(t.hash, balancer.instanceHashes[i]) > ownRank {
+		if balancer.ranksBefore(i, self, t) {
 			higherRanked++
 		}
 	}
 	return higherRanked < coldSenders
 }
-
-// proximity returns 2 for an instance in the target's failure domain, 1 for
-// one in its region and 0 for others.
-func (balancer *Balancer) proximity(i int, t *target) int {
-	switch {
-	case balancer.liveInstances[i].Domain == t.record.Domain:
-		return 2
-	case balancer.liveInstances[i].Region == t.region:
-		return 1
-	}
-	return 0
-}
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -35,7 +35,7 @@
 		b := newBalancer(name, []string{"a1", "a2", "b1", "b2"}[i%4])
 		b.SetState(start, newState(1, 4, steering.TargetUpdate{Target: cold}))
 		// Half of the instances do not know that n0 is live.
-		b.SetInstances(newInstances(names...)[i%2:])
+		b.SetInstances(start, newInstances(names...)[i%2:], 0)
 		all = append(all, b)
 	}
 	var sent []time.Time
@@ -70,7 +70,7 @@
 // ends.
 func TestDomainIsColdAfterEvacuation(t *testing.T) {
 	b := newBalancer("n1", "a1")
-	b.SetInstances(newInstances("n1"))
+	b.SetInstances(start, newInstances("n1"), 0)
 	b.SetState(start, newState(1, 4, steering.EvacuationUpdate{Domain: "a1", Active: true}, steering.EvacuationUpdate{Domain: "a2", Active: true}))
 	b.SetState(start, newState(1, 4))
 	inRegion := 0
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -51,7 +51,7 @@
 func TestTargetIsColdAfterOutage(t *testing.T) {
 	b := newBalancer("n1", "a1")
 	b.SetState(start, newState(1, 4))
-	b.SetInstances(newInstances("n1"))
+	b.SetInstances(start, newInstances("n1"), 0)
 	home := mustPick(t, b, start, newRequest("x"))
 	avoided := finishWith(b, start, home, balance.Unreachable)
 	now := start.Add(avoided.Duration)
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -1,7 +1,10 @@
 package balance
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/jacinthstall/jacinthstall/steering"
@@ -14,33 +17,102 @@
 	PerSecond float64 // Valid while Active.
 }
 
-// limitStatement is the latest known statement of a target about its limit.
+// LimitStatement is a target's statement about its limit.
+type LimitStatement struct {
+	RateLimit
+	Age time.Duration // Since the response that carried it arrived.
+}
+
+// LimitSource tells how an instance learned of a limit.
+type LimitSource string
+
+// Sources of limits.
+const (
+	LimitFromResponse LimitSource = "response" // Response to a request of this instance.
+	LimitFromRelay    LimitSource = "relay"    // Response or refusal that passed through a relay.
+	LimitFromPeer     LimitSource = "peer"     // Report of a peer.
+)
+
+// LimitChange is a change of what an instance believes about a target's limit.
+type LimitChange struct {
+	Target string
+	RateLimit
+	Source LimitSource
+	Owner  string // Instance that admits requests to the target for all instances.
+}
+
+const (
+	// limitReportTime is how long an instance reports a statement that it has
+	// received from the target itself. The owner of a target reports the limit
+	// for as long as it applies.
+	limitReportTime = 3 * time.Second
+	// maxReportedLimits limits the statements in a report. Instances that miss
+	// one learn the limit from the target's next response.
+	maxReportedLimits = 128
+	// maxPendingLimitChanges limits the changes kept for LimitChanges.
+	maxPendingLimitChanges = 256
+)
+
+// limitStatement is the latest known statement of a target.
 type limitStatement struct {
 	RateLimit
-	at time.Time // When the response that carried it arrived.
+	at        time.Time // When the response that carried it arrived at the first instance.
+	firsthand bool      // This instance received the response.
 }
 
 // ObserveRateLimit records the limit that a target's response states; +Inf means
-// none. sent is a time at which the request had not yet been sent. It returns the
-// limit and whether it has changed.
+// none. sent is a time at which the request had not yet been sent. It reports
+// whether the limit has changed.
 //
 // Responses may overtake each other, so a response ends a limit only if its
 // request was sent after the limit was last stated.
-func (balancer *Balancer) ObserveRateLimit(now time.Time, record *steering.Target, sent time.Time, perSecond float64) (RateLimit, bool) {
+func (balancer *Balancer) ObserveRateLimit(now time.Time, record *steering.Target, sent time.Time, perSecond float64, source LimitSource) bool {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
 	t := balancer.targets[record.ID]
 	if t == nil || !t.record.SameIncarnation(record) {
-		return RateLimit{}, false
+		return false
 	}
 	before := t.limit.RateLimit
 	switch {
 	case !math.IsInf(perSecond, 1):
-		t.limit = limitStatement{RateLimit{Active: true, PerSecond: perSecond}, now}
+		balancer.setLimit(now, t, limitStatement{RateLimit{Active: true, PerSecond: perSecond}, now, true}, source)
 	case t.limit.Active && sent.After(t.limit.at):
-		t.limit = limitStatement{at: now}
+		balancer.setLimit(now, t, limitStatement{at: now, firsthand: true}, source)
 	}
-	return t.limit.RateLimit, t.limit.RateLimit != before
+	return t.limit.RateLimit != before
+}
+
+// setLimit replaces the statement of a target, and starts or ends the control of
+// its rate.
+func (balancer *Balancer) setLimit(now time.Time, t *target, statement limitStatement, source LimitSource) {
+	before := t.limit.RateLimit
+	t.limit = statement
+	switch {
+	case statement.Active && !before.Active:
+		balancer.startAdmissions(now, t)
+	case !statement.Active:
+		t.deferredUntil = time.Time{}
+	}
+	if statement.RateLimit != before {
+		balancer.noteLimitChange(t, source)
+	}
+}
+
+// noteLimitChange keeps a change for LimitChanges.
+func (balancer *Balancer) noteLimitChange(t *target, source LimitSource) {
+	if len(balancer.limitChanges) < maxPendingLimitChanges {
+		balancer.limitChanges = append(balancer.limitChanges, LimitChange{t.record.ID, t.limit.RateLimit, source, t.owner.Name})
+	}
+}
+
+// LimitChanges returns the changes since the last call.
+func (balancer *Balancer) LimitChanges() []LimitChange {
+	balancer.mu.Lock()
+	defer balancer.mu.Unlock()
+	changes := balancer.limitChanges
+	balancer.limitChanges = nil
+	return changes
 }
 
 // LimitedTargets returns the number of targets with a limit.
@@ -55,3 +127,61 @@
 	}
 	return limited
 }
+
+// reportedLimits returns the statements that this instance reports, by short hash
+// of the target ID.
+func (balancer *Balancer) reportedLimits(now time.Time) map[uint32]LimitStatement {
+	limits := map[uint32]LimitStatement{}
+	for _, t := range balancer.targets {
+		age := now.Sub(t.limit.at)
+		if t.limit.Active && balancer.owns(t) || t.limit.firsthand && age < limitReportTime {
+			limits[shortHash(t.hash)] = LimitStatement{t.limit.RateLimit, age}
+		}
+	}
+	return latestLimits(limits)
+}
+
+// latestLimits keeps the maxReportedLimits latest statements.
+func latestLimits(limits map[uint32]LimitStatement) map[uint32]LimitStatement {
+	if len(limits) <= maxReportedLimits {
+		return limits
+	}
+	order := slices.SortedFunc(maps.Keys(limits), func(a, c uint32) int {
+		return cmp.Or(cmp.Compare(limits[a].Age, limits[c].Age), cmp.Compare(a, c))
+	})
+	for _, hash := range order[maxReportedLimits:] {
+		delete(limits, hash)
+	}
+	return limits
+}
+
+// mergeLimits adds the statements of a report that is as old as delay, and keeps
+// the latest one of each target.
+func mergeLimits(into, from map[uint32]LimitStatement, delay time.Duration) {
+	for hash, statement := range from {
+		statement.Age += delay
+		if known, ok := into[hash]; !ok || statement.Age < known.Age {
+			into[hash] = statement
+		}
+	}
+}
+
+// applyLimits records the statements of a peer's report that are later than the
+// known ones.
+func (balancer *Balancer) applyLimits(now time.Time, limits map[uint32]LimitStatement) {
+	for hash, statement := range limits {
+		for _, svc := range balancer.services {
+			if t := svc.targetsByHash[hash]; t != nil {
+				balancer.applyStatement(now, t, statement, LimitFromPeer)
+			}
+		}
+	}
+}
+
+// applyStatement records a statement that another instance has received, unless a
+// later one is known.
+func (balancer *Balancer) applyStatement(now time.Time, t *target, statement LimitStatement, source LimitSource) {
+	if at := now.Add(-statement.Age); at.After(t.limit.at) {
+		balancer.setLimit(now, t, limitStatement{RateLimit: statement.RateLimit, at: at}, source)
+	}
+}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -54,6 +54,7 @@
 	// HasFallback is set if an earlier response can be delivered. Another
 	// attempt must then be expected to complete within the remaining time.
 	HasFallback bool
+	Unrelayable bool // The request cannot be sent through a relay.
 }
 
 // Grant is the selection of a target. It counts as in flight until Done.
@@ -64,8 +65,12 @@
 	Load         int           // Requests at the target before this one.
 	LoadAge      time.Duration // Age of the load that the target reported; negative if it never did.
 	Warm         bool          // The target has probably handled the object recently.
-	object       string
-	waits        bool
+	// Limit is the target's limit. If it is active, the request must be sent
+	// through Owner, or directly if this instance is the owner and Owner is empty.
+	Limit  LimitStatement
+	Owner  steering.Instance
+	object string
+	waits  bool
 }
 
 // RefusalReason tells why no target was selected.
@@ -73,8 +78,9 @@
 
 // Reasons of refusals.
 const (
-	NoTarget   RefusalReason = "no-target"  // No target is usable.
-	Overloaded RefusalReason = "overloaded" // No target would respond in time.
+	NoTarget    RefusalReason = "no-target"    // No target is usable.
+	Overloaded  RefusalReason = "overloaded"   // No target would respond in time.
+	RateLimited RefusalReason = "rate-limited" // The targets take no more requests at present.
 )
 
 // Refusal tells why a request was refused and when to retry.
@@ -117,9 +123,19 @@
 			return balancer.grantOrRefuse(now, request, c)
 		}
 	}
+	if wait := balancer.shortestLimitWait(now, svc, request); wait > 0 {
+		return Grant{}, &Refusal{Reason: RateLimited, RetryAfter: balancer.retryAfter(wait), ExpectedWait: wait}
+	}
 	return Grant{}, &Refusal{Reason: NoTarget, RetryAfter: noTargetRetryAfter}
 }
 
+// retryAfter returns the Retry-After for an expected wait. A random part spreads
+// the callers that are refused at the same time.
+func (balancer *Balancer) retryAfter(wait time.Duration) time.Duration {
+	wait += time.Duration(balancer.options.Random(int64(wait)/2 + 1))
+	return min(maxRetryAfter, max(minRetryAfter, wait))
+}
+
 func (balancer *Balancer) ownHash() uint64 { return hashOf(balancer.options.Name) }
 
 // regionCandidate returns the best target of a region for the request, if any
@@ -135,7 +151,7 @@
 		return balancer.fastestTarget(now, svc, request, region, objectHash)
 	}
 	c := candidate{target: balancer.leastLoadedHome(now, svc, request, region, objectHash), warm: true}
-	if c.target == nil || request.ExcludedTargets[c.target.record.ID] || !balancer.usable(now, c.target) || balancer.isGrey(now, svc, c.target) {
+	if c.target == nil || request.ExcludedTargets[c.target.record.ID] || !balancer.usable(now, c.target, request) || balancer.isGrey(now, svc, c.target) {
 		c = balancer.hashHome(now, svc, request, region, objectHash)
 	}
 	if c.target == nil {
@@ -158,7 +174,7 @@
 	var best *target
 	lowestLoad := 0.0
 	for _, t := range balancer.homeTargets(svc, region, objectHash) {
-		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t) || balancer.isGrey(now, svc, t) {
+		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request) || balancer.isGrey(now, svc, t) {
 			continue
 		}
 		relativeLoad := float64(balancer.load(now, t)) / float64(t.record.Slots)
@@ -181,7 +197,7 @@
 		if fallback.target != nil && rank < fallbackRank && best.target != nil && rank < bestRank {
 			continue
 		}
-		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t) {
+		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request) {
 			continue
 		}
 		if fallback.target == nil || rank > fallbackRank {
@@ -204,7 +220,7 @@
 	var best candidate
 	var rank uint64
 	for _, t := range svc.targetsByRegion[region] {
-		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t) {
+		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request) {
 			continue
 		}
 		c, r := candidate{target: t}, mix(requestHash, t.hash)
@@ -232,23 +248,23 @@
 	if c.expectedWait == 0 && !infeasible || feasible && (inTime || shortWait) {
 		return balancer.grant(now, c, request), nil
 	}
-	retryAfter := c.expectedWait + time.Duration(balancer.options.Random(int64(c.expectedWait)/2+1))
-	if c.expectedWait == 0 {
-		retryAfter = noTargetRetryAfter
+	retryAfter := noTargetRetryAfter
+	if c.expectedWait > 0 {
+		retryAfter = balancer.retryAfter(c.expectedWait)
 	}
 	return Grant{}, &Refusal{Reason: Overloaded, Region: c.target.region, ExpectedTime: c.expectedTime, ExpectedWait: c.expectedWait,
-		Load: balancer.load(now, c.target), RetryAfter: min(maxRetryAfter, max(minRetryAfter, retryAfter))}
+		Load: balancer.load(now, c.target), RetryAfter: retryAfter}
 }
 
 // usable reports whether a request may be sent to a target now.
-func (balancer *Balancer) usable(now time.Time, t *target) bool {
+func (balancer *Balancer) usable(now time.Time, t *target, request Request) bool {
 	if now.Before(t.avoidUntil) {
 		return false
 	}
 	if t.down && t.ownInFlight > 0 {
 		return false
 	}
-	return balancer.coldRequestAllowed(now, t)
+	return balancer.coldRequestAllowed(now, t) && balancer.limitWait(now, t, request) == 0
 }
 
 // estimate returns the expected wait for a slot and the total expected time. A
@@ -282,6 +298,14 @@
 	if !t.loadReportedAt.IsZero() {
 		grant.LoadAge = now.Sub(t.loadReportedAt)
 	}
+	if t.limit.Active {
+		grant.Limit = LimitStatement{t.limit.RateLimit, now.Sub(t.limit.at)}
+		if balancer.owns(t) {
+			t.bucket.tokens--
+		} else {
+			grant.Owner = t.owner
+		}
+	}
 	t.ownInFlight++
 	balancer.recordColdRequest(now, t)
 	return grant
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -158,6 +158,10 @@
 func (balancer *Balancer) Tick(now time.Time) []WeightChange {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
+	balancer.detectPause(now)
+	if balancer.options.BootClock != nil {
+		balancer.lastTick = balancer.options.BootClock()
+	}
 	balancer.expirePeers(now)
 	if !now.Before(balancer.nextLoadSample) {
 		balancer.nextLoadSample = now.Add(weightInterval)
--- a/balance/report.go
+++ b/balance/report.go
@@ -12,6 +12,7 @@
 	// the target ID, in tenths of a failure. It is combined with the evidence
 	// of other instances; see evidence.go.
 	FailureEvidence map[uint32]int
+	Limits          map[uint32]LimitStatement // By short hash of the target ID.
 }
 
 // ReportForRegion returns a copy of a report with the requests in flight
@@ -19,7 +20,7 @@
 func (balancer *Balancer) ReportForRegion(report Report, region string) Report {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
-	filtered := Report{InFlight: map[uint32]int{}, CallerRates: report.CallerRates, FailureEvidence: report.FailureEvidence}
+	filtered := Report{InFlight: map[uint32]int{}, CallerRates: report.CallerRates, FailureEvidence: report.FailureEvidence, Limits: report.Limits}
 	for _, svc := range balancer.services {
 		for _, t := range svc.targetsByRegion[region] {
 			if n := report.InFlight[shortHash(t.hash)]; n > 0 {
@@ -30,8 +31,9 @@
 	return filtered
 }
 
-// Merge adds the report of another instance of the same domain.
-func (r *Report) Merge(other Report) {
+// Merge adds the report of another instance of the same domain, which arrived the
+// given time ago.
+func (r *Report) Merge(other Report, age time.Duration) {
 	for hash, n := range other.InFlight {
 		r.InFlight[hash] += n
 	}
@@ -42,6 +44,8 @@
 		r.FailureEvidence[hash] += n
 	}
 	r.FailureEvidence = strongestEvidence(r.FailureEvidence)
+	mergeLimits(r.Limits, other.Limits, age)
+	r.Limits = latestLimits(r.Limits)
 }
 
 type peer struct {
@@ -54,7 +58,7 @@
 func (balancer *Balancer) Report(now time.Time) Report {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
-	report := Report{InFlight: map[uint32]int{}, CallerRates: map[uint32]float64{}, FailureEvidence: balancer.ownEvidence(now)}
+	report := Report{InFlight: map[uint32]int{}, CallerRates: map[uint32]float64{}, FailureEvidence: balancer.ownEvidence(now), Limits: balancer.reportedLimits(now)}
 	for _, t := range balancer.targets {
 		if t.ownInFlight > 0 {
 			report.InFlight[shortHash(t.hash)] = t.ownInFlight
@@ -84,6 +88,7 @@
 	}
 	balancer.peers[name] = &peer{region: region, expires: now.Add(ttl), report: report}
 	balancer.countReport(report, 1)
+	balancer.applyLimits(now, report.Limits)
 }
 
 // countReport adds a report to the totals of all peers, or subtracts it.
--- a/balance/scale_test.go
+++ b/balance/scale_test.go
@@ -34,7 +34,7 @@
 	state := steering.NewState().Apply(1, updates)
 	b := New(Options{Name: "n0", Domain: "p1", Region: "p", Regions: regions}, now)
 	b.SetState(now, state)
-	b.SetInstances(instances)
+	b.SetInstances(now, instances, 0)
 	b.Tick(now)
 	return b, state, now
 }
--- a/events/steering.go
+++ b/events/steering.go
@@ -81,7 +81,7 @@
 	InstancePaused = register(Event{Number: 531, Name: "instance-paused", Level: log.WarnLevel,
 		Message: "process was suspended; state that may have expired in the meantime is discarded", Fields: []string{"pausedMs"}, Action: "check for a suspended or overloaded machine"})
 	TargetLimit = register(Event{Number: 532, Name: "target-limit", Level: log.InfoLevel,
-		Message: "target changed the rate of requests that it takes from all instances together", Fields: []string{"target", "limited", "perSecond", "relayed"},
+		Message: "limit of a target, or the instance that admits its requests, changed", Fields: []string{"target", "limited", "perSecond", "source", "owner"},
 		Action: "check the target"})
 	UnknownHeader = register(Event{Number: 533, Name: "unknown-header", Level: log.InfoLevel,
 		Message: "target sent a response header that this version does not know", Fields: []string{"header", "target"},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,12 +65,15 @@
 func (g *Gateway) sendAttempt(ctx context.Context, request *routedRequest, grant balance.Grant) attemptOutcome {
 	started := time.Now()
 	request.excludedTargets[grant.Target.ID] = true
-	relay, relayed := g.selectRelay(started, request, grant)
+	relay, relayed, relayErr := g.selectRelay(started, request, grant)
 	g.events.EmitFields(&events.TargetChosen, events.String("request", request.id), events.String("route", request.route.Name),
 		events.String("target", grant.Target.ID), events.String("object", request.objectKey), events.Bool("warm", grant.Warm),
 		events.Int("attempt", int64(request.attempts()+1)), events.Int("load", int64(grant.Load)),
 		events.Int("loadAgeMs", grant.LoadAge.Milliseconds()), events.Int("expectedMs", grant.ExpectedTime.Milliseconds()),
 		events.Int("leftMs", request.deadline.Sub(started).Milliseconds()), events.Uint("version", uint64(request.version)), events.String("relay", relay))
+	if relayErr != nil {
+		return g.attemptFailed(ctx, ctx, request, grant, started, false, relayErr)
+	}
 	out := g.newForwardRequest(request, grant, started)
 	extraTime := timeoutRoundTrips * g.Balancer.RoundTrip(grant.Region)
 	destination := forward.Target{Address: grant.Target.Address, MaxConnections: g.connectionShare(grant.Target.Service),
@@ -102,7 +105,11 @@
 		done()
 		return g.attemptFailed(ctx, attemptCtx, request, grant, started, targetAtFault, err)
 	}
-	g.observeResponse(started, grant.Target, response, relayed)
+	source := balance.LimitFromResponse
+	if relayed {
+		source = balance.LimitFromRelay
+	}
+	g.observeResponse(started, grant.Target, response, source)
 	outcome := g.responseReceived(ctx, request, grant, started, response)
 	if outcome.response != nil && outcome.response.stream != nil {
 		outcome.response.stream = &cancelOnClose{ReadCloser: outcome.response.stream, cancel: done}
@@ -115,7 +122,7 @@
 // newForwardRequest builds the request that is sent to a target.
 func (g *Gateway) newForwardRequest(request *routedRequest, grant balance.Grant, now time.Time) *forward.Request {
 	header := request.httpRequest.Header.Clone()
-	for _, name := range []string{headerRelayTarget, headerRelayNonIdempotent} {
+	for _, name := range []string{headerRelayTarget, headerRelayNonIdempotent, headerRelayLimit} {
 		header.Del(name)
 	}
 	g.Headers.SetTarget(header, grant.Target.ID, request.deadline.Sub(now))
@@ -181,6 +188,7 @@
 			delete(request.excludedTargets, grant.Target.ID)
 		}
 	}
+	g.deferLimitedTarget(grant, targetAtFault, err)
 	if targetAtFault && failure != nil && failure.TargetClosed {
 		g.Suspects.RecordCrash(time.Now(), request.fingerprint())
 	}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
 	"github.com/jacinthstall/jacinthstall/steering"
@@ -18,8 +19,8 @@
 
 // observeResponse records what the head of a target's response tells about the
 // target, except for its load. sent is a time at which the request had not yet
-// been sent; relayed is set if the request came from a peer or went through one.
-func (g *Gateway) observeResponse(sent time.Time, target *steering.Target, received *forward.Response, relayed bool) {
+// been sent.
+func (g *Gateway) observeResponse(sent time.Time, target *steering.Target, received *forward.Response, source balance.LimitSource) {
 	if received.Status == http.StatusMisdirectedRequest {
 		return // The response is from another target.
 	}
@@ -32,8 +33,15 @@
 	if !ok || math.IsInf(perSecond, 1) && !g.Headers.HasStamp(received.Header) {
 		return // Without a signature, the missing header says nothing about the limit.
 	}
-	if limit, changed := g.Balancer.ObserveRateLimit(time.Now(), target, sent, perSecond); changed {
-		g.events.Emit(events.TargetLimit, log.Fields{"target": target.ID, "limited": limit.Active, "perSecond": limit.PerSecond, "relayed": relayed})
+	if g.Balancer.ObserveRateLimit(time.Now(), target, sent, perSecond, source) {
+		g.LogLimitChanges()
+	}
+}
+
+// LogLimitChanges logs the changes of targets' limits since the last call.
+func (g *Gateway) LogLimitChanges() {
+	for _, c := range g.Balancer.LimitChanges() {
+		g.events.Emit(events.TargetLimit, log.Fields{"target": c.Target, "limited": c.Active, "perSecond": c.PerSecond, "source": c.Source, "owner": c.Owner})
 	}
 }
 
--- a/gateway/observe_test.go
+++ b/gateway/observe_test.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // entriesNamed returns the log entries of an event.
@@ -37,7 +39,10 @@
 	for i, line := range []string{"", "X-Jacinthstall-Server-Limit: 4.5\r\n", "X-Jacinthstall-Server-Limit: 4.5\r\n", "Server-Limit: 2\r\n",
 		"Server-Limit: none\r\n", "", "X-Mood: blue\r\n", "X-Mood: red\r\n"} {
 		header.Store(line)
-		assert.Equal(t, 200, s.request("GET", "/safe/x", fmt.Sprint("r", i), "").StatusCode)
+		require.Eventually(t, func() bool {
+			resp := s.request("GET", "/safe/x", fmt.Sprint("r", i), "")
+			return resp.StatusCode == 200 || !assert.NotEmpty(t, resp.Header.Get("Retry-After"), "the only target is at its limit")
+		}, 4*time.Second, 10*time.Millisecond)
 	}
 	var limits []any
 	for _, entry := range entriesNamed(logs, "target-limit") {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -37,6 +37,12 @@
 	headerRelayTarget        = "Jacinth-Relay-Target"
 	headerRelayNonIdempotent = "Jacinth-Relay-Once"
 	headerRelayResult        = "Jacinth-Relay-Result"
+	// headerRelayLimit holds the limit of the target as the sender knows it, in
+	// requests per second, and its age in milliseconds, separated by a semicolon.
+	headerRelayLimit = "Jacinth-Relay-Limit"
+	// headerRelayWait is the time in milliseconds after which the instance that was
+	// refused may ask again.
+	headerRelayWait = "Jacinth-Relay-Wait"
 	// relayHeadBytes is added to the limit for a caller's request head to make
 	// room for these headers.
 	relayHeadBytes = 1 << 10
@@ -79,7 +85,7 @@
 
 // failure returns the error for the result, the same as if this instance had sent
 // the request to the target itself.
-func (result relayResult) failure(address string) error {
+func (result relayResult) failure(address string) *forward.Error {
 	failure := &forward.Error{Target: address, Stage: forward.StageRequestSent, Err: fmt.Errorf("attempt at the relay failed: %s", string(result))}
 	switch result {
 	case relayRefused:
@@ -124,6 +130,7 @@
 type relaySet struct {
 	mu           sync.Mutex
 	list         []relay
+	addresses    map[string]string    // Relay addresses of all live instances, by name.
 	pausedUntil  map[string]time.Time // When a relay may be used again after a failure.
 	lastResponse map[string]time.Time // When a relay last responded.
 	rotation     int                  // Varies the first relay considered, so that equal ones share requests.
@@ -135,7 +142,9 @@
 // returns the address at which an instance acts as a relay, or "" if it does not.
 func (g *Gateway) UpdateRelays(self steering.Instance, live []steering.Instance, address func(steering.Instance) string) {
 	byDomain := map[string][]steering.Instance{}
+	addresses := map[string]string{}
 	for _, instance := range live {
+		addresses[instance.Name] = address(instance)
 		if instance.Region != self.Region && address(instance) != "" {
 			byDomain[instance.Domain] = append(byDomain[instance.Domain], instance)
 		}
@@ -152,25 +161,37 @@
 			list = append(list, relay{address(instance), domain, instance.Region})
 		}
 	}
-	g.relays.update(list)
+	g.relays.update(list, addresses)
 }
 
-func (set *relaySet) update(list []relay) {
+func (set *relaySet) update(list []relay, addresses map[string]string) {
 	set.mu.Lock()
 	defer set.mu.Unlock()
-	set.list = list
+	set.list, set.addresses = list, addresses
 	pausedUntil, lastResponse := set.pausedUntil, set.lastResponse
 	set.pausedUntil, set.lastResponse = map[string]time.Time{}, map[string]time.Time{}
-	for _, r := range list {
-		if t, ok := pausedUntil[r.address]; ok {
-			set.pausedUntil[r.address] = t
+	for _, address := range addresses {
+		if t, ok := pausedUntil[address]; ok {
+			set.pausedUntil[address] = t
 		}
-		if t, ok := lastResponse[r.address]; ok {
-			set.lastResponse[r.address] = t
+		if t, ok := lastResponse[address]; ok {
+			set.lastResponse[address] = t
 		}
 	}
 }
 
+// ownerAddress returns the address of the instance that admits requests to a
+// limited target.
+func (set *relaySet) ownerAddress(now time.Time, name string) (string, error) {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	address := set.addresses[name]
+	if address == "" || now.Before(set.pausedUntil[address]) {
+		return address, errOwnerUnavailable
+	}
+	return address, nil
+}
+
 // choose returns the address of a relay for a target. In order of preference this
 // is a relay in the target's failure domain with an open connection, one in its
 // region with an open connection, or one in its failure domain.
@@ -257,20 +278,35 @@
 }
 
 // selectRelay returns the address of the relay for an attempt, if one is to be
-// used. Streamed requests are sent directly, and so are idempotent ones to a
-// target with an idle connection.
-func (g *Gateway) selectRelay(now time.Time, request *routedRequest, grant balance.Grant) (string, bool) {
+// used. Requests to a limited target go through its owner. Other streamed requests
+// are sent directly, and so are idempotent ones to a target with an idle
+// connection.
+func (g *Gateway) selectRelay(now time.Time, request *routedRequest, grant balance.Grant) (string, bool, error) {
+	if grant.Limit.Active {
+		if grant.Owner.Name == "" {
+			return "", false, nil
+		}
+		address, err := g.relays.ownerAddress(now, grant.Owner.Name)
+		if err != nil {
+			err = &forward.Error{Target: grant.Target.Address, Stage: forward.StageConnect, Err: err}
+		}
+		return address, true, err
+	}
 	roundTrip := g.Balancer.RoundTrip(grant.Region)
 	if request.stream != nil || !relayWorthwhile(roundTrip, request.route.Objective) || g.Forwarder.HasIdle(grant.Target.Address) && request.route.Idempotent {
-		return "", false
+		return "", false, nil
 	}
-	return g.relays.choose(now, grant.Target.Domain, grant.Region, g.RelayForwarder.HasIdle)
+	address, ok := g.relays.choose(now, grant.Target.Domain, grant.Region, g.RelayForwarder.HasIdle)
+	return address, ok, nil
 }
 
 // addressRelay changes an attempt so that it is sent through a relay.
 func addressRelay(address string, destination *forward.Target, out *forward.Request, request *routedRequest, grant balance.Grant) {
 	destination.Address, destination.MaxConnections, destination.MaxIdleTime = address, 0, 0
 	out.Header.Set(headerRelayTarget, grant.Target.ID)
+	if grant.Limit.Active {
+		out.Header.Set(headerRelayLimit, formatLimit(grant.Limit))
+	}
 	if !request.route.Idempotent {
 		destination.MaxIdleTime = relayMaxIdle
 		out.Header.Set(headerRelayNonIdempotent, "1")
@@ -300,7 +336,11 @@
 		return received, nil
 	}
 	_ = received.Body.Close()
-	return nil, result.failure(grant.Target.Address)
+	failure := result.failure(grant.Target.Address)
+	if refusal := readLimitRefusal(received.Header); result == relayRefused && refusal != nil {
+		failure.Err = refusal
+	}
+	return nil, failure
 }
 
 // serveRelayed returns the response to a request that a peer sends through this
@@ -328,6 +368,11 @@
 	if record == nil || !state.Usable(record) || !ok {
 		return failed(relayRefused)
 	}
+	if admission := g.Balancer.AdmitRelayed(time.Now(), record, parseLimit(incoming.httpRequest.Header.Get(headerRelayLimit))); !admission.Granted {
+		resp, result := failed(relayRefused)
+		setLimitRefusal(resp.header, admission)
+		return resp, result
+	}
 	request := &routedRequest{incomingRequest: incoming, id: id, deadline: incoming.arrived.Add(timeLeft)}
 	destination := forward.Target{Address: record.Address, MaxConnections: g.connectionShare(record.Service), DialTimeout: baseDialTimeout, AckTimeout: baseAckTimeout}
 	if incoming.httpRequest.Header.Get(headerRelayNonIdempotent) != "" {
@@ -340,7 +385,7 @@
 		cancel()
 		return failed(relayResultOf(err))
 	}
-	g.observeResponse(sent, record, received, true)
+	g.observeResponse(sent, record, received, balance.LimitFromRelay)
 	if g.Headers.NotExecuted(received.Status, received.Header) {
 		defer cancel()
 		_ = received.Body.Close()
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -33,6 +33,7 @@
 	relay        *gateway.Server
 	relayAddress string
 	gateway      *gateway.Gateway
+	balancers    map[string]*balance.Balancer // By name of the instance.
 }
 
 func (f *farSite) newGateway(name, domain string, state *steering.State) *gateway.Gateway {
@@ -40,6 +41,7 @@
 	balancer := balance.New(balance.Options{Name: name, Domain: domain, Region: farRegions[domain], Regions: farRegions}, now)
 	balancer.SetState(now, state)
 	balancer.ObserveRoundTrip("r2", 200*time.Millisecond) // Simulates distant regions.
+	f.balancers[name] = balancer
 	return gateway.New(gateway.Options{State: func() *steering.State { return state }, Balancer: balancer, Suspects: balance.NewSuspects(),
 		Budget:    balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}, now),
 		Forwarder: forward.New(), RelayForwarder: forward.New(), Headers: platform.Headers{}, LiveInstances: func() int { return 1 },
@@ -60,7 +62,7 @@
 // another region.
 func startFarSite(t *testing.T, targets []wiretarget.Options, scripts ...script) *farSite {
 	t.Helper()
-	f := &farSite{site: &site{t: t}}
+	f := &farSite{site: &site{t: t}, balancers: map[string]*balance.Balancer{}}
 	config := &steering.Config{Version: 1, Services: map[string]steering.Service{"s": {Name: "s"}}}
 	for _, r := range []steering.Route{{Name: "safe", Prefix: "/safe/", Idempotent: true}, {Name: "unsafe", Prefix: "/unsafe/"}} {
 		r.Host, r.Timeout, r.Objective, r.MaxAttempts, r.Split = host, 2*time.Second, 400*time.Millisecond, 2, []steering.WeightedService{{Service: "s", Weight: 1}}
--- a/gateway/relays_internal_test.go
+++ b/gateway/relays_internal_test.go
@@ -72,7 +72,7 @@
 // relay that does not respond at all.
 func TestTimeoutPausesRelayOnlyWithoutOtherResponses(t *testing.T) {
 	var set relaySet
-	set.update([]relay{{"x", "b1", "b"}})
+	set.update([]relay{{"x", "b1", "b"}}, map[string]string{"x": "x"})
 	now := time.Now()
 	set.recordSuccess(now.Add(time.Second), "x")
 	set.recordFailure(now.Add(2*time.Second), "x", now, true)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -254,7 +254,7 @@
 
 func (request *routedRequest) pickCriteria(now time.Time) balance.Request {
 	return balance.Request{Service: request.service, Object: request.objectKey, HomeRegions: request.route.HomeRegions, Objective: request.route.Objective,
-		Elapsed: now.Sub(request.firstSent), Remaining: request.deadline.Sub(now), ExcludedTargets: request.excludedTargets, Retry: request.attempts() > 0, HasFallback: request.failedResponse != nil}
+		Elapsed: now.Sub(request.firstSent), Remaining: request.deadline.Sub(now), ExcludedTargets: request.excludedTargets, Retry: request.attempts() > 0, HasFallback: request.failedResponse != nil, Unrelayable: request.stream != nil}
 }
 
 // shouldRetry reports whether the request is sent again after an attempt.
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -55,7 +55,7 @@
 	instance.storeReachable.Store(true)
 	exchange, err := Listen(Options{Self: in, Regions: regions, Events: events.New(&log.Logger{Handler: events.NewDroppingHandler(io.Discard)}),
 		Balancer: instance.balancer, Suspects: balance.NewSuspects(), Revision: instance.revision.Load, Ready: func() bool { return true }, Leaving: instance.leaving.Load,
-		StoreReachable: instance.storeReachable.Load, OnLiveChanged: instance.balancer.SetInstances, OnPeerAdvanced: func() { instance.advanced.Add(1) }})
+		StoreReachable: instance.storeReachable.Load, OnLiveChanged: func(live []steering.Instance) { instance.balancer.SetInstances(time.Now(), live, 0) }, OnPeerAdvanced: func() { instance.advanced.Add(1) }})
 	require.NoError(t, err)
 	instance.Exchange = exchange
 	exchange.SetRegistered(known)
--- a/gossip/liveness.go
+++ b/gossip/liveness.go
@@ -37,6 +37,14 @@
 	return max(minPeerTimeout, peerTimeoutMessages*exchange.messageInterval())
 }
 
+// PeerTimeout returns the time without messages after which a peer counts as dead.
+// Within it, connected instances hear of each other.
+func (exchange *Exchange) PeerTimeout() time.Duration {
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	return exchange.peerTimeout()
+}
+
 // Live returns the instances that accept requests, this one included, sorted by
 // name.
 func (exchange *Exchange) Live() []steering.Instance {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
@@ -79,6 +80,7 @@
 	fieldCapacity
 	fieldHello
 	fieldIntroduction
+	fieldLimits // Fixed32 hash, float32 rate and varint age in ms, packed.
 )
 
 // Upper bounds of values in a message. Messages that exceed them are rejected,
@@ -86,6 +88,8 @@
 const (
 	maxCount = 1 << 20
 	maxRate  = 1e9 // Requests per second.
+	// maxLimitAge is the greatest age of a target's statement about its limit.
+	maxLimitAge = 24 * time.Hour
 )
 
 // Append encodes the message and appends it to b.
@@ -152,11 +156,41 @@
 	}
 	b = appendPairs(b, fieldInFlight, m.Report.InFlight, counts)
 	b = appendPairs(b, fieldFailing, m.Report.FailureEvidence, counts)
+	b = appendPairs(b, fieldLimits, m.Report.Limits, appendLimit)
 	return appendPairs(b, fieldRates, m.Report.CallerRates, func(b []byte, hash uint32, r float64) []byte {
 		return protowire.AppendFixed32(protowire.AppendFixed32(b, hash), math.Float32bits(float32(r)))
 	})
 }
 
+// appendLimit encodes a target's statement about its limit. An infinite rate
+// states that there is none.
+func appendLimit(b []byte, hash uint32, statement balance.LimitStatement) []byte {
+	rate := float32(statement.PerSecond)
+	if !statement.Active {
+		rate = float32(math.Inf(1))
+	}
+	b = protowire.AppendFixed32(protowire.AppendFixed32(b, hash), math.Float32bits(rate))
+	return protowire.AppendVarint(b, uint64(max(0, statement.Age).Milliseconds()))
+}
+
+// consumeLimit decodes a statement. Like the functions of protowire it returns a
+// negative length if the encoding is invalid.
+func consumeLimit(b []byte) (balance.LimitStatement, int) {
+	bits, n := protowire.ConsumeFixed32(b)
+	if n < 0 {
+		return balance.LimitStatement{}, n
+	}
+	ms, m := protowire.ConsumeVarint(b[n:])
+	if m < 0 {
+		return balance.LimitStatement{}, m
+	}
+	statement := balance.LimitStatement{Age: time.Duration(min(ms, uint64(maxLimitAge.Milliseconds()))) * time.Millisecond}
+	if rate := float64(math.Float32frombits(bits)); !math.IsInf(rate, 1) {
+		statement.RateLimit = balance.RateLimit{Active: true, PerSecond: rate}
+	}
+	return statement, n + m
+}
+
 // appendPairs packs the entries of a map into one field. An empty map is
 // omitted.
 func appendPairs[K comparable, V any](b []byte, field protowire.Number, pairs map[K]V, pack func([]byte, K, V) []byte) []byte {
@@ -176,7 +210,7 @@
 // Parse decodes a message. Unknown fields are skipped.
 func Parse(b []byte) (*Message, error) {
 	m := &Message{Report: balance.Report{InFlight: map[uint32]int{}, CallerRates: map[uint32]float64{},
-		FailureEvidence: map[uint32]int{}}}
+		FailureEvidence: map[uint32]int{}, Limits: map[uint32]balance.LimitStatement{}}}
 	if err := eachField(b, m.setNumber, m.setBytes); err != nil {
 		return nil, err
 	}
@@ -295,6 +329,11 @@
 		return readCounts(v, m.Report.InFlight)
 	case fieldFailing:
 		return readCounts(v, m.Report.FailureEvidence)
+	case fieldLimits:
+		return eachPair(v, protowire.ConsumeFixed32, consumeLimit, func(hash uint32, statement balance.LimitStatement) bool {
+			m.Report.Limits[hash] = statement
+			return statement.PerSecond >= 0 && statement.PerSecond <= maxRate // False for NaN.
+		})
 	case fieldRates:
 		return eachPair(v, protowire.ConsumeFixed32, protowire.ConsumeFixed32, func(hash, bits uint32) bool {
 			rate := float64(math.Float32frombits(bits))
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -19,7 +20,8 @@
 		Revision: rapid.Uint64().Draw(t, "revision"), Sent: rapid.Uint64().Draw(t, "sent"), Forwarded: rapid.Bool().Draw(t, "relayed"),
 		RoundTrip: rapid.Uint64().Draw(t, "trip"),
 		Report: balance.Report{InFlight: rapid.MapOf(rapid.Uint32(), rapid.IntRange(0, 1<<20)).Draw(t, "inFlight"),
-			CallerRates: map[uint32]float64{7: 1.5}, FailureEvidence: rapid.MapOf(rapid.Uint32(), rapid.IntRange(0, 100)).Draw(t, "failing")},
+			CallerRates: map[uint32]float64{7: 1.5}, FailureEvidence: rapid.MapOf(rapid.Uint32(), rapid.IntRange(0, 100)).Draw(t, "failing"),
+			Limits: rapid.MapOf(rapid.Uint32(), rapid.Custom(genLimit)).Draw(t, "limits")},
 	}
 	if rapid.Bool().Draw(t, "suspects") {
 		m.Suspects = map[uint64]int{rapid.Uint64().Draw(t, "fingerprint"): 3}
@@ -31,6 +33,14 @@
 	return m
 }
 
+func genLimit(t *rapid.T) balance.LimitStatement {
+	statement := balance.LimitStatement{Age: time.Duration(rapid.IntRange(0, 100_000).Draw(t, "age")) * time.Millisecond}
+	if rapid.Bool().Draw(t, "active") {
+		statement.RateLimit = balance.RateLimit{Active: true, PerSecond: float64(rapid.Float32Range(0, 1e6).Draw(t, "rate"))}
+	}
+	return statement
+}
+
 func TestMessageEncodingRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := genMessage(t)
@@ -53,7 +63,8 @@
 
 // Guards against messages that crash the process or whose counts overflow sums.
 func FuzzParse(f *testing.F) {
-	m := Message{Name: "n", Domain: "d", Report: balance.Report{InFlight: map[uint32]int{1: 2}, CallerRates: map[uint32]float64{3: 4}, FailureEvidence: map[uint32]int{5: 6}},
+	m := Message{Name: "n", Domain: "d", Report: balance.Report{InFlight: map[uint32]int{1: 2}, CallerRates: map[uint32]float64{3: 4}, FailureEvidence: map[uint32]int{5: 6},
+		Limits: map[uint32]balance.LimitStatement{9: {RateLimit: balance.RateLimit{Active: true, PerSecond: 4.5}, Age: time.Second}}},
 		Suspects: map[uint64]int{7: 8}, Members: []Member{{Name: "m", Address: "a"}}}
 	f.Add(m.Append(nil))
 	f.Add([]byte{fieldInFlight<<3 | 2, 14, 1, 0, 0, 0, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1})
@@ -70,5 +81,8 @@
 		for _, rate := range m.Report.CallerRates {
 			require.True(t, rate >= 0 && rate <= maxRate)
 		}
+		for _, limit := range m.Report.Limits {
+			require.True(t, limit.PerSecond >= 0 && limit.PerSecond <= maxRate && limit.Age >= 0 && limit.Age <= maxLimitAge)
+		}
 	})
 }
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -168,7 +168,7 @@
 		if now.Sub(peer.lastHeard) >= exchange.peerTimeout() {
 			continue
 		}
-		sum.Merge(peer.lastMessage.Report)
+		sum.Merge(peer.lastMessage.Report, now.Sub(peer.lastHeard))
 		for fingerprint, count := range peer.lastMessage.Suspects {
 			suspects[fingerprint] += count
 		}
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -11,14 +11,14 @@
 )
 
 // arrivalsWithin returns the largest number of arrivals in any window of a length
-// that ends after from.
+// that begins after from.
 func arrivalsWithin(arrivals []time.Time, window time.Duration, from time.Time) int {
 	most, first := 0, 0
 	for last, at := range arrivals {
-		for at.Sub(arrivals[first]) >= window {
+		for at.Sub(arrivals[first]) >= window || arrivals[first].Before(from) && first < last {
 			first++
 		}
-		if at.After(from) {
+		if !arrivals[first].Before(from) {
 			most = max(most, last-first+1)
 		}
 	}
@@ -33,7 +33,8 @@
 	const (
 		limit     = 5.0
 		window    = 4 * time.Second
-		tolerated = 1.5*limit*4 + 5 // In each window, from settled after the first statement.
+		tolerated = 1.5*limit*4 + 5 // In each window, from reaction after the first statement.
+		reaction  = 500 * time.Millisecond
 		settled   = 3 * time.Second
 		limitedTo = 12 * time.Second
 	)
@@ -67,7 +68,7 @@
 	arrivals := limited.Arrivals()
 	cancel()
 	callers.Wait()
-	assert.LessOrEqual(t, float64(arrivalsWithin(arrivals, window, stated.Add(settled))), tolerated)
+	assert.LessOrEqual(t, float64(arrivalsWithin(arrivals, window, stated.Add(reaction))), tolerated)
 	recent := 0
 	for _, at := range arrivals {
 		if at.After(stated.Add(settled)) {
--- a/node/node.go
+++ b/node/node.go
@@ -92,8 +92,8 @@
 	node.self = steering.Instance{Name: s.Name, Domain: s.Domain, Region: s.Region, Address: s.CallerAddress,
 		PeerAddress: s.PeerAddress, Incarnation: rand.Uint64(), Capacity: capacity(s)}
 	node.balancer = balance.New(balance.Options{Name: s.Name, Domain: s.Domain, Region: s.Region, Regions: s.RegionByDomain,
-		MaxWeightShift: s.Bounds.MaxRegionShift}, now)
-	node.balancer.SetInstances([]steering.Instance{node.self})
+		MaxWeightShift: s.Bounds.MaxRegionShift, BootClock: bootClock}, now)
+	node.balancer.SetInstances(now, []steering.Instance{node.self}, 0)
 	node.mirror = mirror.New(mirror.Options{Store: options.Store, Prefix: options.Platform.Prefix(), Codec: options.Platform, Events: node.events,
 		WatchesStore: node.watchesStore, DefersFirstRead: node.defersFirstRead, NewerPeer: node.newerPeer, Fetch: fetchSnapshot, OnStateChanged: node.stateChanged})
 	chart, err := lifecycle.Load(charts.Files, charts.EntryInstanceFile)
@@ -147,7 +147,7 @@
 }
 
 func (node *Node) instancesChanged(live []steering.Instance) {
-	node.balancer.SetInstances(live)
+	node.balancer.SetInstances(time.Now(), live, node.exchange.PeerTimeout())
 	live = slices.Clone(live)
 	registered := node.mirror.State().Instances
 	for i := range live {
@@ -244,6 +244,7 @@
 				node.events.Emit(events.RegionWeights, log.Fields{"service": c.Service, "parts": roundToHundredths(c.Weights),
 					"load": roundToHundredths(c.Load), "slots": c.Slots})
 			}
+			node.gateway.LogLimitChanges()
 			if !now.Before(nextSweep) {
 				nextSweep = now.Add(sweepInterval)
 				node.forwarder.PruneIdle()
