Limited targets: admit requests of other targets only from what is left

Load pattern: all targets of a service state limits that add up to less than half of the requests.

Cause: a request that its home refused took a token of the next target, which is cold for the object, so its response came late and in place of one that would have been in time. Each refusal was followed by up to three more.

Change: an owner admits a request that belongs to another target only while half of its burst is left; an instance asks for that once a second; targets without a limit come before limited ones.

TestLimitsOfAllTargetsAreUsedForRequestsInTime fails without the change.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -36,6 +36,14 @@
 	// maxTickGap is the time between two calls of Tick from which the process
 	// counts as paused. Others may have become owners meanwhile.
 	maxTickGap = time.Second
+	// overflowReserve is the time whose requests are kept for those that belong to a
+	// target. A request that is refused at its home would be executed at another
+	// target that is cold for its object: late, and in place of one that would be in
+	// time.
+	overflowReserve = admissionBurst / 2
+	// overflowDelay is how long an instance does not ask again whether a target has
+	// capacity to spare.
+	overflowDelay = time.Second
 	// disagreementDelay is how long an instance waits after a refusal by an
 	// instance that does not consider itself the owner.
 	disagreementDelay = 200 * time.Millisecond
@@ -48,17 +56,18 @@
 }
 
 // wait returns the time until a request may be admitted at the given rate; 0 means
-// now.
-func (bucket *tokenBucket) wait(now time.Time, perSecond float64) time.Duration {
+// now. reserved is the time whose requests remain in the bucket.
+func (bucket *tokenBucket) wait(now time.Time, perSecond float64, reserved time.Duration) time.Duration {
 	if elapsed := now.Sub(bucket.updated); elapsed > 0 {
 		bucket.tokens += perSecond * elapsed.Seconds()
 		bucket.updated = now
 	}
 	bucket.tokens = min(bucket.tokens, 1+perSecond*admissionBurst.Seconds())
-	if bucket.tokens >= 1 {
+	missing := 1 + perSecond*reserved.Seconds() - bucket.tokens
+	if missing <= 0 {
 		return 0
 	}
-	return max(time.Millisecond, bucket.updated.Sub(now)+time.Duration((1-bucket.tokens)/perSecond*float64(time.Second)))
+	return max(time.Millisecond, bucket.updated.Sub(now)+time.Duration(missing/perSecond*float64(time.Second)))
 }
 
 // startAdmissions determines the owner of a target that begins to state a limit.
@@ -104,7 +113,7 @@
 		}
 		balancer.updateOwner(now, t)
 		if t.owner.Name != before {
-			t.deferredUntil = time.Time{}
+			t.deferredUntil, t.overflowDeferredUntil = time.Time{}, time.Time{}
 			balancer.noteLimitChange(t, LimitFromPeer)
 		}
 	}
@@ -123,9 +132,13 @@
 
 // admissionWait returns the time until this instance, as the owner of a limited
 // target, may admit a request; 0 means now.
-func (balancer *Balancer) admissionWait(now time.Time, t *target) time.Duration {
+func (balancer *Balancer) admissionWait(now time.Time, t *target, overflow bool) time.Duration {
 	balancer.detectPause(now)
-	return t.bucket.wait(now, max(minLimitRate, t.limit.PerSecond*balancer.partitionShare()))
+	reserved := time.Duration(0)
+	if overflow {
+		reserved = overflowReserve
+	}
+	return t.bucket.wait(now, max(minLimitRate, t.limit.PerSecond*balancer.partitionShare()), reserved)
 }
 
 // detectPause checks whether the process was paused, because Tick is overdue. It
@@ -149,15 +162,18 @@
 
 // limitWait returns the time until a request may be sent to a target as far as
 // its limit is concerned; 0 means now.
-func (balancer *Balancer) limitWait(now time.Time, t *target, request Request) time.Duration {
+func (balancer *Balancer) limitWait(now time.Time, t *target, request Request, overflow bool) time.Duration {
 	switch {
 	case !t.limit.Active:
 		return 0
 	case balancer.owns(t):
-		return balancer.admissionWait(now, t)
+		return balancer.admissionWait(now, t, overflow)
 	case request.Unrelayable || !request.HomeRegions.Allows(t.owner.Region):
 		return noTargetRetryAfter
 	}
+	if overflow && t.overflowDeferredUntil.After(t.deferredUntil) {
+		return max(0, t.overflowDeferredUntil.Sub(now))
+	}
 	return max(0, t.deferredUntil.Sub(now))
 }
 
@@ -167,7 +183,7 @@
 	shortest := time.Duration(0)
 	for _, region := range balancer.allowedRegions(request.HomeRegions) {
 		for _, t := range svc.targetsByRegion[region] {
-			if wait := balancer.limitWait(now, t, request); wait > 0 && (shortest == 0 || wait < shortest) {
+			if wait := balancer.limitWait(now, t, request, false); wait > 0 && (shortest == 0 || wait < shortest) {
 				shortest = wait
 			}
 		}
@@ -184,8 +200,9 @@
 }
 
 // AdmitRelayed decides whether a request of a peer may be sent to a target.
-// stated is the limit as the peer knows it; nil if it knows none.
-func (balancer *Balancer) AdmitRelayed(now time.Time, record *steering.Target, stated *LimitStatement) Admission {
+// stated is the limit as the peer knows it; nil if it knows none. overflow is
+// Grant.Overflow at the peer.
+func (balancer *Balancer) AdmitRelayed(now time.Time, record *steering.Target, stated *LimitStatement, overflow bool) Admission {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
 	t := balancer.targets[record.ID]
@@ -202,24 +219,29 @@
 	if !balancer.owns(t) {
 		return refused
 	}
-	if refused.Wait = balancer.admissionWait(now, t); refused.Wait > 0 {
+	if refused.Wait = balancer.admissionWait(now, t, overflow); refused.Wait > 0 {
 		return refused
 	}
 	t.bucket.tokens--
 	return Admission{Granted: true}
 }
 
-// DeferTarget records that the owner of a limited target has refused a request or
-// could not be reached, and that this instance should not ask again for some time.
-func (balancer *Balancer) DeferTarget(now time.Time, record *steering.Target, wait time.Duration, limit *LimitStatement) {
+// DeferTarget records that the owner of a limited target has refused a granted
+// request or could not be reached, and that this instance should not ask again for
+// some time.
+func (balancer *Balancer) DeferTarget(now time.Time, grant Grant, wait time.Duration, limit *LimitStatement) {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
-	t := balancer.targets[record.ID]
-	if t == nil || !t.record.SameIncarnation(record) {
+	t := balancer.targets[grant.Target.ID]
+	if t == nil || !t.record.SameIncarnation(grant.Target) {
 		return
 	}
 	if limit != nil {
 		balancer.applyStatement(now, t, *limit, LimitFromRelay)
 	}
+	if grant.Overflow {
+		t.overflowDeferredUntil = now.Add(max(overflowDelay, wait))
+		return
+	}
 	t.deferredUntil = now.Add(wait)
 }
--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -42,7 +42,7 @@
 }
 
 func (f *admissionFixture) admits(now time.Time) bool {
-	return f.AdmitRelayed(now, f.target, nil).Granted
+	return f.AdmitRelayed(now, f.target, nil, false).Granted
 }
 
 // admittedBetween counts the admissions while requests arrive every 10 ms.
@@ -94,7 +94,7 @@
 	f.SetInstances(start, []steering.Instance{farInstance, homeInstance, nearInstance}, settle)
 	f.stateLimit(f.at(5*time.Second), start, 10)
 	assert.False(t, f.admits(f.at(8*time.Second)), "another instance is the owner")
-	assert.Positive(t, f.AdmitRelayed(f.at(8*time.Second), f.target, nil).Wait)
+	assert.Positive(t, f.AdmitRelayed(f.at(8*time.Second), f.target, nil, false).Wait)
 	f.SetInstances(f.at(10*time.Second), []steering.Instance{farInstance, nearInstance}, settle)
 	assert.Zero(t, f.admittedBetween(10*time.Second, 10*time.Second+settle))
 	assert.InDelta(t, 10, f.admittedBetween(10*time.Second+settle, 11*time.Second+settle), 2)
@@ -170,7 +170,7 @@
 	require.NotNil(t, refusal)
 	assert.Equal(t, balance.RateLimited, refusal.Reason)
 
-	f.DeferTarget(now, f.target, 300*time.Millisecond, &grant.Limit)
+	f.DeferTarget(now, grant, 300*time.Millisecond, &grant.Limit)
 	_, refusal = f.Pick(now.Add(100*time.Millisecond), newRequest("x"))
 	require.NotNil(t, refusal)
 	assert.Equal(t, balance.RateLimited, refusal.Reason)
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -82,8 +82,10 @@
 	owner                steering.Instance // Admits requests while the target has a limit; valid while limit.Active.
 	bucket               tokenBucket       // Requests that this instance may admit as the owner.
 	deferredUntil        time.Time         // Until when this instance does not ask the owner again.
-	utilization          float64           // Moving average of requests in flight divided by slots.
-	rebalanceAfter       time.Time         // Excluded from rebalancing until then.
+	// overflowDeferredUntil is the same for requests that belong to other targets.
+	overflowDeferredUntil time.Time
+	utilization           float64   // Moving average of requests in flight divided by slots.
+	rebalanceAfter        time.Time // Excluded from rebalancing until then.
 }
 
 // service is the state of one service.
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -92,7 +92,7 @@
 	case statement.Active && !before.Active:
 		balancer.startAdmissions(now, t)
 	case !statement.Active:
-		t.deferredUntil = time.Time{}
+		t.deferredUntil, t.overflowDeferredUntil = time.Time{}, time.Time{}
 	}
 	if statement.RateLimit != before {
 		balancer.noteLimitChange(t, source)
--- a/balance/limit_simulation_test.go
+++ b/balance/limit_simulation_test.go
@@ -251,7 +251,7 @@
 	switch {
 	case !f.connected(in, owner):
 		in.Done(f.now, grant, balance.Observation{Result: balance.Abandoned})
-		in.DeferTarget(f.now, grant.Target, 2*time.Second, nil)
+		in.DeferTarget(f.now, grant, 2*time.Second, nil)
 	case owner.paused: // The request waits at the owner until its deadline.
 		in.Done(f.now, grant, balance.Observation{Result: balance.TimedOut})
 	default:
@@ -260,10 +260,10 @@
 }
 
 func (f *limitFleet) relay(in, owner *limitInstance, grant balance.Grant) {
-	admission := owner.AdmitRelayed(f.now, grant.Target, &grant.Limit)
+	admission := owner.AdmitRelayed(f.now, grant.Target, &grant.Limit, grant.Overflow)
 	if !admission.Granted {
 		in.Done(f.now, grant, balance.Observation{Result: balance.Abandoned})
-		in.DeferTarget(f.now, grant.Target, admission.Wait, &admission.Limit)
+		in.DeferTarget(f.now, grant, admission.Wait, &admission.Limit)
 		return
 	}
 	f.arrive(in, owner, grant)
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -67,10 +67,11 @@
 	Warm         bool          // The target has probably handled the object recently.
 	// Limit is the target's limit. If it is active, the request must be sent
 	// through Owner, or directly if this instance is the owner and Owner is empty.
-	Limit  LimitStatement
-	Owner  steering.Instance
-	object string
-	waits  bool
+	Limit    LimitStatement
+	Owner    steering.Instance
+	Overflow bool // The owner may admit the request only if the target has capacity to spare.
+	object   string
+	waits    bool
 }
 
 // RefusalReason tells why no target was selected.
@@ -100,6 +101,7 @@
 	expectedWait time.Duration
 	warm         bool
 	measured     bool // The estimate is based on observed executions.
+	overflow     bool // The request belongs to other targets; see overflowReserve.
 }
 
 // Pick selects a target for a request, or refuses it.
@@ -115,8 +117,8 @@
 		svc.sequence++
 		objectHash = mix(svc.sequence, balancer.ownHash())
 	}
-	for _, region := range balancer.regionOrder(svc, request, objectHash) {
-		if c, ok := balancer.regionCandidate(now, svc, request, region, objectHash); ok {
+	for i, region := range balancer.regionOrder(svc, request, objectHash) {
+		if c, ok := balancer.regionCandidate(now, svc, request, region, objectHash, i > 0); ok {
 			if region == balancer.options.Region && request.Object != "" && !request.Retry {
 				svc.demand.add(now, objectHash)
 			}
@@ -145,14 +147,14 @@
 // usable. Any other target would first have to become warm for the object, and
 // a cold execution takes as much slot time as several warm ones. A request
 // without an object goes to the target with the lowest estimated response
-// time.
-func (balancer *Balancer) regionCandidate(now time.Time, svc *service, request Request, region string, objectHash uint64) (candidate, bool) {
+// time. overflow is set if the request belongs to another region.
+func (balancer *Balancer) regionCandidate(now time.Time, svc *service, request Request, region string, objectHash uint64, overflow bool) (candidate, bool) {
 	if request.Object == "" {
-		return balancer.fastestTarget(now, svc, request, region, objectHash)
+		return balancer.fastestTarget(now, svc, request, region, objectHash, overflow)
 	}
-	c := candidate{target: balancer.leastLoadedHome(now, svc, request, region, objectHash), warm: true}
-	if c.target == nil || request.ExcludedTargets[c.target.record.ID] || !balancer.usable(now, c.target, request) || balancer.isGrey(now, svc, c.target) {
-		c = balancer.hashHome(now, svc, request, region, objectHash)
+	c := candidate{target: balancer.leastLoadedHome(now, svc, request, region, objectHash, overflow), warm: true, overflow: overflow}
+	if c.target == nil || request.ExcludedTargets[c.target.record.ID] || !balancer.usable(now, c.target, request, overflow) || balancer.isGrey(now, svc, c.target) {
+		c = balancer.hashHome(now, svc, request, region, objectHash, overflow)
 	}
 	if c.target == nil {
 		return c, false
@@ -166,7 +168,7 @@
 // leastLoadedHome returns the object's home target from the home table, or
 // nil. If the object has several home targets, it returns the usable one with
 // the lowest relative load.
-func (balancer *Balancer) leastLoadedHome(now time.Time, svc *service, request Request, region string, objectHash uint64) *target {
+func (balancer *Balancer) leastLoadedHome(now time.Time, svc *service, request Request, region string, objectHash uint64, overflow bool) *target {
 	first := balancer.tableHome(svc, region, objectHash, 0)
 	if balancer.tableHome(svc, region, objectHash, 1) == nil {
 		return first
@@ -174,7 +176,7 @@
 	var best *target
 	lowestLoad := 0.0
 	for _, t := range balancer.homeTargets(svc, region, objectHash) {
-		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request) || balancer.isGrey(now, svc, t) {
+		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request, overflow) || balancer.isGrey(now, svc, t) {
 			continue
 		}
 		relativeLoad := float64(balancer.load(now, t)) / float64(t.record.Slots)
@@ -186,44 +188,55 @@
 }
 
 // hashHome returns the usable target with the highest rendezvous hash for the
-// object. A grey target is returned only if all usable ones are grey. The
-// candidate is warm if it has the highest hash of all targets, usable or not.
-func (balancer *Balancer) hashHome(now time.Time, svc *service, request Request, region string, objectHash uint64) candidate {
-	var best, fallback candidate // best excludes grey targets, fallback includes them.
-	var bestRank, fallbackRank, homeRank uint64
+// object. It prefers targets to which the request is no overflow, and returns a
+// grey target only if all usable ones are grey. The candidate is warm if it has
+// the highest hash of all targets, usable or not.
+func (balancer *Balancer) hashHome(now time.Time, svc *service, request Request, region string, objectHash uint64, overflow bool) candidate {
+	const (
+		grey = iota
+		overflowing
+		preferred
+	)
+	var best candidate
+	bestPreference, bestRank, homeRank := grey, uint64(0), uint64(0)
 	for _, t := range svc.targetsByRegion[region] {
 		rank := mix(objectHash, t.hash)
 		homeRank = max(homeRank, rank)
-		if fallback.target != nil && rank < fallbackRank && best.target != nil && rank < bestRank {
+		if best.target != nil && bestPreference == preferred && rank < bestRank {
 			continue
 		}
-		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request) {
+		c := candidate{target: t}
+		if t.limit.Active && !t.recentObjects.has(request.Object) {
+			c.overflow = overflow || rendezvousTarget(svc.targetsByRegion[region], objectHash) != t
+		}
+		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request, c.overflow) {
 			continue
 		}
-		if fallback.target == nil || rank > fallbackRank {
-			fallback, fallbackRank = candidate{target: t}, rank
+		preference := preferred
+		switch {
+		case balancer.isGrey(now, svc, t):
+			preference = grey
+		case c.overflow:
+			preference = overflowing
 		}
-		if !balancer.isGrey(now, svc, t) && (best.target == nil || rank > bestRank) {
-			best, bestRank = candidate{target: t}, rank
+		if best.target == nil || preference > bestPreference || preference == bestPreference && rank > bestRank {
+			best, bestPreference, bestRank = c, preference, rank
 		}
 	}
-	if best.target == nil {
-		best, bestRank = fallback, fallbackRank
-	}
 	best.warm = bestRank == homeRank
 	return best
 }
 
 // fastestTarget returns the usable target with the shortest expected time.
 // Ties are broken by hash.
-func (balancer *Balancer) fastestTarget(now time.Time, svc *service, request Request, region string, requestHash uint64) (candidate, bool) {
+func (balancer *Balancer) fastestTarget(now time.Time, svc *service, request Request, region string, requestHash uint64, overflow bool) (candidate, bool) {
 	var best candidate
 	var rank uint64
 	for _, t := range svc.targetsByRegion[region] {
-		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request) {
+		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request, overflow) {
 			continue
 		}
-		c, r := candidate{target: t}, mix(requestHash, t.hash)
+		c, r := candidate{target: t, overflow: overflow}, mix(requestHash, t.hash)
 		c.expectedWait, c.expectedTime = balancer.estimate(now, svc, t, false, request.Objective)
 		c.measured = svc.coldSamples >= minSamples
 		if best.target == nil || c.expectedTime < best.expectedTime || c.expectedTime == best.expectedTime && r > rank {
@@ -256,15 +269,16 @@
 		Load: balancer.load(now, c.target), RetryAfter: retryAfter}
 }
 
-// usable reports whether a request may be sent to a target now.
-func (balancer *Balancer) usable(now time.Time, t *target, request Request) bool {
+// usable reports whether a request may be sent to a target now. overflow is set if
+// the request belongs to other targets.
+func (balancer *Balancer) usable(now time.Time, t *target, request Request, overflow bool) bool {
 	if now.Before(t.avoidUntil) {
 		return false
 	}
 	if t.down && t.ownInFlight > 0 {
 		return false
 	}
-	return balancer.coldRequestAllowed(now, t) && balancer.limitWait(now, t, request) == 0
+	return balancer.coldRequestAllowed(now, t) && balancer.limitWait(now, t, request, overflow) == 0
 }
 
 // estimate returns the expected wait for a slot and the total expected time. A
@@ -303,7 +317,7 @@
 		if balancer.owns(t) {
 			t.bucket.tokens--
 		} else {
-			grant.Owner = t.owner
+			grant.Owner, grant.Overflow = t.owner, c.overflow
 		}
 	}
 	t.ownInFlight++
--- a/balance/simulation_test.go
+++ b/balance/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -39,6 +40,7 @@
 type simulatedTarget struct {
 	slots, running int
 	executed       int
+	limit          float64 // Stated in responses; 0 for none.
 	queue          []func()
 	knownObjects   map[string]bool
 }
@@ -96,6 +98,7 @@
 		}
 	}
 	sim.state = steering.NewState().Apply(1, updates)
+	var live []steering.Instance
 	for i, domain := range []string{"p1", "p1", "p1", "c1", "c1", "c1", "a1", "a1"} {
 		name, region := fmt.Sprint("n", i), simulatedRegions[domain]
 		b := balance.New(balance.Options{Name: name, Domain: domain, Region: region, Regions: simulatedRegions, MaxWeightShift: 0.15,
@@ -103,6 +106,10 @@
 		b.SetState(start, sim.state)
 		b.Tick(start)
 		sim.instances = append(sim.instances, &simulatedInstance{b, name, region})
+		live = append(live, steering.Instance{Name: name, Domain: domain, Region: region})
+	}
+	for _, instance := range sim.instances {
+		instance.SetInstances(start, live, 0)
 	}
 	return sim
 }
@@ -141,6 +148,17 @@
 	}
 }
 
+// startDuties schedules the reports and the periodic updates of all instances.
+func (sim *simulation) startDuties() {
+	sim.every(100*time.Millisecond, func() { sim.exchangeReports(false) })
+	sim.every(500*time.Millisecond, func() { sim.exchangeReports(true) })
+	sim.every(250*time.Millisecond, func() {
+		for _, n := range sim.instances {
+			n.Tick(sim.now)
+		}
+	})
+}
+
 // rebalance lets the first instance of each region rebalance and applies the
 // table to all instances.
 func (sim *simulation) rebalance() {
@@ -214,6 +232,10 @@
 		delay = 20 * time.Millisecond
 	}
 	sent := sim.now
+	if grant.Owner.Name != "" && !sim.admitted(instance, grant) {
+		sim.request(region, object, firstSent, retry)
+		return
+	}
 	sim.after(delay, func() {
 		sim.execute(sim.targets[grant.Target.ID], object, func(t *simulatedTarget) {
 			sim.after(delay, func() { sim.recordResponse(instance, grant, t, sent, firstSent) })
@@ -221,6 +243,23 @@
 	})
 }
 
+// admitted asks the owner of a limited target and reports whether it admits a
+// request.
+func (sim *simulation) admitted(instance *simulatedInstance, grant balance.Grant) bool {
+	for _, owner := range sim.instances {
+		if owner.name != grant.Owner.Name {
+			continue
+		}
+		admission := owner.AdmitRelayed(sim.now, grant.Target, &grant.Limit, grant.Overflow)
+		if !admission.Granted {
+			instance.Done(sim.now, grant, balance.Observation{Result: balance.Abandoned})
+			instance.DeferTarget(sim.now, grant, admission.Wait, &admission.Limit)
+		}
+		return admission.Granted
+	}
+	return false
+}
+
 // execute runs a request when the target has a free slot.
 func (sim *simulation) execute(target *simulatedTarget, object string, done func(*simulatedTarget)) {
 	start := func() {
@@ -249,6 +288,15 @@
 }
 
 func (sim *simulation) recordResponse(instance *simulatedInstance, grant balance.Grant, target *simulatedTarget, sent, firstSent time.Time) {
+	perSecond := math.Inf(1)
+	if target.limit > 0 {
+		perSecond = target.limit
+	}
+	for _, observer := range sim.instances {
+		if observer == instance || observer.name == grant.Owner.Name {
+			observer.ObserveRateLimit(sim.now, grant.Target, sent, perSecond, balance.LimitFromResponse)
+		}
+	}
 	instance.Done(sim.now, grant, balance.Observation{Result: balance.Succeeded, Duration: sim.now.Sub(sent), LoadReported: true,
 		Executing: target.running, Waiting: len(target.queue)})
 	if sim.now.Sub(firstSent) <= simulatedObjective {
@@ -268,13 +316,7 @@
 	if tables {
 		sim.every(4*time.Second, sim.rebalance)
 	}
-	sim.every(100*time.Millisecond, func() { sim.exchangeReports(false) })
-	sim.every(500*time.Millisecond, func() { sim.exchangeReports(true) })
-	sim.every(250*time.Millisecond, func() {
-		for _, n := range sim.instances {
-			n.Tick(sim.now)
-		}
-	})
+	sim.startDuties()
 	sim.scheduleRequests(perSecond)
 	sim.run(32 * time.Second)
 	return sim
@@ -337,3 +379,63 @@
 		assert.Less(t, 2*(with.counts.late+with.counts.refused), without.counts.late+without.counts.refused, seed)
 	}
 }
+
+// simulateLimits runs a site under load whose targets with the given IDs state a
+// limit from limitedFrom on, and returns the counts from then on and the requests
+// that the targets executed per second.
+func simulateLimits(seed uint64, perSecond, limit float64, limited []string) (requestCounts, float64) {
+	const limitedFrom, end = 8 * time.Second, 35 * time.Second
+	sim := newSimulation(seed)
+	sim.startDuties()
+	sim.scheduleRequests(perSecond)
+	sim.run(limitedFrom)
+	before, executed := sim.counts, sim.executed()
+	for _, id := range limited {
+		sim.targets[id].limit = limit
+	}
+	sim.run(end)
+	counts := requestCounts{sim.counts.requests - before.requests, sim.counts.inTime - before.inTime, sim.counts.late - before.late,
+		sim.counts.refused - before.refused}
+	return counts, float64(sim.executed()-executed) / (end - limitedFrom).Seconds()
+}
+
+func (sim *simulation) executed() int {
+	n := 0
+	for _, target := range sim.targets {
+		n += target.executed
+	}
+	return n
+}
+
+// Load pattern: two targets of a service state a limit of less than half of what
+// they get. Guards against callers that are refused or served late although other
+// targets have capacity.
+func TestLimitsOfSomeTargetsCostCallersLittle(t *testing.T) {
+	for seed := range uint64(5) {
+		counts, _ := simulateLimits(seed, 125, 4.6, []string{"a1-0", "c1-0"})
+		assert.GreaterOrEqual(t, counts.credit(), 0.98, "seed %d: %+v", seed, counts)
+		assert.LessOrEqual(t, float64(counts.refused), 0.005*float64(counts.requests), "seed %d: %+v", seed, counts)
+	}
+}
+
+// Load pattern: all targets of a service state limits that add up to less than
+// half of the requests. Guards against targets that get less than they take, and
+// against requests that are executed late at targets that are cold for them, in
+// place of others that would be in time.
+func TestLimitsOfAllTargetsAreUsedForRequestsInTime(t *testing.T) {
+	const limit, perSecond = 4.6, 125.0
+	var all []string
+	for domain, n := range targetsPerDomain {
+		for i := range n {
+			all = append(all, fmt.Sprint(domain, "-", i))
+		}
+	}
+	stated := limit * float64(len(all))
+	for seed := range uint64(5) {
+		counts, executed := simulateLimits(seed, perSecond, limit, all)
+		t.Logf("seed %d: %.3f of the limits used, %+v, credit %.3f of at most %.3f", seed, executed/stated, counts, counts.credit(), stated/perSecond)
+		assert.GreaterOrEqual(t, executed, 0.95*stated, "seed %d", seed)
+		assert.LessOrEqual(t, executed, 1.05*stated, "seed %d", seed)
+		assert.GreaterOrEqual(t, counts.credit(), 0.9*stated/perSecond, "seed %d: %+v", seed, counts)
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -122,7 +122,7 @@
 // newForwardRequest builds the request that is sent to a target.
 func (g *Gateway) newForwardRequest(request *routedRequest, grant balance.Grant, now time.Time) *forward.Request {
 	header := request.httpRequest.Header.Clone()
-	for _, name := range []string{headerRelayTarget, headerRelayNonIdempotent, headerRelayLimit} {
+	for _, name := range []string{headerRelayTarget, headerRelayNonIdempotent, headerRelayLimit, headerRelayOverflow} {
 		header.Del(name)
 	}
 	g.Headers.SetTarget(header, grant.Target.ID, request.deadline.Sub(now))
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -77,8 +77,8 @@
 	var refusal *limitRefusal
 	switch {
 	case errors.As(err, &refusal):
-		g.Balancer.DeferTarget(time.Now(), grant.Target, refusal.wait, refusal.limit)
+		g.Balancer.DeferTarget(time.Now(), grant, refusal.wait, refusal.limit)
 	case grant.Owner.Name != "" && !targetAtFault:
-		g.Balancer.DeferTarget(time.Now(), grant.Target, relayBackoff, nil)
+		g.Balancer.DeferTarget(time.Now(), grant, relayBackoff, nil)
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -40,6 +40,8 @@
 	// headerRelayLimit holds the limit of the target as the sender knows it, in
 	// requests per second, and its age in milliseconds, separated by a semicolon.
 	headerRelayLimit = "Jacinth-Relay-Limit"
+	// headerRelayOverflow is set for a request that belongs to other targets.
+	headerRelayOverflow = "Jacinth-Relay-Overflow"
 	// headerRelayWait is the time in milliseconds after which the instance that was
 	// refused may ask again.
 	headerRelayWait = "Jacinth-Relay-Wait"
@@ -307,6 +309,9 @@
 	if grant.Limit.Active {
 		out.Header.Set(headerRelayLimit, formatLimit(grant.Limit))
 	}
+	if grant.Overflow {
+		out.Header.Set(headerRelayOverflow, "1")
+	}
 	if !request.route.Idempotent {
 		destination.MaxIdleTime = relayMaxIdle
 		out.Header.Set(headerRelayNonIdempotent, "1")
@@ -368,14 +373,15 @@
 	if record == nil || !state.Usable(record) || !ok {
 		return failed(relayRefused)
 	}
-	if admission := g.Balancer.AdmitRelayed(time.Now(), record, parseLimit(incoming.httpRequest.Header.Get(headerRelayLimit))); !admission.Granted {
+	header := incoming.httpRequest.Header
+	if admission := g.Balancer.AdmitRelayed(time.Now(), record, parseLimit(header.Get(headerRelayLimit)), header.Get(headerRelayOverflow) != ""); !admission.Granted {
 		resp, result := failed(relayRefused)
 		setLimitRefusal(resp.header, admission)
 		return resp, result
 	}
 	request := &routedRequest{incomingRequest: incoming, id: id, deadline: incoming.arrived.Add(timeLeft)}
 	destination := forward.Target{Address: record.Address, MaxConnections: g.connectionShare(record.Service), DialTimeout: baseDialTimeout, AckTimeout: baseAckTimeout}
-	if incoming.httpRequest.Header.Get(headerRelayNonIdempotent) != "" {
+	if header.Get(headerRelayNonIdempotent) != "" {
 		destination.MaxIdleTime = nonIdempotentMaxIdle
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.deadline)
