Move no objects to limited targets

Callers saw: nothing yet; found by reading while looking where the limit takes effect. A limited target has few requests in flight, so the rebalancing took it for idle and moved busy objects there, whose requests its owner then refuses.

Evidence: TestRebalanceMovesNoObjectToLimitedTarget fails without the change. Limited targets neither take nor give objects while the limit applies.

--- a/balance/homes_test.go
+++ b/balance/homes_test.go
@@ -79,6 +79,24 @@
 	assert.Empty(t, moves, "both targets are excluded until their utilization reflects the move")
 }
 
+// A limited target has few requests in flight, so it looks idle. Guards against
+// moving objects to it, whose requests it would not take.
+func TestRebalanceMovesNoObjectToLimitedTarget(t *testing.T) {
+	objects := objectsWithSameHome(t, 4)
+	b := newBalancer("n1", "a1")
+	state := newState(2, 4)
+	b.SetState(start, state)
+	now := start
+	busyTarget := holdRequests(t, b, &now, objects)
+	for id, record := range state.Targets {
+		if id != busyTarget {
+			b.ObserveRateLimit(now, record, now, 1, balance.LimitFromResponse)
+		}
+	}
+	_, moves := b.Rebalance(now)
+	assert.Empty(t, moves)
+}
+
 // Guards against moves without benefit: each move costs an execution at a
 // target that is cold for the object.
 func TestRebalanceKeepsObjectsAtLowOrEvenLoad(t *testing.T) {
--- a/balance/rebalance.go
+++ b/balance/rebalance.go
@@ -129,11 +129,12 @@
 }
 
 // rebalanceCandidates returns the targets of the local region whose
-// utilization reflects the cost of their objects.
+// utilization reflects the cost of their objects. That of a limited target
+// reflects its limit.
 func (balancer *Balancer) rebalanceCandidates(now time.Time, svc *service) []*target {
 	var candidates []*target
 	for _, t := range svc.targetsByRegion[balancer.options.Region] {
-		if now.Before(t.rebalanceAfter) || now.Before(t.coldUntil) || now.Before(t.avoidUntil) || t.down {
+		if now.Before(t.rebalanceAfter) || now.Before(t.coldUntil) || now.Before(t.avoidUntil) || t.down || t.limit.Active {
 			continue
 		}
 		candidates = append(candidates, t)
