Cold targets: a part of a partitioned network uses its share of the rate

What targets saw: in a network partition each part chose two senders of its own for a cold target, and each pair used the whole rate.

TestColdRateHoldsInNetworkPartitions fails without it.

Why it works: the parts' shares of the registered instances add up to one at most, as for stated limits.

--- a/balance/cold.go
+++ b/balance/cold.go
@@ -18,7 +18,8 @@
 // request now although it is cold. Only coldSenders instances use a cold
 // target, each within its share of the tolerated rate. Instances may disagree
 // briefly on which instances are live; an additional sender does no harm
-// because shares are small.
+// because shares are small. In a network partition each part has its own senders,
+// which share the part's share of the rate.
 func (balancer *Balancer) coldRequestAllowed(now time.Time, t *target) bool {
 	if !now.Before(t.coldUntil) {
 		return true
@@ -39,7 +40,7 @@
 	if perSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(time.Second) * coldSenders / perSecond)
+	return time.Duration(float64(time.Second) * coldSenders / (perSecond * balancer.partitionShare()))
 }
 
 // recordColdRequest uses up this instance's share of the rate of a cold target
--- a/balance/limit_simulation_test.go
+++ b/balance/limit_simulation_test.go
@@ -54,12 +54,14 @@
 	limitExecTime       = 100 * time.Millisecond
 	limitDomainSilence  = 2 * time.Second
 	limitDigestInterval = 500 * time.Millisecond
+	fleetColdRate       = 7.0 // Requests per second that a cold target tolerates.
 )
 
-// newLimitFleet creates n instances in the failure domains of two regions.
-func newLimitFleet(seed uint64, n, domains int) *limitFleet {
+// newLimitFleet creates n instances in the failure domains of a region. The limited
+// target is cold until coldUntil.
+func newLimitFleet(seed uint64, n, domains int, coldUntil time.Time) *limitFleet {
 	f := &limitFleet{random: rand.New(rand.NewPCG(seed, 22)), now: start, pending: map[int64][]func(){}, lossRate: 0.02}
-	config := &steering.Config{Version: 1, Services: map[string]steering.Service{"s": {Name: "s"}}}
+	config := &steering.Config{Version: 1, Services: map[string]steering.Service{"s": {Name: "s", MaxColdRate: fleetColdRate}}}
 	config.Index()
 	updates := []steering.Update{steering.ConfigUpdate{Config: config}}
 	for i := range n {
@@ -71,10 +73,13 @@
 	for domain := range domains {
 		updates = append(updates, steering.TargetUpdate{Target: newTarget(fmt.Sprintf("a%d-0", domain), fmt.Sprint("a", domain), 6)})
 	}
-	f.state = steering.NewState().Apply(1, updates)
+	warmState := steering.NewState().Apply(1, updates)
+	cold := newTarget(limitedTarget, "a0", 6)
+	cold.ColdUntil = coldUntil
+	f.state = warmState.Apply(2, []steering.Update{steering.TargetUpdate{Target: cold}})
 	f.limits = []limitStep{{start, math.Inf(1)}}
 	probe := balance.New(balance.Options{Name: "n0", Domain: "a0", Region: "a", Regions: f.regions()}, start)
-	probe.SetState(start, f.state)
+	probe.SetState(start, warmState)
 	for i := 0; len(f.objects) < 8; i++ {
 		object := fmt.Sprint("o", i)
 		if grant, refusal := probe.Pick(start, newRequest(object)); refusal == nil && grant.Target.ID == limitedTarget {
@@ -415,7 +420,7 @@
 		for seed := range site.seeds {
 			t.Run(fmt.Sprintf("%d instances, seed %d", site.instances, seed), func(t *testing.T) {
 				t.Parallel()
-				f := newLimitFleet(seed, site.instances, site.domains)
+				f := newLimitFleet(seed, site.instances, site.domains, start)
 				f.run(3*time.Second, site.perSecond)
 				run(t, f, site.limit, site.perSecond)
 			})
@@ -508,26 +513,7 @@
 		f.setLimit(limit)
 		limited := f.now
 		f.run(4*time.Second, perSecond)
-		for parts := range 4 {
-			for _, in := range f.instances {
-				switch parts {
-				case 0: // The owner alone.
-					in.side = 0
-				case 1: // Each failure domain alone.
-					in.side = f.domainNumber(in)
-				default: // Random halves, across failure domains.
-					in.side = f.random.IntN(2)
-				}
-			}
-			if parts == 0 {
-				f.owner().side = 1
-			}
-			f.run(time.Duration(2000+f.random.IntN(6000))*time.Millisecond, perSecond)
-			for _, in := range f.instances {
-				in.side = 0
-			}
-			f.run(time.Duration(500+f.random.IntN(3000))*time.Millisecond, perSecond)
-		}
+		f.partition(perSecond)
 		f.assertLimit(t, limited.Add(limitReaction), "partitions")
 		calm := f.now.Add(4 * time.Second)
 		f.run(14*time.Second, perSecond)
@@ -535,6 +521,48 @@
 	})
 }
 
+// partition cuts the network between instances four times: the owner alone, each
+// failure domain alone, and random halves across failure domains.
+func (f *limitFleet) partition(perSecond float64) {
+	for parts := range 4 {
+		for _, in := range f.instances {
+			switch parts {
+			case 0:
+				in.side = 0
+			case 1:
+				in.side = f.domainNumber(in)
+			default:
+				in.side = f.random.IntN(2)
+			}
+		}
+		if parts == 0 {
+			f.owner().side = 1
+		}
+		f.run(time.Duration(2000+f.random.IntN(6000))*time.Millisecond, perSecond)
+		for _, in := range f.instances {
+			in.side = 0
+		}
+		f.run(time.Duration(500+f.random.IntN(3000))*time.Millisecond, perSecond)
+	}
+}
+
+// Guards against parts of a partitioned network that each send a cold target the
+// whole rate that it tolerates.
+func TestColdRateHoldsInNetworkPartitions(t *testing.T) {
+	const perSecond, over, slack = 60.0, 1.5, 5 // Limits of the deployments.
+	for _, site := range limitSites {
+		f := newLimitFleet(1, site.instances, site.domains, start.Add(time.Hour))
+		f.run(3*time.Second, perSecond)
+		f.partition(perSecond)
+		worst := 0
+		for _, at := range f.arrivals {
+			worst = max(worst, f.arrivedBetween(at, at.Add(time.Second)))
+		}
+		t.Logf("%d instances: %d requests in the worst second, %.1f a second in all", site.instances, worst, float64(len(f.arrivals))/f.now.Sub(start).Seconds())
+		assert.LessOrEqual(t, float64(worst), over*fleetColdRate+slack, "%d instances", site.instances)
+	}
+}
+
 func (f *limitFleet) domainNumber(in *limitInstance) int {
 	for i, other := range f.instances {
 		if other.Domain == in.Domain {
