Retry budget: the share of the slack accrues over the first window

Cause: an instance that starts has no memory of the retries of its former run, and used its whole share of the slack again.

TestRestartsStayWithinRetryBudget fails without the change.

The two tests of the slack, and the harness of the gateway's tests, use budgets that started a window earlier; their assertions are unchanged.

--- a/balance/budget.go
+++ b/balance/budget.go
@@ -24,7 +24,9 @@
 )
 
 // RetryBudget limits the retries to each service. Each instance may use the
-// retry ratio of its own requests and an equal share of the slack.
+// retry ratio of its own requests and an equal share of the slack. The share
+// accrues over the first window, because an instance that was restarted may have
+// used it just before.
 type RetryBudget struct {
 	bounds  settings.Bounds
 	started time.Time // Origin of the step numbers; monotonic.
@@ -71,6 +73,9 @@
 		share *= firstRequestShare
 	}
 	slack := budget.bounds.RetrySlack / float64(max(1, instances))
+	if age := now.Sub(budget.started); age < budget.bounds.RetryWindow {
+		slack *= float64(age) / float64(budget.bounds.RetryWindow)
+	}
 	if float64(retries+1) > share*(budget.bounds.RetryRatio*float64(requests)+slack) {
 		return false
 	}
--- a/balance/budget_test.go
+++ b/balance/budget_test.go
@@ -36,6 +36,38 @@
 	}
 }
 
+// All instances are killed and start again while every request is due for a retry.
+// Guards against instances that use their share of the slack once more after each
+// start.
+func TestRestartsStayWithinRetryBudget(t *testing.T) {
+	const instances, perSecond, ratio, slack = 8, 8, 0.2, 56
+	bounds := settings.Bounds{RetryRatio: ratio, RetryWindow: 10 * time.Second, RetrySlack: slack}
+	for _, restart := range []time.Duration{3 * time.Second, 10 * time.Second} {
+		var budgets [instances]*balance.RetryBudget
+		var requests, retries []time.Time
+		nextStart := start.Add(-10 * time.Second)
+		for i := range instances * perSecond * 40 {
+			now := start.Add(time.Duration(i) * time.Second / (instances * perSecond))
+			if !now.Before(nextStart) {
+				for j := range budgets {
+					budgets[j] = balance.NewRetryBudget(bounds, nextStart)
+				}
+				nextStart = now.Add(restart)
+			}
+			b := budgets[i%instances]
+			b.CountRequest(now, "s")
+			requests = append(requests, now)
+			for b.AllowRetry(now, "s", instances, true) {
+				retries = append(retries, now)
+			}
+		}
+		for second := range 30 {
+			from := start.Add(time.Duration(second) * time.Second)
+			assert.LessOrEqual(t, float64(countInWindow(retries, from)), ratio*float64(countInWindow(requests, from))+slack, "restart each %s, from %d s on", restart, second)
+		}
+	}
+}
+
 func countInWindow(list []time.Time, from time.Time) int {
 	n := 0
 	for _, at := range list {
@@ -47,7 +79,7 @@
 }
 
 func TestRetryBudgetIsPerService(t *testing.T) {
-	b := balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 4}, start)
+	b := balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 4}, start.Add(-10*time.Second))
 	n := 0
 	for b.AllowRetry(start, "a", 1, true) {
 		n++
@@ -61,7 +93,7 @@
 // Half of all attempts are shed. A request that is refused a second time
 // fails, so it takes precedence over requests that were not refused before.
 func TestRetryBudgetPrefersCallersRefusedBefore(t *testing.T) {
-	b := balance.NewRetryBudget(settings.Bounds{RetryWindow: 10 * time.Second, RetrySlack: 100}, start)
+	b := balance.NewRetryBudget(settings.Bounds{RetryWindow: 10 * time.Second, RetrySlack: 100}, start.Add(-10*time.Second))
 	firstRetries := 0
 	for b.AllowRetry(start, "s", 1, false) {
 		firstRetries++
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -137,7 +137,7 @@
 	balancer := balance.New(balance.Options{Name: "n", Domain: "d", Region: "r", Regions: map[string]string{"d": "r"}}, now)
 	balancer.SetState(now, state)
 	gw := gateway.New(gateway.Options{State: func() *steering.State { return state }, Balancer: balancer, Suspects: balance.NewSuspects(),
-		Budget:    balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}, time.Now()),
+		Budget:    balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}, time.Now().Add(-10*time.Second)),
 		Forwarder: forward.New(), RelayForwarder: forward.New(), Headers: platform.Headers{}, LiveInstances: func() int { return 1 },
 		Events: events.New(&log.Logger{Handler: logs})})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -43,7 +43,7 @@
 	balancer.ObserveRoundTrip("r2", 200*time.Millisecond) // Simulates distant regions.
 	f.balancers[name] = balancer
 	return gateway.New(gateway.Options{State: func() *steering.State { return state }, Balancer: balancer, Suspects: balance.NewSuspects(),
-		Budget:    balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}, now),
+		Budget:    balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}, now.Add(-10*time.Second)),
 		Forwarder: forward.New(), RelayForwarder: forward.New(), Headers: platform.Headers{}, LiveInstances: func() int { return 1 },
 		Events: events.New(&log.Logger{Handler: events.NewDroppingHandler(io.Discard)})})
 }
