Soak: targets state rate limits

A target states a limit of 2 to 10 requests a second for 9 s while other faults go on. From 1 s after the statement, all instances together must stay within 1.5 times the limit and 5 requests in each 4 s; no fault excuses an instance.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -60,6 +60,7 @@
 	{"configure", func(deployment *Deployment, _ int, _ time.Duration) { deployment.publishConfig() }},
 	{"drain", (*Deployment).drainTarget},
 	{"evacuate", (*Deployment).evacuateDomain},
+	{"limit", (*Deployment).limitTarget},
 }
 
 func (deployment *Deployment) instanceAt(selector int) *instance {
@@ -230,6 +231,49 @@
 	deployment.writeTargetRecord(index, "ready")
 }
 
+const (
+	minRateLimit = 2 // Requests per second.
+	maxRateLimit = 10
+	// limitReaction is the time from the first statement of a limit until it must
+	// hold. It covers the first response to every instance.
+	limitReaction = time.Second
+	limitDuration = 9 * time.Second
+	// limitWindow is the length of the windows in which requests are counted.
+	limitWindow = 4 * time.Second
+)
+
+// limitTarget makes a target state a rate limit, checks that all instances together
+// keep it, and ends the limit. A target that already states one is left as it is.
+func (deployment *Deployment) limitTarget(selector int, _ time.Duration) {
+	index := selector % len(deployment.targets)
+	if _, limited := deployment.limitedTargets.LoadOrStore(index, true); limited {
+		return
+	}
+	defer deployment.limitedTargets.Delete(index)
+	target, perSecond := deployment.targets[index], float64(minRateLimit+selector/7%(maxRateLimit-minRateLimit+1))
+	start := time.Now()
+	target.SetRateLimit(perSecond)
+	time.Sleep(limitDuration)
+	arrivals := target.ArrivalsAfter(start.Add(limitReaction))
+	target.ClearRateLimit()
+	most := 0
+	for i, first := range arrivals {
+		n := 0
+		for n < len(arrivals)-i && arrivals[i+n].Sub(first) < limitWindow {
+			n++
+		}
+		most = max(most, n)
+	}
+	allowed := 1.5*perSecond*limitWindow.Seconds() + 5
+	deployment.log("limit of t%d: %v a second, %d requests in the worst %s, %.0f allowed, %d in all", index, perSecond, most, limitWindow, allowed, len(arrivals))
+	deployment.mu.Lock()
+	defer deployment.mu.Unlock()
+	if float64(most) > allowed {
+		deployment.violations = append(deployment.violations, Violation{"limits of targets hold for all instances",
+			fmt.Sprintf("t%d stated %v a second and got %d requests in %s, allowed %.0f", index, perSecond, most, limitWindow, allowed)})
+	}
+}
+
 // evacuateDomain evacuates a failure domain, checks that its targets receive no new
 // requests after drainBound, and ends the evacuation. At most one domain is
 // evacuated at a time.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -53,6 +53,7 @@
 	configVersion   atomic.Int64
 	evacuating      atomic.Bool // Whether a failure domain is being evacuated.
 	drainingTargets sync.Map    // Set of the indexes of draining targets.
+	limitedTargets  sync.Map    // Set of the indexes of targets with a rate limit.
 	closers         []func()    // Close the proxies and the servers of stand-ins.
 
 	mu                sync.Mutex
--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -123,10 +123,15 @@
 }
 
 // Arrivals returns the times at which requests arrived, in ascending order.
-func (target *Target) Arrivals() []time.Time {
+func (target *Target) Arrivals() []time.Time { return target.ArrivalsAfter(time.Time{}) }
+
+// ArrivalsAfter returns the times from from on at which requests arrived, in
+// ascending order.
+func (target *Target) ArrivalsAfter(from time.Time) []time.Time {
 	target.mu.Lock()
 	defer target.mu.Unlock()
-	return slices.Clone(target.arrivals)
+	first, _ := slices.BinarySearchFunc(target.arrivals, from, time.Time.Compare)
+	return slices.Clone(target.arrivals[first:])
 }
 
 // Body returns the request body of the latest execution of a request ID.
