Owners of limited targets: wait while another instance reports to be the owner

Cause: when the messages of an owner get lost in one direction, its peers choose another one, and both admit requests: the first one still hears all peers and uses the whole rate.

Change: reports tell which targets their sender owns. An owner that hears of another one admits nothing until the settle time after the last such report; the other one steps down when it hears the first. An ended limit forgets its owner, so that a limit that begins after a pause of the process waits for the peers too.

Evidence: TestOwnerWaitsWhileAnotherOneReportsToBeIt fails without the change.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -15,9 +15,10 @@
 //
 // Instances may disagree on the owner for a moment, when one joins, ends or is cut
 // off. An instance admits nothing until it has been the owner in its own view for
-// the time in which connected instances hear of each other. In a network
-// partition each part has its own owner, which may use the share of the rate that
-// corresponds to its part of the registered instances.
+// the time in which connected instances hear of each other, nor while another one
+// reports that it is the owner, as happens when messages pass in one direction
+// only. In a network partition each part has its own owner, which may use the share
+// of the rate that corresponds to its part of the registered instances.
 
 const (
 	// minSettleTime is the shortest time from becoming the owner of a target to
@@ -106,11 +107,10 @@
 // live instances.
 func (balancer *Balancer) updateOwners(now time.Time) {
 	for _, t := range balancer.targets {
-		before := t.owner.Name
 		if !t.limit.Active {
-			t.owner = steering.Instance{}
 			continue
 		}
+		before := t.owner.Name
 		balancer.updateOwner(now, t)
 		if t.owner.Name != before {
 			t.deferredUntil, t.overflowDeferredUntil = time.Time{}, time.Time{}
@@ -215,7 +215,7 @@
 	if !t.limit.Active {
 		return Admission{Granted: true}
 	}
-	refused := Admission{Wait: disagreementDelay, Limit: LimitStatement{t.limit.RateLimit, now.Sub(t.limit.at)}}
+	refused := Admission{Wait: disagreementDelay, Limit: LimitStatement{RateLimit: t.limit.RateLimit, Age: now.Sub(t.limit.at)}}
 	if !balancer.owns(t) {
 		return refused
 	}
--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -128,6 +128,28 @@
 	}
 }
 
+// Messages of this instance get lost, so another one has replaced it as the owner.
+// Guards against both admitting requests.
+func TestOwnerWaitsWhileAnotherOneReportsToBeIt(t *testing.T) {
+	f := newAdmissionFixture("home", "a1")
+	f.SetInstances(start, []steering.Instance{farInstance, homeInstance, nearInstance}, 0)
+	f.stateLimit(f.at(0), start, 10)
+	require.Positive(t, f.admittedBetween(3*time.Second, 4*time.Second))
+	report := f.Report(f.at(4 * time.Second))
+	for hash, statement := range report.Limits {
+		assert.True(t, statement.Owned)
+		statement.Age = 0
+		report.Limits[hash] = statement
+	}
+	admitted := 0
+	for after := 4 * time.Second; after < 8*time.Second; after += 100 * time.Millisecond {
+		f.ApplyReport(f.at(after), "near", "a", report, time.Second)
+		admitted += f.admittedBetween(after, after+100*time.Millisecond)
+	}
+	assert.Zero(t, admitted)
+	assert.InDelta(t, 20, f.admittedBetween(9*time.Second, 11*time.Second), 3, "the other one has stopped")
+}
+
 // Guards against admissions after a pause during which the target began to state a
 // limit.
 func TestLimitStatedAfterAPauseWaitsForPeers(t *testing.T) {
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -20,7 +20,8 @@
 // LimitStatement is a target's statement about its limit.
 type LimitStatement struct {
 	RateLimit
-	Age time.Duration // Since the response that carried it arrived.
+	Age   time.Duration // Since the response that carried it arrived.
+	Owned bool          // In reports: the reporting instance is the owner of the target.
 }
 
 // LimitSource tells how an instance learned of a limit.
@@ -92,7 +93,7 @@
 	case statement.Active && !before.Active:
 		balancer.startAdmissions(now, t)
 	case !statement.Active:
-		t.deferredUntil, t.overflowDeferredUntil = time.Time{}, time.Time{}
+		t.owner, t.deferredUntil, t.overflowDeferredUntil = steering.Instance{}, time.Time{}, time.Time{}
 	}
 	if statement.RateLimit != before {
 		balancer.noteLimitChange(t, source)
@@ -133,9 +134,9 @@
 func (balancer *Balancer) reportedLimits(now time.Time) map[uint32]LimitStatement {
 	limits := map[uint32]LimitStatement{}
 	for _, t := range balancer.targets {
-		age := now.Sub(t.limit.at)
-		if t.limit.Active && balancer.owns(t) || t.limit.firsthand && age < limitReportTime {
-			limits[shortHash(t.hash)] = LimitStatement{t.limit.RateLimit, age}
+		age, owned := now.Sub(t.limit.at), t.limit.Active && balancer.owns(t)
+		if owned || t.limit.firsthand && age < limitReportTime {
+			limits[shortHash(t.hash)] = LimitStatement{t.limit.RateLimit, age, owned}
 		}
 	}
 	return latestLimits(limits)
@@ -160,19 +161,27 @@
 func mergeLimits(into, from map[uint32]LimitStatement, delay time.Duration) {
 	for hash, statement := range from {
 		statement.Age += delay
-		if known, ok := into[hash]; !ok || statement.Age < known.Age {
-			into[hash] = statement
+		known, ok := into[hash]
+		owned := statement.Owned || known.Owned
+		if ok && known.Age <= statement.Age {
+			statement = known
 		}
+		statement.Owned = owned && statement.Active
+		into[hash] = statement
 	}
 }
 
 // applyLimits records the statements of a peer's report that are later than the
-// known ones.
+// known ones. If a peer reports that it owns a target of this instance, the two do
+// not hear of each other; this instance leaves the target to the peer meanwhile.
 func (balancer *Balancer) applyLimits(now time.Time, limits map[uint32]LimitStatement) {
 	for hash, statement := range limits {
 		for _, svc := range balancer.services {
 			if t := svc.targetsByHash[hash]; t != nil {
 				balancer.applyStatement(now, t, statement, LimitFromPeer)
+				if statement.Owned && t.limit.Active && balancer.owns(t) {
+					balancer.awaitSettling(now, t)
+				}
 			}
 		}
 	}
--- a/balance/limit_simulation_test.go
+++ b/balance/limit_simulation_test.go
@@ -37,6 +37,7 @@
 	running  bool
 	paused   bool
 	side     int           // Instances with different numbers cannot reach each other.
+	unheard  bool          // Its reports and digests get lost.
 	live     []int         // Indexes of the live instances.
 	heard    []time.Time   // When each instance was last heard of, by index.
 	interval time.Duration // Between messages in the domain.
@@ -98,7 +99,7 @@
 	in.Balancer = balance.New(balance.Options{Name: in.Name, Domain: in.Domain, Region: in.Region, Regions: f.regions(),
 		BootClock: func() time.Duration { return f.now.Sub(start) }, Random: f.random.Int64N}, f.now)
 	in.SetState(f.now, f.state)
-	in.running, in.live, in.heard = true, nil, make([]time.Time, len(f.instances))
+	in.running, in.unheard, in.live, in.heard = true, false, nil, make([]time.Time, len(f.instances))
 	in.updateLive(f)
 }
 
@@ -155,7 +156,7 @@
 
 // send delivers a report or digest of some senders to an instance.
 func (f *limitFleet) send(from *limitInstance, to *limitInstance, name string, senders []int, report balance.Report, ttl time.Duration) {
-	if !f.connected(from, to) || f.random.Float64() < f.lossRate {
+	if !f.connected(from, to) || from.unheard || f.random.Float64() < f.lossRate {
 		return
 	}
 	var deliver func()
@@ -521,6 +522,27 @@
 	})
 }
 
+// Guards against two owners when the messages of one of them get lost.
+func TestRateLimitHoldsWhileOwnerIsNotHeard(t *testing.T) {
+	forEachLimitSite(t, func(t *testing.T, f *limitFleet, limit, perSecond float64) {
+		f.setLimit(limit)
+		limited := f.now
+		f.run(4*time.Second, perSecond)
+		owner := f.owner()
+		owner.unheard = true
+		f.run(4*time.Second, perSecond)
+		replaced := f.now
+		f.run(12*time.Second, perSecond)
+		f.assertUsed(t, replaced, f.now, 0.6, "owner not heard")
+		owner.unheard = false
+		f.run(4*time.Second, perSecond)
+		f.assertLimit(t, limited.Add(limitReaction), "owner not heard")
+		calm := f.now
+		f.run(12*time.Second, perSecond)
+		f.assertUsed(t, calm, f.now, 0.8, "owner heard again")
+	})
+}
+
 // partition cuts the network between instances four times: the owner alone, each
 // failure domain alone, and random halves across failure domains.
 func (f *limitFleet) partition(perSecond float64) {
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -313,7 +313,7 @@
 		grant.LoadAge = now.Sub(t.loadReportedAt)
 	}
 	if t.limit.Active {
-		grant.Limit = LimitStatement{t.limit.RateLimit, now.Sub(t.limit.at)}
+		grant.Limit = LimitStatement{RateLimit: t.limit.RateLimit, Age: now.Sub(t.limit.at)}
 		if balancer.owns(t) {
 			t.bucket.tokens--
 		} else {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -80,7 +80,7 @@
 	fieldCapacity
 	fieldHello
 	fieldIntroduction
-	fieldLimits // Fixed32 hash, float32 rate and varint age in ms, packed.
+	fieldLimits // Fixed32 hash, float32 rate and a varint with the age in ms and whether the target is owned, packed.
 )
 
 // Upper bounds of values in a message. Messages that exceed them are rejected,
@@ -170,7 +170,7 @@
 		rate = float32(math.Inf(1))
 	}
 	b = protowire.AppendFixed32(protowire.AppendFixed32(b, hash), math.Float32bits(rate))
-	return protowire.AppendVarint(b, uint64(max(0, statement.Age).Milliseconds()))
+	return protowire.AppendVarint(b, uint64(max(0, statement.Age).Milliseconds())<<1|protowire.EncodeBool(statement.Owned))
 }
 
 // consumeLimit decodes a statement. Like the functions of protowire it returns a
@@ -180,11 +180,11 @@
 	if n < 0 {
 		return balance.LimitStatement{}, n
 	}
-	ms, m := protowire.ConsumeVarint(b[n:])
+	v, m := protowire.ConsumeVarint(b[n:])
 	if m < 0 {
 		return balance.LimitStatement{}, m
 	}
-	statement := balance.LimitStatement{Age: time.Duration(min(ms, uint64(maxLimitAge.Milliseconds()))) * time.Millisecond}
+	statement := balance.LimitStatement{Age: time.Duration(min(v>>1, uint64(maxLimitAge.Milliseconds()))) * time.Millisecond, Owned: v&1 != 0}
 	if rate := float64(math.Float32frombits(bits)); !math.IsInf(rate, 1) {
 		statement.RateLimit = balance.RateLimit{Active: true, PerSecond: rate}
 	}
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -34,7 +34,7 @@
 }
 
 func genLimit(t *rapid.T) balance.LimitStatement {
-	statement := balance.LimitStatement{Age: time.Duration(rapid.IntRange(0, 100_000).Draw(t, "age")) * time.Millisecond}
+	statement := balance.LimitStatement{Age: time.Duration(rapid.IntRange(0, 100_000).Draw(t, "age")) * time.Millisecond, Owned: rapid.Bool().Draw(t, "owned")}
 	if rapid.Bool().Draw(t, "active") {
 		statement.RateLimit = balance.RateLimit{Active: true, PerSecond: float64(rapid.Float32Range(0, 1e6).Draw(t, "rate"))}
 	}
