Limited targets: one owner at most refuses the overflow of a request

Change: after the refusal of one request that belongs to another target, the request asks no further owner.

TestOneOwnerRefusesOverflowOfARequest fails without the change.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -168,7 +168,7 @@
 		return 0
 	case balancer.owns(t):
 		return balancer.admissionWait(now, t, overflow)
-	case request.Unrelayable || !request.HomeRegions.Allows(t.owner.Region):
+	case request.Unrelayable || !request.HomeRegions.Allows(t.owner.Region) || overflow && request.OverflowRefused:
 		return noTargetRetryAfter
 	}
 	if overflow && t.overflowDeferredUntil.After(t.deferredUntil) {
--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -201,6 +201,31 @@
 	mustPick(t, f.Balancer, now.Add(300*time.Millisecond), newRequest("x"))
 }
 
+// Guards against a request that waits for the refusals of several owners, in
+// other regions too, before its caller is refused.
+func TestOneOwnerRefusesOverflowOfARequest(t *testing.T) {
+	f := newAdmissionFixture("near", "a2")
+	f.SetState(start, newState(1, 4, steering.TargetRemoval{ID: "a2-0"}))
+	f.SetInstances(start, []steering.Instance{farInstance, homeInstance, nearInstance}, 0)
+	now := f.at(5 * time.Second)
+	for _, record := range newState(1, 4).Targets {
+		f.ObserveRateLimit(now, record, start, 4, balance.LimitFromResponse)
+	}
+	request := newRequest("x")
+	request.ExcludedTargets = map[string]bool{}
+	home := mustPick(t, f.Balancer, now, request)
+	assert.False(t, home.Overflow)
+	request.ExcludedTargets[home.Target.ID] = true
+	f.DeferTarget(now, home, 200*time.Millisecond, nil)
+	other := mustPick(t, f.Balancer, now, request)
+	assert.True(t, other.Overflow)
+	request.OverflowRefused = true
+	f.DeferTarget(now, other, 200*time.Millisecond, nil)
+	_, refusal := f.Pick(now, request)
+	require.NotNil(t, refusal)
+	assert.Equal(t, balance.RateLimited, refusal.Reason)
+}
+
 // Guards against sending a request to an instance outside the home regions of its
 // route because that instance owns the target.
 func TestOwnerOutsideHomeRegionsIsNotUsed(t *testing.T) {
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -55,6 +55,10 @@
 	// attempt must then be expected to complete within the remaining time.
 	HasFallback bool
 	Unrelayable bool // The request cannot be sent through a relay.
+	// OverflowRefused is set if an owner has refused the request as one that belongs
+	// to another target. Asking further owners would delay the refusal, by a round
+	// trip between regions each.
+	OverflowRefused bool
 }
 
 // Grant is the selection of a target. It counts as in flight until Done.
--- a/balance/simulation_test.go
+++ b/balance/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -45,7 +46,10 @@
 	knownObjects   map[string]bool
 }
 
-type requestCounts struct{ requests, inTime, late, refused int }
+type requestCounts struct {
+	requests, inTime, late, refused int
+	asked                           int // Requests that were sent to owners of limited targets.
+}
 
 // credit returns the average credit per request: 1 in time, 0.2 late, as the
 // users' sites compute it.
@@ -215,10 +219,16 @@
 			local = append(local, instance)
 		}
 	}
-	instance := local[sim.random.IntN(len(local))]
-	elapsed := sim.now.Sub(firstSent)
-	grant, refusal := instance.Pick(sim.now, balance.Request{Service: "s", Object: object, Objective: simulatedObjective, Elapsed: elapsed,
-		Remaining: simulatedDeadline - elapsed})
+	sim.attempt(local[sim.random.IntN(len(local))], object, firstSent, retry, balance.Request{})
+}
+
+// attempt sends a request through an instance. previous is the request as it was
+// picked before an owner refused it.
+func (sim *simulation) attempt(instance *simulatedInstance, object string, firstSent time.Time, retry bool, previous balance.Request) {
+	region, elapsed := instance.region, sim.now.Sub(firstSent)
+	request := balance.Request{Service: "s", Object: object, Objective: simulatedObjective, Elapsed: elapsed,
+		Remaining: simulatedDeadline - elapsed, ExcludedTargets: previous.ExcludedTargets, OverflowRefused: previous.OverflowRefused}
+	grant, refusal := instance.Pick(sim.now, request)
 	if refusal != nil {
 		if retry || refusal.RetryAfter > (simulatedDeadline-elapsed)/3 {
 			sim.counts.refused++
@@ -233,7 +243,13 @@
 	}
 	sent := sim.now
 	if grant.Owner.Name != "" && !sim.admitted(instance, grant) {
-		sim.request(region, object, firstSent, retry)
+		request.ExcludedTargets = maps.Clone(request.ExcludedTargets)
+		if request.ExcludedTargets == nil {
+			request.ExcludedTargets = map[string]bool{}
+		}
+		request.ExcludedTargets[grant.Target.ID] = true
+		request.OverflowRefused = request.OverflowRefused || grant.Overflow
+		sim.after(2*delay, func() { sim.attempt(instance, object, firstSent, retry, request) })
 		return
 	}
 	sim.after(delay, func() {
@@ -251,6 +267,7 @@
 			continue
 		}
 		admission := owner.AdmitRelayed(sim.now, grant.Target, &grant.Limit, grant.Overflow)
+		sim.counts.asked++
 		if !admission.Granted {
 			instance.Done(sim.now, grant, balance.Observation{Result: balance.Abandoned})
 			instance.DeferTarget(sim.now, grant, admission.Wait, &admission.Limit)
@@ -395,7 +412,7 @@
 	}
 	sim.run(end)
 	counts := requestCounts{sim.counts.requests - before.requests, sim.counts.inTime - before.inTime, sim.counts.late - before.late,
-		sim.counts.refused - before.refused}
+		sim.counts.refused - before.refused, sim.counts.asked - before.asked}
 	return counts, float64(sim.executed()-executed) / (end - limitedFrom).Seconds()
 }
 
@@ -437,5 +454,7 @@
 		assert.GreaterOrEqual(t, executed, 0.95*stated, "seed %d", seed)
 		assert.LessOrEqual(t, executed, 1.05*stated, "seed %d", seed)
 		assert.GreaterOrEqual(t, counts.credit(), 0.9*stated/perSecond, "seed %d: %+v", seed, counts)
+		// Each refused caller comes back once, and may be refused by one owner at each time.
+		assert.LessOrEqual(t, counts.asked, counts.requests+2*counts.refused, "seed %d: requests are refused without asking many owners", seed)
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -188,7 +188,7 @@
 			delete(request.excludedTargets, grant.Target.ID)
 		}
 	}
-	g.deferLimitedTarget(grant, targetAtFault, err)
+	g.deferLimitedTarget(request, grant, targetAtFault, err)
 	if targetAtFault && failure != nil && failure.TargetClosed {
 		g.Suspects.RecordCrash(time.Now(), request.fingerprint())
 	}
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -73,10 +73,11 @@
 
 // deferLimitedTarget stops asking for a limited target for some time after its
 // owner has refused a request or could not be reached.
-func (g *Gateway) deferLimitedTarget(grant balance.Grant, targetAtFault bool, err error) {
+func (g *Gateway) deferLimitedTarget(request *routedRequest, grant balance.Grant, targetAtFault bool, err error) {
 	var refusal *limitRefusal
 	switch {
 	case errors.As(err, &refusal):
+		request.overflowRefused = request.overflowRefused || grant.Overflow
 		g.Balancer.DeferTarget(time.Now(), grant, refusal.wait, refusal.limit)
 	case grant.Owner.Name != "" && !targetAtFault:
 		g.Balancer.DeferTarget(time.Now(), grant, relayBackoff, nil)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -131,6 +131,7 @@
 	mayHaveExecuted   bool                    // A target may have executed the request.
 	failedResponse    *response               // A target's error response, delivered if no retry gets a better one.
 	targetFull        bool                    // A target had no capacity.
+	overflowRefused   bool                    // See balance.Request.
 	cachedFingerprint *quarantine.Fingerprint // See fingerprint; nil until it is needed.
 }
 
@@ -254,7 +255,7 @@
 
 func (request *routedRequest) pickCriteria(now time.Time) balance.Request {
 	return balance.Request{Service: request.service, Object: request.objectKey, HomeRegions: request.route.HomeRegions, Objective: request.route.Objective,
-		Elapsed: now.Sub(request.firstSent), Remaining: request.deadline.Sub(now), ExcludedTargets: request.excludedTargets, Retry: request.attempts() > 0, HasFallback: request.failedResponse != nil, Unrelayable: request.stream != nil}
+		Elapsed: now.Sub(request.firstSent), Remaining: request.deadline.Sub(now), ExcludedTargets: request.excludedTargets, Retry: request.attempts() > 0, HasFallback: request.failedResponse != nil, Unrelayable: request.stream != nil, OverflowRefused: request.overflowRefused}
 }
 
 // shouldRetry reports whether the request is sent again after an attempt.
