A silent relay is not a failure of the target behind it

Callers saw: while a relay is suspended, its peers avoid the targets behind it, also for requests that could be sent directly, and answer 503.

Cause: an attempt that timed out between two instances counted as a time-out of the target. The relay's own failure was recorded too.

Evidence: TestSilentRelayIsNotTheTargetsFailure fails without the change.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -167,7 +167,7 @@
 		result = balance.Abandoned // The balancer already knows that the target is lost.
 	case ctx.Err() == context.Canceled:
 		result = balance.Abandoned
-	case !targetAtFault && ctx.Err() == nil:
+	case !targetAtFault:
 		result, outcome.unreached = balance.Abandoned, stage == forward.StageConnect
 		outcome.retryable = outcome.retryable || outcome.unreached
 		delete(request.excludedTargets, grant.Target.ID)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -267,16 +267,17 @@
 	set.lastResponse[address] = now
 }
 
-// recordFailure stops using a relay for relayBackoff. A timeout is ignored if the
-// relay has responded to another request since the attempt started: then the
-// target may be the slow one.
-func (set *relaySet) recordFailure(now time.Time, address string, started time.Time, timeout bool) {
+// recordFailure stops using a relay for relayBackoff, and reports whether the relay
+// has failed. A timeout is ignored if the relay has responded to another request
+// since the attempt started: then the target may be the slow one.
+func (set *relaySet) recordFailure(now time.Time, address string, started time.Time, timeout bool) bool {
 	set.mu.Lock()
 	defer set.mu.Unlock()
 	if timeout && set.lastResponse[address].After(started) {
-		return
+		return false
 	}
 	set.pausedUntil[address] = now.Add(relayBackoff)
+	return true
 }
 
 // selectRelay returns the address of the relay for an attempt, if one is to be
@@ -328,8 +329,7 @@
 	case ctx.Err() == context.Canceled:
 		return false
 	}
-	g.relays.recordFailure(time.Now(), address, started, ctx.Err() != nil)
-	return true
+	return g.relays.recordFailure(time.Now(), address, started, ctx.Err() != nil)
 }
 
 // unwrapRelayResponse returns the target's response contained in a relay's
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -164,6 +164,25 @@
 	assert.Eventually(t, func() bool { return f.targets[0].Aborted() == 1 }, time.Second, time.Millisecond)
 }
 
+// A relay accepts requests and does not respond, like a suspended process. Guards
+// against avoiding the targets behind it.
+func TestSilentRelayIsNotTheTargetsFailure(t *testing.T) {
+	f := startFarSite(t, fastTargets(1))
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	self := steering.Instance{Name: "asked", Domain: "near", Region: "r1"}
+	f.gateway.UpdateRelays(self, []steering.Instance{{Name: "beside", Domain: "d", Region: "r2"}}, func(steering.Instance) string { return silent.Addr().String() })
+	var callers sync.WaitGroup
+	for i := range 3 {
+		callers.Go(func() { assert.Equal(t, 504, f.request("POST", "/unsafe/x", fmt.Sprint("r", i), "b").StatusCode) })
+	}
+	callers.Wait()
+	_, refusal := f.balancers["asked"].Pick(time.Now(), balance.Request{Service: "s", Objective: time.Second, Remaining: 3 * time.Second})
+	assert.Nil(t, refusal, "the target is not avoided")
+	assert.Equal(t, 200, f.request("POST", "/unsafe/x", "later", "b").StatusCode)
+}
+
 // Load pattern: graceful shutdown of a relay while peers use it. Guards against
 // aborting a request or losing its outcome.
 func TestGracefulShutdownOfRelayLosesNoRequest(t *testing.T) {
