Model of limited targets: paused owners and the order of messages

A request that waits at a paused owner is handled when the owner continues, as in its connection's buffer, and not given up before its deadline.

--- a/balance/limit_simulation_test.go
+++ b/balance/limit_simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -53,6 +54,7 @@
 	limitedTarget       = "a0-0"
 	limitTick           = 10 * time.Millisecond
 	limitExecTime       = 100 * time.Millisecond
+	limitDeadline       = 3 * time.Second
 	limitDomainSilence  = 2 * time.Second
 	limitDigestInterval = 500 * time.Millisecond
 	fleetColdRate       = 7.0 // Requests per second that a cold target tolerates.
@@ -203,8 +205,8 @@
 	if elapsed%limitDigestInterval != 0 {
 		return
 	}
-	for domain, members := range byDomain {
-		f.sendDigests(domain, members)
+	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
+		f.sendDigests(domain, byDomain[domain])
 	}
 }
 
@@ -258,18 +260,30 @@
 	case !f.connected(in, owner):
 		in.Done(f.now, grant, balance.Observation{Result: balance.Abandoned})
 		in.DeferTarget(f.now, grant, 2*time.Second, nil)
-	case owner.paused: // The request waits at the owner until its deadline.
-		f.after(3*time.Second, func() {
-			if in.running && !in.paused {
-				in.Done(f.now, grant, balance.Observation{Result: balance.Abandoned})
-				in.DeferTarget(f.now, grant, 2*time.Second, nil)
-			}
-		})
+	case owner.paused:
+		f.awaitOwner(in, owner, grant, f.now.Add(limitDeadline))
 	default:
 		f.relay(in, owner, grant)
 	}
 }
 
+// awaitOwner leaves a request in the buffer of its connection until the paused owner
+// continues or the request's deadline passes.
+func (f *limitFleet) awaitOwner(in, owner *limitInstance, grant balance.Grant, deadline time.Time) {
+	f.after(limitTick, func() {
+		switch {
+		case !in.running || in.paused:
+		case !f.now.Before(deadline):
+			in.Done(f.now, grant, balance.Observation{Result: balance.Abandoned})
+			in.DeferTarget(f.now, grant, 2*time.Second, nil)
+		case owner.paused:
+			f.awaitOwner(in, owner, grant, deadline)
+		default:
+			f.relay(in, owner, grant)
+		}
+	})
+}
+
 func (f *limitFleet) relay(in, owner *limitInstance, grant balance.Grant) {
 	admission := owner.AdmitRelayed(f.now, grant.Target, &grant.Limit, grant.Overflow)
 	if !admission.Granted {
