Limits: walk the limited targets only

Cause: reports, ten a second, and each change of the live instances walked all targets once more to find limited ones.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -106,7 +106,7 @@
 // updateOwners determines the owners of all limited targets after a change of the
 // live instances.
 func (balancer *Balancer) updateOwners(now time.Time) {
-	for _, t := range balancer.targets {
+	for t := range balancer.statedTargets {
 		if !t.limit.Active {
 			continue
 		}
@@ -153,7 +153,7 @@
 		return
 	}
 	balancer.lastTick, balancer.resumedAt = clock, now
-	for _, t := range balancer.targets {
+	for t := range balancer.statedTargets {
 		if t.limit.Active && balancer.owns(t) {
 			balancer.awaitSettling(now, t)
 		}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,11 +45,12 @@
 	regionsByRoundTrip  []string                 // Sorted by round trip; nil when it must be rebuilt.
 	nextLoadSample      time.Time                // When target utilization is sampled next.
 	started             time.Time
-	instancesChangedAt  time.Time     // When the list of live instances last changed.
-	settleTime          time.Duration // From becoming the owner of a limited target to the first admission.
-	lastTick            time.Duration // Reading of the boot clock at the last Tick.
-	resumedAt           time.Time     // When the process last continued after a pause.
-	limitChanges        []LimitChange // Since the last call of LimitChanges.
+	instancesChangedAt  time.Time            // When the list of live instances last changed.
+	settleTime          time.Duration        // From becoming the owner of a limited target to the first admission.
+	lastTick            time.Duration        // Reading of the boot clock at the last Tick.
+	resumedAt           time.Time            // When the process last continued after a pause.
+	statedTargets       map[*target]struct{} // Targets with a limit, or with one that has ended lately.
+	limitChanges        []LimitChange        // Since the last call of LimitChanges.
 }
 
 // target is the state of one incarnation of a target.
@@ -125,7 +126,7 @@
 	}
 	balancer := &Balancer{options: options, state: steering.NewState().Apply(0, nil), targets: map[string]*target{},
 		services: map[string]*service{}, peers: map[string]*peer{}, peerInFlight: map[uint32]int{}, peerEvidence: map[uint32]int{}, roundTrips: map[string]time.Duration{},
-		started: now, instancesChangedAt: now, settleTime: minSettleTime}
+		started: now, instancesChangedAt: now, settleTime: minSettleTime, statedTargets: map[*target]struct{}{}}
 	if options.BootClock != nil {
 		balancer.lastTick = options.BootClock()
 	}
@@ -192,6 +193,7 @@
 	}
 	for _, record := range before {
 		if balancer.state.Targets[record.ID] == nil {
+			delete(balancer.statedTargets, balancer.targets[record.ID])
 			delete(balancer.targets, record.ID)
 		}
 	}
@@ -212,6 +214,7 @@
 	t := balancer.targets[id]
 	if t == nil || !t.record.SameIncarnation(record) {
 		restarted := t != nil
+		delete(balancer.statedTargets, t)
 		t = &target{region: balancer.options.Regions[record.Domain], hash: hashOf(id), slowdown: 1, recentObjects: newObjectLRU()}
 		if restarted {
 			t.limit.at = now // Statements of the previous incarnation are void.
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -89,6 +89,7 @@
 func (balancer *Balancer) setLimit(now time.Time, t *target, statement limitStatement, source LimitSource) {
 	before := t.limit.RateLimit
 	t.limit = statement
+	balancer.statedTargets[t] = struct{}{}
 	switch {
 	case statement.Active && !before.Active:
 		balancer.startAdmissions(now, t)
@@ -121,7 +122,7 @@
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
 	limited := 0
-	for _, t := range balancer.targets {
+	for t := range balancer.statedTargets {
 		if t.limit.Active {
 			limited++
 		}
@@ -133,10 +134,13 @@
 // of the target ID.
 func (balancer *Balancer) reportedLimits(now time.Time) map[uint32]LimitStatement {
 	limits := map[uint32]LimitStatement{}
-	for _, t := range balancer.targets {
+	for t := range balancer.statedTargets {
 		age, owned := now.Sub(t.limit.at), t.limit.Active && balancer.owns(t)
-		if owned || t.limit.firsthand && age < limitReportTime {
+		switch {
+		case owned || t.limit.firsthand && age < limitReportTime:
 			limits[shortHash(t.hash)] = LimitStatement{t.limit.RateLimit, age, owned}
+		case !t.limit.Active:
+			delete(balancer.statedTargets, t)
 		}
 	}
 	return latestLimits(limits)
