Tests: rate limits while instances join, on kept connections and for repeats

Requests on a caller's kept connection, four at a time, and repeats at a target that sheds with free slots: within the rate and a burst of two.

--- a/balance/limit_simulation_test.go
+++ b/balance/limit_simulation_test.go
@@ -506,6 +506,52 @@
 	})
 }
 
+// Guards against an instance that joins without knowing the limit, and takes over
+// targets from their owners.
+func TestRateLimitHoldsWhileInstancesJoin(t *testing.T) {
+	forEachLimitSite(t, func(t *testing.T, f *limitFleet, limit, perSecond float64) {
+		joining := f.instances[len(f.instances)*2/3:]
+		for _, in := range joining {
+			in.running = false
+			f.register(in, false)
+		}
+		f.run(4*time.Second, perSecond)
+		f.setLimit(limit)
+		limited := f.now
+		f.run(4*time.Second, perSecond)
+		for len(joining) > 0 {
+			n := min(len(joining), 1+len(f.instances)/10)
+			for _, in := range joining[:n] {
+				f.start(in)
+			}
+			f.run(300*time.Millisecond, perSecond)
+			for _, in := range joining[:n] {
+				f.register(in, true)
+			}
+			joining = joining[n:]
+			f.run(time.Duration(f.random.IntN(1500))*time.Millisecond, perSecond)
+		}
+		calm := f.now.Add(3 * time.Second)
+		f.run(15*time.Second, perSecond)
+		f.assertLimit(t, limited.Add(limitReaction), "joins")
+		f.assertUsed(t, calm, f.now, 0.8, "after joins")
+	})
+}
+
+// register adds an instance to the registered ones, or removes it.
+func (f *limitFleet) register(in *limitInstance, registered bool) {
+	update := steering.Update(steering.InstanceUpdate{Instance: in.Instance})
+	if !registered {
+		update = steering.InstanceRemoval{Name: in.Name}
+	}
+	f.state = f.state.Apply(f.state.Revision+1, []steering.Update{update})
+	for _, other := range f.instances {
+		if other.running {
+			other.SetState(f.now, f.state)
+		}
+	}
+}
+
 // Guards against an instance that admits requests after a pause although another
 // one has replaced it.
 func TestRateLimitHoldsWhileInstancesPause(t *testing.T) {
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +20,10 @@
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
+// ownerSettleTime is more than the time that the owner of a target waits after the
+// start of an instance.
+const ownerSettleTime = 1100 * time.Millisecond
+
 // startLimitedSite starts an instance in one region, and another one beside a target
 // with a rate limit, which therefore owns it. Both know the limit.
 func startLimitedSite(t *testing.T, perSecond float64, targets ...wiretarget.Options) *farSite {
@@ -62,6 +69,57 @@
 	assert.GreaterOrEqual(t, refused, 8)
 }
 
+// Guards against requests on a kept connection of a caller, or on kept connections
+// to the target, that pass the limit by.
+func TestLimitHoldsOnKeptConnections(t *testing.T) {
+	s := startSite(t, siteOptions{targets: []wiretarget.Options{{Slots: 8, WarmTime: time.Millisecond}}})
+	s.targets[0].SetRateLimit(2)
+	time.Sleep(ownerSettleTime)
+	c := s.dial()
+	c.send("GET", "/safe/0", "r0", "")
+	assert.Equal(t, 200, c.receive("GET").StatusCode)
+	stated := time.Now()
+	statuses := map[int]int{}
+	for i := 1; time.Since(stated) < 4*time.Second; i++ {
+		for k := range 4 { // Sent before the first response.
+			c.send("GET", fmt.Sprintf("/safe/%d", i), fmt.Sprintf("r%d-%d", i, k), "")
+		}
+		for k := range 4 {
+			resp := c.receive("GET")
+			statuses[resp.StatusCode]++
+			assert.Equal(t, fmt.Sprintf("r%d-%d", i, k), resp.Header.Get(platform.HeaderRequestID))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	taken := 2 * (time.Since(stated) - time.Second).Seconds() // It begins with a pause of a second.
+	assert.Equal(t, statuses[200], len(s.targets[0].Arrivals())-1)
+	assert.LessOrEqual(t, float64(statuses[200]), taken+2, "a burst of two is allowed")
+	assert.GreaterOrEqual(t, float64(statuses[200]), taken-2, "the target is used up to its limit")
+	assert.Greater(t, statuses[503], 100)
+	assert.Len(t, statuses, 2)
+}
+
+// A target with a limit sheds requests although it reports free slots, so they are
+// sent to it again. Guards against repeats that are not counted.
+func TestLimitCountsRepeatsAtTheSameTarget(t *testing.T) {
+	var arrivals atomic.Int32
+	s := startSite(t, siteOptions{scripts: []script{func(_ int, r *http.Request, c net.Conn) bool {
+		arrivals.Add(1)
+		_, err := io.WriteString(c, stampedHead(503, r)+platform.HeaderNotExecuted+": 1\r\n"+platform.HeaderServerLoad+": 0,0,4\r\n"+
+			platform.HeaderServerLimit+": 2\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}}})
+	time.Sleep(ownerSettleTime)
+	stated := time.Now()
+	for i := 0; time.Since(stated) < 4*time.Second; i++ {
+		assert.Equal(t, 503, s.request("POST", "/unsafe/x", fmt.Sprint("r", i), "b").StatusCode)
+		time.Sleep(5 * time.Millisecond)
+	}
+	taken := 2 * (time.Since(stated) - time.Second).Seconds() // It begins with a pause of a second.
+	assert.LessOrEqual(t, float64(arrivals.Load()), 1+taken+2, "a burst of two is allowed")
+	assert.GreaterOrEqual(t, float64(arrivals.Load()), 1+taken-2, "the target is used up to its limit")
+}
+
 // Guards against callers that are refused although other targets have capacity.
 func TestRequestsBeyondLimitGoToOtherTargets(t *testing.T) {
 	f := startLimitedSite(t, 1, wiretarget.Options{Slots: 4, WarmTime: time.Millisecond}, wiretarget.Options{Slots: 4, WarmTime: time.Millisecond})
