--- a/balance/doc.go
+++ b/balance/doc.go
@@ -7,7 +7,9 @@
 // estimated response time (pick.go). Home targets are assigned by rendezvous
 // hashing and by a table with which one instance per region moves objects from
 // busy to idle targets (homes.go, rebalance.go). Cold targets (cold.go) and
-// failing targets (result.go, grey.go) receive few requests or none.
+// failing targets (result.go, grey.go) receive few requests or none. The
+// requests of all instances to a target that states a rate limit (limit.go) are
+// admitted by one of them (admission.go).
 // Instances report their requests in flight to each other (report.go); load
 // beyond these that a target reports itself is added.
 //
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -254,18 +254,10 @@
 	start := time.Now()
 	target.SetRateLimit(perSecond)
 	time.Sleep(limitDuration)
-	arrivals := target.ArrivalsAfter(start.Add(limitReaction))
+	most := target.MostArrivals(start.Add(limitReaction), limitWindow)
 	target.ClearRateLimit()
-	most := 0
-	for i, first := range arrivals {
-		n := 0
-		for n < len(arrivals)-i && arrivals[i+n].Sub(first) < limitWindow {
-			n++
-		}
-		most = max(most, n)
-	}
 	allowed := 1.5*perSecond*limitWindow.Seconds() + 5
-	deployment.log("limit of t%d: %v a second, %d requests in the worst %s, %.0f allowed, %d in all", index, perSecond, most, limitWindow, allowed, len(arrivals))
+	deployment.log("limit of t%d: %v a second, %d requests in the worst %s, %.0f allowed", index, perSecond, most, limitWindow, allowed)
 	deployment.mu.Lock()
 	defer deployment.mu.Unlock()
 	if float64(most) > allowed {
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -10,21 +10,6 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// arrivalsWithin returns the largest number of arrivals in any window of a length
-// that begins after from.
-func arrivalsWithin(arrivals []time.Time, window time.Duration, from time.Time) int {
-	most, first := 0, 0
-	for last, at := range arrivals {
-		for at.Sub(arrivals[first]) >= window || arrivals[first].Before(from) && first < last {
-			first++
-		}
-		if !arrivals[first].Before(from) {
-			most = max(most, last-first+1)
-		}
-	}
-	return most
-}
-
 // A target states that it takes 5 requests a second from all instances together,
 // while callers of six instances ask for six times as many for its objects.
 // Guards against instances that do not read the limit, or of which each keeps it
@@ -65,17 +50,11 @@
 	stated := time.Now()
 	limited.SetRateLimit(limit)
 	time.Sleep(limitedTo)
-	arrivals := limited.Arrivals()
+	most, used := limited.MostArrivals(stated.Add(reaction), window), len(limited.ArrivalsAfter(stated.Add(settled)))
 	cancel()
 	callers.Wait()
-	assert.LessOrEqual(t, float64(arrivalsWithin(arrivals, window, stated.Add(reaction))), tolerated)
-	recent := 0
-	for _, at := range arrivals {
-		if at.After(stated.Add(settled)) {
-			recent++
-		}
-	}
-	assert.GreaterOrEqual(t, float64(recent), 0.8*limit*(limitedTo-settled).Seconds(), "the target is used up to its limit")
+	assert.LessOrEqual(t, float64(most), tolerated)
+	assert.GreaterOrEqual(t, float64(used), 0.8*limit*(limitedTo-settled).Seconds(), "the target is used up to its limit")
 	assert.Greater(t, statuses[200], 0)
 	assert.Len(t, statuses, 1, "other targets serve what the limited one does not take: %v", statuses)
 }
--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -134,6 +134,20 @@
 	return slices.Clone(target.arrivals[first:])
 }
 
+// MostArrivals returns the largest number of requests that arrived within a window
+// of the given length that begins at from or later.
+func (target *Target) MostArrivals(from time.Time, window time.Duration) int {
+	arrivals := target.ArrivalsAfter(from)
+	most, first := 0, 0
+	for last, at := range arrivals {
+		for at.Sub(arrivals[first]) >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
 // Body returns the request body of the latest execution of a request ID.
 func (target *Target) Body(id string) string {
 	target.mu.Lock()
