--- a/balance/limit_simulation_test.go
+++ b/balance/limit_simulation_test.go
@@ -431,12 +431,18 @@
 	seeds              uint64
 }{{12, 6, 4.6, 12, 4}, {195, 9, 1.9, 4.6, 1}}
 
+// maxInstancesWithRaceDetector limits the models that run with the race detector.
+const maxInstancesWithRaceDetector = 12
+
 // limitReaction is the time from the first statement of a limit until it must
 // hold.
 const limitReaction = 500 * time.Millisecond
 
 func forEachLimitSite(t *testing.T, run func(t *testing.T, f *limitFleet, limit, perSecond float64)) {
 	for _, site := range limitSites {
+		if raceEnabled && site.instances > maxInstancesWithRaceDetector {
+			continue // test.sh runs these without it.
+		}
 		for seed := range site.seeds {
 			t.Run(fmt.Sprintf("%d instances, seed %d", site.instances, seed), func(t *testing.T) {
 				t.Parallel()
--- /dev/null
+++ b/balance/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package balance_test
+
+const raceEnabled = true
--- a/test.sh
+++ b/test.sh
@@ -37,6 +37,8 @@
 go test -race -count=1 -timeout 8m ${skipped:+-skip "^($skipped)\$"} "$@" ./...
 # The race detector changes memory allocation, so these tests run without it.
 go test -count=1 -run 'Alloc|Memory|Bounds|Figures' ./events ./lookup ./internal/capacity ./configsync/configtest
+# The models of 195 instances have one goroutine and take ten times as long with it.
+go test -count=1 -run 'RateLimit|ColdRate' ./balance
 if [ -e KNOWN-RED.txt ]; then
   cat KNOWN-RED.txt
 fi
