A connection to a target sends a request ID once

What callers saw: 503, "not executed", for requests that a target executed (REFUSED), and with three attempts requests that ran at two targets (TWICE).

Cause: a request that a target sheds with free slots may be sent to the same target again, with the same ID, and the pool hands out the connection used last. Responses are matched by the ID alone, so a refusal that the target writes once more there was taken for the response to the second attempt. A relay gets the two attempts as separate requests and did the same.

Why it works: a connection remembers the IDs it has sent and is never used for one of them again, so a response with the request's ID on it belongs to this attempt. It is closed after 256 requests with IDs, so nothing is forgotten. Connections between instances are exempt, since a relay responds once; the relay's connections to targets are not. An instance of an earlier version ignores the new header of relays, and its relay protects itself. A relay of an earlier version sends no such header: through it a request that must run once does not go to the same target again.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -5,8 +5,11 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -14,6 +17,9 @@
 	// maxHeadBytes is the size limit for a response head, including the heads of
 	// interim (1xx) responses before it.
 	maxHeadBytes = 64 << 10
+	// maxRequestIDs is the number of request IDs that a connection remembers. It is
+	// closed afterwards: forgetting one would allow a second request with that ID.
+	maxRequestIDs = 256
 )
 
 // conn is a connection to a target.
@@ -23,6 +29,7 @@
 	limit        headLimiter
 	writeStarted atomic.Bool // Set just before the first byte of a request is written.
 	reused       bool        // An earlier request was sent on this connection.
+	requestIDs   []uint64    // Hashes of the IDs of the requests that were sent on this connection.
 }
 
 // headLimiter limits the number of bytes read while a response head is expected.
@@ -60,6 +67,19 @@
 	return c
 }
 
+// addRequestID records the ID of a request that is about to be sent.
+func (c *conn) addRequestID(id string) {
+	if id != "" {
+		c.requestIDs = append(c.requestIDs, xxhash.Sum64String(id))
+	}
+}
+
+// maySend reports whether no request with the ID was sent on this connection. Two
+// IDs with the same hash count as equal.
+func (c *conn) maySend(id string) bool {
+	return id == "" || !slices.Contains(c.requestIDs, xxhash.Sum64String(id))
+}
+
 func (c *conn) expectHead() {
 	c.limit.active, c.limit.remaining, c.limit.bytesRead = true, maxHeadBytes, 0
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -96,12 +96,13 @@
 	if err := request.validate(); err != nil {
 		return nil, &Error{Target: target.Address, Stage: StageConnect, Err: err}
 	}
-	c, err := f.pool.acquire(ctx, target)
+	c, err := f.pool.acquire(ctx, target, request.ID)
 	if err != nil {
 		return nil, &Error{Target: target.Address, Stage: StageConnect, Err: err}
 	}
 	ex := &exchange{forwarder: f, ctx: ctx, target: target, conn: c, started: time.Now(), requestDone: make(chan struct{})}
 	ex.stopWatchingContext = context.AfterFunc(ctx, func() { _ = c.Close() })
+	c.addRequestID(request.ID)
 	ex.sendRequest(request)
 	response, err := ex.readResponse(request)
 	if err != nil {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -53,14 +53,14 @@
 	return &pool{dialer: net.Dialer{Timeout: defaultDialTimeout}, idleTimeout: idleTimeout, idle: map[string][]idleConn{}, openCount: map[string]int{}}
 }
 
-// acquire returns an idle connection or opens a new one within the target's
-// connection limit.
-func (p *pool) acquire(ctx context.Context, target Target) (*conn, error) {
+// acquire returns an idle connection on which no request with the ID was sent, or
+// opens a new one within the target's connection limit.
+func (p *pool) acquire(ctx context.Context, target Target, requestID string) (*conn, error) {
 	maxIdle := p.idleTimeout
 	if target.MaxIdleTime > 0 {
 		maxIdle = min(maxIdle, target.MaxIdleTime)
 	}
-	if c := p.acquireIdle(target.Address, maxIdle); c != nil {
+	if c := p.acquireIdle(target.Address, maxIdle, requestID); c != nil {
 		return c, nil
 	}
 	return p.open(ctx, target)
@@ -121,12 +121,12 @@
 	}
 }
 
-// acquireIdle returns the most recently used idle connection, or nil if it was
-// idle for longer than maxIdle; it then stays in the pool for requests with a
-// larger maxIdle.
-func (p *pool) acquireIdle(address string, maxIdle time.Duration) *conn {
+// acquireIdle returns the most recently used idle connection on which no request
+// with the ID was sent, or nil if it was idle for longer than maxIdle. Connections
+// that it passes over stay in the pool for other requests.
+func (p *pool) acquireIdle(address string, maxIdle time.Duration, requestID string) *conn {
 	for {
-		c := p.popNewest(address, time.Now().Add(-maxIdle))
+		c := p.popNewest(address, time.Now().Add(-maxIdle), requestID)
 		if c == nil {
 			break
 		}
@@ -146,16 +146,19 @@
 	}
 }
 
-// popNewest removes the most recently used idle connection from the pool. It
-// returns nil if that connection has been idle since before the given time.
-func (p *pool) popNewest(address string, after time.Time) *conn {
+// popNewest removes the most recently used idle connection that may send a request
+// with the ID from the pool. It returns nil if that connection has been idle since
+// before the given time.
+func (p *pool) popNewest(address string, after time.Time, requestID string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 || conns[len(conns)-1].idleSince.Before(after) {
-		return nil
+	for i := len(conns) - 1; i >= 0 && !conns[i].idleSince.Before(after); i-- {
+		if conns[i].conn.maySend(requestID) {
+			return p.popAt(address, i)
+		}
 	}
-	return p.popAt(address, len(conns)-1)
+	return nil
 }
 
 // popOldestBefore removes the least recently used idle connection from the pool.
@@ -237,11 +240,12 @@
 	return unusable
 }
 
-// release returns a connection to the pool, or closes it when the pool is closed
-// or already holds maxIdlePerHost idle connections to the address.
+// release returns a connection to the pool, or closes it when it has sent
+// maxRequestIDs requests, or when the pool is closed or already holds
+// maxIdlePerHost idle connections to the address.
 func (p *pool) release(address string, c *conn) {
 	p.mu.Lock()
-	if !p.closed && len(p.idle[address]) < maxIdlePerHost {
+	if !p.closed && len(c.requestIDs) < maxRequestIDs && len(p.idle[address]) < maxIdlePerHost {
 		p.idle[address] = append(p.idle[address], idleConn{conn: c, idleSince: time.Now()})
 		p.mu.Unlock()
 		return
--- a/forward/write.go
+++ b/forward/write.go
@@ -18,6 +18,11 @@
 // Request is a request to a target. CleanRequestHeaders is applied to a copy of
 // Header when the request is written.
 type Request struct {
+	// ID is the request's ID as MatchResponse looks for it. Requests with the same
+	// ID are never sent on the same connection, because the target could write its
+	// response to the first of them once more, and it would match the second. If ID
+	// is empty, the request may use any connection.
+	ID     string
 	Method string
 	URI    string // Path and query as the caller sent them.
 	Header http.Header
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -94,11 +94,11 @@
 		attemptCtx, done = g.inFlight.add(ctx, grant.Target.ID)
 	}
 	response, err := forwarder.Do(attemptCtx, destination, out)
-	targetAtFault := true
+	targetAtFault, distinct := true, true
 	if relayed {
 		targetAtFault = !g.recordRelayResult(attemptCtx, relay, started, err)
 		if err == nil {
-			response, err = unwrapRelayResponse(grant, response)
+			response, distinct, err = unwrapRelayResponse(grant, response)
 		}
 	}
 	if err != nil {
@@ -110,7 +110,7 @@
 		source = balance.LimitFromRelay
 	}
 	g.observeResponse(started, grant.Target, response, source)
-	outcome := g.responseReceived(ctx, request, grant, started, response)
+	outcome := g.responseReceived(ctx, request, grant, started, response, distinct)
 	if outcome.response != nil && outcome.response.stream != nil {
 		outcome.response.stream = &cancelOnClose{ReadCloser: outcome.response.stream, cancel: done}
 	} else {
@@ -122,11 +122,11 @@
 // newForwardRequest builds the request that is sent to a target.
 func (g *Gateway) newForwardRequest(request *routedRequest, grant balance.Grant, now time.Time) *forward.Request {
 	header := request.httpRequest.Header.Clone()
-	for _, name := range []string{headerRelayTarget, headerRelayNonIdempotent, headerRelayLimit, headerRelayOverflow} {
+	for _, name := range []string{headerRelayTarget, headerRelayNonIdempotent, headerRelayLimit, headerRelayOverflow, headerRelayDistinct} {
 		header.Del(name)
 	}
 	g.Headers.SetTarget(header, grant.Target.ID, request.deadline.Sub(now))
-	out := &forward.Request{Method: request.httpRequest.Method, URI: request.uri, Header: header, Host: request.httpRequest.Host, AllowCloseDelimited: true,
+	out := &forward.Request{ID: request.id, Method: request.httpRequest.Method, URI: request.uri, Header: header, Host: request.httpRequest.Host, AllowCloseDelimited: true,
 		MatchResponse: func(h http.Header) forward.ResponseMatch { return g.Headers.MatchResponse(h, request.id) }}
 	switch {
 	case request.stream != nil:
@@ -207,8 +207,9 @@
 }
 
 // responseReceived records an attempt whose response head has arrived, and
-// decides whether the response is usable.
-func (g *Gateway) responseReceived(ctx context.Context, request *routedRequest, grant balance.Grant, started time.Time, received *forward.Response) attemptOutcome {
+// decides whether the response is usable. distinct is true when a second attempt
+// at the target on the same way would use another connection to the target.
+func (g *Gateway) responseReceived(ctx context.Context, request *routedRequest, grant balance.Grant, started time.Time, received *forward.Response, distinct bool) attemptOutcome {
 	request.reachedAttempts++
 	observation := balance.Observation{ColdFor: g.Headers.ColdStart(received.Header)}
 	observation.Executing, observation.Waiting, observation.LoadReported = g.Headers.Load(received.Header)
@@ -218,13 +219,17 @@
 		if received.Status == http.StatusMisdirectedRequest {
 			observation.Result = balance.Misdirected
 		}
-		if observation.MayRetry(grant.Target) {
-			delete(request.excludedTargets, grant.Target.ID)
-		} else {
+		cause := fmt.Sprintf("not executed, status %d", received.Status)
+		switch {
+		case !observation.MayRetry(grant.Target):
 			request.targetFull = true
+		case distinct || request.route.Idempotent:
+			delete(request.excludedTargets, grant.Target.ID)
+		default:
+			cause += ", target excluded: its relay may use the same connection again"
 		}
 		outcome := attemptOutcome{retryable: true}
-		g.recordAttempt(request, grant, started, observation, outcome, fmt.Sprintf("not executed, status %d", received.Status))
+		g.recordAttempt(request, grant, started, observation, outcome, cause)
 		return outcome
 	}
 	request.mayHaveExecuted = true
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -45,8 +45,9 @@
 	// scripts are additional targets, one for each function. The function is
 	// called for each request with the number of the request on its connection,
 	// and returns whether to keep the connection open.
-	scripts []script
-	logs    log.Handler // Receives the log of the gateway; nil discards it.
+	scripts  []script
+	attempts int         // Attempts of each route; 0 means 2.
+	logs     log.Handler // Receives the log of the gateway; nil discards it.
 }
 
 type script func(number int, r *http.Request, c net.Conn) bool
@@ -57,13 +58,16 @@
 	if o.timeout == 0 {
 		o.timeout = 2 * time.Second
 	}
+	if o.attempts == 0 {
+		o.attempts = 2
+	}
 	config := &steering.Config{Version: 1, Limits: o.limits, Services: map[string]steering.Service{"s": {Name: "s"}}}
 	split := []steering.WeightedService{{Service: "s", Weight: 1}}
 	if o.split != nil {
 		split = o.split
 	}
 	for _, r := range []steering.Route{{Name: "safe", Prefix: "/safe/", Idempotent: true}, {Name: "unsafe", Prefix: "/unsafe/"}} {
-		r.Host, r.Timeout, r.Objective, r.MaxAttempts, r.Sticky, r.Split = host, o.timeout, 400*time.Millisecond, 2, true, split
+		r.Host, r.Timeout, r.Objective, r.MaxAttempts, r.Sticky, r.Split = host, o.timeout, 400*time.Millisecond, o.attempts, true, split
 		config.Routes = append(config.Routes, r)
 	}
 	config.Index()
--- /dev/null
+++ b/gateway/refusals_test.go
@@ -0,0 +1,157 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jacinthstall/jacinthstall/platform"
+)
+
+// repeatingTarget is one or several targets that refuse the first attempt of each
+// request, although they report free slots, and execute later ones. They write each
+// refusal once more on the same connection, when the next response is expected
+// there.
+type repeatingTarget struct {
+	mu         sync.Mutex
+	refused    map[string]bool     // By request ID.
+	repeats    map[net.Conn]string // Refusals that are still to be repeated.
+	executions map[string]int      // By request ID.
+	repeated   int
+}
+
+func newRepeatingTarget() *repeatingTarget {
+	return &repeatingTarget{refused: map[string]bool{}, repeats: map[net.Conn]string{}, executions: map[string]int{}}
+}
+
+func refusalHead(status int, id string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: 1\r\n%s: 0,0,4\r\n", status, platform.HeaderRequestID, id,
+		platform.HeaderNotExecuted, platform.HeaderServerLoad)
+}
+
+func (target *repeatingTarget) handle(_ int, r *http.Request, c net.Conn) bool {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return false
+	}
+	id := r.Header.Get(platform.HeaderRequestID)
+	target.mu.Lock()
+	answer := target.repeats[c]
+	if answer != "" {
+		target.repeated++
+	}
+	delete(target.repeats, c)
+	if target.refused[id] {
+		target.executions[id]++
+		answer += stampedHead(200, r) + "Content-Length: 1\r\n\r\nx"
+	} else {
+		target.refused[id] = true
+		target.repeats[c] = refusalHead(503, id) + "Content-Length: 0\r\n\r\n"
+		answer += target.repeats[c]
+	}
+	target.mu.Unlock()
+	_, err := io.WriteString(c, answer)
+	return err == nil
+}
+
+func (target *repeatingTarget) executed(id string) int {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	return target.executions[id]
+}
+
+func (target *repeatingTarget) repeatCount() int {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	return target.repeated
+}
+
+// falseRefusals sends non-idempotent requests and returns how many were told that
+// they were not executed although a target executed them, how many were executed
+// more than once, and how many succeeded.
+func falseRefusals(s *site, target *repeatingTarget) (refused, twice, succeeded int) {
+	for i := range refusalRequests {
+		id := fmt.Sprint("r", i)
+		status := s.request("POST", "/unsafe/x", id, "b", fmt.Sprint("Cookie: X-Jacinthstall-Affinity-Key=", i)).StatusCode
+		executions := target.executed(id)
+		if executions > 1 {
+			twice++
+		}
+		switch {
+		case status == 200:
+			succeeded++
+		case (status == 408 || status == 421 || status == 429 || status == 503) && executions > 0:
+			refused++
+		}
+	}
+	return refused, twice, succeeded
+}
+
+// refusalRequests is small enough for the retry budget of a site.
+const refusalRequests = 20
+
+// Guards against taking a repeated refusal of a request's first attempt for the
+// response to its second attempt at the same target, which executes it.
+func TestRepeatedRefusalIsNotResponseToSecondAttempt(t *testing.T) {
+	for _, attempts := range []int{2, 3} {
+		target := newRepeatingTarget()
+		s := startSite(t, siteOptions{attempts: attempts, scripts: []script{target.handle, target.handle}})
+		refused, twice, succeeded := falseRefusals(s, target)
+		assert.Zero(t, refused, "%d attempts: refused and executed", attempts)
+		assert.Zero(t, twice, "%d attempts: executed more than once", attempts)
+		assert.Equal(t, refusalRequests, succeeded, "%d attempts: the second attempt is made and succeeds", attempts)
+		assert.Positive(t, target.repeatCount(), "no refusal was repeated")
+	}
+}
+
+// Guards against the same at a relay, which gets both attempts as separate requests.
+func TestRepeatedRefusalAtRelayIsNotResponseToSecondAttempt(t *testing.T) {
+	target := newRepeatingTarget()
+	f := startFarSite(t, nil, target.handle)
+	refused, twice, succeeded := falseRefusals(f.site, target)
+	assert.Zero(t, refused, "refused and executed")
+	assert.Zero(t, twice, "executed more than once")
+	assert.Equal(t, refusalRequests, succeeded, "the second attempt is made and succeeds")
+	assert.Equal(t, 1, f.relay.Connections(), "the requests went through the relay")
+	assert.Positive(t, target.repeatCount(), "no refusal was repeated")
+}
+
+// A relay of an earlier version may send both attempts of a request on one
+// connection to the target. Guards against a second attempt through it.
+func TestNonIdempotentRequestIsNotRepeatedThroughEarlierRelay(t *testing.T) {
+	for _, distinct := range []bool{false, true} {
+		var mu sync.Mutex
+		arrivals := map[string]int{}
+		f := startFarSite(t, fastTargets(1))
+		earlier := f.startScript(func(_ int, r *http.Request, c net.Conn) bool {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return false
+			}
+			id := r.Header.Get(platform.HeaderRequestID)
+			mu.Lock()
+			arrivals[id]++
+			mu.Unlock()
+			head := refusalHead(503, id) + "Jacinth-Relay-Result: answered\r\n"
+			if distinct {
+				head += "Jacinth-Relay-Distinct: 1\r\n"
+			}
+			_, err := io.WriteString(c, head+"Content-Length: 0\r\n\r\n")
+			return err == nil
+		})
+		f.useRelay(earlier)
+		assert.Equal(t, 503, f.request("POST", "/unsafe/x", "once", "b").StatusCode)
+		f.request("GET", "/safe/x", "safe", "")
+		mu.Lock()
+		want := 1
+		if distinct {
+			want = 2
+		}
+		assert.Equal(t, want, arrivals["once"], "relay states that it keeps attempts apart: %v", distinct)
+		assert.Equal(t, 2, arrivals["safe"])
+		mu.Unlock()
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -45,6 +45,10 @@
 	// headerRelayWait is the time in milliseconds after which the instance that was
 	// refused may ask again.
 	headerRelayWait = "Jacinth-Relay-Wait"
+	// headerRelayDistinct is set in a response "not executed" by relays that never
+	// send two requests with the same ID on one connection to a target. It is only
+	// sent there because earlier versions pass other responses on with it.
+	headerRelayDistinct = "Jacinth-Relay-Distinct"
 	// relayHeadBytes is added to the limit for a caller's request head to make
 	// room for these headers.
 	relayHeadBytes = 1 << 10
@@ -306,6 +310,7 @@
 // addressRelay changes an attempt so that it is sent through a relay.
 func addressRelay(address string, destination *forward.Target, out *forward.Request, request *routedRequest, grant balance.Grant) {
 	destination.Address, destination.MaxConnections, destination.MaxIdleTime = address, 0, 0
+	out.ID = "" // Relays respond to each request once.
 	out.Header.Set(headerRelayTarget, grant.Target.ID)
 	if grant.Limit.Active {
 		out.Header.Set(headerRelayLimit, formatLimit(grant.Limit))
@@ -333,19 +338,22 @@
 }
 
 // unwrapRelayResponse returns the target's response contained in a relay's
-// response, or the error of the relay's attempt.
-func unwrapRelayResponse(grant balance.Grant, received *forward.Response) (*forward.Response, error) {
+// response, or the error of the relay's attempt. distinct is the statement of
+// headerRelayDistinct.
+func unwrapRelayResponse(grant balance.Grant, received *forward.Response) (response *forward.Response, distinct bool, err error) {
 	result := relayResult(received.Header.Get(headerRelayResult))
+	distinct = received.Header.Get(headerRelayDistinct) != ""
 	received.Header.Del(headerRelayResult)
+	received.Header.Del(headerRelayDistinct)
 	if result == relayResponded {
-		return received, nil
+		return received, distinct, nil
 	}
 	_ = received.Body.Close()
 	failure := result.failure(grant.Target.Address)
 	if refusal := readLimitRefusal(received.Header); result == relayRefused && refusal != nil {
 		failure.Err = refusal
 	}
-	return nil, failure
+	return nil, distinct, failure
 }
 
 // serveRelayed returns the response to a request that a peer sends through this
@@ -396,6 +404,7 @@
 		defer cancel()
 		_ = received.Body.Close()
 		forward.CleanResponseHeaders(received.Header)
+		received.Header.Set(headerRelayDistinct, "1")
 		return &response{status: received.Status, header: received.Header}, relayResponded
 	}
 	// The response is streamed. The peer validates it and detects truncation.
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -81,11 +81,16 @@
 	f.relay, f.relayAddress = f.serve(gateway.NewRelayServer, f.newGateway("beside", "d", state))
 	f.gateway = f.newGateway("asked", "near", state)
 	f.server, f.address = f.serve(gateway.NewServer, f.gateway)
-	f.gateway.UpdateRelays(steering.Instance{Name: "asked", Domain: "near", Region: "r1"},
-		[]steering.Instance{{Name: "beside", Domain: "d", Region: "r2"}}, func(steering.Instance) string { return f.relayAddress })
+	f.useRelay(f.relayAddress)
 	return f
 }
 
+// useRelay makes the instance use the relay at an address.
+func (f *farSite) useRelay(address string) {
+	f.gateway.UpdateRelays(steering.Instance{Name: "asked", Domain: "near", Region: "r1"},
+		[]steering.Instance{{Name: "beside", Domain: "d", Region: "r2"}}, func(steering.Instance) string { return address })
+}
+
 func TestRequestsToDistantRegionUseRelay(t *testing.T) {
 	var seen sync.Map
 	f := startFarSite(t, nil, func(_ int, r *http.Request, c net.Conn) bool {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -26,8 +26,11 @@
 	Instances int
 	Targets   int
 	Callers   int
-	Faults    int       // Number of faults to inject; they may overlap.
-	Log       io.Writer // Receives a line for each injected fault.
+	Faults    int // Number of faults to inject; they may overlap.
+	// RefuseEvery makes targets refuse one in so many requests with free slots and
+	// repeat their refusals; see wiretarget.Target.RepeatRefusals. 0 means none.
+	RefuseEvery int
+	Log         io.Writer // Receives a line for each injected fault.
 }
 
 // Result holds the numbers of requests by outcome and the violations of a run.
@@ -35,6 +38,7 @@
 // requests whose connection ended without a complete response.
 type Result struct {
 	Requests, Succeeded, Refused, NoResponse int
+	RepeatedRefusals                         int // Refusals that targets wrote once more.
 	Violations                               []Violation
 }
 
@@ -112,6 +116,9 @@
 			result.Refused++
 		}
 	}
+	for _, target := range deployment.targets {
+		result.RepeatedRefusals += target.RepeatedRefusals()
+	}
 	return result
 }
 
@@ -172,6 +179,7 @@
 	}
 	target := wiretarget.New(wiretarget.Options{ID: fmt.Sprint("t", index), Slots: targetSlots, MaxQueued: 12,
 		WarmTime: 10 * time.Millisecond, ColdTime: 30 * time.Millisecond})
+	target.RepeatRefusals(deployment.options.RefuseEvery)
 	targetServer := target.NewServer(listener)
 	go func() { _ = targetServer.Run() }()
 	deployment.closers = append(deployment.closers, proxy.close, func() { _ = targetServer.Close() })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -59,3 +59,16 @@
 		assert.NotZero(t, result.Succeeded, "seed %d", seed)
 	}
 }
+
+// Guards against taking a refusal that a target wrote once more for the response to
+// a request that it executes: the request would be reported as not executed, or
+// executed by a second target.
+func TestRepeatedRefusalsAreNotBelieved(t *testing.T) {
+	result, err := soak.Run(context.Background(), soak.Options{Binary: buildNode(t), Dir: t.TempDir(), Seed: 1, Instances: 3, Targets: 3,
+		Callers: 16, RefuseEvery: 3, Log: io.Discard})
+	require.NoError(t, err)
+	assert.Empty(t, result.Violations)
+	assert.NotZero(t, result.Succeeded)
+	assert.NotZero(t, result.RepeatedRefusals)
+	t.Logf("%d requests, %d succeeded, %d refused, %d refusals repeated", result.Requests, result.Succeeded, result.Refused, result.RepeatedRefusals)
+}
--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -16,6 +16,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"github.com/jacinthstall/jacinthstall/platform"
@@ -54,10 +55,14 @@
 	executions   map[string]int // Executions by request ID.
 	aborted      int            // Executions ended by a disconnected client or a passed deadline.
 	bodies       map[string]string
-	lastStart    time.Time     // Time at which the latest execution started.
-	rateLimit    string        // Stated in responses; empty for none.
-	arrivals     []time.Time   // Of all requests, rejected ones included.
-	freeSlots    chan struct{} // Contains one element for each free slot.
+	lastStart    time.Time               // Time at which the latest execution started.
+	rateLimit    string                  // Stated in responses; empty for none.
+	arrivals     []time.Time             // Of all requests, rejected ones included.
+	refuseEvery  int                     // See RepeatRefusals; 0 when it is off.
+	untilRefusal int                     // Arrivals until the next refusal.
+	refusals     map[network.Conn]string // Refusals to be written once more, by connection.
+	repeated     int                     // Refusals that were written once more.
+	freeSlots    chan struct{}           // Contains one element for each free slot.
 }
 
 // New returns a target without executions.
@@ -122,6 +127,61 @@
 	target.rateLimit = stated
 }
 
+// RepeatRefusals makes the target refuse one in n requests although it has free
+// slots, and write the last refusal of a connection once more when the next response
+// is expected there. 0 ends this fault.
+func (target *Target) RepeatRefusals(n int) {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.refuseEvery, target.untilRefusal = n, n
+	target.refusals = map[network.Conn]string{}
+}
+
+// RepeatedRefusals returns the number of refusals that were written once more.
+func (target *Target) RepeatedRefusals() int {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	return target.repeated
+}
+
+// refusesNext reports whether RepeatRefusals selects the request for a refusal.
+func (target *Target) refusesNext() bool {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	if target.refuseEvery == 0 {
+		return false
+	}
+	if target.untilRefusal--; target.untilRefusal > 0 {
+		return false
+	}
+	target.untilRefusal = target.refuseEvery
+	return true
+}
+
+// takeRefusal removes and returns the refusal that is to be written once more on a
+// connection, or "".
+func (target *Target) takeRefusal(c network.Conn) string {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	refusal := target.refusals[c]
+	if refusal != "" {
+		delete(target.refusals, c)
+		target.repeated++
+	}
+	return refusal
+}
+
+// keepRefusal remembers a refusal for takeRefusal.
+func (target *Target) keepRefusal(c *app.RequestContext, status int) {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	if target.refuseEvery > 0 {
+		target.refusals[c.GetConn()] = fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status,
+			platform.HeaderRequestID, c.Response.Header.Peek(platform.HeaderRequestID), platform.HeaderNotExecuted,
+			platform.HeaderServerLoad, c.Response.Header.Peek(platform.HeaderServerLoad))
+	}
+}
+
 // Arrivals returns the times at which requests arrived, in ascending order.
 func (target *Target) Arrivals() []time.Time { return target.ArrivalsAfter(time.Time{}) }
 
@@ -159,6 +219,9 @@
 	id := string(c.Request.Header.Peek(platform.HeaderRequestID))
 	c.Response.Header.Set(platform.HeaderRequestID, id)
 	target.recordArrival()
+	if refusal := target.takeRefusal(c.GetConn()); refusal != "" {
+		target.writeRaw(c, refusal, false)
+	}
 	expected := string(c.Request.Header.Peek(platform.HeaderExpectTarget))
 	switch {
 	case expected != "" && expected != target.options.ID:
@@ -167,6 +230,9 @@
 	case id == "":
 		target.rejectUnexecuted(c, 400)
 		return
+	case target.refusesNext():
+		target.rejectUnexecuted(c, 503)
+		return
 	case !target.acquireSlot():
 		target.rejectUnexecuted(c, 503)
 		return
@@ -185,6 +251,7 @@
 	c.Response.Header.Set(platform.HeaderNotExecuted, "1")
 	target.setLoadHeader(c)
 	c.SetStatusCode(status)
+	target.keepRefusal(c, status)
 }
 
 // acquireSlot takes a slot. If none is free, it waits in the queue, or returns
