A connection with a response too many is closed

What callers saw: nothing known. A target that writes a response of an earlier request where the next one is expected was trusted with further requests on the same connection, where every further unexpected response has to be told apart.

Evidence: TestConnectionWithSkippedResponseIsClosed before the change: the request after the skipped response got connection 1 instead of 2.

Why it works: an exchange that skipped a response does not return its connection to the pool. Its own response is used as before. This costs a new connection for each unexpected response, which only faulty targets write.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -86,6 +86,7 @@
 	started             time.Time
 	requestDone         chan struct{} // Closed when writing the request has ended.
 	writeErr            error         // Valid after requestDone is closed.
+	skippedResponse     bool          // The connection carried a response to another request.
 }
 
 // Do sends the request and reads the response head. Errors have the type *Error.
@@ -114,7 +115,7 @@
 // readResponse reads the head of the response to the request and skips late
 // responses to earlier requests.
 func (ex *exchange) readResponse(r *Request) (*http.Response, error) {
-	for late := range maxLateResponses + 1 {
+	for range maxLateResponses + 1 {
 		response, err := ex.readHead(r.Method)
 		if err != nil || r.MatchResponse == nil {
 			return response, err
@@ -125,11 +126,12 @@
 		case NoRequestID:
 			// On a new connection there is no earlier request that the
 			// response could belong to.
-			if !ex.conn.reused && late == 0 {
+			if !ex.conn.reused && !ex.skippedResponse {
 				return response, nil
 			}
 			return nil, errNoRequestID
 		}
+		ex.skippedResponse = true
 		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, errLateResponses
 		}
@@ -222,7 +224,8 @@
 		_ = ex.conn.Close()
 	}
 	<-ex.requestDone
-	if !reuse || ex.writeErr != nil || !ex.conn.isReusable() {
+	// A target that wrote a response too many may write another one.
+	if !reuse || ex.skippedResponse || ex.writeErr != nil || !ex.conn.isReusable() {
 		ex.forwarder.pool.discard(ex.target.Address, ex.conn)
 		return
 	}
--- a/forward/requestid_test.go
+++ b/forward/requestid_test.go
@@ -94,3 +94,23 @@
 	}
 	assert.Equal(t, 2, target.connectionCount(), "requests without an ID are not counted")
 }
+
+// Guards against using a connection on which the target has written a response too
+// many: another one may follow.
+func TestConnectionWithSkippedResponseIsClosed(t *testing.T) {
+	target := newScriptedTarget(t, func(number int, c *scriptedConn) {
+		for r := c.readRequest(); r != nil; r = c.readRequest() {
+			if r.Header.Get(idHeader) == "b" {
+				c.send(identifiedResponse("a", "late"))
+			}
+			c.send(identifiedResponse(r.Header.Get(idHeader), fmt.Sprint(number)))
+		}
+	})
+	f := New()
+	defer f.Close()
+	for _, c := range []struct{ id, connection string }{{"a", "1"}, {"b", "1"}, {"c", "2"}} {
+		_, content, err := doExchange(t, f, target.destination(), identifiedRequest("GET", c.id))
+		require.NoError(t, err)
+		assert.Equal(t, c.connection, content, c.id)
+	}
+}
