Late response before the response to a HEAD request

What callers saw: nothing known. A target could make the body of its late response look like the response to a HEAD request.

Cause: a late response is parsed as a response to the method of the current request, and the response to HEAD has no body. So the body of a late response to GET was left on the connection and parsed as the next response head.

Evidence: TestBodyOfLateResponseIsNotResponseToHead before the change: 'Expected error with "connection carries late responses to earlier requests that cannot be skipped" in chain but got nil'.

Why it works: before a response to HEAD, a late response is skipped only if it declares a length of 0. Otherwise the connection is closed and the outcome is unknown.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -132,7 +132,7 @@
 			return nil, errNoRequestID
 		}
 		ex.skippedResponse = true
-		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if !canSkip(response, r.Method) {
 			return nil, errLateResponses
 		}
 		if err := discardBody(response.Body); err != nil {
@@ -142,6 +142,16 @@
 	return nil, errLateResponses
 }
 
+// canSkip reports whether the next response on the connection can be found after
+// the body of a late response. The late response was parsed as a response to the
+// given method, and a response to HEAD has no body whatever length it declares.
+func canSkip(response *http.Response, method string) bool {
+	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return false
+	}
+	return method != http.MethodHead || response.ContentLength == 0
+}
+
 // discardBody reads the body of a late response to its end, where the next head
 // begins. A body over the limit is an error, because the bytes that follow the
 // limit must not be parsed as a head.
--- a/forward/requestid_test.go
+++ b/forward/requestid_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -114,3 +115,23 @@
 		assert.Equal(t, c.connection, content, c.id)
 	}
 }
+
+// Guards against parsing the body of a late response as a response: the response to
+// a HEAD request has no body, so its parser does not skip one.
+func TestBodyOfLateResponseIsNotResponseToHead(t *testing.T) {
+	target := newScriptedTarget(t, func(_ int, c *scriptedConn) {
+		for r := c.readRequest(); r != nil; r = c.readRequest() {
+			if r.Method == http.MethodHead {
+				c.send(identifiedResponse("a", identifiedResponse("b", "")))
+				time.Sleep(10 * time.Millisecond)
+			}
+			c.send(identifiedResponse(r.Header.Get(idHeader), ""))
+		}
+	})
+	f := New()
+	defer f.Close()
+	_, _, err := doExchange(t, f, target.destination(), identifiedRequest("GET", "a"))
+	require.NoError(t, err)
+	_, _, err = doExchange(t, f, target.destination(), identifiedRequest("HEAD", "b"))
+	assert.ErrorIs(t, err, errLateResponses)
+}
