"Not executed" counts only if it belongs to the attempt

What callers could see: 503 for a request whose target gave no certain answer, and a further attempt, which for a request that must run once may be a second execution.

Cause: the header was believed in any response that was accepted: without the request's ID on a new connection, where a target can write before it reads the request; with several different IDs, of which the first was compared; with status 200. The protocol has targets repeat the ID in each response.

Evidence, TestUncertainRefusalIsUnknownOutcome before the change: without an ID (503 and 421), with two IDs and with status 200 callers got 503 in place of 502 and 2 arrivals in place of 1, directly; through a relay 2 arrivals in each, and 503 with two IDs and status 200. The cases without the statement, of an interim response and of a late response passed before. TestCertainRefusalIsRetried passed before and after.

Why it works: the forwarder tells how a response was matched, several different IDs match no request, and a statement counts if the ID is the request's and the status is not a success. Otherwise the outcome is unknown: 502, and no further attempt if the request must run once. A relay reports it as an attempt without a usable response. Requests without an ID, which targets do not execute, are refused as before.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -71,6 +71,7 @@
 // Body must be closed. CleanResponseHeaders has not been applied to Header.
 type Response struct {
 	Status int
+	Match  ResponseMatch // MatchesRequest or NoRequestID.
 	Header http.Header
 	Length int64 // Bytes of the body; -1 when unknown.
 	Body   io.ReadCloser
@@ -105,41 +106,41 @@
 	ex.stopWatchingContext = context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.addRequestID(request.ID)
 	ex.sendRequest(request)
-	response, err := ex.readResponse(request)
+	response, match, err := ex.readResponse(request)
 	if err != nil {
 		return nil, ex.fail(err)
 	}
-	return ex.newResponse(response, request.AllowCloseDelimited), nil
+	return ex.newResponse(response, match, request.AllowCloseDelimited), nil
 }
 
 // readResponse reads the head of the response to the request and skips late
 // responses to earlier requests.
-func (ex *exchange) readResponse(r *Request) (*http.Response, error) {
+func (ex *exchange) readResponse(r *Request) (*http.Response, ResponseMatch, error) {
 	for range maxLateResponses + 1 {
 		response, err := ex.readHead(r.Method)
 		if err != nil || r.MatchResponse == nil {
-			return response, err
+			return response, MatchesRequest, err
 		}
-		switch r.MatchResponse(response.Header) {
+		switch match := r.MatchResponse(response.Header); match {
 		case MatchesRequest:
-			return response, nil
+			return response, match, nil
 		case NoRequestID:
 			// On a new connection there is no earlier request that the
 			// response could belong to.
 			if !ex.conn.reused && !ex.skippedResponse {
-				return response, nil
+				return response, match, nil
 			}
-			return nil, errNoRequestID
+			return nil, match, errNoRequestID
 		}
 		ex.skippedResponse = true
 		if !canSkip(response, r.Method) {
-			return nil, errLateResponses
+			return nil, OtherRequest, errLateResponses
 		}
 		if err := discardBody(response.Body); err != nil {
-			return nil, err
+			return nil, OtherRequest, err
 		}
 	}
-	return nil, errLateResponses
+	return nil, OtherRequest, errLateResponses
 }
 
 // canSkip reports whether the next response on the connection can be found after
@@ -257,11 +258,11 @@
 	}
 }
 
-func (ex *exchange) newResponse(r *http.Response, allowCloseDelimited bool) *Response {
+func (ex *exchange) newResponse(r *http.Response, match ResponseMatch, allowCloseDelimited bool) *Response {
 	b := &responseBody{exchange: ex, source: r.Body, closeAfter: r.Close, allowCloseDelimited: allowCloseDelimited}
 	b.closeDelimited = r.ContentLength < 0 && len(r.TransferEncoding) == 0
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		b.complete()
 	}
-	return &Response{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, Body: b}
+	return &Response{Status: r.StatusCode, Match: match, Header: r.Header, Length: r.ContentLength, Body: b}
 }
--- a/forward/write.go
+++ b/forward/write.go
@@ -34,7 +34,7 @@
 	AllowCloseDelimited bool
 	// MatchResponse reports from a response head which request the response
 	// belongs to, so that late responses to earlier requests on the connection
-	// are skipped. If it is nil, every response is accepted.
+	// are skipped. If it is nil, every response is accepted and counts as matching.
 	MatchResponse func(http.Header) ResponseMatch
 }
 
@@ -44,8 +44,8 @@
 const (
 	// MatchesRequest means that the response has the ID of this request.
 	MatchesRequest ResponseMatch = iota
-	// NoRequestID means that the response has no request ID. Such a response is
-	// accepted only on a new connection.
+	// NoRequestID means that the response has no request ID, or several different
+	// ones. Such a response is accepted only on a new connection.
 	NoRequestID
 	// OtherRequest means that the response has the ID of another request.
 	OtherRequest
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -213,7 +213,8 @@
 	request.reachedAttempts++
 	observation := balance.Observation{ColdFor: g.Headers.ColdStart(received.Header)}
 	observation.Executing, observation.Waiting, observation.LoadReported = g.Headers.Load(received.Header)
-	if g.Headers.NotExecuted(received.Status, received.Header) {
+	stated, certain := g.notExecuted(received, request.id)
+	if certain {
 		_ = received.Body.Close()
 		observation.Result = balance.Shed
 		if received.Status == http.StatusMisdirectedRequest {
@@ -233,7 +234,7 @@
 		return outcome
 	}
 	request.mayHaveExecuted = true
-	resp, err := g.readResponse(request, received)
+	resp, err := g.readResponse(request, received, stated)
 	if err != nil {
 		observation.Result = balance.ConnectionBroken
 		if ctx.Err() != nil {
@@ -265,17 +266,25 @@
 
 var (
 	errMissingStamp           = errors.New("successful response without the target's signature")
-	errUnconfirmedNotExecuted = errors.New("status implies that the request was not executed, but the target does not confirm it")
+	errUnconfirmedNotExecuted = errors.New("response implies that the request was not executed, but this is not certain")
 )
 
+// notExecuted reports whether a response states that the target did not execute
+// the request, and whether this is certain: the response belongs to this attempt
+// and is not a success. Targets execute no request without an ID.
+func (g *Gateway) notExecuted(received *forward.Response, id string) (stated, certain bool) {
+	stated = g.Headers.NotExecuted(received.Status, received.Header)
+	return stated, stated && received.Status >= http.StatusBadRequest && (received.Match == forward.MatchesRequest || id == "")
+}
+
 // readResponse checks the response head and reads a body of up to
 // maxBufferedResponseBytes completely. A longer body is streamed.
-func (g *Gateway) readResponse(request *routedRequest, received *forward.Response) (*response, error) {
+func (g *Gateway) readResponse(request *routedRequest, received *forward.Response, statedNotExecuted bool) (*response, error) {
 	if received.Status < http.StatusMultipleChoices && !g.Headers.HasStamp(received.Header) {
 		_ = received.Body.Close()
 		return nil, errMissingStamp
 	}
-	if impliesNotExecuted(received.Status) {
+	if impliesNotExecuted(received.Status) || statedNotExecuted {
 		_ = received.Body.Close()
 		return nil, errUnconfirmedNotExecuted
 	}
--- a/gateway/refusals_test.go
+++ b/gateway/refusals_test.go
@@ -5,10 +5,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthstall/jacinthstall/platform"
 )
@@ -155,3 +157,69 @@
 		mu.Unlock()
 	}
 }
+
+// Guards against believing a statement "not executed" that does not certainly
+// belong to this attempt, or that the rest of the response contradicts.
+func TestUncertainRefusalIsUnknownOutcome(t *testing.T) {
+	id, not, empty := platform.HeaderRequestID, platform.HeaderNotExecuted+": 1\r\n", "Content-Length: 0\r\n\r\n"
+	for name, answer := range map[string]string{
+		"without the request's ID":      "HTTP/1.1 503 X\r\n" + not + empty,
+		"421 without the request's ID":  "HTTP/1.1 421 X\r\n" + not + empty,
+		"two different IDs":             "HTTP/1.1 503 X\r\n" + id + ": r1\r\n" + id + ": r2\r\n" + not + empty,
+		"two different IDs, other one":  "HTTP/1.1 503 X\r\n" + id + ": r2\r\n" + id + ": r1\r\n" + not + empty,
+		"with a success":                "HTTP/1.1 200 OK\r\n" + id + ": r1\r\n" + platform.HeaderServerStamp + ": s\r\n" + not + empty,
+		"without the statement":         "HTTP/1.1 503 X\r\n" + id + ": r1\r\n" + empty,
+		"interim response":              "HTTP/1.1 103 X\r\n" + id + ": r1\r\n" + not + "\r\nHTTP/1.1 503 X\r\n" + empty,
+		"of another request, then none": refusalHead(503, "r0") + "Connection: close\r\n" + empty,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, relayed := range []bool{false, true} {
+				var mu sync.Mutex
+				arrivals := 0
+				refuse := func(_ int, r *http.Request, c net.Conn) bool {
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return false
+					}
+					mu.Lock()
+					arrivals++
+					mu.Unlock()
+					_, _ = io.WriteString(c, answer)
+					return false
+				}
+				var s *site
+				if relayed {
+					s = startFarSite(t, nil, refuse, refuse).site
+				} else {
+					s = startSite(t, siteOptions{scripts: []script{refuse, refuse}})
+				}
+				assert.Equal(t, 502, s.request("POST", "/unsafe/x", "r1", "b").StatusCode, "relayed: %v", relayed)
+				mu.Lock()
+				assert.Equal(t, 1, arrivals, "relayed: %v", relayed)
+				mu.Unlock()
+			}
+		})
+	}
+}
+
+// Guards against distrusting refusals that are certain: those with a body, a
+// signature, or an interim response before them.
+func TestCertainRefusalIsRetried(t *testing.T) {
+	for name, answer := range map[string]string{
+		"body":      refusalHead(503, "r1") + "Content-Length: 4\r\n\r\nfull",
+		"signature": refusalHead(429, "r1") + platform.HeaderServerStamp + ": s\r\nContent-Length: 0\r\n\r\n",
+		"interim":   "HTTP/1.1 102 X\r\n\r\n" + refusalHead(503, "r1") + "Content-Length: 0\r\n\r\n",
+		"late":      refusalHead(503, "r0") + "Content-Length: 0\r\n\r\n" + refusalHead(503, "r1") + "Content-Length: 0\r\n\r\n",
+		"same ID":   strings.Replace(refusalHead(503, "r1"), "\r\n", "\r\n"+platform.HeaderRequestID+": r1\r\n", 1) + "Content-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			refuse := func(_ int, r *http.Request, c net.Conn) bool {
+				_, err := io.Copy(io.Discard, r.Body)
+				require.NoError(t, err)
+				_, err = io.WriteString(c, answer)
+				return err == nil
+			}
+			s := startSite(t, siteOptions{scripts: []script{refuse, refuse}})
+			assert.Equal(t, 503, s.request("POST", "/unsafe/x", "r1", "b").StatusCode)
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -400,9 +400,12 @@
 		return failed(relayResultOf(err))
 	}
 	g.observeResponse(sent, record, received, balance.LimitFromRelay)
-	if g.Headers.NotExecuted(received.Status, received.Header) {
+	if stated, certain := g.notExecuted(received, id); stated {
 		defer cancel()
 		_ = received.Body.Close()
+		if !certain {
+			return failed(relayBroken)
+		}
 		forward.CleanResponseHeaders(received.Header)
 		received.Header.Set(headerRelayDistinct, "1")
 		return &response{status: received.Status, header: received.Header}, relayResponded
