A late response without an ID is no response to a request without one

What callers could see: the response to another request, with its signature and body, for a request that has no ID.

Cause: MatchResponse compared the missing IDs of request and response as equal, also on a connection that was used before. Its comment says that the relation is unknown then.

Evidence, TestLateResponseIsNotResponseToRequestWithoutID before the change: status 200 in place of 503 and body 'late', directly and through a relay.

Why it works: the response is accepted only on a new connection, where no earlier request exists, and requests without an ID always get one. Targets refuse such requests, so callers that send many are not expected.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -98,7 +98,7 @@
 	if err := request.validate(); err != nil {
 		return nil, &Error{Target: target.Address, Stage: StageConnect, Err: err}
 	}
-	c, err := f.pool.acquire(ctx, target, request.ID)
+	c, err := f.connect(ctx, target, request)
 	if err != nil {
 		return nil, &Error{Target: target.Address, Stage: StageConnect, Err: err}
 	}
@@ -113,6 +113,13 @@
 	return ex.newResponse(response, match, request.AllowCloseDelimited), nil
 }
 
+func (f *Forwarder) connect(ctx context.Context, target Target, request *Request) (*conn, error) {
+	if request.NewConnection {
+		return f.pool.open(ctx, target)
+	}
+	return f.pool.acquire(ctx, target, request.ID)
+}
+
 // readResponse reads the head of the response to the request and skips late
 // responses to earlier requests.
 func (ex *exchange) readResponse(r *Request) (*http.Response, ResponseMatch, error) {
--- a/forward/write.go
+++ b/forward/write.go
@@ -22,13 +22,16 @@
 	// ID are never sent on the same connection, because the target could write its
 	// response to the first of them once more, and it would match the second. If ID
 	// is empty, the request may use any connection.
-	ID     string
-	Method string
-	URI    string // Path and query as the caller sent them.
-	Header http.Header
-	Body   io.Reader // Nil when there is none. Read must not block indefinitely.
-	Length int64     // Bytes of the body; -1 when unknown, sent chunked.
-	Host   string    // Host header; empty means the target's address.
+	ID string
+	// NewConnection prevents the use of an idle connection, for a request whose
+	// response could not be told from late responses to earlier requests.
+	NewConnection bool
+	Method        string
+	URI           string // Path and query as the caller sent them.
+	Header        http.Header
+	Body          io.Reader // Nil when there is none. Read must not block indefinitely.
+	Length        int64     // Bytes of the body; -1 when unknown, sent chunked.
+	Host          string    // Host header; empty means the target's address.
 	// AllowCloseDelimited treats a response without a declared length as complete
 	// when the target closes the connection.
 	AllowCloseDelimited bool
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -126,7 +126,7 @@
 		header.Del(name)
 	}
 	g.Headers.SetTarget(header, grant.Target.ID, request.deadline.Sub(now))
-	out := &forward.Request{ID: request.id, Method: request.httpRequest.Method, URI: request.uri, Header: header, Host: request.httpRequest.Host, AllowCloseDelimited: true,
+	out := &forward.Request{ID: request.id, NewConnection: request.id == "", Method: request.httpRequest.Method, URI: request.uri, Header: header, Host: request.httpRequest.Host, AllowCloseDelimited: true,
 		MatchResponse: func(h http.Header) forward.ResponseMatch { return g.Headers.MatchResponse(h, request.id) }}
 	switch {
 	case request.stream != nil:
--- a/gateway/refusals_test.go
+++ b/gateway/refusals_test.go
@@ -223,3 +223,38 @@
 		})
 	}
 }
+
+// Guards against taking a late response without an ID, on a connection that was
+// used before, for the response to a request without an ID.
+func TestLateResponseIsNotResponseToRequestWithoutID(t *testing.T) {
+	respond := func(number int, r *http.Request, c net.Conn) bool {
+		_, err := io.Copy(io.Discard, r.Body)
+		require.NoError(t, err)
+		answer := refusalHead(400, "") + "Content-Length: 0\r\n\r\n"
+		if r.Header.Get(platform.HeaderRequestID) != "" {
+			answer = stampedHead(200, r) + "Content-Length: 1\r\n\r\nx"
+		} else {
+			answer = strings.Replace(answer, platform.HeaderRequestID+": \r\n", "", 1)
+		}
+		if number > 1 {
+			answer = "HTTP/1.1 200 OK\r\n" + platform.HeaderServerStamp + ": s\r\nContent-Length: 4\r\n\r\nlate" + answer
+		}
+		_, err = io.WriteString(c, answer)
+		return err == nil
+	}
+	for _, relayed := range []bool{false, true} {
+		var s *site
+		if relayed {
+			s = startFarSite(t, nil, respond).site
+		} else {
+			s = startSite(t, siteOptions{scripts: []script{respond}})
+		}
+		require.Equal(t, 200, s.request("POST", "/unsafe/x", "r1", "b").StatusCode)
+		c := s.dial()
+		_, err := io.WriteString(c.Conn, "POST /unsafe/x HTTP/1.1\r\nHost: "+host+"\r\nContent-Length: 1\r\n\r\nb")
+		require.NoError(t, err)
+		resp := c.receive("POST")
+		assert.Equal(t, 503, resp.StatusCode, "relayed: %v", relayed)
+		assert.Empty(t, resp.body, "relayed: %v", relayed)
+	}
+}
