--- a/forward/forward.go
+++ b/forward/forward.go
@@ -71,6 +71,7 @@
 // Body must be closed. CleanResponseHeaders has not been applied to Header.
 type Response struct {
 	Status int
+	Match  ResponseMatch // MatchesRequest or NoRequestID.
 	Header http.Header
 	Length int64 // Bytes of the body; -1 when unknown.
 	Body   io.ReadCloser
@@ -86,6 +87,7 @@
 	started             time.Time
 	requestDone         chan struct{} // Closed when writing the request has ended.
 	writeErr            error         // Valid after requestDone is closed.
+	skippedResponse     bool          // The connection carried a response to another request.
 }
 
 // Do sends the request and reads the response head. Errors have the type *Error.
@@ -96,47 +98,66 @@
 	if err := request.validate(); err != nil {
 		return nil, &Error{Target: target.Address, Stage: StageConnect, Err: err}
 	}
-	c, err := f.pool.acquire(ctx, target)
+	c, err := f.connect(ctx, target, request)
 	if err != nil {
 		return nil, &Error{Target: target.Address, Stage: StageConnect, Err: err}
 	}
 	ex := &exchange{forwarder: f, ctx: ctx, target: target, conn: c, started: time.Now(), requestDone: make(chan struct{})}
 	ex.stopWatchingContext = context.AfterFunc(ctx, func() { _ = c.Close() })
+	c.addRequestID(request.ID)
 	ex.sendRequest(request)
-	response, err := ex.readResponse(request)
+	response, match, err := ex.readResponse(request)
 	if err != nil {
 		return nil, ex.fail(err)
 	}
-	return ex.newResponse(response, request.AllowCloseDelimited), nil
+	return ex.newResponse(response, match, request.AllowCloseDelimited), nil
+}
+
+func (f *Forwarder) connect(ctx context.Context, target Target, request *Request) (*conn, error) {
+	if request.NewConnection {
+		return f.pool.open(ctx, target)
+	}
+	return f.pool.acquire(ctx, target, request.ID)
 }
 
 // readResponse reads the head of the response to the request and skips late
 // responses to earlier requests.
-func (ex *exchange) readResponse(r *Request) (*http.Response, error) {
-	for late := range maxLateResponses + 1 {
+func (ex *exchange) readResponse(r *Request) (*http.Response, ResponseMatch, error) {
+	for range maxLateResponses + 1 {
 		response, err := ex.readHead(r.Method)
 		if err != nil || r.MatchResponse == nil {
-			return response, err
+			return response, MatchesRequest, err
 		}
-		switch r.MatchResponse(response.Header) {
+		switch match := r.MatchResponse(response.Header); match {
 		case MatchesRequest:
-			return response, nil
+			return response, match, nil
 		case NoRequestID:
 			// On a new connection there is no earlier request that the
 			// response could belong to.
-			if !ex.conn.reused && late == 0 {
-				return response, nil
+			if !ex.conn.reused && !ex.skippedResponse {
+				return response, match, nil
 			}
-			return nil, errNoRequestID
+			return nil, match, errNoRequestID
 		}
-		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-			return nil, errLateResponses
+		ex.skippedResponse = true
+		if !canSkip(response, r.Method) {
+			return nil, OtherRequest, errLateResponses
 		}
 		if err := discardBody(response.Body); err != nil {
-			return nil, err
+			return nil, OtherRequest, err
 		}
 	}
-	return nil, errLateResponses
+	return nil, OtherRequest, errLateResponses
+}
+
+// canSkip reports whether the next response on the connection can be found after
+// the body of a late response. The late response was parsed as a response to the
+// given method, and a response to HEAD has no body whatever length it declares.
+func canSkip(response *http.Response, method string) bool {
+	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return false
+	}
+	return method != http.MethodHead || response.ContentLength == 0
 }
 
 // discardBody reads the body of a late response to its end, where the next head
@@ -221,7 +242,8 @@
 		_ = ex.conn.Close()
 	}
 	<-ex.requestDone
-	if !reuse || ex.writeErr != nil || !ex.conn.isReusable() {
+	// A target that wrote a response too many may write another one.
+	if !reuse || ex.skippedResponse || ex.writeErr != nil || !ex.conn.isReusable() {
 		ex.forwarder.pool.discard(ex.target.Address, ex.conn)
 		return
 	}
@@ -243,11 +265,11 @@
 	}
 }
 
-func (ex *exchange) newResponse(r *http.Response, allowCloseDelimited bool) *Response {
+func (ex *exchange) newResponse(r *http.Response, match ResponseMatch, allowCloseDelimited bool) *Response {
 	b := &responseBody{exchange: ex, source: r.Body, closeAfter: r.Close, allowCloseDelimited: allowCloseDelimited}
 	b.closeDelimited = r.ContentLength < 0 && len(r.TransferEncoding) == 0
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		b.complete()
 	}
-	return &Response{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, Body: b}
+	return &Response{Status: r.StatusCode, Match: match, Header: r.Header, Length: r.ContentLength, Body: b}
 }
--- a/forward/write.go
+++ b/forward/write.go
@@ -18,18 +18,26 @@
 // Request is a request to a target. CleanRequestHeaders is applied to a copy of
 // Header when the request is written.
 type Request struct {
-	Method string
-	URI    string // Path and query as the caller sent them.
-	Header http.Header
-	Body   io.Reader // Nil when there is none. Read must not block indefinitely.
-	Length int64     // Bytes of the body; -1 when unknown, sent chunked.
-	Host   string    // Host header; empty means the target's address.
+	// ID is the request's ID as MatchResponse looks for it. Requests with the same
+	// ID are never sent on the same connection, because the target could write its
+	// response to the first of them once more, and it would match the second. If ID
+	// is empty, the request may use any connection.
+	ID string
+	// NewConnection prevents the use of an idle connection, for a request whose
+	// response could not be told from late responses to earlier requests.
+	NewConnection bool
+	Method        string
+	URI           string // Path and query as the caller sent them.
+	Header        http.Header
+	Body          io.Reader // Nil when there is none. Read must not block indefinitely.
+	Length        int64     // Bytes of the body; -1 when unknown, sent chunked.
+	Host          string    // Host header; empty means the target's address.
 	// AllowCloseDelimited treats a response without a declared length as complete
 	// when the target closes the connection.
 	AllowCloseDelimited bool
 	// MatchResponse reports from a response head which request the response
 	// belongs to, so that late responses to earlier requests on the connection
-	// are skipped. If it is nil, every response is accepted.
+	// are skipped. If it is nil, every response is accepted and counts as matching.
 	MatchResponse func(http.Header) ResponseMatch
 }
 
@@ -39,8 +47,8 @@
 const (
 	// MatchesRequest means that the response has the ID of this request.
 	MatchesRequest ResponseMatch = iota
-	// NoRequestID means that the response has no request ID. Such a response is
-	// accepted only on a new connection.
+	// NoRequestID means that the response has no request ID, or several different
+	// ones. Such a response is accepted only on a new connection.
 	NoRequestID
 	// OtherRequest means that the response has the ID of another request.
 	OtherRequest
