Forward: refuse response heads whose framing is ambiguous

What callers saw: a 200 with a truncated body, or with chunk sizes in the body. A target that sends 'Content-Length : 512' and closes after four bytes was read as a response without a declared length, which is complete at its end:

direct, body "part": expected 502, actual 200 relayed, body "4\r\npart\r\n": expected 502, actual 200

Cause: net/http accepts a header name that ends with a space and keeps it under that name, so it declares no length; it removes Transfer-Encoding from HTTP/1.0 without a trace; and it takes a status below 100 for a response, which was then skipped as interim. parseHead refuses these, statuses above 599 and HTTP/2. Such an attempt fails as one that was sent and has no usable response.

--- a/forward/errors.go
+++ b/forward/errors.go
@@ -34,6 +34,7 @@
 	errTooManyInterim   = errors.New("too many interim (1xx) responses")
 	errLateResponses    = errors.New("connection carries late responses to earlier requests that cannot be skipped")
 	errNoRequestID      = errors.New("response on a reused connection has no request ID")
+	errAmbiguousHead    = errors.New("response head is not valid HTTP/1")
 	errProtocolSwitched = errors.New("target switched protocols")
 )
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -176,7 +176,7 @@
 	ex.conn.expectHead()
 	defer ex.conn.expectBody()
 	for range maxInterimResponses {
-		response, err := http.ReadResponse(ex.conn.reader, &http.Request{Method: method})
+		response, err := parseHead(ex.conn.reader, method)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/forward/head.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"strings"
+)
+
+const (
+	minStatus    = 100
+	maxStatus    = 599
+	http10Prefix = "HTTP/1.0"
+)
+
+// parseHead reads a response head. It refuses heads that net/http accepts although
+// they do not tell for certain where the body ends, or which are not responses of
+// HTTP/1.
+func parseHead(reader *bufio.Reader, method string) (*http.Response, error) {
+	// In HTTP/1.0, net/http removes Transfer-Encoding without a trace and reads the
+	// chunks as the body.
+	if version, err := reader.Peek(len(http10Prefix)); err == nil && string(version) == http10Prefix && hasTransferEncoding(peekHead(reader)) {
+		return nil, errAmbiguousHead
+	}
+	response, err := http.ReadResponse(reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	if response.ProtoMajor != 1 || response.StatusCode < minStatus || response.StatusCode > maxStatus || hasInvalidName(response.Header) {
+		return nil, errAmbiguousHead
+	}
+	return response, nil
+}
+
+// hasInvalidName reports whether a header name contains a space. Parsers that
+// ignore the space read another header, which may declare a length.
+func hasInvalidName(header http.Header) bool {
+	for name := range header {
+		if strings.Contains(name, " ") {
+			return true
+		}
+	}
+	return false
+}
+
+// peekHead returns the next head without consuming it, or as much of it as arrives
+// and fits into the buffer.
+func peekHead(reader *bufio.Reader) []byte {
+	for n := 1; ; n = reader.Buffered() + 1 {
+		buffered, err := reader.Peek(max(n, reader.Buffered()))
+		if end := headEnd(buffered); end >= 0 {
+			return buffered[:end]
+		}
+		if err != nil {
+			return buffered
+		}
+	}
+}
+
+// headEnd returns the position after the first empty line, or -1.
+func headEnd(b []byte) int {
+	for i := 0; ; {
+		line := bytes.IndexByte(b[i:], '\n')
+		if line < 0 {
+			return -1
+		}
+		i += line + 1
+		for _, empty := range []string{"\n", "\r\n"} {
+			if bytes.HasPrefix(b[i:], []byte(empty)) {
+				return i + len(empty)
+			}
+		}
+	}
+}
+
+func hasTransferEncoding(head []byte) bool {
+	return bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding"))
+}
