Forward: a reset that the request's writer sees does not end a body

What callers saw: a 200 with a short body, framed as whole:

request 0, body "part": should not be 200

Cause: the kernel reports a reset to one call. While a long request body is still being sent, that may be the write; the read of the response then gets the end of the connection, as after a normal close, and a body without a declared length counts as complete.

A connection keeps the failure that a write reported, and the end of the connection completes such a body only if there is none. The write in progress is ended first, so that it cannot report the failure later. EPIPE is not such a failure: it follows an end that was received before. A target that closes only its side of the connection still ends the body; a second test, which passed before, guards that.

--- a/forward/body.go
+++ b/forward/body.go
@@ -29,10 +29,12 @@
 	switch {
 	case err == nil:
 		return n, nil
-	case err == io.EOF && (!body.closeDelimited || body.allowCloseDelimited):
+	case err == io.EOF && !body.closeDelimited:
 		body.complete()
-	case err == io.EOF:
+	case err == io.EOF && !body.allowCloseDelimited:
 		body.fail(ErrCloseDelimited)
+	case err == io.EOF:
+		body.connectionEnded()
 	default:
 		body.fail(err)
 	}
@@ -44,6 +46,16 @@
 	body.finish(!body.closeAfter && !body.closeDelimited && body.exchange.requestSent())
 }
 
+// connectionEnded ends a close-delimited body at the end of the connection. The
+// body is complete unless the connection failed.
+func (body *responseBody) connectionEnded() {
+	if err := body.exchange.conn.failureSeenByWriter(); err != nil {
+		body.fail(err)
+		return
+	}
+	body.complete()
+}
+
 func (body *responseBody) fail(err error) {
 	ex := body.exchange
 	failure := &Error{Target: ex.target.Address, Stage: StageBody, Err: err, TargetClosed: ex.closedByTarget()}
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -5,8 +5,11 @@
 	"errors"
 	"io"
 	"net"
+	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 const (
@@ -22,6 +25,8 @@
 	reader       *bufio.Reader
 	limit        headLimiter
 	writeStarted atomic.Bool // Set just before the first byte of a request is written.
+	writing      sync.Mutex  // Held during a write; protects writeErr.
+	writeErr     error       // The failure of the connection that a write reported.
 	reused       bool        // An earlier request was sent on this connection.
 }
 
@@ -65,10 +70,30 @@
 }
 func (c *conn) expectBody() { c.limit.active = false }
 
-// Write records that bytes may have reached the target.
+// Write records that bytes may have reached the target, and why the connection
+// failed.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writeStarted.Store(true)
-	return c.TCPConn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.TCPConn.Write(p)
+	// EPIPE means that the end of the connection, or its failure, was already
+	// received before.
+	if err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// failureSeenByWriter returns the failure of the connection that a write reported,
+// if any. The kernel reports a reset to one call only; a read after it returns
+// io.EOF, as at the end of a connection that was closed. A write in progress is
+// ended: the connection cannot be used any more.
+func (c *conn) failureSeenByWriter() error {
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr
 }
 
 // isReusable reports whether the target has neither closed the connection nor
