Soak: targets break off responses after a random number of bytes

The stand-in target cuts a response after any byte, also in its head. With Options.CutResponses every fifth request of the callers asks for it; a success must end with the ID of a target, so that a cut body cannot pass.

--- a/cmd/jacinth-soak/main.go
+++ b/cmd/jacinth-soak/main.go
@@ -38,6 +38,7 @@
 	targets := flags.Int("targets", 9, "number of targets")
 	callers := flags.Int("callers", 16, "number of callers")
 	faults := flags.Int("faults", 20, "number of injected faults per seed")
+	cut := flags.Bool("cut", false, "let targets break off some of their responses")
 	dir := flags.String("dir", "", "directory for logs; empty for a new temporary directory")
 	recovery := flags.Bool("recovery", false, "measure the recovery after all instances have ended, instead of injecting faults")
 	verbose := flags.Bool("v", false, "print the injected faults")
@@ -66,7 +67,7 @@
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		result, err := soak.Run(ctx, soak.Options{Binary: *binary, Dir: filepath.Join(*dir, fmt.Sprint("seed", seed)), Seed: seed,
-			Instances: *instances, Targets: *targets, Callers: *callers, Faults: *faults, Log: faultLog})
+			Instances: *instances, Targets: *targets, Callers: *callers, Faults: *faults, CutResponses: *cut, Log: faultLog})
 		if err != nil {
 			return totalViolations, err
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -13,12 +13,18 @@
 
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/standin/wiresite"
+	"github.com/jacinthstall/jacinthstall/standin/wiretarget"
 )
 
 const (
-	requestDeadline  = 2 * time.Second
-	callerPause      = 15 * time.Millisecond
-	dialTimeout      = 500 * time.Millisecond
+	requestDeadline = 2 * time.Second
+	callerPause     = 15 * time.Millisecond
+	dialTimeout     = 500 * time.Millisecond
+	// cutInterval is the number of requests per response that a target breaks off,
+	// if Options.CutResponses is set.
+	cutInterval = 5
+	// maxCutBytes is more than the length of a response of a target.
+	maxCutBytes      = 220
 	affinityKeyCount = 20 // Number of different affinity keys that requests carry.
 )
 
@@ -113,7 +119,7 @@
 	}
 	_ = caller.conn.SetDeadline(outcome.sentAt.Add(requestDeadline + time.Second))
 	_, err := io.WriteString(caller.conn, wiresite.Request(method, path, id, fmt.Sprint(caller.random.IntN(affinityKeyCount)),
-		body, requestDeadline))
+		body, requestDeadline, caller.faultHeaders()...))
 	if err == nil {
 		err = caller.readResponse(method, &outcome)
 	}
@@ -125,6 +131,14 @@
 	caller.deployment.recorder.add(outcome)
 }
 
+// faultHeaders returns the headers that make the target break off its response.
+func (caller *caller) faultHeaders() []string {
+	if !caller.deployment.options.CutResponses || caller.random.IntN(cutInterval) != 0 {
+		return nil
+	}
+	return []string{wiretarget.HeaderFault + ": " + wiretarget.FaultCutAfter, fmt.Sprint(wiretarget.HeaderFaultBytes, ": ", caller.random.IntN(maxCutBytes))}
+}
+
 // readResponse reads the response and stores it in outcome.
 func (caller *caller) readResponse(method string, outcome *requestOutcome) error {
 	response, err := http.ReadResponse(caller.reader, &http.Request{Method: method})
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -59,7 +59,7 @@
 	if outcome.idempotent {
 		path = "/safe/" + outcome.id
 	}
-	if !strings.Contains(outcome.body, " "+path+" by ") {
+	if _, target, ok := strings.Cut(outcome.body, " "+path+" by "); !ok || !deployment.hasTarget(target) {
 		add("own whole answer", "%s got %q", outcome.id, outcome.body)
 	}
 	if outcome.signature == "" {
@@ -70,6 +70,17 @@
 	}
 }
 
+// hasTarget reports whether a target has the ID, which ends the body of each of its
+// responses.
+func (deployment *Deployment) hasTarget(id string) bool {
+	for i := range deployment.targets {
+		if id == fmt.Sprint("t", i) {
+			return true
+		}
+	}
+	return false
+}
+
 // interval is the time span of a shutdown or a fault. The instance is nil for a
 // fault that affects all instances.
 type interval struct {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -26,8 +26,11 @@
 	Instances int
 	Targets   int
 	Callers   int
-	Faults    int       // Number of faults to inject; they may overlap.
-	Log       io.Writer // Receives a line for each injected fault.
+	Faults    int // Number of faults to inject; they may overlap.
+	// CutResponses makes targets break off a part of their responses after a random
+	// number of bytes.
+	CutResponses bool
+	Log          io.Writer // Receives a line for each injected fault.
 }
 
 // Result holds the numbers of requests by outcome and the violations of a run.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -41,6 +41,17 @@
 	}
 }
 
+// Guards against responses that targets break off, in the head or the body, and
+// that callers get as complete ones.
+func TestCutResponsesAreVisibleToCallers(t *testing.T) {
+	result, err := soak.Run(context.Background(), soak.Options{Binary: buildNode(t), Dir: t.TempDir(), Seed: 1, Instances: 4, Targets: 6,
+		Callers: 16, Faults: 4, CutResponses: true, Log: io.Discard})
+	require.NoError(t, err)
+	assert.Empty(t, result.Violations)
+	assert.NotZero(t, result.Succeeded)
+	t.Logf("%d requests, %d succeeded, %d refused, %d without a response", result.Requests, result.Succeeded, result.Refused, result.NoResponse)
+}
+
 // The test fails on violations of guarantees only. The number of served requests
 // depends on the machine and is not checked, except that it must not be zero.
 func TestSeededRunHasNoViolations(t *testing.T) {
--- a/standin/wiresite/wiresite.go
+++ b/standin/wiresite/wiresite.go
@@ -90,11 +90,13 @@
 		"status":  map[string]any{"state": state, "sequence": 1, "coldLeft": "0ms"}})
 }
 
-// Request returns an HTTP/1.1 request in the form in which callers send it.
-func Request(method, path, id, object, body string, deadline time.Duration) string {
+// Request returns an HTTP/1.1 request in the form in which callers send it, with
+// additional header lines.
+func Request(method, path, id, object, body string, deadline time.Duration, headers ...string) string {
 	lines := []string{method + " " + path + " HTTP/1.1", "Host: " + Host, platform.HeaderRequestID + ": " + id,
 		fmt.Sprintf("%s: %d", platform.HeaderDeadline, deadline.Milliseconds()),
 		"Cookie: X-Jacinthstall-Affinity-Key=" + object, fmt.Sprint("Content-Length: ", len(body))}
+	lines = append(lines, headers...)
 	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
 }
 
--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -21,17 +21,23 @@
 	"github.com/jacinthstall/jacinthstall/platform"
 )
 
-// HeaderFault is the request header that selects a fault for that request.
-const HeaderFault = "X-Fault"
+const (
+	// HeaderFault is the request header that selects a fault for that request.
+	HeaderFault = "X-Fault"
+	// HeaderFaultBytes is the number of bytes of the response that FaultCutAfter
+	// sends.
+	HeaderFaultBytes = "X-Fault-Bytes"
+)
 
 // Values of HeaderFault.
 const (
-	FaultExtraResponse = "extra"    // Sends a late response to another request first.
-	FaultUnframed      = "unframed" // The response has no length and ends when the connection is closed.
-	FaultTruncate      = "cut"      // The connection is closed before the end of the response.
-	FaultNoStamp       = "no-stamp" // The response has no signature.
-	FaultNoResponse    = "reset"    // The connection is closed after the execution, without a response.
-	FaultStatus500     = "error"    // The response has status 500.
+	FaultExtraResponse = "extra"     // Sends a late response to another request first.
+	FaultUnframed      = "unframed"  // The response has no length and ends when the connection is closed.
+	FaultTruncate      = "cut"       // The connection is closed before the end of the response.
+	FaultCutAfter      = "cut-after" // The connection is closed after HeaderFaultBytes, also within the head.
+	FaultNoStamp       = "no-stamp"  // The response has no signature.
+	FaultNoResponse    = "reset"     // The connection is closed after the execution, without a response.
+	FaultStatus500     = "error"     // The response has status 500.
 )
 
 // Options configures a target.
@@ -285,6 +291,15 @@
 		target.writeRaw(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: 500\r\n\r\n%s",
 			platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp, body), true)
 		return
+	case FaultCutAfter:
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+			platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp, len(body), body)
+		length, err := strconv.Atoi(string(c.Request.Header.Peek(HeaderFaultBytes)))
+		if err != nil || length < 0 {
+			length = 0
+		}
+		target.writeRaw(c, response[:min(length, len(response))], true)
+		return
 	case FaultNoResponse:
 		_ = c.GetConn().Close()
 		return
