Forward: methods may be any token

What callers saw: a request with the method M2 was answered 503, and so were the usual requests after it:

TestMethodWithDigitIsForwarded: expected 200, actual 503 (each of 6 requests, and the POST after them)

Cause: isToken knew letters, '-' and '_' only. The invalid request failed before a connection was opened, which counts as an unreachable target, so that a few of them took all targets out of use. It accepts all characters of a token now; what else it refuses does not pass the parser of callers' requests.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -479,3 +479,14 @@
 		assert.Equal(t, c.want, out.String())
 	}
 }
+
+// Guards against refusing methods with digits or other characters of a token, which
+// counted as failures of the targets.
+func TestMethodsMayBeAnyToken(t *testing.T) {
+	for _, method := range []string{"M2", "a.b", "!#$%&'*+-.^_`|~", "GET"} {
+		assert.NoError(t, (&Request{Method: method, URI: "/"}).validate(), method)
+	}
+	for _, method := range []string{"", "A B", "A(", "A/B", "A:", "A\x00", "A\r", "\u00c4", "A{", "A\x7f"} {
+		assert.ErrorIs(t, (&Request{Method: method, URI: "/"}).validate(), ErrInvalidRequest, method)
+	}
+}
--- a/forward/write.go
+++ b/forward/write.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httputil"
 	"strconv"
+	"strings"
 )
 
 const (
@@ -61,9 +62,15 @@
 	return nil
 }
 
+// tokenPunctuation are the characters of a token besides letters and digits (RFC
+// 9110, section 5.6.2).
+const tokenPunctuation = "!#$%&'*+-.^_`|~"
+
 func isToken(s string) bool {
 	for i := range len(s) {
-		if c := s[i]; (c < 'A' || c > 'Z') && (c < 'a' || c > 'z') && c != '-' && c != '_' {
+		c := s[i]
+		isLetterOrDigit := c >= 'A' && c <= 'Z' || c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
+		if !isLetterOrDigit && strings.IndexByte(tokenPunctuation, c) < 0 {
 			return false
 		}
 	}
--- a/gateway/failures_test.go
+++ b/gateway/failures_test.go
@@ -179,3 +179,15 @@
 	s.gateway.CancelAttempts("t0")
 	assert.Equal(t, 200, c.receive("POST").StatusCode)
 }
+
+// Guards against refusing a method that contains a digit, and against avoiding the
+// targets for it.
+func TestMethodWithDigitIsForwarded(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fastTargets(2)})
+	for i := range 6 {
+		id := fmt.Sprint("r", i)
+		assert.Equal(t, 200, s.request("M2", "/unsafe/x", id, "b").StatusCode)
+		assert.Equal(t, 1, s.executed(id))
+	}
+	assert.Equal(t, 200, s.request("POST", "/unsafe/x", "usual", "b").StatusCode)
+}
