Entry: a failed Run closes all listeners

What operators saw: none yet; found by reading. When one listener could not be opened or ended, Run returned and others stayed open: connections were accepted by an instance that had failed, and its addresses could not be used again.

The listeners are opened together, before anything is served, and closed together. A server that ends without an error is reported as a closed listener.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -50,10 +51,11 @@
 	events                *events.Log
 	metrics               *instanceMetrics
 	stateMachine          *lifecycle.Machine
-	leaving               atomic.Bool    // Set in every state after "serving".
-	ignoreIdempotencyKeys bool           // Tests only: executes requests with a key without checking the registry.
-	skipDrain             bool           // Tests only: stops without draining.
-	onAccept              func(net.Conn) // Tests only: called with each connection of a caller.
+	leaving               atomic.Bool      // Set in every state after "serving".
+	ignoreIdempotencyKeys bool             // Tests only: executes requests with a key without checking the registry.
+	skipDrain             bool             // Tests only: stops without draining.
+	onAccept              func(net.Conn)   // Tests only: called with each connection of a caller.
+	onListen              func(*listeners) // Tests only: called when Run has opened the listeners.
 	inFlight              atomic.Int64
 	relaysInFlight        atomic.Int64 // Requests relayed by peers that are being served.
 	peers                 *peer.Pool
@@ -128,26 +130,24 @@
 func (inst *Instance) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	listener, err := net.Listen("tcp", inst.settings.PeerAddress)
-	if err != nil {
-		return fmt.Errorf("listen for peers: %w", err)
-	}
 	inst.SetPeerHooks(PeerHooks{OnFrozen: inst.suspendTable})
-	operators, err := inst.operatorServer()
+	open, err := inst.listen()
 	if err != nil {
-		_ = listener.Close()
 		return err
 	}
-	callerListener, err := listenCallers(inst.settings.CallerAddress)
+	callers := inst.callerServer(open.callers)
+	operators, err := inst.operatorServer(open.operators)
 	if err != nil {
-		_ = listener.Close()
-		return fmt.Errorf("listen for callers: %w", err)
+		open.close()
+		return err
+	}
+	if inst.onListen != nil {
+		inst.onListen(open)
 	}
-	callers := inst.callerServer(callerListener)
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Run() }()
 	go func() { failed <- operators.Run() }()
-	go func() { failed <- inst.servePeers(background, listener) }()
+	go func() { failed <- inst.servePeers(background, open.peers) }()
 	go inst.watchDocument(background)
 	inst.notifier.outbox = peer.NewOutbox(background, inst.peers, inst.members.address)
 	go inst.runner.Run(background)
@@ -161,7 +161,8 @@
 	case <-ctx.Done():
 	case err := <-failed:
 		inst.fireTrigger("failed")
-		return fmt.Errorf("listener ended: %w", err)
+		open.close()
+		return fmt.Errorf("listener ended: %w", cmp.Or(err, net.ErrClosed))
 	}
-	return inst.stop(callerListener, callers, operators)
+	return inst.stop(open.callers, callers, operators)
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -34,11 +34,7 @@
 // not authenticated. The memory that they can occupy is bounded by the number
 // of connections, the first part of the request on each, and the limits of the
 // console.
-func (inst *Instance) operatorServer() (*server.Hertz, error) {
-	listener, err := net.Listen("tcp", inst.settings.OperatorAddress)
-	if err != nil {
-		return nil, fmt.Errorf("listen for operators: %w", err)
-	}
+func (inst *Instance) operatorServer(listener net.Listener) (*server.Hertz, error) {
 	h := server.New(append(console.ServerOptions(),
 		server.WithListener(limitConnections(listener, maxOperatorConnections)),
 		server.WithTransport(standard.NewTransporter),
@@ -52,7 +48,6 @@
 	h.GET("/metrics", inst.handleMetrics)
 	h.GET("/status", func(_ context.Context, c *app.RequestContext) { c.JSON(200, inst.status()) })
 	if err := console.Register(h, inst.consoleOptions()); err != nil {
-		_ = listener.Close()
 		return nil, fmt.Errorf("register console: %w", err)
 	}
 	return h, nil
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -321,3 +321,56 @@
 	}
 	return callerResponse{status: r.StatusCode, header: header, body: string(content)}
 }
+
+// Guards against an instance whose Run has failed and that still accepts requests
+// or operators, or keeps their addresses from being used again.
+func TestFailedRunClosesAllListeners(t *testing.T) {
+	for _, failing := range []string{"callers, at the start", "operators, at the start", "peers", "callers"} {
+		t.Run(failing, func(t *testing.T) {
+			original := startInstance(t, "o-1")
+			s := original.settings
+			s.CallerAddress, s.PeerAddress, s.OperatorAddress = freeAddress(t), freeAddress(t), freeAddress(t)
+			inst, err := New(s, original.log)
+			require.NoError(t, err)
+			addresses := []string{s.CallerAddress, s.PeerAddress, s.OperatorAddress}
+			occupied := map[string]string{"callers, at the start": s.CallerAddress, "operators, at the start": s.OperatorAddress}[failing]
+			if occupied != "" {
+				other, err := net.Listen("tcp", occupied)
+				require.NoError(t, err)
+				defer func() { _ = other.Close() }()
+			}
+			opened := make(chan *listeners, 1)
+			inst.onListen = func(l *listeners) { opened <- l }
+			ended := make(chan error, 1)
+			go func() { ended <- inst.Run(t.Context()) }()
+			if occupied == "" {
+				l := <-opened
+				for _, address := range addresses {
+					c, err := net.Dial("tcp", address)
+					require.NoError(t, err)
+					require.NoError(t, c.Close())
+				}
+				require.NoError(t, map[string]net.Listener{"peers": l.peers, "callers": l.callers}[failing].Close())
+			}
+			select {
+			case err := <-ended:
+				require.Error(t, err)
+				assert.NotContains(t, err.Error(), "%!")
+			case <-time.After(waitTimeout):
+				require.Fail(t, "Run has not ended")
+			}
+			for _, address := range addresses {
+				if address == occupied {
+					continue
+				}
+				assert.Eventually(t, func() bool {
+					l, err := net.Listen("tcp", address)
+					if err == nil {
+						_ = l.Close()
+					}
+					return err == nil
+				}, 2*time.Second, 10*time.Millisecond, address)
+			}
+		})
+	}
+}
