Entry: fetches begun by heartbeats end with Run

A heartbeat with a newer configuration version started a goroutine with a context that nothing ended: a fetch went on after Run had returned.

TestConfigFetchEndsWithRun: fetches in progress should be zero, but was 1

Such fetches run as tasks of the instance. Run cancels them and waits for their end; later heartbeats start none.

--- a/entry/config.go
+++ b/entry/config.go
@@ -83,5 +83,5 @@
 		return
 	}
 	member := configsync.Member{Name: from.GetName(), Domain: from.GetDomain()}
-	go inst.config.relay.ObserveVersion(context.Background(), member, version)
+	inst.tasks.start(func(ctx context.Context) { inst.config.relay.ObserveVersion(ctx, member, version) })
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,6 +59,7 @@
 	inFlight              atomic.Int64
 	relaysInFlight        atomic.Int64 // Requests relayed by peers that are being served.
 	peers                 *peer.Pool
+	tasks                 *tasks
 	linkLimiter           *linkLimiter
 	pendingBodies         pendingBodies
 	crashReports          *ring.Ring[quarantine.Report]
@@ -88,6 +89,7 @@
 		keyRegistry:     records,
 		quarantineGuard: quarantine.New(),
 		peers:           peer.NewPool(),
+		tasks:           newTasks(),
 		crashReports:    ring.New[quarantine.Report](maxQueuedCrashReports),
 		prober:          &prober{running: map[string]bool{}},
 		regionDelays:    &regionDelays{delays: map[string]time.Duration{}},
@@ -130,6 +132,7 @@
 func (inst *Instance) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	defer inst.tasks.stop()
 	inst.SetPeerHooks(PeerHooks{OnFrozen: inst.suspendTable})
 	open, err := inst.listen()
 	if err != nil {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -19,9 +19,11 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/lookup"
 	"github.com/jacinthstall/jacinthstall/outcome"
+	"github.com/jacinthstall/jacinthstall/peer/peerpb"
 	"github.com/jacinthstall/jacinthstall/policy"
 )
 
@@ -374,3 +376,48 @@
 		})
 	}
 }
+
+// silentConfigPeers never respond to a fetch.
+type silentConfigPeers struct {
+	configsync.Peers
+	fetching atomic.Int64
+	started  chan struct{}
+}
+
+func (peers *silentConfigPeers) Members() []configsync.Member { return nil }
+
+func (peers *silentConfigPeers) Fetch(ctx context.Context, _ string, _ *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error) {
+	peers.fetching.Add(1)
+	defer peers.fetching.Add(-1)
+	peers.started <- struct{}{}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a fetch of a configuration, begun by a heartbeat, that goes on
+// after Run has returned, or begins then.
+func TestConfigFetchEndsWithRun(t *testing.T) {
+	original := startInstance(t, "o-1")
+	s := original.settings
+	s.CallerAddress, s.PeerAddress, s.OperatorAddress = freeAddress(t), freeAddress(t), freeAddress(t)
+	inst, err := New(s, original.log)
+	require.NoError(t, err)
+	inst.skipDrain = true
+	peers := &silentConfigPeers{started: make(chan struct{}, 2)}
+	inst.config.relay = configsync.NewRelay(configsync.Member{Name: s.Name, Domain: s.Domain}, inst.config.store, peers, nil, inst.events, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	listening, ended := make(chan struct{}), make(chan error, 1)
+	inst.onListen = func(*listeners) { close(listening) }
+	go func() { ended <- inst.Run(ctx) }()
+	<-listening
+	heartbeat := &peerpb.HeartbeatRequest{From: &peerpb.MemberUpdate{Name: "p-1", Domain: s.Domain}, ConfigVersion: 7}
+	_, err = (&peerServer{instance: inst}).Heartbeat(ctx, heartbeat)
+	require.NoError(t, err)
+	<-peers.started
+	cancel()
+	require.NoError(t, <-ended)
+	assert.Zero(t, peers.fetching.Load())
+	_, err = (&peerServer{instance: inst}).Heartbeat(t.Context(), heartbeat)
+	require.NoError(t, err)
+	assert.Empty(t, peers.started)
+}
