--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -19,9 +19,11 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/lookup"
 	"github.com/jacinthstall/jacinthstall/outcome"
+	"github.com/jacinthstall/jacinthstall/peer/peerpb"
 	"github.com/jacinthstall/jacinthstall/policy"
 )
 
@@ -321,3 +323,101 @@
 	}
 	return callerResponse{status: r.StatusCode, header: header, body: string(content)}
 }
+
+// Guards against an instance whose Run has failed and that still accepts requests
+// or operators, or keeps their addresses from being used again.
+func TestFailedRunClosesAllListeners(t *testing.T) {
+	for _, failing := range []string{"callers, at the start", "operators, at the start", "peers", "callers"} {
+		t.Run(failing, func(t *testing.T) {
+			original := startInstance(t, "o-1")
+			s := original.settings
+			s.CallerAddress, s.PeerAddress, s.OperatorAddress = freeAddress(t), freeAddress(t), freeAddress(t)
+			inst, err := New(s, original.log)
+			require.NoError(t, err)
+			addresses := []string{s.CallerAddress, s.PeerAddress, s.OperatorAddress}
+			occupied := map[string]string{"callers, at the start": s.CallerAddress, "operators, at the start": s.OperatorAddress}[failing]
+			if occupied != "" {
+				other, err := net.Listen("tcp", occupied)
+				require.NoError(t, err)
+				defer func() { _ = other.Close() }()
+			}
+			opened := make(chan *listeners, 1)
+			inst.onListen = func(l *listeners) { opened <- l }
+			ended := make(chan error, 1)
+			go func() { ended <- inst.Run(t.Context()) }()
+			if occupied == "" {
+				l := <-opened
+				for _, address := range addresses {
+					c, err := net.Dial("tcp", address)
+					require.NoError(t, err)
+					require.NoError(t, c.Close())
+				}
+				require.NoError(t, map[string]net.Listener{"peers": l.peers, "callers": l.callers}[failing].Close())
+			}
+			select {
+			case err := <-ended:
+				require.Error(t, err)
+				assert.NotContains(t, err.Error(), "%!")
+			case <-time.After(waitTimeout):
+				require.Fail(t, "Run has not ended")
+			}
+			for _, address := range addresses {
+				if address == occupied {
+					continue
+				}
+				assert.Eventually(t, func() bool {
+					l, err := net.Listen("tcp", address)
+					if err == nil {
+						_ = l.Close()
+					}
+					return err == nil
+				}, 2*time.Second, 10*time.Millisecond, address)
+			}
+		})
+	}
+}
+
+// silentConfigPeers never respond to a fetch.
+type silentConfigPeers struct {
+	configsync.Peers
+	fetching atomic.Int64
+	started  chan struct{}
+}
+
+func (peers *silentConfigPeers) Members() []configsync.Member { return nil }
+
+func (peers *silentConfigPeers) Fetch(ctx context.Context, _ string, _ *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error) {
+	peers.fetching.Add(1)
+	defer peers.fetching.Add(-1)
+	peers.started <- struct{}{}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a fetch of a configuration, begun by a heartbeat, that goes on
+// after Run has returned, or begins then.
+func TestConfigFetchEndsWithRun(t *testing.T) {
+	original := startInstance(t, "o-1")
+	s := original.settings
+	s.CallerAddress, s.PeerAddress, s.OperatorAddress = freeAddress(t), freeAddress(t), freeAddress(t)
+	inst, err := New(s, original.log)
+	require.NoError(t, err)
+	inst.skipDrain = true
+	peers := &silentConfigPeers{started: make(chan struct{}, 2)}
+	inst.config.relay = configsync.NewRelay(configsync.Member{Name: s.Name, Domain: s.Domain}, inst.config.store, peers, nil, inst.events, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	listening, ended := make(chan struct{}), make(chan error, 1)
+	inst.onListen = func(*listeners) { close(listening) }
+	go func() { ended <- inst.Run(ctx) }()
+	<-listening
+	heartbeat := &peerpb.HeartbeatRequest{From: &peerpb.MemberUpdate{Name: "p-1", Domain: s.Domain}, ConfigVersion: 7}
+	_, err = (&peerServer{instance: inst}).Heartbeat(ctx, heartbeat)
+	require.NoError(t, err)
+	<-peers.started
+	cancel()
+	require.NoError(t, <-ended)
+	assert.Zero(t, peers.fetching.Load())
+	_, err = (&peerServer{instance: inst}).Heartbeat(t.Context(), heartbeat)
+	require.NoError(t, err)
+	assert.Empty(t, peers.started)
+}
--- a/forward/requestid_test.go
+++ b/forward/requestid_test.go
@@ -12,8 +12,8 @@
 
 const idHeader = "X-Id"
 
-// identifiedRequest returns a request whose responses are matched by an ID.
-func identifiedRequest(method, id string) *Request {
+// requestWithID returns a request whose responses are matched by an ID.
+func requestWithID(method, id string) *Request {
 	return &Request{ID: id, Method: method, URI: "/", Header: http.Header{idHeader: {id}}, MatchResponse: func(h http.Header) ResponseMatch {
 		switch h.Get(idHeader) {
 		case id:
@@ -50,12 +50,12 @@
 	f := New()
 	defer f.Close()
 	for i, connection := range []string{"1", "2", "3"} {
-		_, content, err := doExchange(t, f, target.destination(), identifiedRequest("GET", "a"))
+		_, content, err := doExchange(t, f, target.destination(), requestWithID("GET", "a"))
 		require.NoError(t, err)
 		assert.Equal(t, connection, content, "request %d", i)
 	}
 	for _, id := range []string{"b", "c", "d"} {
-		_, _, err := doExchange(t, f, target.destination(), identifiedRequest("GET", id))
+		_, _, err := doExchange(t, f, target.destination(), requestWithID("GET", id))
 		require.NoError(t, err)
 	}
 	assert.Equal(t, 3, target.connectionCount(), "requests with other IDs use open connections")
@@ -72,7 +72,7 @@
 	for _, c := range []struct{ id, connection string }{
 		{"a", "1"}, {"a", "2"}, {"b", "2"}, {"b", "1"}, {"c", "1"}, {"a", "3"},
 	} {
-		_, content, err := doExchange(t, f, to, identifiedRequest("GET", c.id))
+		_, content, err := doExchange(t, f, to, requestWithID("GET", c.id))
 		require.NoError(t, err)
 		assert.Equal(t, c.connection, content, c.id)
 		assert.LessOrEqual(t, f.pool.openCount[to.Address], 2)
@@ -85,7 +85,7 @@
 	f := New()
 	defer f.Close()
 	for i := range maxRequestIDs + 1 {
-		_, _, err := doExchange(t, f, target.destination(), identifiedRequest("GET", fmt.Sprint(i)))
+		_, _, err := doExchange(t, f, target.destination(), requestWithID("GET", fmt.Sprint(i)))
 		require.NoError(t, err)
 	}
 	assert.Equal(t, 2, target.connectionCount())
@@ -110,7 +110,7 @@
 	f := New()
 	defer f.Close()
 	for _, c := range []struct{ id, connection string }{{"a", "1"}, {"b", "1"}, {"c", "2"}} {
-		_, content, err := doExchange(t, f, target.destination(), identifiedRequest("GET", c.id))
+		_, content, err := doExchange(t, f, target.destination(), requestWithID("GET", c.id))
 		require.NoError(t, err)
 		assert.Equal(t, c.connection, content, c.id)
 	}
@@ -130,8 +130,8 @@
 	})
 	f := New()
 	defer f.Close()
-	_, _, err := doExchange(t, f, target.destination(), identifiedRequest("GET", "a"))
+	_, _, err := doExchange(t, f, target.destination(), requestWithID("GET", "a"))
 	require.NoError(t, err)
-	_, _, err = doExchange(t, f, target.destination(), identifiedRequest("HEAD", "b"))
+	_, _, err = doExchange(t, f, target.destination(), requestWithID("HEAD", "b"))
 	assert.ErrorIs(t, err, errLateResponses)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -30,7 +30,10 @@
 	// RefuseEvery makes targets refuse one in so many requests with free slots and
 	// repeat their refusals; see wiretarget.Target.RepeatRefusals. 0 means none.
 	RefuseEvery int
-	Log         io.Writer // Receives a line for each injected fault.
+	// CutResponses makes targets break off a part of their responses after a random
+	// number of bytes.
+	CutResponses bool
+	Log          io.Writer // Receives a line for each injected fault.
 }
 
 // Result holds the numbers of requests by outcome and the violations of a run.
