An item of the store that cannot be read costs only itself

Callers saw: an instance that no longer follows the store. One item with a revision that does not fit or a value that is not base64 made a whole page or watch fail; the instance took the store for lost and asked again from the same revision, with the same result.

An item without key or revision is logged and skipped.

--- a/kv/store.go
+++ b/kv/store.go
@@ -16,6 +16,7 @@
 	Value    []byte
 	Revision uint64
 	Deleted  bool
+	Fault    string // Why the item cannot be read, or "". Its other fields may be unset.
 }
 
 // LeaseID identifies a lease of a Store.
--- a/mirror/apply.go
+++ b/mirror/apply.go
@@ -33,6 +33,10 @@
 func (mirror *Mirror) apply(changes []kv.Item, revision uint64, now time.Time, source string) {
 	var updates []steering.Update
 	for _, change := range changes {
+		if change.Key == "" || change.Revision == 0 {
+			mirror.options.Events.Emit(events.RecordRejected, log.Fields{"key": change.Key, "revision": change.Revision, "error": change.Fault})
+			continue
+		}
 		if !mirror.accept(change) {
 			continue
 		}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -329,3 +329,19 @@
 	s.changes <- watchResponse{revision: 5}
 	assert.Zero(t, s.ranges)
 }
+
+// Guards against an item without a readable key or revision that affects other
+// records.
+func TestItemWithoutKeyOrRevisionIsSkipped(t *testing.T) {
+	m := newMirror(nil)
+	now := time.Now()
+	m.replaceAll([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, 3, now, "store")
+	m.replaceAll([]kv.Item{{Key: "t:1", Fault: "bad revision"}, {Revision: 4, Fault: "bad key"}, put("t:2", "b", 2), put("t:3", "c", 5)}, 5, now, "store")
+	assert.ElementsMatch(t, []string{"1", "2", "3"}, ids(m.State()))
+	m.apply([]kv.Item{{Fault: "bad"}, {Key: "t:2", Fault: "bad revision"}, put("t:4", "d", 6)}, 6, now, "store")
+	assert.ElementsMatch(t, []string{"1", "2", "3", "4"}, ids(m.State()))
+	assert.Equal(t, uint64(6), m.Revision())
+	for _, item := range m.ChangesSince(0).Items {
+		assert.Empty(t, item.Fault, "peers get readable records")
+	}
+}
