Large records that are rewritten do not fill the memory of instances

Callers saw: instances over their memory limit, which ends them. A watch returns every version of every changed record, and its size had no limit.

A response now has at most 8 MB. Responses are decoded without a copy. The stand-in's pages now end after 1 MB, as the protocol says.

--- a/kv/httpclient.go
+++ b/kv/httpclient.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/url"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 )
@@ -21,8 +23,15 @@
 	maxConnections = 64
 	// maxIdleTime is shorter than the usual idle timeout of servers.
 	maxIdleTime = 5 * time.Second
+	// maxResponseBytes is the size limit of a response. A page of a store has
+	// some 1 MB; all registrations of a large deployment take some 4 MB.
+	maxResponseBytes = 8 << 20
 )
 
+// ErrResponseTooLarge is the cause of the error of a call whose response is
+// larger than the client accepts.
+var ErrResponseTooLarge = fmt.Errorf("response has more than %d bytes", maxResponseBytes)
+
 // Call is one HTTP call of a key-value service. Responses are JSON.
 type Call struct {
 	Op, Key string // For error messages.
@@ -58,7 +67,8 @@
 // other status, the outcome of the call is unknown.
 func NewHTTPClient(address string, errorByStatus map[int]error) (*HTTPClient, error) {
 	options := []config.ClientOption{client.WithDialTimeout(dialTimeout), client.WithDialer(standard.NewDialer()),
-		client.WithMaxConnsPerHost(maxConnections), client.WithMaxIdleConnDuration(maxIdleTime)}
+		client.WithMaxConnsPerHost(maxConnections), client.WithMaxIdleConnDuration(maxIdleTime),
+		{F: func(o *config.ClientOptions) { o.MaxResponseBodySize = maxResponseBytes }}}
 	reads, err := client.NewClient(options...)
 	if err != nil {
 		return nil, fmt.Errorf("key-value client: %w", err)
@@ -77,10 +87,17 @@
 // Do makes a call and decodes the response into dest, unless dest is nil. Errors
 // are of type *Error.
 func (c *HTTPClient) Do(ctx context.Context, call Call, dest any) error {
-	status, body, err := c.roundTrip(ctx, call)
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	err := c.roundTrip(ctx, call, req, resp)
+	if errors.Is(err, hertzerrors.ErrBodyTooLarge) {
+		return &Error{Op: call.Op, Key: call.Key, Kind: call.unknownOutcome(), Cause: ErrResponseTooLarge}
+	}
 	if err != nil {
 		return &Error{Op: call.Op, Key: call.Key, Kind: TransportErrorKind(err, call.unknownOutcome()), Cause: err}
 	}
+	status := resp.StatusCode()
 	kind, known := c.errorByStatus[status]
 	if !known {
 		kind = call.unknownOutcome()
@@ -91,16 +108,13 @@
 	if dest == nil {
 		return nil
 	}
-	if err := json.Unmarshal(body, dest); err != nil {
+	if err := json.Unmarshal(resp.Body(), dest); err != nil {
 		return &Error{Op: call.Op, Key: call.Key, Kind: call.unknownOutcome(), Cause: err}
 	}
 	return nil
 }
 
-func (c *HTTPClient) roundTrip(ctx context.Context, call Call) (int, []byte, error) {
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
+func (c *HTTPClient) roundTrip(ctx context.Context, call Call, req *protocol.Request, resp *protocol.Response) error {
 	req.SetMethod(call.Method)
 	uri := c.base + call.Path
 	if call.Query != nil {
@@ -117,8 +131,5 @@
 	if call.isWrite() {
 		httpClient = c.writes
 	}
-	if err := httpClient.DoTimeout(ctx, req, resp, call.Timeout); err != nil {
-		return 0, nil, err
-	}
-	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+	return httpClient.DoTimeout(ctx, req, resp, call.Timeout)
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -146,6 +146,10 @@
 // may have granted to others what this instance held.
 func (mirror *Mirror) ClearStoreReachable() { mirror.storeFailing.Store(true) }
 
+// reasonHistoryGone is the reason for a full read after a watch whose changes
+// are not available.
+const reasonHistoryGone = "history-gone"
+
 // Run keeps the records in sync with the store until ctx ends.
 func (mirror *Mirror) Run(ctx context.Context) {
 	pause := minBackoff
@@ -172,7 +176,7 @@
 			err = mirror.watchStore(ctx)
 		}
 		if errors.Is(err, kv.ErrHistoryGone) {
-			mirror.loaded, reason = false, "history-gone"
+			mirror.loaded, reason = false, reasonHistoryGone
 			continue
 		}
 		if err == nil {
@@ -197,6 +201,9 @@
 	mirror.loaded = true
 	mirror.options.Events.Emit(events.StoreRead, log.Fields{"revision": revision, "items": len(items), "reason": reason})
 	mirror.replaceAll(items, revision, now, "store")
+	if reason == reasonHistoryGone {
+		sleep(ctx, changePause) // The next watch may fail for the same reason.
+	}
 	return nil
 }
 
--- a/standin/metastore/server.go
+++ b/standin/metastore/server.go
@@ -15,6 +15,8 @@
 
 const (
 	maxPageItems = 500
+	// maxPageBytes is the size of values after which a page ends.
+	maxPageBytes = 1 << 20
 	maxWatchWait = 30 * time.Second
 	// hangDuration is how long a call is held open under the Silent fault before
 	// its connection is closed.
@@ -108,16 +110,17 @@
 func (store *Store) handleRange(_ context.Context, c *app.RequestContext) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
-	items, hasMore := []Item{}, false
+	items, size, hasMore := []Item{}, 0, false
 	for _, key := range store.keysWithPrefix(c.Query("prefix")) {
 		if key <= c.Query("after") {
 			continue
 		}
-		if len(items) == maxPageItems {
+		if len(items) == maxPageItems || size >= maxPageBytes {
 			hasMore = true
 			break
 		}
 		items = append(items, store.items[key])
+		size += len(store.items[key].Value)
 	}
 	c.JSON(200, map[string]any{"items": items, "hasMore": hasMore, "atRev": store.revision})
 }
