A rejected record is logged once, and its value is not kept

Operators saw a line for each write of a record that cannot be used: writers renew records with every heartbeat. The values were kept and sent to peers, which read messages of at most 4 MB, so that instances that follow a peer could not take its state.

The mirror remembers the fault that it logged for a key until the record is valid or deleted, for at most 4096 keys; a record whose faults differ each time is logged at most every 10 s. The fault replaces the value of a record that no instance can use, so that peers log the same cause. Descriptions are limited to 512 bytes, and to 8 KB for a configuration that holds in part.

--- a/mirror/apply.go
+++ b/mirror/apply.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -34,15 +35,25 @@
 	var updates []steering.Update
 	for _, change := range changes {
 		if change.Key == "" || change.Revision == 0 {
-			mirror.options.Events.Emit(events.RecordRejected, log.Fields{"key": change.Key, "revision": change.Revision, "error": change.Fault})
+			mirror.logRejection(change, boundedText(change.Fault, maxUnusableFaultBytes), rejectionLogInterval, now)
 			continue
 		}
 		if !mirror.accept(change) {
 			continue
 		}
 		update, err := mirror.options.Codec.DecodeUpdate(change, now)
-		if err != nil {
-			mirror.options.Events.Emit(events.RecordRejected, log.Fields{"key": change.Key, "revision": change.Revision, "error": err.Error()})
+		fault := ""
+		switch {
+		case err == nil:
+			delete(mirror.rejections, change.Key)
+		case usesValue(update):
+			mirror.logRejection(change, boundedText(err.Error(), maxPartialFaultBytes), 0, now)
+		default:
+			fault = boundedText(err.Error(), maxUnusableFaultBytes)
+			mirror.logRejection(change, fault, rejectionLogInterval, now)
+		}
+		if !change.Deleted && !usesValue(update) {
+			mirror.dropValue(change, fault)
 		}
 		if update == nil || mirror.holdLapsedTarget(change, update, now) {
 			continue
@@ -78,6 +89,66 @@
 	return true
 }
 
+// usesValue reports whether the value of a record is needed for an update.
+func usesValue(update steering.Update) bool {
+	switch update.(type) {
+	case nil, steering.TargetRemoval, steering.InstanceRemoval, steering.EvacuationUpdate:
+		return false
+	}
+	return true
+}
+
+// dropValue replaces the value of a stored record, which no instance can use, by
+// the reason. Values may be large, and peers receive all records.
+func (mirror *Mirror) dropValue(change kv.Item, fault string) {
+	mirror.mu.Lock()
+	defer mirror.mu.Unlock()
+	change.Value, change.Fault = nil, fault
+	mirror.items[change.Key] = change
+	mirror.history.replace(change)
+}
+
+// rejection is the last logged fault of a record.
+type rejection struct {
+	fault string
+	at    time.Time
+}
+
+const (
+	// maxUnusableFaultBytes limits the description of the faults of a record that
+	// cannot be used at all.
+	maxUnusableFaultBytes = 512
+	// maxPartialFaultBytes is the same for a record that holds in part, such as a
+	// configuration with invalid fields.
+	maxPartialFaultBytes = 8 << 10
+	// rejectionLogInterval is the shortest time between log lines about different
+	// faults of a record that cannot be used. The same fault is logged once.
+	rejectionLogInterval = 10 * time.Second
+	// maxRejections bounds the records whose faults are remembered.
+	maxRejections = 4096
+)
+
+func boundedText(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	return strings.ToValidUTF8(text[:limit], "") + "..."
+}
+
+// logRejection logs a fault of a record. Writers renew their records with every
+// heartbeat, so a fault that was logged is not logged again.
+func (mirror *Mirror) logRejection(change kv.Item, fault string, interval time.Duration, now time.Time) {
+	last, known := mirror.rejections[change.Key]
+	if known && (last.fault == fault || now.Sub(last.at) < interval) {
+		return
+	}
+	if !known && len(mirror.rejections) >= maxRejections {
+		clear(mirror.rejections)
+	}
+	mirror.rejections[change.Key] = rejection{fault, now}
+	mirror.options.Events.Emit(events.RecordRejected, log.Fields{"key": change.Key, "revision": change.Revision, "error": fault})
+}
+
 // holdLapsedTarget keeps a target whose record lapsed during a store outage
 // until its writer has had time to renew it.
 func (mirror *Mirror) holdLapsedTarget(change kv.Item, update steering.Update, now time.Time) bool {
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// replace replaces the latest change of a key if it is held.
+func (history *history) replace(change kv.Item) {
+	if i, known := history.index[change.Key]; known {
+		history.items[i] = change
+	}
+}
+
 // compact removes empty items and the oldest ones in excess of maxHistoryKeys.
 func (history *history) compact() {
 	excess := len(history.index) - maxHistoryKeys
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -121,12 +121,13 @@
 	loaded        bool                 // All records have been read from the store or a peer.
 	lostSince     time.Time            // Since when the store hasn't responded; zero when it responds.
 	heldTargets   map[string]time.Time // Until when targets with lapsed records are kept, by key.
+	rejections    map[string]rejection // Faults of records that were logged, by key.
 	lastPeerFetch time.Time            // Last fetch from a peer while the store didn't respond.
 }
 
 // New returns a mirror without records.
 func New(options Options) *Mirror {
-	mirror := &Mirror{options: options, started: time.Now(), items: map[string]kv.Item{}, heldTargets: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+	mirror := &Mirror{options: options, started: time.Now(), items: map[string]kv.Item{}, heldTargets: map[string]time.Time{}, rejections: map[string]rejection{}, wake: make(chan struct{}, 1)}
 	mirror.state.Store(steering.NewState().Apply(0, nil))
 	return mirror
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -68,12 +68,12 @@
 func (fakeCodec) DecodeUpdate(item kv.Item, _ time.Time) (steering.Update, error) {
 	id, isTarget := strings.CutPrefix(item.Key, "t:")
 	switch {
-	case isTarget && (item.Deleted || string(item.Value) == "bad"):
-		err := errBad
-		if item.Deleted {
-			err = nil
-		}
-		return steering.TargetRemoval{ID: id}, err
+	case isTarget && item.Deleted:
+		return steering.TargetRemoval{ID: id}, nil
+	case isTarget && item.Fault != "":
+		return steering.TargetRemoval{ID: id}, errors.New(item.Fault)
+	case isTarget && strings.HasPrefix(string(item.Value), "bad"):
+		return steering.TargetRemoval{ID: id}, fmt.Errorf("%w: %s", errBad, item.Value)
 	case isTarget:
 		return steering.TargetUpdate{Target: &steering.Target{ID: id, Service: "s", Address: string(item.Value)}}, nil
 	case item.Key == "c" && !item.Deleted:
@@ -345,3 +345,93 @@
 		assert.Empty(t, item.Fault, "peers get readable records")
 	}
 }
+
+// logLines counts the log lines that a mirror with the codec writes, by event
+// and key.
+type logLines struct{ list []map[string]any }
+
+func (l *logLines) HandleLog(entry *log.Entry) error {
+	l.list = append(l.list, entry.Fields)
+	return nil
+}
+
+func (l *logLines) of(key string) []string {
+	var errs []string
+	for _, fields := range l.list {
+		if fields["key"] == key {
+			errs = append(errs, fmt.Sprint(fields["error"]))
+		}
+	}
+	return errs
+}
+
+func newLoggedMirror() (*Mirror, *logLines) {
+	lines := &logLines{}
+	return New(Options{Codec: fakeCodec{}, Events: events.New(&log.Logger{Handler: lines, Level: log.DebugLevel})}), lines
+}
+
+// Guards against a record that can't be used and floods the log because its
+// writer renews it with each heartbeat.
+func TestRejectedRecordIsLoggedOnce(t *testing.T) {
+	m, lines := newLoggedMirror()
+	now := time.Now()
+	revision := uint64(1)
+	write := func(key, value string) {
+		m.apply([]kv.Item{put(key, value, revision)}, revision, now, "store")
+		revision++
+		now = now.Add(1500 * time.Millisecond)
+	}
+	for range 100 {
+		write("t:1", "bad")
+		write("t:2", "bad")
+	}
+	assert.Len(t, lines.of("t:1"), 1)
+	assert.Len(t, lines.of("t:2"), 1)
+	write("t:1", "a")
+	write("t:1", "bad")
+	assert.Len(t, lines.of("t:1"), 2, "it was valid in between")
+	m.apply([]kv.Item{{Key: "t:1", Revision: revision, Deleted: true}}, revision, now, "store")
+	revision++
+	write("t:1", "bad")
+	assert.Len(t, lines.of("t:1"), 3, "it was deleted in between")
+	for i := range 100 {
+		write("t:3", fmt.Sprint("bad ", i))
+	}
+	assert.Greater(t, len(lines.of("t:3")), 1, "another fault is logged")
+	assert.Less(t, len(lines.of("t:3")), 20, "faults that change each time are not all logged")
+	for range 100 {
+		m.apply([]kv.Item{{Key: "t:4", Fault: "bad revision"}, {Fault: "bad key"}}, revision, now, "store")
+	}
+	assert.Len(t, lines.of("t:4"), 1)
+	assert.Len(t, lines.of(""), 1)
+	revision++
+	write("t:5", "bad "+strings.Repeat("x", 1_000_000))
+	require.Len(t, lines.of("t:5"), 1)
+	assert.Less(t, len(lines.of("t:5")[0]), 16<<10)
+	for i := range 3 * maxRejections {
+		m.apply([]kv.Item{{Key: fmt.Sprint("t:many", i), Fault: "bad revision"}}, revision, now, "store")
+	}
+	assert.LessOrEqual(t, len(m.rejections), maxRejections)
+}
+
+// Guards against messages between instances that are too large to be received
+// because of records that no instance can use.
+func TestValuesOfRejectedRecordsAreNotKept(t *testing.T) {
+	m, _ := newLoggedMirror()
+	now := time.Now()
+	large := strings.Repeat("x", 1_000_000)
+	m.replaceAll([]kv.Item{put("t:1", "a", 1)}, 1, now, "store")
+	m.apply([]kv.Item{put("t:2", "bad "+large, 2), put("other", large, 3), put("t:3", "c", 4)}, 4, now, "store")
+	for _, snapshot := range []Snapshot{m.ChangesSince(1), m.ChangesSince(0)} {
+		size := 0
+		for _, item := range snapshot.Items {
+			size += len(item.Value) + len(item.Fault)
+		}
+		assert.Less(t, size, 1024)
+		peer, lines := newLoggedMirror()
+		peer.replaceAll([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 1)}, 1, now, "store")
+		peer.apply(snapshot.Items, snapshot.Revision, now, "peer")
+		assert.ElementsMatch(t, []string{"1", "3"}, ids(peer.State()), "peers reject the record too")
+		assert.Len(t, lines.of("t:2"), 1)
+	}
+}
