--- a/node/snapshots.go
+++ b/node/snapshots.go
@@ -13,8 +13,10 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/jacinthstall/jacinthstall/mirror"
 )
@@ -22,7 +24,10 @@
 const (
 	// fetchTimeout bounds the fetch of a snapshot from a peer.
 	fetchTimeout = time.Second
-	rpcSnapshot  = "/jacinthstall.Mirror/Snapshot"
+	// maxMessageBytes bounds a message as it is sent. Home tables and large
+	// records of other writers are hard to compress.
+	maxMessageBytes = 16 << 20
+	rpcSnapshot     = "/jacinthstall.Mirror/Snapshot"
 )
 
 // snapshotRequest asks for the changes after a revision.
@@ -119,11 +124,16 @@
 func fetchSnapshot(ctx context.Context, p mirror.Peer, after uint64) (mirror.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	return requestSnapshot(ctx, p, after)
+}
+
+func requestSnapshot(ctx context.Context, p mirror.Peer, after uint64) (mirror.Snapshot, error) {
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.Address)
 	if err != nil {
 		return mirror.Snapshot{}, err
 	}
-	conn := drpcconn.New(raw)
+	options := drpcconn.Options{Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}}
+	conn := drpcconn.NewWithOptions(raw, options)
 	defer func() { _ = conn.Close() }()
 	var s mirror.Snapshot
 	err = conn.Invoke(ctx, rpcSnapshot, compressedEncoding{}, &snapshotRequest{After: after}, &s)
