A home table that cannot be read is replaced

Not seen in operation. When another writer damages the region's home table, the table stays in force, as it should, but with its old revision, so that each write of the next one meets a revision conflict.

Evidence: TestDamagedHomeTableIsReplaced failed before the change: "swap jacinthstall/homes/r: platform: revision conflict: status 412". A write now names the revision of the record that was rejected. A readable table is still not overwritten unseen.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -101,8 +101,8 @@
 }
 
 // Mirror holds the records and the state built from them. State, Revision,
-// ChangesSince, StoreReachable, ClearStoreReachable and Wake may be called from
-// any goroutine.
+// RejectedRevision, ChangesSince, StoreReachable, ClearStoreReachable and Wake may
+// be called from any goroutine.
 type Mirror struct {
 	options      Options
 	state        atomic.Pointer[steering.State]
@@ -282,6 +282,15 @@
 	return mirror.revision
 }
 
+// RejectedRevision returns the revision of the record of a key if it cannot be
+// used.
+func (mirror *Mirror) RejectedRevision(key string) (uint64, bool) {
+	mirror.mu.Lock()
+	defer mirror.mu.Unlock()
+	record := mirror.items[key]
+	return record.Revision, record.Fault != ""
+}
+
 func (mirror *Mirror) handleStoreError(err error) {
 	mirror.storeFailing.Store(true)
 	if !mirror.lostSince.IsZero() {
--- a/node/homes.go
+++ b/node/homes.go
@@ -67,7 +67,11 @@
 	if err != nil {
 		return err
 	}
-	return node.options.Store.Swap(ctx, node.options.Platform.HomesKey(node.self.Region), value, table.Revision)
+	key, revision := node.options.Platform.HomesKey(node.self.Region), table.Revision
+	if rejected, ok := node.mirror.RejectedRevision(key); ok {
+		revision = rejected // A record that cannot be read is replaced.
+	}
+	return node.options.Store.Swap(ctx, key, value, revision)
 }
 
 func moveLogFields(m balance.HomeMove) log.Fields {
