--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -101,8 +101,8 @@
 }
 
 // Mirror holds the records and the state built from them. State, Revision,
-// ChangesSince, StoreReachable, ClearStoreReachable and Wake may be called from
-// any goroutine.
+// RejectedRevision, ChangesSince, StoreReachable, ClearStoreReachable and Wake may
+// be called from any goroutine.
 type Mirror struct {
 	options      Options
 	state        atomic.Pointer[steering.State]
@@ -121,12 +121,13 @@
 	loaded        bool                 // All records have been read from the store or a peer.
 	lostSince     time.Time            // Since when the store hasn't responded; zero when it responds.
 	heldTargets   map[string]time.Time // Until when targets with lapsed records are kept, by key.
+	rejections    map[string]rejection // Faults of records that were logged, by key.
 	lastPeerFetch time.Time            // Last fetch from a peer while the store didn't respond.
 }
 
 // New returns a mirror without records.
 func New(options Options) *Mirror {
-	mirror := &Mirror{options: options, started: time.Now(), items: map[string]kv.Item{}, heldTargets: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+	mirror := &Mirror{options: options, started: time.Now(), items: map[string]kv.Item{}, heldTargets: map[string]time.Time{}, rejections: map[string]rejection{}, wake: make(chan struct{}, 1)}
 	mirror.state.Store(steering.NewState().Apply(0, nil))
 	return mirror
 }
@@ -146,6 +147,10 @@
 // may have granted to others what this instance held.
 func (mirror *Mirror) ClearStoreReachable() { mirror.storeFailing.Store(true) }
 
+// reasonHistoryGone is the reason for a full read after a watch whose changes
+// are not available.
+const reasonHistoryGone = "history-gone"
+
 // Run keeps the records in sync with the store until ctx ends.
 func (mirror *Mirror) Run(ctx context.Context) {
 	pause := minBackoff
@@ -172,7 +177,7 @@
 			err = mirror.watchStore(ctx)
 		}
 		if errors.Is(err, kv.ErrHistoryGone) {
-			mirror.loaded, reason = false, "history-gone"
+			mirror.loaded, reason = false, reasonHistoryGone
 			continue
 		}
 		if err == nil {
@@ -197,6 +202,9 @@
 	mirror.loaded = true
 	mirror.options.Events.Emit(events.StoreRead, log.Fields{"revision": revision, "items": len(items), "reason": reason})
 	mirror.replaceAll(items, revision, now, "store")
+	if reason == reasonHistoryGone {
+		sleep(ctx, changePause) // The next watch may fail for the same reason.
+	}
 	return nil
 }
 
@@ -274,6 +282,15 @@
 	return mirror.revision
 }
 
+// RejectedRevision returns the revision of the record of a key if it cannot be
+// used.
+func (mirror *Mirror) RejectedRevision(key string) (uint64, bool) {
+	mirror.mu.Lock()
+	defer mirror.mu.Unlock()
+	record := mirror.items[key]
+	return record.Revision, record.Fault != ""
+}
+
 func (mirror *Mirror) handleStoreError(err error) {
 	mirror.storeFailing.Store(true)
 	if !mirror.lostSince.IsZero() {
