--- a/node/snapshots_test.go
+++ b/node/snapshots_test.go
@@ -48,21 +48,6 @@
 	assert.Equal(t, s, got)
 }
 
-// fixedStore is a store whose items do not change.
-type fixedStore struct {
-	kv.Store
-	items []kv.Item
-}
-
-func (store *fixedStore) Range(context.Context, string) ([]kv.Item, uint64, error) {
-	return store.items, uint64(len(store.items)), nil
-}
-
-func (store *fixedStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]kv.Item, uint64, error) {
-	<-ctx.Done()
-	return nil, after, ctx.Err()
-}
-
 // Guards against instances that follow a peer and can't take its state because
 // large records don't fit into one message.
 func TestLargeSnapshotsReachPeers(t *testing.T) {
