Caller: no request on a connection of a former process

No instance had cut them: the HTTP client of package caller does not notice that a pooled connection was closed, and sends the next request to the address on it.

TestConnectionOfFormerProcessIsNotUsed: should be zero, but was 1

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -258,12 +258,22 @@
 			c.mu.Lock()
 			c.cachedLookup = response
 			c.mu.Unlock()
+			if cached.hasInstanceMissingFrom(response) {
+				// The HTTP client does not notice that a pooled connection was closed.
+				c.httpClient.CloseIdleConnections()
+			}
 			return response, nil
 		}
 	}
 	return lookupResponse{}, ErrNoInstance
 }
 
+// hasInstanceMissingFrom reports whether another response lacks an instance of this
+// one, which may have ended and may start again at its address.
+func (lookup lookupResponse) hasInstanceMissingFrom(other lookupResponse) bool {
+	return slices.ContainsFunc(lookup.Instances, func(known instance) bool { return !slices.Contains(other.Instances, known) })
+}
+
 // requestLookup sends a look-up to one address.
 func (c *Client) requestLookup(ctx context.Context, address string) (lookupResponse, error) {
 	url := "http://" + address + "/-/lookup?caller=" + c.options.Address
