Entry: requests that arrive after the drain are completed

A request that arrives between this wait and the end of the process is still lost; the time limit of the stop bounds both.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -33,7 +33,8 @@
 // stop shuts the instance down without interrupting a request. It announces
 // that the instance is leaving, serves until cached look-up responses have
 // expired, refuses new connections, serves the open ones until no request is in
-// flight, hands the idempotency records over and closes the listeners.
+// flight, hands the idempotency records over, closes the listeners and completes
+// the requests that arrived meanwhile.
 func (inst *Instance) stop(listener *callerListener, callers, operators *server.Hertz) error {
 	inst.fireTrigger("stop")
 	if inst.skipDrain {
@@ -52,6 +53,9 @@
 	// Reaching closeGrace is not an error: only idle connections are left.
 	_ = callers.Shutdown(closing)
 	_ = operators.Shutdown(closing)
+	// Requests on open connections, and those that peers relay, may have arrived
+	// since.
+	inst.drain(ctx)
 	inst.forwarder.Close()
 	_ = inst.peers.Close()
 	inst.fireTrigger("drained")
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -295,6 +295,39 @@
 	assert.Equal(t, "stopped", stopping.instance.stateMachine.State())
 }
 
+// A request arrives on an open connection after the instance has found none in
+// flight. Guards against ending while a target executes it.
+func TestRequestAfterDrainIsCompleted(t *testing.T) {
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	target := startScriptedTarget(t, func(_ *http.Request, body []byte, c net.Conn) bool {
+		arrived <- struct{}{}
+		<-release
+		return write(c, httpResponse("200 OK", "", string(body)))
+	})
+	stopping := startStoppingInstance(t, startInstance(t, "a-1", target), false)
+	open := dialCaller(t, stopping.instance.settings.CallerAddress)
+	stopping.cancel()
+	assert.Eventually(t, func() bool {
+		c, err := net.DialTimeout("tcp", stopping.instance.settings.CallerAddress, waitTimeout)
+		if err == nil {
+			_ = c.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}, waitTimeout, time.Millisecond)
+	response := make(chan string, 1)
+	go func() { response <- postOn(open, "late").body }()
+	<-arrived
+	select {
+	case <-stopping.ended:
+		assert.Fail(t, "the instance has ended with a request in flight")
+		stopping.ended <- nil
+	case <-time.After(4 * closeGrace):
+	}
+	close(release)
+	assert.Equal(t, "late", <-response)
+	require.NoError(t, <-stopping.ended)
+}
+
 func dialCaller(t *testing.T, address string) net.Conn {
 	c, err := net.Dial("tcp", address)
 	if !assert.NoError(t, err) {
