Node: a process outlasts the lack of file descriptors

TestInstanceOutlastsLackOfDescriptors: jacinth-node with 60 descriptors and 120 connections to its readiness listener: the process has ended

Cause: the HTTP library's server for readiness, look-ups and metrics ends when one accept call fails, and Run takes the end of a listener for a failure of the node. Not shown: that it happened in the users' runs; their limits of descriptors are not known.

--- a/node/listeners.go
+++ b/node/listeners.go
@@ -7,10 +7,13 @@
 	"net"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/internal/accept"
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
@@ -45,7 +48,7 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		h := server.New(server.WithListener(listener), server.WithTransport(standard.NewTransporter),
+		h := server.New(server.WithListener(accept.Retry(listener, node.acceptFailed)), server.WithTransport(standard.NewTransporter),
 			server.WithIdleTimeout(idleTimeout), server.WithExitWaitTime(0), server.WithDisablePrintRoute(true))
 		routes(h)
 		go func() { failed <- h.Run() }()
@@ -53,6 +56,10 @@
 	return nil
 }
 
+func (node *Node) acceptFailed(err error) {
+	node.events.Emit(events.AcceptFailed, log.Fields{"error": err.Error()})
+}
+
 func (node *Node) handleReady(_ context.Context, c *app.RequestContext) {
 	if node.ready() {
 		c.SetStatusCode(200)
