--- a/entry/callerserver.go
+++ b/entry/callerserver.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
+	"github.com/jacinthstall/jacinthstall/internal/accept"
 	"github.com/jacinthstall/jacinthstall/outcome"
 )
 
@@ -34,7 +35,7 @@
 		return context.Background()
 	}
 	h := server.New(
-		server.WithListener(listener),
+		server.WithListener(accept.Retry(listener, inst.acceptFailed)),
 		server.WithOnAccept(accepted),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(prefetchBytes),
--- a/entry/listeners.go
+++ b/entry/listeners.go
@@ -3,6 +3,10 @@
 import (
 	"fmt"
 	"net"
+
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/events"
 )
 
 // listeners are the listeners of a running instance.
@@ -42,3 +46,7 @@
 		_ = open.callers.Close()
 	}
 }
+
+func (inst *Instance) acceptFailed(err error) {
+	inst.events.Emit(events.AcceptFailed, log.Fields{"error": err.Error()})
+}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthstall/jacinthstall/configsync"
 	"github.com/jacinthstall/jacinthstall/console"
+	"github.com/jacinthstall/jacinthstall/internal/accept"
 	"github.com/jacinthstall/jacinthstall/internal/ctl"
 )
 
@@ -36,7 +37,7 @@
 // console.
 func (inst *Instance) operatorServer(listener net.Listener) (*server.Hertz, error) {
 	h := server.New(append(console.ServerOptions(),
-		server.WithListener(limitConnections(listener, maxOperatorConnections)),
+		server.WithListener(limitConnections(accept.Retry(listener, inst.acceptFailed), maxOperatorConnections)),
 		server.WithTransport(standard.NewTransporter),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -454,3 +455,44 @@
 	require.NoError(t, err)
 	assert.Empty(t, peers.started)
 }
+
+// exhaustedListener fails its first accept call, as when the process has used up its
+// file descriptors.
+type exhaustedListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if l.failed.CompareAndSwap(false, true) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against servers that end, and with them the instance, because one accept
+// call has failed.
+func TestServersOutlastFailedAccept(t *testing.T) {
+	inst := startInstance(t, "a-1")
+	for name, newServer := range map[string]func(net.Listener) (*server.Hertz, error){
+		"callers":   func(l net.Listener) (*server.Hertz, error) { return inst.callerServer(l), nil },
+		"operators": inst.operatorServer,
+	} {
+		inner, err := net.Listen("tcp", freeAddress(t))
+		require.NoError(t, err)
+		h, err := newServer(&exhaustedListener{Listener: inner})
+		require.NoError(t, err)
+		ended := make(chan error, 1)
+		go func() { ended <- h.Run() }()
+		served := make(chan string, 1)
+		go func() { served <- postOn(dialCaller(t, inner.Addr().String()), "x").header.Get("Content-Type") }()
+		select {
+		case err := <-ended:
+			assert.Fail(t, "the server has ended", "%s: %v", name, err)
+		case contentType := <-served:
+			assert.NotEmpty(t, contentType, name)
+		}
+		_ = h.Close()
+		_ = inner.Close()
+	}
+}
