--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -295,6 +296,39 @@
 	assert.Equal(t, "stopped", stopping.instance.stateMachine.State())
 }
 
+// A request arrives on an open connection after the instance has found none in
+// flight. Guards against ending while a target executes it.
+func TestRequestAfterDrainIsCompleted(t *testing.T) {
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	target := startScriptedTarget(t, func(_ *http.Request, body []byte, c net.Conn) bool {
+		arrived <- struct{}{}
+		<-release
+		return write(c, httpResponse("200 OK", "", string(body)))
+	})
+	stopping := startStoppingInstance(t, startInstance(t, "a-1", target), false)
+	open := dialCaller(t, stopping.instance.settings.CallerAddress)
+	stopping.cancel()
+	assert.Eventually(t, func() bool {
+		c, err := net.DialTimeout("tcp", stopping.instance.settings.CallerAddress, waitTimeout)
+		if err == nil {
+			_ = c.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}, waitTimeout, time.Millisecond)
+	response := make(chan string, 1)
+	go func() { response <- postOn(open, "late").body }()
+	<-arrived
+	select {
+	case <-stopping.ended:
+		assert.Fail(t, "the instance has ended with a request in flight")
+		stopping.ended <- nil
+	case <-time.After(4 * closeGrace):
+	}
+	close(release)
+	assert.Equal(t, "late", <-response)
+	require.NoError(t, <-stopping.ended)
+}
+
 func dialCaller(t *testing.T, address string) net.Conn {
 	c, err := net.Dial("tcp", address)
 	if !assert.NoError(t, err) {
@@ -421,3 +455,44 @@
 	require.NoError(t, err)
 	assert.Empty(t, peers.started)
 }
+
+// exhaustedListener fails its first accept call, as when the process has used up its
+// file descriptors.
+type exhaustedListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if l.failed.CompareAndSwap(false, true) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against servers that end, and with them the instance, because one accept
+// call has failed.
+func TestServersOutlastFailedAccept(t *testing.T) {
+	inst := startInstance(t, "a-1")
+	for name, newServer := range map[string]func(net.Listener) (*server.Hertz, error){
+		"callers":   func(l net.Listener) (*server.Hertz, error) { return inst.callerServer(l), nil },
+		"operators": inst.operatorServer,
+	} {
+		inner, err := net.Listen("tcp", freeAddress(t))
+		require.NoError(t, err)
+		h, err := newServer(&exhaustedListener{Listener: inner})
+		require.NoError(t, err)
+		ended := make(chan error, 1)
+		go func() { ended <- h.Run() }()
+		served := make(chan string, 1)
+		go func() { served <- postOn(dialCaller(t, inner.Addr().String()), "x").header.Get("Content-Type") }()
+		select {
+		case err := <-ended:
+			assert.Fail(t, "the server has ended", "%s: %v", name, err)
+		case contentType := <-served:
+			assert.NotEmpty(t, contentType, name)
+		}
+		_ = h.Close()
+		_ = inner.Close()
+	}
+}
