Log why a caller's connection ended with requests unanswered

Event 524 (caller-left) had only a count, and nothing told of connections that this side closed. 524 now has the cause (input-ended, reset, read-failed, write-failed), the caller's address, the IDs of up to eight requests and the unread bytes. New event 534 (connection-cut) has the same for connections that this side closed: write-timed-out, response-failed, idle-limit, planned-stop, stop-ended, after-response. It also counts bytes that had arrived and were not served. CloseAll waits up to 0.1 s so that the lines of a stop are written. No logic of requests is changed.

--- a/events/steering.go
+++ b/events/steering.go
@@ -87,5 +87,8 @@
 		Message: "target sent a response header that this version does not know", Fields: []string{"header", "target"},
 		Action: "check the platform's protocol for changes"})
 	CallerLeft = register(Event{Number: 524, Name: "caller-left", Level: log.InfoLevel,
-		Message: "caller closed the connection before all responses were sent", Fields: []string{"unanswered"}, Action: "none"})
+		Message: "caller closed the connection before all responses were sent", Fields: []string{"cause", "caller", "unanswered", "requests", "unreadBytes"}, Action: "none"})
+	ConnectionCut = register(Event{Number: 534, Name: "connection-cut", Level: log.InfoLevel,
+		Message: "connection of a caller closed with requests unanswered or bytes unread", Fields: []string{"cause", "caller", "unanswered", "requests", "unreadBytes"},
+		Action: "check for slow requests if the cause is stop-ended, and for callers that do not read if it is write-timed-out"})
 )
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -7,10 +7,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"github.com/apex/log"
-
-	"github.com/jacinthstall/jacinthstall/events"
 )
 
 const (
@@ -38,6 +34,7 @@
 	mu      sync.Mutex
 	pending int  // Requests whose first byte has arrived and whose response is not yet written.
 	closing bool // No further requests are read.
+	ending  connEnding
 }
 
 // exchange is one request of a caller and its response.
@@ -59,6 +56,7 @@
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
 	defer func() { _ = c.Conn.Close() }()
+	defer c.logEnding()
 	defer c.cancel()
 	written := make(chan struct{})
 	go func() {
@@ -68,7 +66,7 @@
 	disconnected := c.readLoop()
 	close(c.exchanges)
 	if disconnected {
-		c.callerLeft()
+		c.cancel()
 		<-written
 		return
 	}
@@ -92,6 +90,7 @@
 		}
 		request, errorResponse := c.readRequest()
 		if request == nil && errorResponse == nil {
+			c.setCause(causeInputEnded) // Unless readErrorResponse has set another one.
 			return true
 		}
 		ex := &exchange{request: request, ready: make(chan struct{})}
@@ -137,7 +136,9 @@
 		// When the idle timeout ends, this side closes the connection.
 		if isTimeout(err) && c.pending == 0 {
 			c.closing = true
+			c.ending.set(causeIdleLimit)
 		}
+		c.ending.set(causeOfReadError(err))
 		return false
 	}
 	if c.closing {
@@ -176,6 +177,7 @@
 	}
 	if c.server.draining.Load() && c.pending == 1 {
 		c.closing = true
+		c.ending.set(causePlannedStop)
 		_ = c.Conn.SetReadDeadline(expiredDeadline)
 		return true
 	}
@@ -199,6 +201,7 @@
 	defer c.mu.Unlock()
 	if c.pending == 0 && !c.closing {
 		c.closing = true
+		c.ending.set(causePlannedStop)
 		_ = c.Conn.SetReadDeadline(expiredDeadline)
 	}
 }
@@ -215,27 +218,31 @@
 	c.closing = true
 }
 
-// callerLeft cancels the requests of a caller that has disconnected.
-func (c *conn) callerLeft() {
-	c.mu.Lock()
-	pending := c.pending
-	c.mu.Unlock()
-	if pending > 0 {
-		c.server.gateway.events.Emit(events.CallerLeft, log.Fields{"unanswered": pending})
-	}
-	c.cancel()
-}
-
 // discardInput reads until the caller closes the connection, then cancels its
 // requests.
 func (c *conn) discardInput() {
 	_ = c.Conn.SetReadDeadline(time.Time{})
-	_, err := io.Copy(io.Discard, c.Conn)
+	_, err := io.Copy(discardCounter{c}, c.Conn)
+	c.mu.Lock()
+	if c.pending > 0 {
+		c.ending.set(causeOfReadError(err))
+	}
+	c.mu.Unlock()
 	if !isTimeout(err) {
 		c.cancel()
 	}
 }
 
+// discardCounter counts discarded bytes.
+type discardCounter struct{ conn *conn }
+
+func (counter discardCounter) Write(p []byte) (int, error) {
+	counter.conn.mu.Lock()
+	defer counter.conn.mu.Unlock()
+	counter.conn.ending.discarded += len(p)
+	return len(p), nil
+}
+
 // linger closes the sending side and waits up to lingerTimeout for the caller to
 // close its side.
 func (c *conn) linger(inputEnded <-chan struct{}) {
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -178,6 +178,7 @@
 	case isTimeout(err):
 		return systemResponse(http.StatusRequestTimeout, "head-too-slow")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), isNetOpError(err):
+		c.setCause(causeOfReadError(err))
 		return nil
 	}
 	return systemResponse(http.StatusBadRequest, "not-http")
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -23,6 +23,10 @@
 	acceptRetryDelay = 20 * time.Millisecond
 	// writeTimeout limits each write to a caller, in case it does not read.
 	writeTimeout = 10 * time.Second
+	// closeAllTimeout limits the time that CloseAll waits for the connections' log
+	// lines.
+	closeAllTimeout      = 100 * time.Millisecond
+	closeAllPollInterval = 2 * time.Millisecond
 )
 
 // Server serves the connections of callers, or of peers that use this instance as
@@ -111,9 +115,13 @@
 func (s *Server) CloseAll() int64 {
 	unanswered := s.inFlight.Load()
 	for _, c := range s.openConns() {
+		c.setCause(causeStopEnded)
 		c.cancel()
 		_ = c.Conn.Close()
 	}
+	for end := time.Now().Add(closeAllTimeout); s.Connections() > 0 && time.Now().Before(end); {
+		time.Sleep(closeAllPollInterval)
+	}
 	return unanswered
 }
 
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -46,7 +46,12 @@
 			failed = true
 		}
 		if !failed {
-			failed = c.writeResponse(w, ex) != nil
+			err := c.writeResponse(w, ex)
+			failed = err != nil
+			c.setCause(causeOfWriteError(err))
+		}
+		if failed {
+			c.addUnanswered(ex)
 		}
 		if ex.response != nil && ex.response.stream != nil {
 			_ = ex.response.stream.Close()
