A reload request during the start does not end the process

Seen: SIGHUP before node.New has returned ended the process (signal: hangup); the handler was installed after the settings had been read and all listeners opened. It is now the first statement of main; the request is served once the instance runs. A SIGHUP before main (package initialisation, 7 ms here) still ends it.

TestReloadRequestDuringStartDoesNotEndTheProcess failed before with 'Should be false ... signal: hangup'. Passed before any change and kept: TestStopDuringStartEndsTheProcess, TestSignalsDuringAStopCutNoRequest (second SIGTERM, SIGINT and SIGHUP during a stop; stop by SIGINT).

--- a/cmd/jacinth-node/main.go
+++ b/cmd/jacinth-node/main.go
@@ -33,7 +33,10 @@
 )
 
 func main() {
-	err := run(os.Args[1:], os.Stdout)
+	// Without a channel, SIGHUP ends the process. It may arrive during the start.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	err := run(os.Args[1:], os.Stdout, hangups)
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(os.Stderr, "jacinth-node:", err)
 		os.Exit(1)
@@ -41,7 +44,7 @@
 }
 
 // run parses the command line and serves, unless -check or -version is given.
-func run(args []string, out io.Writer) error {
+func run(args []string, out io.Writer, hangups <-chan os.Signal) error {
 	fs := flag.NewFlagSet("jacinth-node", flag.ContinueOnError)
 	file := fs.String("settings", "", "settings file of this instance (default: the file that the platform sets in the environment)")
 	check := fs.Bool("check", false, "check the settings, print all findings and exit")
@@ -65,7 +68,7 @@
 		_, err := fmt.Fprintf(out, "settings of instance %s in failure domain %s are valid\n", s.Name, s.Domain)
 		return err
 	}
-	return serve(s, load)
+	return serve(s, load, hangups)
 }
 
 // buildVersion returns the version of the module and the commit of the build.
@@ -83,7 +86,7 @@
 	return text
 }
 
-func serve(s settings.Node, load func() (settings.Node, error)) error {
+func serve(s settings.Node, load func() (settings.Node, error), hangups <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
@@ -104,18 +107,16 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return n.Run(ctx, reloadRequests(ctx))
+	return n.Run(ctx, reloadRequests(ctx, hangups))
 }
 
 // reloadRequests converts SIGHUP signals to requests to reload the settings.
-func reloadRequests(ctx context.Context) <-chan struct{} {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+func reloadRequests(ctx context.Context, hangups <-chan os.Signal) <-chan struct{} {
 	out := make(chan struct{}, 1)
 	go func() {
 		for {
 			select {
-			case <-signals:
+			case <-hangups:
 				select {
 				case out <- struct{}{}:
 				default:
