A closed standard output does not end the process

Seen: the next log line after the reader of the log has closed its pipe ended the process with SIGPIPE, and its requests with it (the Go runtime raises it for descriptors 1 and 2). SIGPIPE is ignored now; the write fails and is counted like any failed write.

TestClosedOutputDoesNotEndTheProcess failed before with 'unexpected EOF' of the caller that was being served.

--- a/cmd/jacinth-node/main.go
+++ b/cmd/jacinth-node/main.go
@@ -36,6 +36,9 @@
 	// Without a channel, SIGHUP ends the process. It may arrive during the start.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	// A write to a closed standard output would end the process too. It fails
+	// instead, and the handler counts it.
+	signal.Ignore(syscall.SIGPIPE)
 	err := run(os.Args[1:], os.Stdout, hangups)
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(os.Stderr, "jacinth-node:", err)
--- a/cmd/jacinth-node/process_test.go
+++ b/cmd/jacinth-node/process_test.go
@@ -236,6 +236,24 @@
 	assert.Less(t, p.awaitEnd(), 6*time.Second)
 }
 
+// Guards against a process that ends, with its requests, because nobody reads its
+// log any more.
+func TestClosedOutputDoesNotEndTheProcess(t *testing.T) {
+	p := newProcess(t, 0)
+	read, write, err := os.Pipe()
+	require.NoError(t, err)
+	p.cmd.Stdout, p.cmd.Stderr = write, write
+	p.startReady()
+	_ = write.Close()
+	p.requireServes()
+	require.NoError(t, read.Close())
+	for range 5 {
+		p.requireServes()
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.False(t, p.hasEnded(), "%v", p.cmd.ProcessState)
+}
+
 // Guards against signals that cut the requests of a planned stop.
 func TestSignalsDuringAStopCutNoRequest(t *testing.T) {
 	for _, first := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
