An unread standard output does not hold up the end of a stop

Seen: with a full pipe as standard output the process waited for the log writer after its stop and did not end until it was killed. Closing the log is limited to 200 ms; lines that are still queued are lost.

TestUnreadOutputDoesNotHoldUpAStop failed before with 'the process does not end' (10 s; shutdown period 6 s).

--- a/cmd/jacinth-node/main.go
+++ b/cmd/jacinth-node/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
@@ -30,6 +31,9 @@
 	// memoryLimitFraction is the fraction of the allowed memory that is set as
 	// the soft memory limit of the Go runtime.
 	memoryLimitFraction = 0.7
+	// logCloseTimeout limits writing the queued log lines at the end of the
+	// process.
+	logCloseTimeout = 200 * time.Millisecond
 )
 
 func main() {
@@ -96,7 +100,7 @@
 	}
 	hlog.SetLevel(hlog.LevelFatal)
 	handler := events.NewDroppingHandler(os.Stdout)
-	defer func() { _ = handler.Close() }()
+	defer closeLog(handler)
 	logger := &log.Logger{Handler: handler, Level: log.DebugLevel}
 	store, err := platform.NewStore(s.StoreAddress)
 	if err != nil {
@@ -113,6 +117,20 @@
 	return n.Run(ctx, reloadRequests(ctx, hangups))
 }
 
+// closeLog writes the queued log lines. It gives up after logCloseTimeout, since a
+// write blocks while nobody reads the standard output.
+func closeLog(handler *events.Handler) {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = handler.Close() // Always nil.
+	}()
+	select {
+	case <-closed:
+	case <-time.After(logCloseTimeout):
+	}
+}
+
 // reloadRequests converts SIGHUP signals to requests to reload the settings.
 func reloadRequests(ctx context.Context, hangups <-chan os.Signal) <-chan struct{} {
 	out := make(chan struct{}, 1)
--- a/cmd/jacinth-node/process_test.go
+++ b/cmd/jacinth-node/process_test.go
@@ -254,6 +254,27 @@
 	assert.False(t, p.hasEnded(), "%v", p.cmd.ProcessState)
 }
 
+// Guards against a stop that does not end because nobody reads the log.
+func TestUnreadOutputDoesNotHoldUpAStop(t *testing.T) {
+	p := newProcess(t, 0)
+	read, write, err := os.Pipe()
+	require.NoError(t, err)
+	defer func() { _ = read.Close() }()
+	p.cmd.Stdout, p.cmd.Stderr = write, write
+	p.startReady()
+	_ = write.Close()
+	c, err := p.dial()
+	require.NoError(t, err)
+	for range 400 { // Log lines of more than the 64 KB of the pipe.
+		_, err = c.send()
+		require.NoError(t, err)
+		_, _, err = c.receive()
+		require.NoError(t, err)
+	}
+	p.signal(syscall.SIGTERM)
+	assert.Less(t, p.awaitEnd(), 6*time.Second)
+}
+
 // Guards against signals that cut the requests of a planned stop.
 func TestSignalsDuringAStopCutNoRequest(t *testing.T) {
 	for _, first := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
