A failed accept at a listener does not end the process

Seen: when the process had no file descriptor left, the next connection to its readiness, look-up or metrics listener ended it with all requests in flight: the HTTP server of these listeners returns the first error of accept, and Run takes any end of a listener for a fault. All listeners of the node now accept again after 20 ms, as the server for callers does, and log 525 (accept-failed; its message no longer names callers).

--- a/cmd/jacinth-node/process_test.go
+++ b/cmd/jacinth-node/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -275,6 +276,39 @@
 	assert.Less(t, p.awaitEnd(), 6*time.Second)
 }
 
+// Guards against a process that ends, with its requests, because it has no
+// descriptor left for a connection to one of its listeners.
+func TestExhaustedDescriptorsDoNotEndTheProcess(t *testing.T) {
+	const descriptors = 80
+	p := newProcess(t, time.Second)
+	p.cmd.Args = []string{"sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", descriptors, p.cmd.Path)}
+	p.cmd.Path = "/bin/sh"
+	p.startReady()
+	served, err := p.dial()
+	require.NoError(t, err)
+	id, err := served.send()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return p.target.Executions()[id] == 1 }, 5*time.Second, time.Millisecond)
+	var conns []net.Conn
+	for range descriptors {
+		for _, address := range []string{wiresite.CallerAddress(p.host), strings.TrimSuffix(strings.TrimPrefix(wiresite.ReadyURL(p.host), "http://"), "/-/ready")} {
+			conn, err := net.DialTimeout("tcp", address, time.Second)
+			if err == nil {
+				conns = append(conns, conn)
+			}
+		}
+	}
+	status, _, err := served.receive()
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, status)
+	assert.False(t, p.hasEnded(), "%v", p.cmd.ProcessState)
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+	p.awaitReady()
+	p.requireServes()
+}
+
 // Guards against signals that cut the requests of a planned stop.
 func TestSignalsDuringAStopCutNoRequest(t *testing.T) {
 	for _, first := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
--- a/events/steering.go
+++ b/events/steering.go
@@ -65,7 +65,7 @@
 	TargetAvoided = register(Event{Number: 523, Name: "target-avoided", Level: log.WarnLevel,
 		Message: "target temporarily excluded from routing", Fields: []string{"target", "reason", "failures", "forMs", "lost"}, Action: "check the target"})
 	AcceptFailed = register(Event{Number: 525, Name: "accept-failed", Level: log.WarnLevel,
-		Message: "failed to accept a connection from a caller", Fields: []string{"error"}, Action: "check the limit of open file descriptors"})
+		Message: "failed to accept a connection", Fields: []string{"error"}, Action: "check the limit of open file descriptors"})
 	RequestNotPlaced = register(Event{Number: 526, Name: "request-not-placed", Level: log.InfoLevel,
 		Message: "no target can respond to the request in time", Fields: []string{"request", "route", "service", "reason", "region", "load", "waitMs", "expectedMs", "sinceFirstMs", "leftMs", "retryAfterMs", "version"},
 		Action: "add targets if the reason is overloaded and persists"})
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	go func() { failed <- serveSnapshots(ctx, peers, node.mirror) }()
+	go func() { failed <- serveSnapshots(ctx, retryingListener{peers, node.events}, node.mirror) }()
 	servers := map[string]func(*server.Hertz){
 		node.settings.ReadinessAddress: func(h *server.Hertz) { h.GET(node.options.Platform.ReadyPath(), node.handleReady) },
 	}
@@ -45,7 +45,7 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		h := server.New(server.WithListener(listener), server.WithTransport(standard.NewTransporter),
+		h := server.New(server.WithListener(retryingListener{listener, node.events}), server.WithTransport(standard.NewTransporter),
 			server.WithIdleTimeout(idleTimeout), server.WithExitWaitTime(0), server.WithDisablePrintRoute(true))
 		routes(h)
 		go func() { failed <- h.Run() }()
