A request that arrived before an idle connection is closed is served

Seen: callers got the end of the connection instead of a response. The idle limit and CloseIdle end a blocked read with an expired deadline; a request whose bytes waited in the kernel because the goroutine had no processor time was then discarded, read by the loop that waits for the caller to close. A request that crossed the close was read there as well.

When the wait ends, the socket is now peeked. If bytes wait, the request is read and served, and its response says Connection: close.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -34,7 +35,12 @@
 	mu      sync.Mutex
 	pending int  // Requests whose first byte has arrived and whose response is not yet written.
 	closing bool // No further requests are read.
-	ending  connEnding
+	// closeIdleRequested: the connection is closed when it has no pending request.
+	closeIdleRequested bool
+	// closeAfterRequest: the request that has arrived is the last one.
+	closeAfterRequest bool
+	closedIdle        bool // Closed by this side without a request.
+	ending            connEnding
 }
 
 // exchange is one request of a caller and its response.
@@ -70,6 +76,11 @@
 		<-written
 		return
 	}
+	if c.closedIdle {
+		<-written
+		c.lingerUnread()
+		return
+	}
 	// A disconnect must still be detected while responses are pending.
 	inputEnded := make(chan struct{})
 	go func() {
@@ -102,6 +113,10 @@
 			c.exchanges <- ex
 			return false
 		}
+		if c.isLastRequest() {
+			request.close = true
+			c.setClosing()
+		}
 		c.exchanges <- ex
 		go func() {
 			defer close(ex.ready)
@@ -117,39 +132,67 @@
 // awaitRequest waits for the first byte of a request. It returns false when no
 // further request is to be read.
 func (c *conn) awaitRequest() bool {
-	c.mu.Lock()
-	if c.closing {
+	for {
+		c.mu.Lock()
+		if c.closing {
+			c.mu.Unlock()
+			return false
+		}
+		if c.pending == 0 {
+			_ = c.Conn.SetReadDeadline(c.idleDeadline())
+		}
 		c.mu.Unlock()
-		return false
-	}
-	if c.pending == 0 {
-		_ = c.Conn.SetReadDeadline(c.idleDeadline())
-	}
-	c.mu.Unlock()
-	if maxHead := c.server.gateway.limits().MaxHeadBytes; maxHead > 0 {
-		c.headLimit.active, c.headLimit.remaining = true, maxHead+c.server.extraHeadBytes
+		if maxHead := c.server.gateway.limits().MaxHeadBytes; maxHead > 0 {
+			c.headLimit.active, c.headLimit.remaining = true, maxHead+c.server.extraHeadBytes
+		}
+		_, err := c.reader.Peek(1)
+		if awaited, done := c.inputAwaited(err); done {
+			return awaited
+		}
 	}
-	_, err := c.reader.Peek(1)
+}
+
+// inputAwaited evaluates the end of a wait for a request. It reports whether a
+// request is to be read, and whether the wait is over.
+func (c *conn) inputAwaited(err error) (awaited, done bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err != nil {
-		// When the idle timeout ends, this side closes the connection.
-		if isTimeout(err) && c.pending == 0 {
-			c.closing = true
-			c.ending.set(causeIdleLimit)
-		}
+	switch {
+	case err == nil && !c.closing:
+		c.pending++
+		_ = c.Conn.SetReadDeadline(c.headDeadline())
+		return true, true
+	case c.closing:
+		return false, true
+	case !isTimeout(err):
 		c.ending.set(causeOfReadError(err))
-		return false
+		return false, true
+	case c.pending > 0 || c.closeAfterRequest:
+		_ = c.Conn.SetReadDeadline(time.Time{}) // The connection is not idle.
+		return false, false
 	}
-	if c.closing {
-		return false
+	// The idle limit has passed, or the server closes idle connections. A request
+	// may have arrived that there was no processor time to read.
+	if len(c.peekInput()) > 0 {
+		c.closeAfterRequest = true
+		return false, false
+	}
+	c.closing, c.closedIdle = true, true
+	c.ending.set(causeIdleLimit)
+	if c.closeIdleRequested {
+		c.ending.cause = causePlannedStop
 	}
-	c.pending++
-	_ = c.Conn.SetReadDeadline(c.headDeadline())
-	return true
+	return false, true
 }
 
+// idleDeadline returns when an idle connection is to be closed.
 func (c *conn) idleDeadline() time.Time {
+	switch {
+	case c.closeAfterRequest:
+		return time.Time{}
+	case c.closeIdleRequested:
+		return expiredDeadline
+	}
 	if c.server.idleTimeout > 0 {
 		return time.Now().Add(c.server.idleTimeout)
 	}
@@ -175,7 +218,7 @@
 	if c.closing {
 		return c.pending == 1
 	}
-	if c.server.draining.Load() && c.pending == 1 {
+	if (c.server.draining.Load() || c.closeIdleRequested) && c.pending == 1 {
 		c.closing = true
 		c.ending.set(causePlannedStop)
 		_ = c.Conn.SetReadDeadline(expiredDeadline)
@@ -195,14 +238,14 @@
 	}
 }
 
-// closeIdle closes the connection if it has no pending request.
+// closeIdle closes the connection if it has no pending request. A request that has
+// arrived and was not read yet is served first.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closeIdleRequested = true
 	if c.pending == 0 && !c.closing {
-		c.closing = true
-		c.ending.set(causePlannedStop)
-		_ = c.Conn.SetReadDeadline(expiredDeadline)
+		_ = c.Conn.SetReadDeadline(c.idleDeadline())
 	}
 }
 
@@ -212,6 +255,13 @@
 	return c.closing
 }
 
+// isLastRequest reports whether the request that was just read is the last one.
+func (c *conn) isLastRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closeAfterRequest
+}
+
 func (c *conn) setClosing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -246,11 +296,36 @@
 // linger closes the sending side and waits up to lingerTimeout for the caller to
 // close its side.
 func (c *conn) linger(inputEnded <-chan struct{}) {
-	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = halfCloser.CloseWrite()
-	}
+	c.closeWrite()
 	select {
 	case <-inputEnded:
 	case <-time.After(lingerTimeout):
 	}
 }
+
+func (c *conn) closeWrite() {
+	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = halfCloser.CloseWrite()
+	}
+}
+
+// lingerUnread closes the sending side of an idle connection and waits until the
+// caller has closed its side or has sent a request. Such a request stays unread:
+// the connection is reset, and the caller may send the request again whatever its
+// kind.
+func (c *conn) lingerUnread() {
+	c.closeWrite()
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_ = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err != syscall.EAGAIN
+	})
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,16 +1,23 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/gateway"
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/standin/wiretarget"
 	"github.com/jacinthstall/jacinthstall/steering"
@@ -287,3 +294,132 @@
 	c.send("GET", "/safe/x", "r2", "")
 	assert.Equal(t, "r2", c.receive("GET").Header.Get(platform.HeaderRequestID))
 }
+
+// gatedListener accepts connections that are read only while its gate is open, as
+// if the process got no processor time.
+type gatedListener struct {
+	net.Listener
+	gate *gate
+}
+
+type gate struct {
+	mu     sync.Mutex
+	closed chan struct{} // Nil while the gate is open.
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = make(chan struct{})
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.closed)
+	g.closed = nil
+}
+
+func (g *gate) await() {
+	g.mu.Lock()
+	closed := g.closed
+	g.mu.Unlock()
+	if closed != nil {
+		<-closed
+	}
+}
+
+type gatedConn struct {
+	*net.TCPConn
+	gate     *gate
+	deadline atomic.Pointer[time.Time]
+}
+
+func (c *gatedConn) SetReadDeadline(deadline time.Time) error {
+	c.deadline.Store(&deadline)
+	return c.TCPConn.SetReadDeadline(deadline)
+}
+
+// Read waits like a goroutine that is woken by input or by its deadline, and that
+// continues when the gate is open.
+func (c *gatedConn) Read(p []byte) (int, error) {
+	for {
+		c.gate.await()
+		if deadline := c.deadline.Load(); c.hasInput() || deadline != nil && !deadline.IsZero() && time.Now().After(*deadline) {
+			return c.TCPConn.Read(p)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (c *gatedConn) hasInput() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	peekErr := error(nil)
+	err = raw.Control(func(fd uintptr) {
+		_, _, peekErr = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err != nil || peekErr != syscall.EAGAIN
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{TCPConn: conn.(*net.TCPConn), gate: l.gate}, nil
+}
+
+// startGated serves the site at a second address, whose connections are read only
+// while the gate is open.
+func (s *site) startGated() (*gateway.Server, *gate) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	g := &gate{}
+	server := gateway.NewServer(s.gateway, gatedListener{listener, g})
+	s.address = listener.Addr().String()
+	go func() { _ = server.Run(context.Background()) }()
+	s.t.Cleanup(func() { server.StopAccepting(); server.CloseAll() })
+	return server, g
+}
+
+// Guards against discarding a request that had arrived before an idle connection
+// is closed, by the idle limit or by a stop, and was not read yet for want of
+// processor time.
+func TestRequestThatArrivedBeforeIdleCloseIsServed(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	for _, stop := range []bool{false, true} {
+		logs := &logRecorder{}
+		s := startSite(t, siteOptions{targets: fastTargets(1), limits: steering.Limits{IdleTimeout: limit}, logs: logs})
+		server, gate := s.startGated()
+		var callers []*caller
+		for i := range 4 {
+			c := s.dial()
+			c.send("POST", "/unsafe/x", fmt.Sprint("first", i), "b")
+			assert.False(t, c.receive("POST").Close)
+			callers = append(callers, c)
+		}
+		gate.close()
+		for i, c := range callers {
+			c.send("POST", "/unsafe/x", fmt.Sprint("second", i), "b")
+		}
+		if stop {
+			server.Drain()
+			server.CloseIdle()
+		} else {
+			time.Sleep(limit + 100*time.Millisecond)
+		}
+		gate.open()
+		for i, c := range callers {
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+			r, err := http.ReadResponse(c.reader, nil)
+			if assert.NoError(t, err, "stop %v, caller %d", stop, i) {
+				assert.Equal(t, 200, r.StatusCode)
+				assert.True(t, r.Close)
+			}
+		}
+		assert.Empty(t, logs.of(events.ConnectionCut))
+	}
+}
