An idle connection follows the idle limit of a newer configuration

Seen: a connection that went idle under a shorter limit was closed by it, although callers may reuse it for four fifths of the newer, longer one. The deadline was computed once, when the connection went idle. When it passes, the limit now in force decides, from the time of the last response.

TestIdleConnectionFollowsNewerLimit failed before with 'unexpected EOF'.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -32,9 +32,10 @@
 	cancel    context.CancelFunc
 	exchanges chan *exchange // In the order in which the requests arrived.
 
-	mu      sync.Mutex
-	pending int  // Requests whose first byte has arrived and whose response is not yet written.
-	closing bool // No further requests are read.
+	mu        sync.Mutex
+	pending   int       // Requests whose first byte has arrived and whose response is not yet written.
+	closing   bool      // No further requests are read.
+	idleSince time.Time // When the last response was written; before that, when the connection was accepted.
 	// closeIdleRequested: the connection is closed when it has no pending request.
 	closeIdleRequested bool
 	// closeAfterRequest: the request that has arrived is the last one.
@@ -51,7 +52,7 @@
 }
 
 func newConn(ctx context.Context, s *Server, raw net.Conn) *conn {
-	c := &conn{Conn: raw, server: s, exchanges: make(chan *exchange, maxPipelined)}
+	c := &conn{Conn: raw, server: s, idleSince: time.Now(), exchanges: make(chan *exchange, maxPipelined)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.headLimit.source = raw
 	c.reader = bufio.NewReaderSize(&c.headLimit, readBufferBytes)
@@ -171,6 +172,9 @@
 		_ = c.Conn.SetReadDeadline(time.Time{}) // The connection is not idle.
 		return false, false
 	}
+	if deadline := c.idleDeadline(); deadline.IsZero() || time.Now().Before(deadline) {
+		return false, false // A newer configuration has a longer limit.
+	}
 	// The idle limit has passed, or the server closes idle connections. A request
 	// may have arrived that there was no processor time to read.
 	if len(c.peekInput()) > 0 {
@@ -194,10 +198,10 @@
 		return expiredDeadline
 	}
 	if c.server.idleTimeout > 0 {
-		return time.Now().Add(c.server.idleTimeout)
+		return c.idleSince.Add(c.server.idleTimeout)
 	}
 	if d := c.server.gateway.limits().IdleTimeout; d > 0 {
-		return time.Now().Add(d)
+		return c.idleSince.Add(d)
 	}
 	return time.Time{}
 }
@@ -233,6 +237,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	c.idleSince = time.Now()
 	if c.pending == 0 && !c.closing {
 		_ = c.Conn.SetReadDeadline(c.idleDeadline())
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -259,6 +259,24 @@
 	assert.ErrorIs(t, err, io.EOF)
 }
 
+// Guards against closing a connection by the idle limit of an older configuration,
+// while callers may reuse it by the newer one.
+func TestIdleConnectionFollowsNewerLimit(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fastTargets(1), limits: steering.Limits{IdleTimeout: 200 * time.Millisecond}})
+	used, fresh := s.dial(), s.dial()
+	used.send("GET", "/safe/1", "r1", "")
+	assert.Equal(t, 200, used.receive("GET").StatusCode)
+	s.setLimits(steering.Limits{IdleTimeout: time.Second})
+	time.Sleep(700 * time.Millisecond)
+	for i, c := range []*caller{used, fresh} {
+		c.send("GET", "/safe/2", fmt.Sprint("again", i), "")
+		assert.Equal(t, 200, c.receive("GET").StatusCode)
+	}
+	require.NoError(t, used.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err := used.reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
 // Guards against a graceful shutdown that aborts requests or leaves connections
 // open.
 func TestDrainCompletesRequestsAndCloses(t *testing.T) {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,7 @@
 	gateway *gateway.Gateway
 	targets []*wiretarget.Target
 	records []*steering.Target
+	state   atomic.Pointer[steering.State]
 }
 
 type siteOptions struct {
@@ -136,7 +138,8 @@
 	now := time.Now()
 	balancer := balance.New(balance.Options{Name: "n", Domain: "d", Region: "r", Regions: map[string]string{"d": "r"}}, now)
 	balancer.SetState(now, state)
-	gw := gateway.New(gateway.Options{State: func() *steering.State { return state }, Balancer: balancer, Suspects: balance.NewSuspects(),
+	s.state.Store(state)
+	gw := gateway.New(gateway.Options{State: s.state.Load, Balancer: balancer, Suspects: balance.NewSuspects(),
 		Budget:    balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}, time.Now().Add(-10*time.Second)),
 		Forwarder: forward.New(), RelayForwarder: forward.New(), Headers: platform.Headers{}, LiveInstances: func() int { return 1 },
 		Events: events.New(&log.Logger{Handler: logs})})
@@ -149,6 +152,15 @@
 	go func() { _ = s.server.Run(ctx) }()
 }
 
+// setLimits puts a configuration with other limits into force.
+func (s *site) setLimits(limits steering.Limits) {
+	config := *s.state.Load().Config
+	config.Version++
+	config.Limits = limits
+	config.Index()
+	s.state.Store(s.state.Load().Apply(2, []steering.Update{steering.ConfigUpdate{Config: &config}}))
+}
+
 // caller is a caller with one connection to the gateway.
 type caller struct {
 	net.Conn
