Connections in the listener's queue are served when it closes in a stop

Seen: connections that the kernel had accepted and the process had not yet were reset when the listener was closed, also with a request on them. StopAccepting now accepts until the queue is empty (10 to 20 ms; longer if the process gets no processor time meanwhile), then closes the listener. A connection without a request is kept for 250 ms after it was accepted when idle connections are closed.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -16,6 +16,9 @@
 	maxPipelined = 64
 	// readBufferBytes is the size of the read buffer of a caller's connection.
 	readBufferBytes = 4 << 10
+	// firstRequestTime is how long a new connection is kept for its first request
+	// when idle connections are closed.
+	firstRequestTime = 250 * time.Millisecond
 )
 
 // expiredDeadline, set as read deadline, interrupts a blocked read.
@@ -41,6 +44,7 @@
 	// closeAfterRequest: the request that has arrived is the last one.
 	closeAfterRequest bool
 	closedIdle        bool // Closed by this side without a request.
+	used              bool // A request has arrived.
 	ending            connEnding
 }
 
@@ -161,6 +165,7 @@
 	switch {
 	case err == nil && !c.closing:
 		c.pending++
+		c.used = true
 		_ = c.Conn.SetReadDeadline(c.headDeadline())
 		return true, true
 	case c.closing:
@@ -194,6 +199,8 @@
 	switch {
 	case c.closeAfterRequest:
 		return time.Time{}
+	case c.closeIdleRequested && !c.used:
+		return c.idleSince.Add(firstRequestTime)
 	case c.closeIdleRequested:
 		return expiredDeadline
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -21,6 +21,11 @@
 	// acceptRetryDelay is the pause after a failed accept, for example when no file
 	// descriptors are left.
 	acceptRetryDelay = 20 * time.Millisecond
+	// acceptDrainTime is how long connections in the listener's queue are accepted
+	// before it is closed. If the process got no processor time meanwhile, it is
+	// repeated up to maxAcceptDrains times.
+	acceptDrainTime = 10 * time.Millisecond
+	maxAcceptDrains = 20
 	// writeTimeout limits each write to a caller, in case it does not read.
 	writeTimeout = 10 * time.Second
 	// closeAllTimeout limits the time that CloseAll waits for the connections' log
@@ -38,6 +43,7 @@
 	idleTimeout    time.Duration // 0 means the configured idle time.
 	listener       net.Listener
 	draining       atomic.Bool
+	stopping       atomic.Bool   // The listener is about to be closed.
 	acceptDone     chan struct{} // Closed when Run has stopped accepting.
 	inFlight       atomic.Int64  // Requests that were read and have no complete response.
 
@@ -63,11 +69,21 @@
 	s.running = true
 	s.mu.Unlock()
 	defer close(s.acceptDone)
+	drains := 0
 	for {
+		began := time.Now()
 		raw, err := s.listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
+		case err != nil && isTimeout(err) && s.stopping.Load():
+			// A call that began before its deadline and returned soon after it has
+			// found the queue empty.
+			if drains++; drains > maxAcceptDrains || drains > 1 && time.Since(began) < 2*acceptDrainTime {
+				return nil
+			}
+			s.limitAccept()
+			continue
 		case err != nil:
 			s.gateway.events.Emit(events.AcceptFailed, log.Fields{"error": err.Error()})
 			time.Sleep(acceptRetryDelay)
@@ -98,18 +114,30 @@
 	}
 }
 
-// StopAccepting closes the listener and waits until Run has stopped accepting.
-// After it, Connections and InFlight include every accepted connection.
+// StopAccepting accepts the connections in the listener's queue, closes the listener
+// and waits until Run has stopped accepting. After it, Connections and InFlight
+// include every accepted connection.
 func (s *Server) StopAccepting() {
-	_ = s.listener.Close()
 	s.mu.Lock()
 	running := s.running
 	s.mu.Unlock()
+	s.stopping.Store(true)
+	if running && s.limitAccept() {
+		<-s.acceptDone
+	}
+	_ = s.listener.Close()
 	if running {
 		<-s.acceptDone
 	}
 }
 
+// limitAccept makes Accept return after acceptDrainTime if no connection is in the
+// listener's queue. It reports whether the listener can do that.
+func (s *Server) limitAccept() bool {
+	limited, ok := s.listener.(interface{ SetDeadline(time.Time) error })
+	return ok && limited.SetDeadline(time.Now().Add(acceptDrainTime)) == nil
+}
+
 // CloseAll closes all connections and returns how many requests had no complete
 // response.
 func (s *Server) CloseAll() int64 {
--- /dev/null
+++ b/gateway/stop_test.go
@@ -0,0 +1,76 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/gateway"
+	"github.com/jacinthstall/jacinthstall/standin/wiretarget"
+)
+
+// lateListener accepts connections only while its gate is open, as if the process
+// got no processor time.
+type lateListener struct {
+	*net.TCPListener
+	gate *gate
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	l.gate.await()
+	return l.TCPListener.Accept()
+}
+
+// Guards against resetting the connections that wait in the listener's queue when
+// it is closed.
+func TestQueuedConnectionsAreServedWhenTheListenerCloses(t *testing.T) {
+	s := startSite(t, siteOptions{targets: []wiretarget.Options{{Slots: 32, MaxQueued: 32, WarmTime: 5 * time.Millisecond}}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	g := &gate{}
+	g.close()
+	s.address = listener.Addr().String()
+	server := gateway.NewServer(s.gateway, lateListener{listener.(*net.TCPListener), g})
+	go func() { _ = server.Run(context.Background()) }()
+	t.Cleanup(func() { server.CloseAll() })
+	var callers []*caller
+	for i := range 10 {
+		c := s.dial()
+		if i%2 == 0 {
+			c.send("POST", "/unsafe/x", fmt.Sprint("r", i), "b")
+		}
+		callers = append(callers, c)
+	}
+	server.Drain()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		server.StopAccepting()
+		server.CloseIdle()
+	}()
+	time.Sleep(50 * time.Millisecond)
+	g.open()
+	<-stopped
+	for i, c := range callers { // Half of the requests arrive after their connection was accepted.
+		if i%2 != 0 {
+			c.send("POST", "/unsafe/x", fmt.Sprint("r", i), "b")
+		}
+	}
+	for i, c := range callers {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+		r, err := http.ReadResponse(c.reader, nil)
+		if assert.NoError(t, err, "caller %d", i) {
+			assert.Equal(t, 200, r.StatusCode)
+			assert.True(t, r.Close)
+		}
+	}
+	_, err = net.Dial("tcp", s.address)
+	assert.Error(t, err, "the listener is closed")
+	assert.Eventually(t, func() bool { return server.Connections() == 0 }, 2*time.Second, time.Millisecond, "nothing holds up the stop")
+}
