A connection with pipelined requests ends in a stop before its end

Seen: with a caller that always had a request pending no response was the last one, so its requests were read until the end of a stop and the last of them cut. When idle connections are closed, connections with pending requests now read no further ones; the last response says Connection: close, and callers send again what was behind it.

TestBusyPipelineEndsInAStop did not end before (panic: test timed out).

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -45,6 +45,7 @@
 	closeAfterRequest bool
 	closedIdle        bool // Closed by this side without a request.
 	used              bool // A request has arrived.
+	awaiting          bool // The reader waits for a request.
 	ending            connEnding
 }
 
@@ -143,9 +144,15 @@
 			c.mu.Unlock()
 			return false
 		}
-		if c.pending == 0 {
+		switch {
+		case c.pending == 0:
 			_ = c.Conn.SetReadDeadline(c.idleDeadline())
+		case c.closeIdleRequested:
+			c.stopReading()
+			c.mu.Unlock()
+			return false
 		}
+		c.awaiting = true
 		c.mu.Unlock()
 		if maxHead := c.server.gateway.limits().MaxHeadBytes; maxHead > 0 {
 			c.headLimit.active, c.headLimit.remaining = true, maxHead+c.server.extraHeadBytes
@@ -162,6 +169,7 @@
 func (c *conn) inputAwaited(err error) (awaited, done bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.awaiting = false
 	switch {
 	case err == nil && !c.closing:
 		c.pending++
@@ -230,9 +238,7 @@
 		return c.pending == 1
 	}
 	if (c.server.draining.Load() || c.closeIdleRequested) && c.pending == 1 {
-		c.closing = true
-		c.ending.set(causePlannedStop)
-		_ = c.Conn.SetReadDeadline(expiredDeadline)
+		c.stopReading()
 		return true
 	}
 	return false
@@ -251,13 +257,27 @@
 }
 
 // closeIdle closes the connection if it has no pending request. A request that has
-// arrived and was not read yet is served first.
+// arrived and was not read yet is served first. If requests are pending, no further
+// ones are read, and the connection is closed after the last response.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closeIdleRequested = true
-	if c.pending == 0 && !c.closing {
+	switch {
+	case c.closing || !c.awaiting:
+	case c.pending == 0:
 		_ = c.Conn.SetReadDeadline(c.idleDeadline())
+	default:
+		c.stopReading()
+	}
+}
+
+// stopReading makes the reader stop before the next request.
+func (c *conn) stopReading() {
+	c.closing = true
+	c.ending.set(causePlannedStop)
+	if c.awaiting {
+		_ = c.Conn.SetReadDeadline(expiredDeadline)
 	}
 }
 
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -74,3 +75,38 @@
 	assert.Error(t, err, "the listener is closed")
 	assert.Eventually(t, func() bool { return server.Connections() == 0 }, 2*time.Second, time.Millisecond, "nothing holds up the stop")
 }
+
+// Load pattern: a caller always has a request pending. Guards against reading its
+// requests until the end of a stop, which cuts them.
+func TestBusyPipelineEndsInAStop(t *testing.T) {
+	s := startSite(t, siteOptions{targets: slowTargets(2, 200*time.Millisecond)})
+	c := s.dial()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			_, err := fmt.Fprintf(c.Conn, "GET /safe/%d HTTP/1.1\r\nHost: %s\r\nX-Jacinthstall-Request-Id: r%d\r\n\r\n", i, host, i)
+			if err != nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	assert.False(t, c.receive("GET").Close)
+	s.server.Drain()
+	assert.False(t, c.receive("GET").Close, "another request is pending")
+	s.server.StopAccepting()
+	s.server.CloseIdle()
+	closedAfter := time.Now()
+	for {
+		resp := c.receive("GET")
+		assert.Equal(t, 200, resp.StatusCode)
+		require.Less(t, time.Since(closedAfter), 5*time.Second)
+		if resp.Close {
+			break
+		}
+	}
+	assert.Less(t, time.Since(closedAfter), 600*time.Millisecond)
+	_, err := c.reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
