Idle connections are kept in a stop until look-ups have expired

Seen: 1.5 s after SIGTERM all idle connections were closed without notice, while callers may keep a look-up response, and reuse their connections, for 3 s. What crossed the close had no response. They are now kept as long as new connections are accepted; a request on them is answered with Connection: close. The stop is not longer: it waits for 3 s in any case (3.5 s before and now, with callers that do not close their side).

TestStopServesAllCallersUntilLookupsHaveExpired (real process, 120 connections, running and suspended for 150 ms at the closing moments) failed before: every idle connection reused after 1.53 s had 'unexpected EOF' (callers that look at the connection before they send lose only what crosses).

--- a/node/stop.go
+++ b/node/stop.go
@@ -11,13 +11,10 @@
 )
 
 const (
-	// lateAcceptTime is how long new connections are accepted after the
-	// instance has left the look-up responses. By then, callers that keep a
+	// lateUseTime is how long new connections are accepted and idle ones kept after
+	// the instance has left the look-up responses. By then, callers that keep a
 	// response three times as long as its TTL have switched to other instances.
-	lateAcceptTime = 3 * lookupTTL
-	// idleConnectionTime is how long idle connections are kept after the
-	// instance has left the look-up responses.
-	idleConnectionTime = 1500 * time.Millisecond
+	lateUseTime = 3 * lookupTTL
 	// processExitMargin is the part of the deployment's shutdown period that is
 	// reserved for the exit of the process.
 	processExitMargin = 400 * time.Millisecond
@@ -43,9 +40,7 @@
 		server.Drain()
 	}
 	go node.unregister(ctx)
-	node.waitUntil(started.Add(idleConnectionTime), end, func() bool { return false })
-	node.closeIdleConnections()
-	node.waitUntil(started.Add(lateAcceptTime), end, func() bool { return false })
+	node.waitUntil(started.Add(lateUseTime), end, func() bool { return false })
 	for _, server := range node.requestServers() {
 		server.StopAccepting()
 	}
