A long body is read by one reader until its response was written

Seen at targets and callers: a target that answered before it had read a long body received it with parts missing, and in a stop the rest of it was cut. The connection's reader took the response for the end of the body and began to discard input beside the forwarder that was reading it. The reader now waits until the response was written.

Seen at callers: the response to a request whose body had not been read did not always say Connection: close, although the connection was closed after it; the next request on it had no response. Whether the connection ends was set by the reader after the response could be written. closesAfterResponse decides it now from the state of the body.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -54,6 +54,7 @@
 	request  *incomingRequest
 	response *response     // Valid after ready is closed.
 	ready    chan struct{} // Closed when response is set.
+	ended    chan struct{} // Closed when the response was written, or writing has failed.
 }
 
 func newConn(ctx context.Context, s *Server, raw net.Conn) *conn {
@@ -110,7 +111,7 @@
 			c.setCause(causeInputEnded) // Unless readErrorResponse has set another one.
 			return true
 		}
-		ex := &exchange{request: request, ready: make(chan struct{})}
+		ex := &exchange{request: request, ready: make(chan struct{}), ended: make(chan struct{})}
 		c.server.inFlight.Add(1)
 		if errorResponse != nil {
 			c.setClosing()
@@ -128,7 +129,7 @@
 			defer close(ex.ready)
 			ex.response = c.server.handler(c.ctx, request)
 		}()
-		if !request.awaitBody(ex.ready) || request.close {
+		if !request.awaitBody(ex.ended) || request.close {
 			c.setClosing()
 			return false
 		}
@@ -230,10 +231,14 @@
 
 // closesAfterResponse reports whether the connection is closed after the response
 // that is about to be written. If the server is draining and this is the last
-// pending response, it also stops reading further requests.
-func (c *conn) closesAfterResponse() bool {
+// pending response, it also stops reading further requests. If the body of the
+// request has not been read to its end, it may never be.
+func (c *conn) closesAfterResponse(request *incomingRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if request != nil && !request.bodyRead() {
+		c.closing = true
+	}
 	if c.closing {
 		return c.pending == 1
 	}
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -52,21 +52,30 @@
 
 // awaitBody waits until the body was read completely, so that the next request
 // can be read from the connection. It returns false when that is not possible:
-// reading failed, or the response was ready before the end of the body.
-func (r *incomingRequest) awaitBody(responseReady <-chan struct{}) bool {
+// reading failed, or the response was written before the end of the body. Until
+// then, nothing else may read from the connection.
+func (r *incomingRequest) awaitBody(responseWritten <-chan struct{}) bool {
 	if r.stream == nil {
 		return true
 	}
 	select {
 	case <-r.stream.finished:
-	case <-responseReady:
-		select {
-		case <-r.stream.finished:
-		default:
-			return false
-		}
+	case <-responseWritten:
+	}
+	return r.bodyRead()
+}
+
+// bodyRead reports whether the body was read to its end.
+func (r *incomingRequest) bodyRead() bool {
+	if r.stream == nil {
+		return true
+	}
+	select {
+	case <-r.stream.finished:
+		return errors.Is(r.stream.err, io.EOF)
+	default:
+		return false
 	}
-	return errors.Is(r.stream.err, io.EOF)
 }
 
 // headLimiter limits the bytes read while a request head is expected. Bytes that
--- /dev/null
+++ b/gateway/upload_test.go
@@ -0,0 +1,83 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/platform"
+)
+
+// countingText returns text whose position can be told from its content.
+func countingText(n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n; i++ {
+		fmt.Fprintf(&b, "%07d,", i)
+	}
+	return b.String()[:n]
+}
+
+// Load pattern: a target answers before it has read a long body, and reads on.
+// Guards against a body of which parts are missing at the target because the
+// connection was read elsewhere, and against ending it in a planned stop.
+func TestUploadContinuesBesideEarlyResponse(t *testing.T) {
+	const half = 200 << 10
+	upload, download := countingText(2*half), strings.Repeat("y", 300<<10)
+	for _, stop := range []bool{false, true} {
+		received := make(chan string, 1)
+		s := startSite(t, siteOptions{timeout: 5 * time.Second, scripts: []script{func(_ int, r *http.Request, c net.Conn) bool {
+			_, _ = io.WriteString(c, stampedHead(200, r)+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(download))+download[:len(download)/2])
+			body, _ := io.ReadAll(r.Body)
+			received <- string(body)
+			_, _ = io.WriteString(c, download[len(download)/2:])
+			return true
+		}}})
+		c := s.dial()
+		_, err := io.WriteString(c, fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: %s\r\n%s: r1\r\nContent-Length: %d\r\n\r\n", host, platform.HeaderRequestID, len(upload))+upload[:half])
+		require.NoError(t, err)
+		if stop {
+			s.server.Drain()
+		}
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+		r, err := http.ReadResponse(c.reader, nil)
+		require.NoError(t, err)
+		if stop {
+			s.server.CloseIdle()
+		}
+		time.Sleep(50 * time.Millisecond)
+		_, err = io.WriteString(c, upload[half:])
+		require.NoError(t, err)
+		select {
+		case body := <-received:
+			assert.Equal(t, len(upload), len(body))
+			assert.True(t, body == upload, "the target receives the body as it was sent")
+		case <-time.After(5 * time.Second):
+			t.Error("the target does not receive the body")
+		}
+		content, err := io.ReadAll(r.Body)
+		assert.NoError(t, err)
+		assert.Len(t, content, len(download))
+		assert.True(t, r.Close, "the end of the body was not known when the response began")
+	}
+}
+
+// Guards against a response without notice on a connection that is closed because
+// the rest of a long body is not read: the next request on it would get no response.
+func TestResponseBeforeEndOfBodyAnnouncesClose(t *testing.T) {
+	for i := range 20 {
+		s := startSite(t, siteOptions{})
+		c := s.dial()
+		_, err := io.WriteString(c, fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: %s\r\n%s: r%d\r\nContent-Length: %d\r\n\r\n", host, platform.HeaderRequestID, i, 1<<20)+countingText(100<<10))
+		require.NoError(t, err)
+		resp := c.receive("POST")
+		assert.Equal(t, 503, resp.StatusCode, "no target")
+		assert.True(t, resp.Close)
+	}
+}
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -62,6 +62,7 @@
 		}
 		c.server.inFlight.Add(-1)
 		c.responseWritten()
+		close(ex.ended)
 	}
 }
 
@@ -71,7 +72,7 @@
 	if ex.request != nil {
 		method = ex.request.httpRequest.Method
 	}
-	closeAfter := c.closesAfterResponse()
+	closeAfter := c.closesAfterResponse(ex.request)
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := resp.writeHead(w, method, closeAfter); err != nil {
 		return err
