A stalled upload ends at the route's timeout

Seen: a caller that did not send the rest of a long body held its request without limit. At the timeout the connection to the target was closed, but the forwarder waits for its writer, and the writer for the caller.

TestStalledUploadEndsAtTimeout (timeout 300 ms) failed before: no response within 10 s.

Open, in forward/: exchange.finish waits for the writer also when the target has answered early, so that the end of such a response waits for the caller to send more, at most until the timeout.

--- a/gateway/read.go
+++ b/gateway/read.go
@@ -34,18 +34,35 @@
 // streamedBody is a request body that is forwarded while it arrives.
 type streamedBody struct {
 	io.Reader
-	once     sync.Once
+	mu       sync.Mutex    // Held while finished is closed or the read deadline is set.
 	finished chan struct{} // Closed at the end of the body or at a read error.
 	err      error         // The final error of Read; valid after finished is closed.
+	conn     net.Conn
+}
+
+// interrupt ends a Read that waits for the caller.
+func (b *streamedBody) interrupt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-b.finished:
+	default:
+		_ = b.conn.SetReadDeadline(expiredDeadline)
+	}
 }
 
 func (b *streamedBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
-	if err != nil {
-		b.once.Do(func() {
-			b.err = err
-			close(b.finished)
-		})
+	if err == nil {
+		return n, nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-b.finished:
+	default:
+		b.err = err
+		close(b.finished)
 	}
 	return n, err
 }
@@ -156,7 +173,7 @@
 		request.arrived = time.Now()
 		return nil
 	}
-	request.stream = &streamedBody{Reader: io.MultiReader(bytes.NewReader(prefix), buffered), finished: make(chan struct{})}
+	request.stream = &streamedBody{Reader: io.MultiReader(bytes.NewReader(prefix), buffered), finished: make(chan struct{}), conn: c.Conn}
 	return nil
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httputil"
@@ -206,6 +207,13 @@
 		}
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.deadline)
+	if request.stream != nil {
+		context.AfterFunc(ctx, func() {
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				request.stream.interrupt()
+			}
+		})
+	}
 	resp := g.sendWithRetries(ctx, request)
 	if resp.stream == nil {
 		cancel()
--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -81,3 +81,25 @@
 		assert.True(t, resp.Close)
 	}
 }
+
+// Guards against holding a request beyond the timeout of its route because its
+// caller does not send the rest of a long body, and against a connection that is
+// not closed for the same reason.
+func TestStalledUploadEndsAtTimeout(t *testing.T) {
+	s := startSite(t, siteOptions{timeout: 300 * time.Millisecond, scripts: []script{func(_ int, r *http.Request, _ net.Conn) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		return false
+	}}})
+	c := s.dial()
+	_, err := io.WriteString(c, fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: %s\r\n%s: r1\r\nContent-Length: %d\r\n\r\n", host, platform.HeaderRequestID, 1<<20)+countingText(100<<10))
+	require.NoError(t, err)
+	started := time.Now()
+	resp := c.receive("POST")
+	assert.Equal(t, 504, resp.StatusCode)
+	assert.True(t, resp.Close)
+	assert.Less(t, time.Since(started), 800*time.Millisecond)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = c.reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Eventually(t, func() bool { return s.server.Connections() == 0 }, 5*time.Second, time.Millisecond)
+}
