A stalled short body ends at the caller's deadline

Seen: a body of up to 64 KB that stopped midway held its connection without limit, in a stop until its end: the read deadline was removed before the body was read. The body now has the time that the caller states (30 s without a statement). The response is 408 with reason body-too-slow; nothing was sent to a target by then.

TestStalledBodyEndsAtCallersDeadline failed before: no response within 10 s. TestSlowBodyWithinDeadlineIsServed passed before any change and stays.

--- a/gateway/read.go
+++ b/gateway/read.go
@@ -140,6 +140,9 @@
 		return nil, systemResponse(http.StatusRequestEntityTooLarge, "body-too-large")
 	}
 	if err := c.readBody(r, limits.MaxBodyBytes); err != nil {
+		if isTimeout(err) {
+			return nil, systemResponse(http.StatusRequestTimeout, "body-too-slow")
+		}
 		return nil, c.readErrorResponse(err)
 	}
 	return r, nil
@@ -158,7 +161,13 @@
 			return err
 		}
 	}
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	// A caller gives up at its deadline.
+	timeLeft, ok := c.server.gateway.Headers.Deadline(request.httpRequest.Header)
+	if !ok || timeLeft <= 0 {
+		timeLeft = defaultTimeout
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(timeLeft))
+	defer func() { _ = c.Conn.SetReadDeadline(time.Time{}) }()
 	var reader io.Reader = body
 	if maxBytes > 0 {
 		reader = &limitedBody{source: body, remaining: maxBytes}
--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 // countingText returns text whose position can be told from its content.
@@ -103,3 +104,33 @@
 	assert.ErrorIs(t, err, io.EOF)
 	assert.Eventually(t, func() bool { return s.server.Connections() == 0 }, 5*time.Second, time.Millisecond)
 }
+
+// Guards against a connection that is held without limit by a caller that does not
+// send the rest of a short body, in a stop until its end.
+func TestStalledBodyEndsAtCallersDeadline(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fastTargets(1)})
+	c := s.dial()
+	_, err := io.WriteString(c, fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: %s\r\n%s: r1\r\n%s: 300\r\nContent-Length: 10\r\n\r\nabc", host, platform.HeaderRequestID, platform.HeaderDeadline))
+	require.NoError(t, err)
+	started := time.Now()
+	resp := c.receive("POST")
+	assert.Equal(t, 408, resp.StatusCode)
+	assert.True(t, resp.Close)
+	assert.Less(t, time.Since(started), 2*time.Second)
+	assert.Zero(t, s.executed("r1"), "408 promises that")
+}
+
+// Guards against a time limit of the body that applies to later requests.
+func TestSlowBodyWithinDeadlineIsServed(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fastTargets(1), limits: steering.Limits{HeadTimeout: 100 * time.Millisecond}})
+	c := s.dial()
+	for i := range 2 {
+		_, err := io.WriteString(c, fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: %s\r\n%s: r%d\r\n%s: 1000\r\nContent-Length: 10\r\n\r\nabc", host, platform.HeaderRequestID, i, platform.HeaderDeadline))
+		require.NoError(t, err)
+		time.Sleep(400 * time.Millisecond)
+		_, err = io.WriteString(c, "defghij")
+		require.NoError(t, err)
+		assert.Equal(t, 200, c.receive("POST").StatusCode)
+		time.Sleep(700 * time.Millisecond)
+	}
+}
