A response that is ready when the caller leaves does not depend on a select

Seen: when a response was ready and the connection's context ended at the same time, either the response of a target was thrown away or '499', the log's status for callers that left, was written to a caller that had only shut down its sending side. The writer now waits for the handler in any case (as both cases did), writes a response that exists, and never writes the 499.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -338,7 +338,7 @@
 // before the interrupted retry is delivered.
 func (request *routedRequest) interruptedResponse(ctx context.Context) *response {
 	if ctx.Err() == context.Canceled {
-		return systemResponse(statusCallerLeft, "caller-left")
+		return systemResponse(statusCallerLeft, reasonCallerLeft)
 	}
 	if request.failedResponse != nil {
 		return request.failedResponse
@@ -349,7 +349,11 @@
 	return retryAfterResponse(http.StatusServiceUnavailable, "timeout-not-sent", shedRetryAfter)
 }
 
-// statusCallerLeft is the logged status of requests whose caller has disconnected.
-const statusCallerLeft = 499
+// statusCallerLeft and reasonCallerLeft are the logged status and reason of requests
+// whose caller has disconnected. Such a response is not sent.
+const (
+	statusCallerLeft = 499
+	reasonCallerLeft = "caller-left"
+)
 
 func newChunkedWriter(w io.Writer) io.WriteCloser { return httputil.NewChunkedWriter(w) }
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -39,12 +39,8 @@
 	w := bufio.NewWriterSize(c.Conn, writeBufferBytes)
 	failed := false
 	for ex := range c.exchanges {
-		select {
-		case <-ex.ready:
-		case <-c.ctx.Done():
-			<-ex.ready
-			failed = true
-		}
+		<-ex.ready // Soon after the end of c.ctx, too.
+		failed = failed || ex.response.reason == reasonCallerLeft
 		if !failed {
 			err := c.writeResponse(w, ex)
 			failed = err != nil
