A 100 response follows the responses of earlier requests

Seen: the 100 response to a request with 'Expect: 100-continue' was written when its head had been read, also before or into the response to an earlier pipelined request. It now has a place in the writer's queue.

TestInterimResponseFollowsEarlierResponse failed before: status 100 where 200 of the first request was due.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -55,6 +55,7 @@
 	response *response     // Valid after ready is closed.
 	ready    chan struct{} // Closed when response is set.
 	ended    chan struct{} // Closed when the response was written, or writing has failed.
+	interim  bool          // Only a place for a 100 response in the order of responses.
 }
 
 func newConn(ctx context.Context, s *Server, raw net.Conn) *conn {
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -157,9 +157,8 @@
 		return nil
 	}
 	if strings.EqualFold(request.httpRequest.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return err
-		}
+		// Earlier responses may not be complete. An error ends the connection.
+		c.exchanges <- &exchange{interim: true}
 	}
 	// A caller gives up at its deadline.
 	timeLeft, ok := c.server.gateway.Headers.Deadline(request.httpRequest.Header)
--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -134,3 +134,30 @@
 		time.Sleep(700 * time.Millisecond)
 	}
 }
+
+// Load pattern: a caller sends a request that expects an interim response behind
+// another one. Guards against writing it into the earlier response.
+func TestInterimResponseFollowsEarlierResponse(t *testing.T) {
+	const half = 200 << 10
+	s := startSite(t, siteOptions{scripts: []script{func(_ int, r *http.Request, c net.Conn) bool {
+		if r.Method == http.MethodPost {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, err := io.WriteString(c, stampedHead(200, r)+"Content-Length: 2\r\n\r\nok")
+			return err == nil
+		}
+		_, _ = io.WriteString(c, stampedHead(200, r)+fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*half)+strings.Repeat("y", half))
+		time.Sleep(300 * time.Millisecond)
+		_, err := io.WriteString(c, strings.Repeat("y", half))
+		return err == nil
+	}}})
+	c := s.dial()
+	c.send("GET", "/safe/x", "r1", "")
+	c.send("POST", "/unsafe/x", "r2", "", "Expect: 100-continue", "Content-Length: 4")
+	first := c.receive("GET")
+	assert.Equal(t, 200, first.StatusCode)
+	assert.Equal(t, strings.Repeat("y", 2*half), first.body)
+	assert.Equal(t, 100, c.receive("POST").StatusCode)
+	_, err := io.WriteString(c, "body")
+	require.NoError(t, err)
+	assert.Equal(t, 200, c.receive("POST").StatusCode)
+}
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -39,6 +39,14 @@
 	w := bufio.NewWriterSize(c.Conn, writeBufferBytes)
 	failed := false
 	for ex := range c.exchanges {
+		if ex.interim {
+			if !failed {
+				err := c.writeContinue(w)
+				failed = err != nil
+				c.setCause(causeOfWriteError(err))
+			}
+			continue
+		}
 		<-ex.ready // Soon after the end of c.ctx, too.
 		failed = failed || ex.response.reason == reasonCallerLeft
 		if !failed {
@@ -62,6 +70,14 @@
 	}
 }
 
+func (c *conn) writeContinue(w *bufio.Writer) error {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := w.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
 func (c *conn) writeResponse(w *bufio.Writer, ex *exchange) error {
 	resp := ex.response
 	method := ""
