Docs and test: a caller that shuts down its sending side counts as one that left

No change of behaviour; TestHalfClosedCallerCountsAsLeft passed before any change. Trial (scratch program, loopback): after a FIN the socket's state (8, CLOSE_WAIT), TCP_INFO and SO_ERROR are the same whether the peer closed or shut down its sending side, 50 ms and 4 s later with keep-alive probes each second.

--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -137,3 +137,19 @@
 	assert.Empty(t, logs.of(events.CallerLeft))
 	assert.Empty(t, logs.of(events.ConnectionCut))
 }
+
+// Guards against work that goes on for a caller that has closed its connection, and
+// shows its cost: a caller that shuts down only its sending side gets no response,
+// for pipelined requests neither.
+func TestHalfClosedCallerCountsAsLeft(t *testing.T) {
+	s := startSite(t, siteOptions{targets: slowTargets(1, 5*time.Second), timeout: 4 * time.Second})
+	c := s.dial()
+	c.send("GET", "/safe/1", "r1", "")
+	c.send("POST", "/unsafe/2", "r2", "b")
+	require.Eventually(t, func() bool { return s.executed("r1") == 1 && s.executed("r2") == 1 }, 5*time.Second, time.Millisecond)
+	require.NoError(t, c.Conn.(*net.TCPConn).CloseWrite())
+	assert.Eventually(t, func() bool { return s.targets[0].Aborted() == 2 }, 500*time.Millisecond, time.Millisecond)
+	content, err := io.ReadAll(c)
+	assert.NoError(t, err)
+	assert.Empty(t, content)
+}
