--- a/cmd/jacinth-node/process_test.go
+++ b/cmd/jacinth-node/process_test.go
@@ -62,7 +62,9 @@
 	settingsFile string
 	cmd          *exec.Cmd
 	ended        chan struct{}
+	store        *metastore.Store
 	target       *wiretarget.Target
+	targetRecord []byte
 }
 
 // newProcess prepares a process with a store and a target, and does not start it.
@@ -83,8 +85,9 @@
 	go func() { _ = targetServer.Run() }()
 	t.Cleanup(func() { _ = storeServer.Close(); _ = targetServer.Close() })
 	store.Put(wiresite.ConfigKey, wiresite.Config(1, "s", wiresite.Route{Segment: "app", Timeout: 8 * time.Second}))
-	store.Put(wiresite.TargetKey("t0"), wiresite.TargetRecord("s", "d", targetListener.Addr().String(), "ready", 64))
-	p := &process{t: t, host: loopback.Host(), target: target, ended: make(chan struct{})}
+	record := wiresite.TargetRecord("s", "d", targetListener.Addr().String(), "ready", 64)
+	store.Put(wiresite.TargetKey("t0"), record)
+	p := &process{t: t, host: loopback.Host(), store: store, target: target, targetRecord: record, ended: make(chan struct{})}
 	p.settings = wiresite.Settings("n1", "d", p.host, map[string]string{"d": "r"}, storeListener.Addr().String())
 	p.settingsFile = filepath.Join(t.TempDir(), "settings.json")
 	require.NoError(t, os.WriteFile(p.settingsFile, p.settings, 0o600))
