Idle connections do not hold up the end of a stop

Seen since idle connections are kept for 3 s in a stop: it took 3.56 s (TestIdleConnectionsDoNotHoldUpAStop, limit 3.35 s), because each closed idle connection waits up to 0.5 s for its caller.

--- a/cmd/jacinth-node/stop_test.go
+++ b/cmd/jacinth-node/stop_test.go
@@ -158,3 +158,22 @@
 		})
 	}
 }
+
+// Guards against a stop that waits for callers of idle connections to close them.
+func TestIdleConnectionsDoNotHoldUpAStop(t *testing.T) {
+	p := newProcess(t, 0)
+	p.startReady()
+	for range 20 {
+		c, err := p.dial()
+		require.NoError(t, err)
+		_, err = c.send()
+		require.NoError(t, err)
+		_, last, err := c.receive()
+		require.NoError(t, err)
+		require.False(t, last)
+	}
+	started := time.Now()
+	p.signal(syscall.SIGTERM)
+	p.awaitEnd()
+	assert.Less(t, time.Since(started), lastUse+350*time.Millisecond)
+}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -86,7 +86,9 @@
 	}
 	if c.closedIdle {
 		<-written
-		c.lingerUnread()
+		if !c.server.stopping.Load() { // In a stop, all responses have arrived long ago.
+			c.lingerUnread()
+		}
 		return
 	}
 	// A disconnect must still be detected while responses are pending.
