A connection is not closed without notice beside the end of a response

Cause, since: between the last byte of a response and its count as written a connection had a pending request, so that closeIdle stopped reading further ones and relied on that response to announce the close; its head was written already. The next request had no response. Only requests whose response is not begun count for that now; otherwise the connection is treated as idle a moment later.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -37,6 +37,7 @@
 
 	mu        sync.Mutex
 	pending   int       // Requests whose first byte has arrived and whose response is not yet written.
+	undecided int       // Pending requests of which no byte of the response is written.
 	closing   bool      // No further requests are read.
 	idleSince time.Time // When the last response was written; before that, when the connection was accepted.
 	// closeIdleRequested: the connection is closed when it has no pending request.
@@ -151,7 +152,7 @@
 		switch {
 		case c.pending == 0:
 			_ = c.Conn.SetReadDeadline(c.idleDeadline())
-		case c.closeIdleRequested:
+		case c.closeIdleRequested && c.undecided > 0:
 			c.stopReading()
 			c.mu.Unlock()
 			return false
@@ -177,6 +178,7 @@
 	switch {
 	case err == nil && !c.closing:
 		c.pending++
+		c.undecided++
 		c.used = true
 		_ = c.Conn.SetReadDeadline(c.headDeadline())
 		return true, true
@@ -239,6 +241,7 @@
 func (c *conn) closesAfterResponse(request *incomingRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.undecided--
 	if request != nil && !request.bodyRead() {
 		c.closing = true
 	}
@@ -275,9 +278,11 @@
 	case c.closing || !c.awaiting:
 	case c.pending == 0:
 		_ = c.Conn.SetReadDeadline(c.idleDeadline())
-	default:
+	case c.undecided > 0:
 		c.stopReading()
 	}
+	// Otherwise the last response was written without an announcement of the close,
+	// and responseWritten is about to be called.
 }
 
 // stopReading makes the reader stop before the next request.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -317,7 +317,8 @@
 // if the process got no processor time.
 type gatedListener struct {
 	net.Listener
-	gate *gate
+	gate      *gate
+	writeGate *gate
 }
 
 type gate struct {
@@ -349,8 +350,9 @@
 
 type gatedConn struct {
 	*net.TCPConn
-	gate     *gate
-	deadline atomic.Pointer[time.Time]
+	gate      *gate
+	writeGate *gate
+	deadline  atomic.Pointer[time.Time]
 }
 
 func (c *gatedConn) SetReadDeadline(deadline time.Time) error {
@@ -370,6 +372,13 @@
 	}
 }
 
+// Write returns when the write gate is open. The caller has the bytes before.
+func (c *gatedConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	c.writeGate.await()
+	return n, err
+}
+
 func (c *gatedConn) hasInput() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -387,20 +396,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &gatedConn{TCPConn: conn.(*net.TCPConn), gate: l.gate}, nil
+	return &gatedConn{TCPConn: conn.(*net.TCPConn), gate: l.gate, writeGate: l.writeGate}, nil
 }
 
 // startGated serves the site at a second address, whose connections are read only
-// while the gate is open.
-func (s *site) startGated() (*gateway.Server, *gate) {
+// while the first gate is open, and whose writes return while the second is open.
+func (s *site) startGated() (server *gateway.Server, reads, writes *gate) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
-	g := &gate{}
-	server := gateway.NewServer(s.gateway, gatedListener{listener, g})
+	reads, writes = &gate{}, &gate{}
+	server = gateway.NewServer(s.gateway, gatedListener{listener, reads, writes})
 	s.address = listener.Addr().String()
 	go func() { _ = server.Run(context.Background()) }()
 	s.t.Cleanup(func() { server.StopAccepting(); server.CloseAll() })
-	return server, g
+	return server, reads, writes
 }
 
 // Guards against discarding a request that had arrived before an idle connection
@@ -411,7 +420,7 @@
 	for _, stop := range []bool{false, true} {
 		logs := &logRecorder{}
 		s := startSite(t, siteOptions{targets: fastTargets(1), limits: steering.Limits{IdleTimeout: limit}, logs: logs})
-		server, gate := s.startGated()
+		server, gate, _ := s.startGated()
 		var callers []*caller
 		for i := range 4 {
 			c := s.dial()
@@ -441,3 +450,23 @@
 		assert.Empty(t, logs.of(events.ConnectionCut))
 	}
 }
+
+// Guards against closing a connection whose last response has reached its caller
+// without notice, and is not counted as written yet, without serving the next
+// request.
+func TestIdleCloseBesideTheEndOfAResponse(t *testing.T) {
+	s := startSite(t, siteOptions{targets: fastTargets(1)})
+	server, _, writes := s.startGated()
+	c := s.dial()
+	writes.close()
+	c.send("POST", "/unsafe/x", "first", "b")
+	assert.False(t, c.receive("POST").Close)
+	server.Drain()
+	server.CloseIdle()
+	c.send("POST", "/unsafe/x", "second", "b")
+	time.Sleep(50 * time.Millisecond)
+	writes.open()
+	resp := c.receive("POST")
+	assert.Equal(t, 200, resp.StatusCode)
+	assert.True(t, resp.Close)
+}
