--- a/cmd/jacinth-node/main.go
+++ b/cmd/jacinth-node/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
@@ -30,10 +31,19 @@
 	// memoryLimitFraction is the fraction of the allowed memory that is set as
 	// the soft memory limit of the Go runtime.
 	memoryLimitFraction = 0.7
+	// logCloseTimeout limits writing the queued log lines at the end of the
+	// process.
+	logCloseTimeout = 200 * time.Millisecond
 )
 
 func main() {
-	err := run(os.Args[1:], os.Stdout)
+	// Without a channel, SIGHUP ends the process. It may arrive during the start.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	// A write to a closed standard output would end the process too. It fails
+	// instead, and the handler counts it.
+	signal.Ignore(syscall.SIGPIPE)
+	err := run(os.Args[1:], os.Stdout, hangups)
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(os.Stderr, "jacinth-node:", err)
 		os.Exit(1)
@@ -41,7 +51,7 @@
 }
 
 // run parses the command line and serves, unless -check or -version is given.
-func run(args []string, out io.Writer) error {
+func run(args []string, out io.Writer, hangups <-chan os.Signal) error {
 	fs := flag.NewFlagSet("jacinth-node", flag.ContinueOnError)
 	file := fs.String("settings", "", "settings file of this instance (default: the file that the platform sets in the environment)")
 	check := fs.Bool("check", false, "check the settings, print all findings and exit")
@@ -65,7 +75,7 @@
 		_, err := fmt.Fprintf(out, "settings of instance %s in failure domain %s are valid\n", s.Name, s.Domain)
 		return err
 	}
-	return serve(s, load)
+	return serve(s, load, hangups)
 }
 
 // buildVersion returns the version of the module and the commit of the build.
@@ -83,14 +93,14 @@
 	return text
 }
 
-func serve(s settings.Node, load func() (settings.Node, error)) error {
+func serve(s settings.Node, load func() (settings.Node, error), hangups <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	}
 	hlog.SetLevel(hlog.LevelFatal)
 	handler := events.NewDroppingHandler(os.Stdout)
-	defer func() { _ = handler.Close() }()
+	defer closeLog(handler)
 	logger := &log.Logger{Handler: handler, Level: log.DebugLevel}
 	store, err := platform.NewStore(s.StoreAddress)
 	if err != nil {
@@ -104,18 +114,30 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return n.Run(ctx, reloadRequests(ctx))
+	return n.Run(ctx, reloadRequests(ctx, hangups))
+}
+
+// closeLog writes the queued log lines. It gives up after logCloseTimeout, since a
+// write blocks while nobody reads the standard output.
+func closeLog(handler *events.Handler) {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = handler.Close() // Always nil.
+	}()
+	select {
+	case <-closed:
+	case <-time.After(logCloseTimeout):
+	}
 }
 
 // reloadRequests converts SIGHUP signals to requests to reload the settings.
-func reloadRequests(ctx context.Context) <-chan struct{} {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+func reloadRequests(ctx context.Context, hangups <-chan os.Signal) <-chan struct{} {
 	out := make(chan struct{}, 1)
 	go func() {
 		for {
 			select {
-			case <-signals:
+			case <-hangups:
 				select {
 				case out <- struct{}{}:
 				default:
--- a/cmd/jacinth-node/odd_records_test.go
+++ b/cmd/jacinth-node/odd_records_test.go
@@ -37,8 +37,8 @@
 
 var regions = map[string]string{"a1": "a", "b1": "b"}
 
-// process is an instance that runs as a separate process.
-type process struct {
+// fleetProcess is an instance that runs as a separate process.
+type fleetProcess struct {
 	name, domain, host string
 	dir                string
 	cmd                *exec.Cmd
@@ -71,7 +71,7 @@
 	binary    string
 	address   string // Of the store.
 	store     *metastore.Store
-	processes []*process
+	processes []*fleetProcess
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -111,15 +111,15 @@
 	f.store.Put(wiresite.TargetKey(id), wiresite.TargetRecord("s", domain, listener.Addr().String(), "ready", 8))
 }
 
-func (f *fleet) addProcess(name, domain string) *process {
-	p := &process{name: name, domain: domain, host: loopback.Host(), dir: f.t.TempDir(), output: &lockedBuffer{}}
+func (f *fleet) addProcess(name, domain string) *fleetProcess {
+	p := &fleetProcess{name: name, domain: domain, host: loopback.Host(), dir: f.t.TempDir(), output: &lockedBuffer{}}
 	require.NoError(f.t, os.WriteFile(filepath.Join(p.dir, "settings.json"), wiresite.Settings(name, domain, p.host, regions, f.address), 0o600))
 	f.processes = append(f.processes, p)
 	f.start(p)
 	return p
 }
 
-func (f *fleet) start(p *process) {
+func (f *fleet) start(p *fleetProcess) {
 	p.cmd = exec.Command(f.binary)
 	p.cmd.Env = append(os.Environ(), wiresite.SettingsVariable+"="+filepath.Join(p.dir, "settings.json"))
 	p.cmd.Stdout, p.cmd.Stderr = p.output, p.output
@@ -136,7 +136,7 @@
 	})
 }
 
-func (p *process) hasExited() bool {
+func (p *fleetProcess) hasExited() bool {
 	select {
 	case <-p.exited:
 		return true
@@ -146,7 +146,7 @@
 }
 
 // peakMemory returns the largest resident size so far in bytes.
-func (p *process) peakMemory(t *testing.T) int {
+func (p *fleetProcess) peakMemory(t *testing.T) int {
 	t.Helper()
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	require.NoError(t, err)
@@ -161,7 +161,7 @@
 }
 
 // rejections returns the number of log lines of each rejected key.
-func (p *process) rejections() map[string]int {
+func (p *fleetProcess) rejections() map[string]int {
 	counts := map[string]int{}
 	for line := range strings.Lines(p.output.String()) {
 		var entry struct {
@@ -179,7 +179,7 @@
 }
 
 // logStoreFailures logs the last lines about calls that failed.
-func (p *process) logStoreFailures(t *testing.T) {
+func (p *fleetProcess) logStoreFailures(t *testing.T) {
 	t.Helper()
 	var lines []string
 	for line := range strings.Lines(p.output.String()) {
@@ -196,7 +196,7 @@
 	reader *bufio.Reader
 }
 
-func (p *process) connect() (*connection, error) {
+func (p *fleetProcess) connect() (*connection, error) {
 	raw, err := net.DialTimeout("tcp", wiresite.CallerAddress(p.host), time.Second)
 	if err != nil {
 		return nil, err
@@ -227,7 +227,7 @@
 
 // answers reports whether a request on a new connection is answered with 200 and
 // a body with the given end.
-func (p *process) answers(path, end string) bool {
+func (p *fleetProcess) answers(path, end string) bool {
 	c, err := p.connect()
 	if err != nil {
 		return false
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -6,11 +6,8 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
-
-	"github.com/apex/log"
-
-	"github.com/jacinthstall/jacinthstall/events"
 )
 
 const (
@@ -19,6 +16,9 @@
 	maxPipelined = 64
 	// readBufferBytes is the size of the read buffer of a caller's connection.
 	readBufferBytes = 4 << 10
+	// firstRequestTime is how long a new connection is kept for its first request
+	// when idle connections are closed.
+	firstRequestTime = 250 * time.Millisecond
 )
 
 // expiredDeadline, set as read deadline, interrupts a blocked read.
@@ -35,9 +35,19 @@
 	cancel    context.CancelFunc
 	exchanges chan *exchange // In the order in which the requests arrived.
 
-	mu      sync.Mutex
-	pending int  // Requests whose first byte has arrived and whose response is not yet written.
-	closing bool // No further requests are read.
+	mu        sync.Mutex
+	pending   int       // Requests whose first byte has arrived and whose response is not yet written.
+	undecided int       // Pending requests of which no byte of the response is written.
+	closing   bool      // No further requests are read.
+	idleSince time.Time // When the last response was written; before that, when the connection was accepted.
+	// closeIdleRequested: the connection is closed when it has no pending request.
+	closeIdleRequested bool
+	// closeAfterRequest: the request that has arrived is the last one.
+	closeAfterRequest bool
+	closedIdle        bool // Closed by this side without a request.
+	used              bool // A request has arrived.
+	awaiting          bool // The reader waits for a request.
+	ending            connEnding
 }
 
 // exchange is one request of a caller and its response.
@@ -45,10 +55,12 @@
 	request  *incomingRequest
 	response *response     // Valid after ready is closed.
 	ready    chan struct{} // Closed when response is set.
+	ended    chan struct{} // Closed when the response was written, or writing has failed.
+	interim  bool          // Only a place for a 100 response in the order of responses.
 }
 
 func newConn(ctx context.Context, s *Server, raw net.Conn) *conn {
-	c := &conn{Conn: raw, server: s, exchanges: make(chan *exchange, maxPipelined)}
+	c := &conn{Conn: raw, server: s, idleSince: time.Now(), exchanges: make(chan *exchange, maxPipelined)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.headLimit.source = raw
 	c.reader = bufio.NewReaderSize(&c.headLimit, readBufferBytes)
@@ -59,6 +71,7 @@
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
 	defer func() { _ = c.Conn.Close() }()
+	defer c.logEnding()
 	defer c.cancel()
 	written := make(chan struct{})
 	go func() {
@@ -68,10 +81,17 @@
 	disconnected := c.readLoop()
 	close(c.exchanges)
 	if disconnected {
-		c.callerLeft()
+		c.cancel()
 		<-written
 		return
 	}
+	if c.closedIdle {
+		<-written
+		if !c.server.stopping.Load() { // In a stop, all responses have arrived long ago.
+			c.lingerUnread()
+		}
+		return
+	}
 	// A disconnect must still be detected while responses are pending.
 	inputEnded := make(chan struct{})
 	go func() {
@@ -92,9 +112,10 @@
 		}
 		request, errorResponse := c.readRequest()
 		if request == nil && errorResponse == nil {
+			c.setCause(causeInputEnded) // Unless readErrorResponse has set another one.
 			return true
 		}
-		ex := &exchange{request: request, ready: make(chan struct{})}
+		ex := &exchange{request: request, ready: make(chan struct{}), ended: make(chan struct{})}
 		c.server.inFlight.Add(1)
 		if errorResponse != nil {
 			c.setClosing()
@@ -103,12 +124,16 @@
 			c.exchanges <- ex
 			return false
 		}
+		if c.isLastRequest() {
+			request.close = true
+			c.setClosing()
+		}
 		c.exchanges <- ex
 		go func() {
 			defer close(ex.ready)
 			ex.response = c.server.handler(c.ctx, request)
 		}()
-		if !request.awaitBody(ex.ready) || request.close {
+		if !request.awaitBody(ex.ended) || request.close {
 			c.setClosing()
 			return false
 		}
@@ -118,42 +143,86 @@
 // awaitRequest waits for the first byte of a request. It returns false when no
 // further request is to be read.
 func (c *conn) awaitRequest() bool {
-	c.mu.Lock()
-	if c.closing {
+	for {
+		c.mu.Lock()
+		if c.closing {
+			c.mu.Unlock()
+			return false
+		}
+		switch {
+		case c.pending == 0:
+			_ = c.Conn.SetReadDeadline(c.idleDeadline())
+		case c.closeIdleRequested && c.undecided > 0:
+			c.stopReading()
+			c.mu.Unlock()
+			return false
+		}
+		c.awaiting = true
 		c.mu.Unlock()
-		return false
-	}
-	if c.pending == 0 {
-		_ = c.Conn.SetReadDeadline(c.idleDeadline())
-	}
-	c.mu.Unlock()
-	if maxHead := c.server.gateway.limits().MaxHeadBytes; maxHead > 0 {
-		c.headLimit.active, c.headLimit.remaining = true, maxHead+c.server.extraHeadBytes
+		if maxHead := c.server.gateway.limits().MaxHeadBytes; maxHead > 0 {
+			c.headLimit.active, c.headLimit.remaining = true, maxHead+c.server.extraHeadBytes
+		}
+		_, err := c.reader.Peek(1)
+		if awaited, done := c.inputAwaited(err); done {
+			return awaited
+		}
 	}
-	_, err := c.reader.Peek(1)
+}
+
+// inputAwaited evaluates the end of a wait for a request. It reports whether a
+// request is to be read, and whether the wait is over.
+func (c *conn) inputAwaited(err error) (awaited, done bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err != nil {
-		// When the idle timeout ends, this side closes the connection.
-		if isTimeout(err) && c.pending == 0 {
-			c.closing = true
-		}
-		return false
+	c.awaiting = false
+	switch {
+	case err == nil && !c.closing:
+		c.pending++
+		c.undecided++
+		c.used = true
+		_ = c.Conn.SetReadDeadline(c.headDeadline())
+		return true, true
+	case c.closing:
+		return false, true
+	case !isTimeout(err):
+		c.ending.set(causeOfReadError(err))
+		return false, true
+	case c.pending > 0 || c.closeAfterRequest:
+		_ = c.Conn.SetReadDeadline(time.Time{}) // The connection is not idle.
+		return false, false
 	}
-	if c.closing {
-		return false
+	if deadline := c.idleDeadline(); deadline.IsZero() || time.Now().Before(deadline) {
+		return false, false // A newer configuration has a longer limit.
 	}
-	c.pending++
-	_ = c.Conn.SetReadDeadline(c.headDeadline())
-	return true
+	// The idle limit has passed, or the server closes idle connections. A request
+	// may have arrived that there was no processor time to read.
+	if len(c.peekInput()) > 0 {
+		c.closeAfterRequest = true
+		return false, false
+	}
+	c.closing, c.closedIdle = true, true
+	c.ending.set(causeIdleLimit)
+	if c.closeIdleRequested {
+		c.ending.cause = causePlannedStop
+	}
+	return false, true
 }
 
+// idleDeadline returns when an idle connection is to be closed.
 func (c *conn) idleDeadline() time.Time {
+	switch {
+	case c.closeAfterRequest:
+		return time.Time{}
+	case c.closeIdleRequested && !c.used:
+		return c.idleSince.Add(firstRequestTime)
+	case c.closeIdleRequested:
+		return expiredDeadline
+	}
 	if c.server.idleTimeout > 0 {
-		return time.Now().Add(c.server.idleTimeout)
+		return c.idleSince.Add(c.server.idleTimeout)
 	}
 	if d := c.server.gateway.limits().IdleTimeout; d > 0 {
-		return time.Now().Add(d)
+		return c.idleSince.Add(d)
 	}
 	return time.Time{}
 }
@@ -167,16 +236,20 @@
 
 // closesAfterResponse reports whether the connection is closed after the response
 // that is about to be written. If the server is draining and this is the last
-// pending response, it also stops reading further requests.
-func (c *conn) closesAfterResponse() bool {
+// pending response, it also stops reading further requests. If the body of the
+// request has not been read to its end, it may never be.
+func (c *conn) closesAfterResponse(request *incomingRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.undecided--
+	if request != nil && !request.bodyRead() {
+		c.closing = true
+	}
 	if c.closing {
 		return c.pending == 1
 	}
-	if c.server.draining.Load() && c.pending == 1 {
-		c.closing = true
-		_ = c.Conn.SetReadDeadline(expiredDeadline)
+	if (c.server.draining.Load() || c.closeIdleRequested) && c.pending == 1 {
+		c.stopReading()
 		return true
 	}
 	return false
@@ -188,17 +261,35 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	c.idleSince = time.Now()
 	if c.pending == 0 && !c.closing {
 		_ = c.Conn.SetReadDeadline(c.idleDeadline())
 	}
 }
 
-// closeIdle closes the connection if it has no pending request.
+// closeIdle closes the connection if it has no pending request. A request that has
+// arrived and was not read yet is served first. If requests are pending, no further
+// ones are read, and the connection is closed after the last response.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 && !c.closing {
-		c.closing = true
+	c.closeIdleRequested = true
+	switch {
+	case c.closing || !c.awaiting:
+	case c.pending == 0:
+		_ = c.Conn.SetReadDeadline(c.idleDeadline())
+	case c.undecided > 0:
+		c.stopReading()
+	}
+	// Otherwise the last response was written without an announcement of the close,
+	// and responseWritten is about to be called.
+}
+
+// stopReading makes the reader stop before the next request.
+func (c *conn) stopReading() {
+	c.closing = true
+	c.ending.set(causePlannedStop)
+	if c.awaiting {
 		_ = c.Conn.SetReadDeadline(expiredDeadline)
 	}
 }
@@ -209,41 +300,77 @@
 	return c.closing
 }
 
-func (c *conn) setClosing() {
+// isLastRequest reports whether the request that was just read is the last one.
+func (c *conn) isLastRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = true
+	return c.closeAfterRequest
 }
 
-// callerLeft cancels the requests of a caller that has disconnected.
-func (c *conn) callerLeft() {
+func (c *conn) setClosing() {
 	c.mu.Lock()
-	pending := c.pending
-	c.mu.Unlock()
-	if pending > 0 {
-		c.server.gateway.events.Emit(events.CallerLeft, log.Fields{"unanswered": pending})
-	}
-	c.cancel()
+	defer c.mu.Unlock()
+	c.closing = true
 }
 
 // discardInput reads until the caller closes the connection, then cancels its
 // requests.
 func (c *conn) discardInput() {
 	_ = c.Conn.SetReadDeadline(time.Time{})
-	_, err := io.Copy(io.Discard, c.Conn)
+	_, err := io.Copy(discardCounter{c}, c.Conn)
+	c.mu.Lock()
+	if c.pending > 0 {
+		c.ending.set(causeOfReadError(err))
+	}
+	c.mu.Unlock()
 	if !isTimeout(err) {
 		c.cancel()
 	}
 }
 
+// discardCounter counts discarded bytes.
+type discardCounter struct{ conn *conn }
+
+func (counter discardCounter) Write(p []byte) (int, error) {
+	counter.conn.mu.Lock()
+	defer counter.conn.mu.Unlock()
+	counter.conn.ending.discarded += len(p)
+	return len(p), nil
+}
+
 // linger closes the sending side and waits up to lingerTimeout for the caller to
 // close its side.
 func (c *conn) linger(inputEnded <-chan struct{}) {
-	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = halfCloser.CloseWrite()
-	}
+	c.closeWrite()
 	select {
 	case <-inputEnded:
 	case <-time.After(lingerTimeout):
 	}
 }
+
+func (c *conn) closeWrite() {
+	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = halfCloser.CloseWrite()
+	}
+}
+
+// lingerUnread closes the sending side of an idle connection and waits until the
+// caller has closed its side or has sent a request. Such a request stays unread:
+// the connection is reset, and the caller may send the request again whatever its
+// kind.
+func (c *conn) lingerUnread() {
+	c.closeWrite()
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_ = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err != syscall.EAGAIN
+	})
+}
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -34,39 +34,65 @@
 // streamedBody is a request body that is forwarded while it arrives.
 type streamedBody struct {
 	io.Reader
-	once     sync.Once
+	mu       sync.Mutex    // Held while finished is closed or the read deadline is set.
 	finished chan struct{} // Closed at the end of the body or at a read error.
 	err      error         // The final error of Read; valid after finished is closed.
+	conn     net.Conn
+}
+
+// interrupt ends a Read that waits for the caller.
+func (b *streamedBody) interrupt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-b.finished:
+	default:
+		_ = b.conn.SetReadDeadline(expiredDeadline)
+	}
 }
 
 func (b *streamedBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
-	if err != nil {
-		b.once.Do(func() {
-			b.err = err
-			close(b.finished)
-		})
+	if err == nil {
+		return n, nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-b.finished:
+	default:
+		b.err = err
+		close(b.finished)
 	}
 	return n, err
 }
 
 // awaitBody waits until the body was read completely, so that the next request
 // can be read from the connection. It returns false when that is not possible:
-// reading failed, or the response was ready before the end of the body.
-func (r *incomingRequest) awaitBody(responseReady <-chan struct{}) bool {
+// reading failed, or the response was written before the end of the body. Until
+// then, nothing else may read from the connection.
+func (r *incomingRequest) awaitBody(responseWritten <-chan struct{}) bool {
 	if r.stream == nil {
 		return true
 	}
 	select {
 	case <-r.stream.finished:
-	case <-responseReady:
-		select {
-		case <-r.stream.finished:
-		default:
-			return false
-		}
+	case <-responseWritten:
+	}
+	return r.bodyRead()
+}
+
+// bodyRead reports whether the body was read to its end.
+func (r *incomingRequest) bodyRead() bool {
+	if r.stream == nil {
+		return true
+	}
+	select {
+	case <-r.stream.finished:
+		return errors.Is(r.stream.err, io.EOF)
+	default:
+		return false
 	}
-	return errors.Is(r.stream.err, io.EOF)
 }
 
 // headLimiter limits the bytes read while a request head is expected. Bytes that
@@ -114,6 +140,9 @@
 		return nil, systemResponse(http.StatusRequestEntityTooLarge, "body-too-large")
 	}
 	if err := c.readBody(r, limits.MaxBodyBytes); err != nil {
+		if isTimeout(err) {
+			return nil, systemResponse(http.StatusRequestTimeout, "body-too-slow")
+		}
 		return nil, c.readErrorResponse(err)
 	}
 	return r, nil
@@ -128,11 +157,16 @@
 		return nil
 	}
 	if strings.EqualFold(request.httpRequest.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return err
-		}
+		// Earlier responses may not be complete. An error ends the connection.
+		c.exchanges <- &exchange{interim: true}
+	}
+	// A caller gives up at its deadline.
+	timeLeft, ok := c.server.gateway.Headers.Deadline(request.httpRequest.Header)
+	if !ok || timeLeft <= 0 {
+		timeLeft = defaultTimeout
 	}
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	_ = c.Conn.SetReadDeadline(time.Now().Add(timeLeft))
+	defer func() { _ = c.Conn.SetReadDeadline(time.Time{}) }()
 	var reader io.Reader = body
 	if maxBytes > 0 {
 		reader = &limitedBody{source: body, remaining: maxBytes}
@@ -147,7 +181,7 @@
 		request.arrived = time.Now()
 		return nil
 	}
-	request.stream = &streamedBody{Reader: io.MultiReader(bytes.NewReader(prefix), buffered), finished: make(chan struct{})}
+	request.stream = &streamedBody{Reader: io.MultiReader(bytes.NewReader(prefix), buffered), finished: make(chan struct{}), conn: c.Conn}
 	return nil
 }
 
@@ -178,6 +212,7 @@
 	case isTimeout(err):
 		return systemResponse(http.StatusRequestTimeout, "head-too-slow")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), isNetOpError(err):
+		c.setCause(causeOfReadError(err))
 		return nil
 	}
 	return systemResponse(http.StatusBadRequest, "not-http")
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -39,14 +39,23 @@
 	w := bufio.NewWriterSize(c.Conn, writeBufferBytes)
 	failed := false
 	for ex := range c.exchanges {
-		select {
-		case <-ex.ready:
-		case <-c.ctx.Done():
-			<-ex.ready
-			failed = true
+		if ex.interim {
+			if !failed {
+				err := c.writeContinue(w)
+				failed = err != nil
+				c.setCause(causeOfWriteError(err))
+			}
+			continue
 		}
+		<-ex.ready // Soon after the end of c.ctx, too.
+		failed = failed || ex.response.reason == reasonCallerLeft
 		if !failed {
-			failed = c.writeResponse(w, ex) != nil
+			err := c.writeResponse(w, ex)
+			failed = err != nil
+			c.setCause(causeOfWriteError(err))
+		}
+		if failed {
+			c.addUnanswered(ex)
 		}
 		if ex.response != nil && ex.response.stream != nil {
 			_ = ex.response.stream.Close()
@@ -57,7 +66,16 @@
 		}
 		c.server.inFlight.Add(-1)
 		c.responseWritten()
+		close(ex.ended)
+	}
+}
+
+func (c *conn) writeContinue(w *bufio.Writer) error {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := w.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return err
 	}
+	return w.Flush()
 }
 
 func (c *conn) writeResponse(w *bufio.Writer, ex *exchange) error {
@@ -66,7 +84,7 @@
 	if ex.request != nil {
 		method = ex.request.httpRequest.Method
 	}
-	closeAfter := c.closesAfterResponse()
+	closeAfter := c.closesAfterResponse(ex.request)
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := resp.writeHead(w, method, closeAfter); err != nil {
 		return err
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	go func() { failed <- serveSnapshots(ctx, peers, node.mirror) }()
+	go func() { failed <- serveSnapshots(ctx, accept.Retry(peers, node.acceptFailed), node.mirror) }()
 	servers := map[string]func(*server.Hertz){
 		node.settings.ReadinessAddress: func(h *server.Hertz) { h.GET(node.options.Platform.ReadyPath(), node.handleReady) },
 	}
