--- a/cmd/jacinth-soak/main.go
+++ b/cmd/jacinth-soak/main.go
@@ -8,9 +8,11 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/peterbourgon/ff/v3"
@@ -38,6 +40,8 @@
 	targets := flags.Int("targets", 9, "number of targets")
 	callers := flags.Int("callers", 16, "number of callers")
 	faults := flags.Int("faults", 20, "number of injected faults per seed")
+	throttle := flags.Float64("throttle", 0, "share of the time for which each instance runs, in periods of 100 ms; 0 for always")
+	cores := flags.Int("cores", 0, "processors that an instance uses; 0 for all")
 	dir := flags.String("dir", "", "directory for logs; empty for a new temporary directory")
 	recovery := flags.Bool("recovery", false, "measure the recovery after all instances have ended, instead of injecting faults")
 	verbose := flags.Bool("v", false, "print the injected faults")
@@ -66,12 +70,16 @@
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		result, err := soak.Run(ctx, soak.Options{Binary: *binary, Dir: filepath.Join(*dir, fmt.Sprint("seed", seed)), Seed: seed,
-			Instances: *instances, Targets: *targets, Callers: *callers, Faults: *faults, Log: faultLog})
+			Instances: *instances, Targets: *targets, Callers: *callers, Faults: *faults,
+			Throttle: *throttle, Cores: *cores, Log: faultLog})
 		if err != nil {
 			return totalViolations, err
 		}
-		fmt.Printf("seed %d: %d requests, %d answered, %d refused, %d unanswered, %d violations\n", seed, result.Requests,
-			result.Succeeded, result.Refused, result.NoResponse, len(result.Violations))
+		fmt.Printf("seed %d: %d requests, %d answered, %d refused or failed (%d with a promise), %d unanswered, %d planned stops, %d violations\n",
+			seed, result.Requests, result.Succeeded, result.Refused, result.Promised, result.NoResponse, result.PlannedStops, len(result.Violations))
+		for _, cause := range slices.Sorted(maps.Keys(result.Causes)) {
+			fmt.Printf("  unanswered, %s: %d\n", cause, result.Causes[cause])
+		}
 		for _, violation := range result.Violations {
 			fmt.Println("  ", violation)
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -9,6 +9,7 @@
 
 	"github.com/jacinthstall/jacinthstall/standin/metastore"
 	"github.com/jacinthstall/jacinthstall/standin/wiresite"
+	"github.com/jacinthstall/jacinthstall/standin/wiretarget"
 )
 
 const (
@@ -61,19 +62,26 @@
 	{"drain", (*Deployment).drainTarget},
 	{"evacuate", (*Deployment).evacuateDomain},
 	{"limit", (*Deployment).limitTarget},
+	{"replace-target", (*Deployment).replaceTarget},
+	{"freeze-target", (*Deployment).freezeTarget},
+	{"noisy-target", (*Deployment).makeTargetNoisy},
+	{"busy", (*Deployment).occupyProcessors},
+	{"signals", (*Deployment).sendSignals},
+	{"stop-signals", (*Deployment).stopWithFurtherSignals},
+	{"idle-timeout", (*Deployment).changeIdleTimeout},
 }
 
 func (deployment *Deployment) instanceAt(selector int) *instance {
 	return deployment.instances[selector%len(deployment.instances)]
 }
 
-// recordFault runs a fault and records its time span for affectedByFault and
-// anyFaultDuring. A nil instance means that the fault affects all instances.
-func (deployment *Deployment) recordFault(inst *instance, fault func()) {
+// recordFault runs a fault and records its time span. A nil instance means that the
+// fault affects all instances.
+func (deployment *Deployment) recordFault(kind faultType, inst *instance, fault func()) {
 	start := time.Now()
 	deployment.mu.Lock()
 	index := len(deployment.faultIntervals)
-	deployment.faultIntervals = append(deployment.faultIntervals, interval{inst, start, start.Add(time.Hour)})
+	deployment.faultIntervals = append(deployment.faultIntervals, interval{kind, inst, start, start.Add(time.Hour)})
 	deployment.mu.Unlock()
 	fault()
 	deployment.mu.Lock()
@@ -98,18 +106,23 @@
 // counts as a violation.
 func (deployment *Deployment) restartInstance(inst *instance) {
 	if err := inst.start(); err != nil {
-		deployment.mu.Lock()
-		defer deployment.mu.Unlock()
-		deployment.violations = append(deployment.violations, Violation{"instances start again", err.Error()})
+		deployment.addViolation("instances start again", "%s", err)
 	}
 }
 
+func (deployment *Deployment) addViolation(guarantee, format string, args ...any) {
+	deployment.mu.Lock()
+	defer deployment.mu.Unlock()
+	deployment.violations = append(deployment.violations, Violation{Guarantee: guarantee,
+		Detail: time.Now().Format(clockFormat) + " " + fmt.Sprintf(format, args...)})
+}
+
 func (deployment *Deployment) killInstance(selector int, duration time.Duration) {
 	inst := deployment.instanceAt(selector)
 	if !inst.markStopping() {
 		return
 	}
-	deployment.recordFault(inst, func() {
+	deployment.recordFault(faultKill, inst, func() {
 		inst.signal(syscall.SIGKILL)
 		inst.waitExit(killTimeout)
 		time.Sleep(duration)
@@ -126,7 +139,7 @@
 			reserved = append(reserved, inst)
 		}
 	}
-	deployment.recordFault(nil, func() {
+	deployment.recordFault(faultKill, nil, func() {
 		for _, inst := range reserved {
 			inst.signal(syscall.SIGKILL)
 		}
@@ -142,7 +155,7 @@
 
 func (deployment *Deployment) pauseInstance(selector int, duration time.Duration) {
 	inst := deployment.instanceAt(selector)
-	deployment.recordFault(inst, func() {
+	deployment.recordFault(faultFreeze, inst, func() {
 		inst.signal(syscall.SIGSTOP)
 		time.Sleep(duration)
 		inst.signal(syscall.SIGCONT)
@@ -150,24 +163,84 @@
 }
 
 // shutDownGracefully stops an instance gracefully and restarts it after the
-// downtime. Not ending in time is a violation unless a fault affected the instance.
+// downtime.
 func (deployment *Deployment) shutDownGracefully(selector int, downtime time.Duration) {
+	deployment.stopAndRestart(selector, downtime)
+}
+
+// stopWithFurtherSignals stops an instance gracefully and sends further signals
+// meanwhile.
+func (deployment *Deployment) stopWithFurtherSignals(selector int, downtime time.Duration) {
+	series := [][]syscall.Signal{{syscall.SIGHUP}, {syscall.SIGTERM}, {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP}}
+	deployment.stopAndRestart(selector, downtime, series[selector/7%len(series)]...)
+}
+
+// stopAndRestart stops an instance gracefully and restarts it. Not ending in time is
+// a violation unless a fault affected the instance.
+func (deployment *Deployment) stopAndRestart(selector int, downtime time.Duration, further ...syscall.Signal) {
 	inst := deployment.instanceAt(selector)
 	if !inst.markStopping() {
 		return
 	}
 	start := time.Now()
-	inTime := inst.terminate()
-	deployment.mu.Lock()
-	deployment.gracefulShutdowns = append(deployment.gracefulShutdowns, interval{inst, start, time.Now()})
-	if !inTime && !deployment.affectedByFault(inst, start, time.Now()) {
-		deployment.violations = append(deployment.violations, Violation{"planned stops end in time", inst.name})
+	if !inst.terminate(further...) {
+		deployment.mu.Lock()
+		affected := deployment.affectedByFault(inst, start, time.Now())
+		deployment.mu.Unlock()
+		if !affected {
+			deployment.addViolation("planned stops end in time", "%s", inst.name)
+		}
+		deployment.recordFault(faultKill, inst, func() {
+			inst.signal(syscall.SIGKILL)
+			inst.waitExit(killTimeout)
+		})
 	}
+	deployment.mu.Lock()
+	deployment.plannedStops++
 	deployment.mu.Unlock()
 	time.Sleep(downtime)
 	deployment.restartInstance(inst)
 }
 
+// sendSignals kills an instance, starts it and sends several SIGHUP soon after.
+func (deployment *Deployment) sendSignals(selector int, duration time.Duration) {
+	deployment.killInstance(selector, duration/10)
+	for range 3 {
+		time.Sleep(time.Duration(selector%50) * time.Millisecond)
+		deployment.sendHangup(selector, 0)
+	}
+}
+
+// occupyProcessors keeps some processors busy.
+func (deployment *Deployment) occupyProcessors(selector int, duration time.Duration) {
+	var workers sync.WaitGroup
+	end := time.Now().Add(duration / 2)
+	for range 1 + selector%maxBusyProcessors {
+		workers.Go(func() {
+			for time.Now().Before(end) { //nolint:revive // The loop is there to use processor time.
+			}
+		})
+	}
+	workers.Wait()
+}
+
+const maxBusyProcessors = 4
+
+// idleTimeouts are the values of the configuration's idle time-out.
+var idleTimeouts = []time.Duration{wiresite.DefaultIdleTimeout, 5 * time.Second, 2 * time.Second, time.Second}
+
+// changeIdleTimeout publishes a configuration with another idle time-out.
+func (deployment *Deployment) changeIdleTimeout(selector int, _ time.Duration) {
+	deployment.idleTimeout.Store(int64(idleTimeouts[selector%len(idleTimeouts)]))
+	deployment.publishConfig()
+}
+
+// usableIdleTime returns for how long a caller may leave a connection idle and use
+// it again.
+func (deployment *Deployment) usableIdleTime() time.Duration {
+	return time.Duration(deployment.idleTimeout.Load()) * 4 / 5
+}
+
 // sendHangup makes an instance reload its settings.
 func (deployment *Deployment) sendHangup(selector int, _ time.Duration) {
 	deployment.instanceAt(selector).signal(syscall.SIGHUP)
@@ -179,7 +252,7 @@
 	proxy := deployment.storeProxies[selector%len(deployment.storeProxies)]
 	mode := proxyMode(1 + selector/7%4)
 	deployment.log("link of %s to the store: %s", deployment.instanceAt(selector).name, proxyModeNames[mode])
-	deployment.recordFault(deployment.instanceAt(selector), func() {
+	deployment.recordFault(faultStore, deployment.instanceAt(selector), func() {
 		proxy.setMode(mode)
 		time.Sleep(duration)
 		proxy.setMode(modePass)
@@ -189,10 +262,11 @@
 // injectTargetLinkFault applies a proxy mode other than modePass to the connections
 // of all instances to a target.
 func (deployment *Deployment) injectTargetLinkFault(selector int, duration time.Duration) {
-	proxy := deployment.targetProxies[selector%len(deployment.targetProxies)]
+	index := selector % min(maxProxiedTargets, len(deployment.seats))
+	proxy := deployment.seats[index].proxy
 	mode := proxyMode(1 + selector/7%5)
-	deployment.log("links to target %d: %s", selector%len(deployment.targetProxies), proxyModeNames[mode])
-	deployment.recordFault(nil, func() {
+	deployment.log("links to target %d: %s", index, proxyModeNames[mode])
+	deployment.recordFault(faultTarget, nil, func() {
 		proxy.setMode(mode)
 		time.Sleep(duration)
 		proxy.setMode(modePass)
@@ -200,7 +274,7 @@
 }
 
 func (deployment *Deployment) injectStoreFault(faults metastore.Faults, duration time.Duration) {
-	deployment.recordFault(nil, func() {
+	deployment.recordFault(faultStore, nil, func() {
 		deployment.store.SetFaults(faults)
 		time.Sleep(duration)
 		deployment.store.SetFaults(metastore.Faults{})
@@ -220,15 +294,16 @@
 // after drainBound, and marks it as ready again. A target that is already draining
 // is left as it is.
 func (deployment *Deployment) drainTarget(selector int, _ time.Duration) {
-	index := selector % len(deployment.targets)
+	index := selector % len(deployment.seats)
 	if _, alreadyDraining := deployment.drainingTargets.LoadOrStore(index, true); alreadyDraining {
 		return
 	}
 	defer deployment.drainingTargets.Delete(index)
 	start := time.Now()
-	deployment.writeTargetRecord(index, "draining")
-	deployment.checkNoNewRequests("no new work for leaving targets", []int{index}, start)
-	deployment.writeTargetRecord(index, "ready")
+	target, id := deployment.seats[index].current()
+	deployment.writeTargetRecord(deployment.seats[index], id, "draining")
+	deployment.checkNoNewRequests("no new work for leaving targets", []*wiretarget.Target{target}, start)
+	deployment.writeTargetRecord(deployment.seats[index], id, "ready")
 }
 
 const (
@@ -245,12 +320,13 @@
 // limitTarget makes a target state a rate limit, checks that all instances together
 // keep it, and ends the limit. A target that already states one is left as it is.
 func (deployment *Deployment) limitTarget(selector int, _ time.Duration) {
-	index := selector % len(deployment.targets)
+	index := selector % len(deployment.seats)
 	if _, limited := deployment.limitedTargets.LoadOrStore(index, true); limited {
 		return
 	}
 	defer deployment.limitedTargets.Delete(index)
-	target, perSecond := deployment.targets[index], float64(minRateLimit+selector/7%(maxRateLimit-minRateLimit+1))
+	target, _ := deployment.seats[index].current()
+	perSecond := float64(minRateLimit + selector/7%(maxRateLimit-minRateLimit+1))
 	start := time.Now()
 	target.SetRateLimit(perSecond)
 	time.Sleep(limitDuration)
@@ -258,11 +334,9 @@
 	target.ClearRateLimit()
 	allowed := 1.5*perSecond*limitWindow.Seconds() + 5
 	deployment.log("limit of t%d: %v a second, %d requests in the worst %s, %.0f allowed", index, perSecond, most, limitWindow, allowed)
-	deployment.mu.Lock()
-	defer deployment.mu.Unlock()
 	if float64(most) > allowed {
-		deployment.violations = append(deployment.violations, Violation{"limits of targets hold for all instances",
-			fmt.Sprintf("t%d stated %v a second and got %d requests in %s, allowed %.0f", index, perSecond, most, limitWindow, allowed)})
+		deployment.addViolation("limits of targets hold for all instances", "t%d stated %v a second and got %d requests in %s, allowed %.0f",
+			index, perSecond, most, limitWindow, allowed)
 	}
 }
 
@@ -275,10 +349,11 @@
 	}
 	defer deployment.evacuating.Store(false)
 	domain := domainNames[selector%len(domainNames)]
-	var targets []int
-	for i, targetDomain := range deployment.targetDomains {
-		if targetDomain == domain {
-			targets = append(targets, i)
+	var targets []*wiretarget.Target
+	for _, seat := range deployment.seats {
+		if seat.domain == domain {
+			target, _ := seat.current()
+			targets = append(targets, target)
 		}
 	}
 	start := time.Now()
@@ -290,15 +365,15 @@
 // checkNoNewRequests waits until drainBound has passed and checks that the targets
 // began no execution after it. The check is void if a fault was injected meanwhile
 // or shortly before.
-func (deployment *Deployment) checkNoNewRequests(guarantee string, targets []int, start time.Time) {
+func (deployment *Deployment) checkNoNewRequests(guarantee string, targets []*wiretarget.Target, start time.Time) {
 	time.Sleep(drainBound + 500*time.Millisecond)
 	deployment.mu.Lock()
-	defer deployment.mu.Unlock()
-	for _, i := range targets {
-		lastExecution := deployment.targets[i].LastExecutionStart()
-		if lastExecution.After(start.Add(drainBound)) && !deployment.anyFaultDuring(start.Add(-faultSettleTime), time.Now()) {
-			deployment.violations = append(deployment.violations,
-				Violation{guarantee, fmt.Sprintf("t%d after %s", i, lastExecution.Sub(start))})
+	faulty := deployment.anyFaultDuring(start.Add(-faultSettleTime), time.Now())
+	deployment.mu.Unlock()
+	for _, target := range targets {
+		lastExecution := target.LastExecutionStart()
+		if lastExecution.After(start.Add(drainBound)) && !faulty {
+			deployment.addViolation(guarantee, "%s after %s", target.ID(), lastExecution.Sub(start))
 		}
 	}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -28,7 +28,12 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	exited   chan struct{}
-	stopping bool // A fault that ends the process has reserved the instance.
+	stopping bool    // A fault that ends the process has reserved the instance.
+	ending   bool    // A signal that ends the process has been sent.
+	throttle float64 // Share of the time for which the process runs; 0 if it always does.
+	env      []string
+	// unexpectedEnd is called when the process ends without such a signal.
+	unexpectedEnd func(cause string)
 }
 
 // writeSettings writes the platform's settings file of the instance.
@@ -47,7 +52,7 @@
 		return err
 	}
 	cmd := exec.Command(inst.binary)
-	cmd.Env = append(os.Environ(), wiresite.SettingsVariable+"="+inst.settingsFile())
+	cmd.Env = append(append(os.Environ(), inst.env...), wiresite.SettingsVariable+"="+inst.settingsFile())
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", inst.name, err)
@@ -56,15 +61,46 @@
 	go func() {
 		defer close(exited)
 		defer func() { _ = logFile.Close() }()
-		_ = cmd.Wait() // The exit status does not matter: a killed process returns an error.
+		err := cmd.Wait()
+		inst.mu.Lock()
+		expected := inst.ending
+		inst.mu.Unlock()
+		if !expected {
+			inst.unexpectedEnd(fmt.Sprintf("%s ended by itself: %v", inst.name, err))
+		}
 	}()
-	inst.cmd, inst.exited, inst.stopping = cmd, exited, false
+	inst.cmd, inst.exited, inst.stopping, inst.ending = cmd, exited, false, false
+	if inst.throttle > 0 {
+		go throttleProcess(cmd.Process, inst.throttle, exited)
+	}
 	return nil
 }
 
+// quotaPeriod is the period in which a throttled process uses up its share.
+const quotaPeriod = 100 * time.Millisecond
+
+// throttleProcess stops a process for a part of each quotaPeriod until it ends.
+func throttleProcess(process *os.Process, share float64, exited <-chan struct{}) {
+	running := time.Duration(share * float64(quotaPeriod))
+	for {
+		for _, phase := range []struct {
+			signal   syscall.Signal
+			duration time.Duration
+		}{{syscall.SIGCONT, running}, {syscall.SIGSTOP, quotaPeriod - running}} {
+			_ = process.Signal(phase.signal) // The process may have ended already.
+			select {
+			case <-exited:
+				return
+			case <-time.After(phase.duration):
+			}
+		}
+	}
+}
+
 func (inst *instance) signal(sig syscall.Signal) {
 	inst.mu.Lock()
 	defer inst.mu.Unlock()
+	inst.ending = inst.ending || sig == syscall.SIGKILL || sig == syscall.SIGTERM
 	if inst.cmd != nil {
 		_ = inst.cmd.Process.Signal(sig) // The process may have ended already.
 	}
@@ -84,21 +120,31 @@
 }
 
 // terminate ends the process as the platform does: with SIGTERM, and with SIGKILL
-// if it has not ended within gracePeriod. It reports whether the shutdown was
-// graceful.
-func (inst *instance) terminate() bool {
-	inst.mu.Lock()
-	inst.stopping = true
-	inst.mu.Unlock()
+// if it has not ended within gracePeriod. Further signals are sent at intervals of
+// signalInterval. It reports whether the shutdown was graceful.
+func (inst *instance) terminate(further ...syscall.Signal) bool {
 	inst.signal(syscall.SIGTERM)
-	if inst.waitExit(gracePeriod) {
+	for _, sig := range further {
+		time.Sleep(signalInterval)
+		inst.signal(sig)
+	}
+	return inst.waitExit(gracePeriod - time.Duration(len(further))*signalInterval)
+}
+
+// hasExited reports whether the latest process has ended.
+func (inst *instance) hasExited() bool {
+	inst.mu.Lock()
+	defer inst.mu.Unlock()
+	select {
+	case <-inst.exited:
 		return true
+	default:
+		return false
 	}
-	inst.signal(syscall.SIGKILL)
-	inst.waitExit(killTimeout)
-	return false
 }
 
+const signalInterval = 300 * time.Millisecond
+
 func (inst *instance) ready() bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get(wiresite.ReadyURL(inst.host))
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -24,22 +24,26 @@
 const (
 	proxyDelay     = 80 * time.Millisecond
 	idleResetAfter = 250 * time.Millisecond
+	// discardedConnLife is how long a connection whose data is discarded stays open
+	// after one side has ended.
+	discardedConnLife = 5 * time.Second
 )
 
 // proxy forwards connections of instances to one server and injects network faults.
 type proxy struct {
 	listener net.Listener
-	upstream string
 
-	mu    sync.Mutex
-	mode  proxyMode
-	conns map[*proxiedConn]struct{}
+	mu       sync.Mutex
+	upstream string
+	mode     proxyMode
+	conns    map[*proxiedConn]struct{}
 }
 
 // proxiedConn is a client connection and its connection to the server.
 type proxiedConn struct {
 	client, server net.Conn
 	discarding     bool      // Data in both directions is discarded until the connection ends.
+	ended          int       // Directions in which the data has ended.
 	lastUsed       time.Time // When data last arrived in either direction.
 }
 
@@ -63,7 +67,7 @@
 			resetConn(client)
 			continue
 		}
-		server, err := net.DialTimeout("tcp", proxy.upstream, time.Second)
+		server, err := net.DialTimeout("tcp", proxy.currentUpstream(), time.Second)
 		if err != nil {
 			resetConn(client)
 			continue
@@ -91,6 +95,19 @@
 	return proxy.mode
 }
 
+func (proxy *proxy) currentUpstream() string {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	return proxy.upstream
+}
+
+// setUpstream changes the server of later connections.
+func (proxy *proxy) setUpstream(upstream string) {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	proxy.upstream = upstream
+}
+
 // setMode changes the mode. Connections that are open when modeSilence is set stay
 // silent also after a later change of the mode.
 func (proxy *proxy) setMode(mode proxyMode) {
@@ -147,6 +164,10 @@
 			if tcpConn, ok := to.(*net.TCPConn); ok {
 				_ = tcpConn.CloseWrite()
 			}
+			if proxy.directionEnded(conn) {
+				_, _ = conn.client.Close(), conn.server.Close() // Not reset: data may be under way.
+				proxy.forget(conn)
+			}
 			return
 		}
 		if err != nil {
@@ -154,13 +175,31 @@
 		}
 	}
 	if proxy.discards(conn, toServer) {
-		return
+		time.Sleep(discardedConnLife)
 	}
+	proxy.remove(conn)
+}
+
+// directionEnded records the end of the data in one direction and reports whether
+// both have ended.
+func (proxy *proxy) directionEnded(conn *proxiedConn) bool {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	conn.ended++
+	return conn.ended == 2
+}
+
+// remove resets both sides of a connection.
+func (proxy *proxy) remove(conn *proxiedConn) {
 	resetConn(conn.client)
 	resetConn(conn.server)
+	proxy.forget(conn)
+}
+
+func (proxy *proxy) forget(conn *proxiedConn) {
 	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
 	delete(proxy.conns, conn)
-	proxy.mu.Unlock()
 }
 
 // close stops listening and resets all open connections.
--- a/internal/soak/recovery.go
+++ b/internal/soak/recovery.go
@@ -48,8 +48,7 @@
 	load, stopLoad := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for i := range options.Callers {
-		client := &caller{deployment: deployment, name: fmt.Sprintf("r%d-c%d", options.Seed, i),
-			random: rand.New(rand.NewPCG(options.Seed, uint64(i+2)))}
+		client := newCaller(deployment, fmt.Sprintf("r%d-c%d", options.Seed, i), uint64(i+2))
 		callers.Go(func() { client.sendLoop(load) })
 	}
 	time.Sleep(loadBeforeKill)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -27,6 +27,8 @@
 	Targets   int
 	Callers   int
 	Faults    int       // Number of faults to inject; they may overlap.
+	Throttle  float64   // Share of the time for which each process runs, in periods of quotaPeriod; 0 for always.
+	Cores     int       // Processors that the runtime of an instance uses; 0 for all.
 	Log       io.Writer // Receives a line for each injected fault.
 }
 
@@ -35,6 +37,9 @@
 // requests whose connection ended without a complete response.
 type Result struct {
 	Requests, Succeeded, Refused, NoResponse int
+	Promised                                 int // Of Refused: statuses that guarantee that nothing was executed.
+	PlannedStops                             int
+	Causes                                   map[string]int // Of requests without response.
 	Violations                               []Violation
 }
 
@@ -45,9 +50,7 @@
 	random          *rand.Rand
 	store           *metastore.Store
 	storeProxies    []*proxy // Between each instance and the store; indexes as in instances.
-	targetProxies   []*proxy // Between the instances and each target; indexes as in targets.
-	targets         []*wiretarget.Target
-	targetDomains   []string // Failure domain of each target; indexes as in targets.
+	seats           []*targetSeat
 	instances       []*instance
 	recorder        outcomeRecorder
 	configVersion   atomic.Int64
@@ -56,10 +59,14 @@
 	limitedTargets  sync.Map    // Set of the indexes of targets with a rate limit.
 	closers         []func()    // Close the proxies and the servers of stand-ins.
 
-	mu                sync.Mutex
-	gracefulShutdowns []interval
-	faultIntervals    []interval
-	violations        []Violation // Violations that faults found while they ran.
+	idleTimeout atomic.Int64   // Idle time-out of the latest published configuration, in nanoseconds.
+	restarts    sync.WaitGroup // Of instances that ended by themselves.
+
+	mu             sync.Mutex
+	targets        []*wiretarget.Target // All that were ever started.
+	faultIntervals []interval
+	plannedStops   int
+	violations     []Violation // Violations that faults found while they ran.
 }
 
 var regionByDomain = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
@@ -68,8 +75,11 @@
 
 const (
 	startTimeout = 15 * time.Second
-	targetSlots  = 6
-	serviceName  = "s"
+	// startTimePerInstance is added to startTimeout.
+	startTimePerInstance = 300 * time.Millisecond
+	serviceName          = "s"
+	// settleTime is how long after the last request executions are still counted.
+	settleTime = requestDeadline + 4*time.Second
 	// routeTimeout is shorter than requestDeadline, so that it expires before the
 	// deadline of the callers and its effect is tested.
 	routeTimeout = 1800 * time.Millisecond
@@ -86,21 +96,21 @@
 	load, stopLoad := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for i := range options.Callers {
-		client := &caller{deployment: deployment, name: fmt.Sprintf("s%d-c%d", options.Seed, i),
-			random: rand.New(rand.NewPCG(options.Seed, uint64(i+2)))}
+		client := newCaller(deployment, fmt.Sprintf("s%d-c%d", options.Seed, i), uint64(i+2))
 		callers.Go(func() { client.sendLoop(load) })
 	}
 	deployment.injectFaults(ctx)
 	stopLoad()
 	callers.Wait()
-	time.Sleep(requestDeadline) // Executions in flight end by their deadline.
+	time.Sleep(settleTime)
+	deployment.restarts.Wait()
 	result := deployment.countOutcomes()
-	result.Violations = deployment.checkGuarantees()
+	deployment.checkGuarantees(&result)
 	return result, ctx.Err()
 }
 
 func (deployment *Deployment) countOutcomes() Result {
-	var result Result
+	result := Result{Causes: map[string]int{}, PlannedStops: deployment.plannedStops}
 	for _, outcome := range deployment.recorder.all() {
 		result.Requests++
 		switch {
@@ -110,6 +120,9 @@
 			result.Succeeded++
 		default:
 			result.Refused++
+			if outcome.reportsNotExecuted() {
+				result.Promised++
+			}
 		}
 	}
 	return result
@@ -136,6 +149,7 @@
 	storeServer := metastore.NewServer(deployment.store, listener)
 	go func() { _ = storeServer.Run() }()
 	deployment.closers = append(deployment.closers, func() { _ = storeServer.Close() })
+	deployment.idleTimeout.Store(int64(wiresite.DefaultIdleTimeout))
 	deployment.publishConfig()
 	for i := range deployment.options.Targets {
 		if err := deployment.addTarget(i); err != nil {
@@ -157,37 +171,11 @@
 	route := func(name string, idempotent bool) wiresite.Route {
 		return wiresite.Route{Segment: name, Idempotent: idempotent, Timeout: routeTimeout}
 	}
-	deployment.store.Put(wiresite.ConfigKey, wiresite.Config(version, serviceName, route("safe", true), route("unsafe", false),
+	deployment.store.Put(wiresite.ConfigKey, wiresite.ConfigWithIdleTimeout(version, serviceName,
+		time.Duration(deployment.idleTimeout.Load()), route("safe", true), route("unsafe", false),
 		route(fmt.Sprint("extra", version), true)))
 }
 
-func (deployment *Deployment) addTarget(index int) error {
-	listener, err := net.Listen("tcp", loopback.Host()+":8200")
-	if err != nil {
-		return err
-	}
-	proxy, err := newProxy(loopback.Host()+":8200", listener.Addr().String())
-	if err != nil {
-		return err
-	}
-	target := wiretarget.New(wiretarget.Options{ID: fmt.Sprint("t", index), Slots: targetSlots, MaxQueued: 12,
-		WarmTime: 10 * time.Millisecond, ColdTime: 30 * time.Millisecond})
-	targetServer := target.NewServer(listener)
-	go func() { _ = targetServer.Run() }()
-	deployment.closers = append(deployment.closers, proxy.close, func() { _ = targetServer.Close() })
-	deployment.targets, deployment.targetProxies = append(deployment.targets, target), append(deployment.targetProxies, proxy)
-	deployment.targetDomains = append(deployment.targetDomains, domainNames[index%len(domainNames)])
-	deployment.writeTargetRecord(index, "ready")
-	return nil
-}
-
-// writeTargetRecord writes the record of a target to the store, as a real target does.
-func (deployment *Deployment) writeTargetRecord(index int, state string) {
-	id := fmt.Sprint("t", index)
-	deployment.store.Put(wiresite.TargetKey(id), wiresite.TargetRecord(serviceName, deployment.targetDomains[index],
-		deployment.targetProxies[index].listener.Addr().String(), state, targetSlots))
-}
-
 func (deployment *Deployment) addInstance(index int, storeAddress string) error {
 	proxy, err := newProxy(loopback.Host()+":8100", storeAddress)
 	if err != nil {
@@ -196,7 +184,11 @@
 	deployment.closers = append(deployment.closers, proxy.close)
 	deployment.storeProxies = append(deployment.storeProxies, proxy)
 	inst := &instance{name: fmt.Sprint("n", index), domain: domainNames[index%len(domainNames)], host: loopback.Host(),
-		binary: deployment.options.Binary, dir: filepath.Join(deployment.options.Dir, fmt.Sprint("n", index))}
+		binary: deployment.options.Binary, dir: filepath.Join(deployment.options.Dir, fmt.Sprint("n", index)), throttle: deployment.options.Throttle}
+	if deployment.options.Cores > 0 {
+		inst.env = []string{fmt.Sprint("GOMAXPROCS=", deployment.options.Cores)}
+	}
+	inst.unexpectedEnd = func(cause string) { deployment.restarts.Go(func() { deployment.endedByItself(inst, cause) }) }
 	if err := os.MkdirAll(inst.dir, 0o700); err != nil {
 		return err
 	}
@@ -207,8 +199,20 @@
 	return inst.start()
 }
 
+// restartDelay is the time after which an instance that ended by itself is started.
+const restartDelay = time.Second
+
+// endedByItself records a process that ended without a signal and starts it again.
+func (deployment *Deployment) endedByItself(inst *instance, cause string) {
+	deployment.addViolation("instances do not end by themselves", "%s", cause)
+	time.Sleep(restartDelay)
+	if inst.hasExited() && inst.markStopping() {
+		deployment.restartInstance(inst)
+	}
+}
+
 func (deployment *Deployment) awaitReady() error {
-	deadline := time.Now().Add(startTimeout)
+	deadline := time.Now().Add(startTimeout + startTimePerInstance*time.Duration(len(deployment.instances)))
 	for _, inst := range deployment.instances {
 		for !inst.ready() {
 			if time.Now().After(deadline) {
--- a/standin/wiresite/wiresite.go
+++ b/standin/wiresite/wiresite.go
@@ -59,8 +59,17 @@
 // ConfigKey is the store key of the configuration.
 const ConfigKey = "op/config"
 
+// DefaultIdleTimeout is the idle time-out of callers' connections that Config sets.
+const DefaultIdleTimeout = 15 * time.Second
+
 // Config returns a configuration record with routes to one service.
 func Config(version int64, service string, routes ...Route) []byte {
+	return ConfigWithIdleTimeout(version, service, DefaultIdleTimeout, routes...)
+}
+
+// ConfigWithIdleTimeout returns a configuration record that also sets the idle
+// time-out of callers' connections.
+func ConfigWithIdleTimeout(version int64, service string, idleTimeout time.Duration, routes ...Route) []byte {
 	routesByName := map[string]any{}
 	for _, route := range routes {
 		routeKind := "unsafe"
@@ -72,7 +81,7 @@
 	}
 	return encode(map[string]any{"version": fmt.Sprintf("r%d", version), "routes": routesByName,
 		"services": map[string]any{service: map[string]any{"maxConns": 200, "coldStart": "1s", "coldPerS": 50}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": "15s"}})
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": idleTimeout.String()}})
 }
 
 // TargetKey returns the store key of a target's record.
@@ -92,10 +101,15 @@
 
 // Request returns an HTTP/1.1 request in the form in which callers send it.
 func Request(method, path, id, object, body string, deadline time.Duration) string {
+	return RequestHead(method, path, id, object, deadline, fmt.Sprint("Content-Length: ", len(body))) + body
+}
+
+// RequestHead returns the head of an HTTP/1.1 request with further header lines.
+func RequestHead(method, path, id, object string, deadline time.Duration, headers ...string) string {
 	lines := []string{method + " " + path + " HTTP/1.1", "Host: " + Host, platform.HeaderRequestID + ": " + id,
 		fmt.Sprintf("%s: %d", platform.HeaderDeadline, deadline.Milliseconds()),
-		"Cookie: X-Jacinthstall-Affinity-Key=" + object, fmt.Sprint("Content-Length: ", len(body))}
-	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+		"Cookie: X-Jacinthstall-Affinity-Key=" + object}
+	return strings.Join(append(lines, headers...), "\r\n") + "\r\n\r\n"
 }
 
 func encode(v any) []byte {
--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -8,6 +8,8 @@
 import (
 	"context"
 	"fmt"
+	"hash/crc32"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -34,13 +36,28 @@
 	FaultStatus500     = "error"    // The response has status 500.
 )
 
+// HeaderBodySum is the request header that contains the checksum of the body. The
+// bodies of requests with this header are checked and not kept.
+const HeaderBodySum = "X-Body-Sum"
+
+// BodySum returns the value of HeaderBodySum for a body.
+func BodySum(body []byte) string { return strconv.FormatUint(uint64(crc32.ChecksumIEEE(body)), 16) }
+
 // Options configures a target.
 type Options struct {
-	ID        string
-	Slots     int
-	MaxQueued int           // Maximum number of requests that wait for a slot.
-	WarmTime  time.Duration // Execution time of requests without an object or with a known object.
-	ColdTime  time.Duration // Execution time of requests with a new object; 0 means WarmTime.
+	ID             string
+	Slots          int
+	MaxQueued      int           // Maximum number of requests that wait for a slot.
+	WarmTime       time.Duration // Execution time of requests without an object or with a known object.
+	ColdTime       time.Duration // Execution time of requests with a new object; 0 means WarmTime.
+	DropsAbandoned bool          // Waiting requests are dropped when their deadline passes or the client disconnects.
+}
+
+// History is what a target has recorded of a request ID.
+type History struct {
+	Arrivals   int         // Requests that arrived, rejected ones included.
+	Executions []time.Time // When executions started.
+	WrongBody  bool        // The body of an execution did not match HeaderBodySum.
 }
 
 // Target is a stand-in target. It is safe for concurrent use.
@@ -51,13 +68,17 @@
 	running      int
 	waiting      int
 	knownObjects map[string]bool
-	executions   map[string]int // Executions by request ID.
-	aborted      int            // Executions ended by a disconnected client or a passed deadline.
+	histories    map[string]*History // By request ID.
+	aborted      int                 // Executions ended by a disconnected client or a passed deadline.
 	bodies       map[string]string
-	lastStart    time.Time     // Time at which the latest execution started.
-	rateLimit    string        // Stated in responses; empty for none.
-	arrivals     []time.Time   // Of all requests, rejected ones included.
-	freeSlots    chan struct{} // Contains one element for each free slot.
+	lastStart    time.Time           // Time at which the latest execution started.
+	rateLimit    string              // Stated in responses; empty for none.
+	arrivals     []time.Time         // Of all requests, rejected ones included.
+	noise        float64             // Probability that an earlier response or one to another request precedes a response.
+	sent         map[net.Conn]string // Latest response of each connection while noise is set.
+	thawed       chan struct{}       // Closed when the target is not frozen.
+	freeSlots    chan struct{}       // Contains one element for each free slot.
+	killed       chan struct{}       // Closed by Kill.
 }
 
 // New returns a target without executions.
@@ -65,14 +86,18 @@
 	if options.ColdTime == 0 {
 		options.ColdTime = options.WarmTime
 	}
-	target := &Target{options: options, knownObjects: map[string]bool{}, executions: map[string]int{}, bodies: map[string]string{},
-		freeSlots: make(chan struct{}, options.Slots)}
+	target := &Target{options: options, knownObjects: map[string]bool{}, histories: map[string]*History{}, bodies: map[string]string{},
+		freeSlots: make(chan struct{}, options.Slots), killed: make(chan struct{}), thawed: make(chan struct{})}
+	close(target.thawed)
 	for range options.Slots {
 		target.freeSlots <- struct{}{}
 	}
 	return target
 }
 
+// ID returns the ID of the target.
+func (target *Target) ID() string { return target.options.ID }
+
 // NewServer returns an HTTP server that serves the target on a listener.
 func (target *Target) NewServer(listener net.Listener) *server.Hertz {
 	httpServer := server.New(server.WithListener(listener), server.WithTransport(standard.NewTransporter),
@@ -85,13 +110,110 @@
 func (target *Target) Executions() map[string]int {
 	target.mu.Lock()
 	defer target.mu.Unlock()
-	counts := make(map[string]int, len(target.executions))
-	for id, n := range target.executions {
-		counts[id] = n
+	counts := make(map[string]int, len(target.histories))
+	for id, history := range target.histories {
+		if len(history.Executions) > 0 {
+			counts[id] = len(history.Executions)
+		}
 	}
 	return counts
 }
 
+// Histories returns what the target has recorded, by request ID.
+func (target *Target) Histories() map[string]History {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	histories := make(map[string]History, len(target.histories))
+	for id, history := range target.histories {
+		histories[id] = History{history.Arrivals, slices.Clone(history.Executions), history.WrongBody}
+	}
+	return histories
+}
+
+// history returns the record of a request ID. The caller must hold mu.
+func (target *Target) history(id string) *History {
+	if target.histories[id] == nil {
+		target.histories[id] = &History{}
+	}
+	return target.histories[id]
+}
+
+// Kill ends the target as the end of its process does: nothing is executed or
+// finished from then on. The caller closes its listener and connections.
+func (target *Target) Kill() {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	if !target.isKilled() {
+		close(target.killed)
+	}
+}
+
+func (target *Target) isKilled() bool {
+	select {
+	case <-target.killed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Freeze stops the target until thaw is called: requests wait, also those whose
+// connection ends meanwhile, and executions do not finish.
+func (target *Target) Freeze() (thaw func()) {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	thawed := make(chan struct{})
+	target.thawed = thawed
+	return func() { close(thawed) }
+}
+
+// awaitThaw waits while the target is frozen.
+func (target *Target) awaitThaw() {
+	target.mu.Lock()
+	thawed := target.thawed
+	target.mu.Unlock()
+	<-thawed
+}
+
+// SetNoise sets the probability that the connection's latest response once more, or
+// a response to another request, precedes a response.
+func (target *Target) SetNoise(probability float64) {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.noise, target.sent = probability, map[net.Conn]string{}
+}
+
+// addNoise writes an earlier response or one to another request, with the
+// probability that SetNoise has set, and remembers the response that follows.
+func (target *Target) addNoise(c *app.RequestContext, id, stamp string, body string) {
+	target.mu.Lock()
+	noise, conn := target.noise, net.Conn(c.GetConn())
+	if noise == 0 {
+		target.mu.Unlock()
+		return
+	}
+	previous := target.sent[conn]
+	head := fmt.Sprintf("HTTP/1.1 %d Noise\r\n%s: %s\r\n", c.Response.StatusCode(), platform.HeaderRequestID, id)
+	for _, name := range []string{platform.HeaderNotExecuted, platform.HeaderServerLoad} {
+		if value := c.Response.Header.Get(name); value != "" {
+			head += name + ": " + value + "\r\n"
+		}
+	}
+	if stamp != "" {
+		head += platform.HeaderServerStamp + ": " + stamp + "\r\n"
+	}
+	target.sent[conn] = head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	target.mu.Unlock()
+	switch {
+	case rand.Float64() >= noise:
+	case previous != "" && rand.IntN(2) == 0:
+		target.writeRaw(c, previous, false)
+	default:
+		target.writeRaw(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other-%s\r\n%s: s\r\nContent-Length: 5\r\n\r\nextra",
+			platform.HeaderRequestID, id, platform.HeaderServerStamp), false)
+	}
+}
+
 // Aborted returns the number of executions that did not finish because the client
 // disconnected or the deadline passed.
 func (target *Target) Aborted() int {
@@ -158,7 +280,14 @@
 func (target *Target) handleRequest(ctx context.Context, c *app.RequestContext) {
 	id := string(c.Request.Header.Peek(platform.HeaderRequestID))
 	c.Response.Header.Set(platform.HeaderRequestID, id)
-	target.recordArrival()
+	target.awaitThaw()
+	target.recordArrival(id)
+	timeLeft := time.Hour
+	if ms, err := strconv.Atoi(string(c.Request.Header.Peek(platform.HeaderDeadline))); err == nil {
+		timeLeft = time.Duration(ms) * time.Millisecond
+	}
+	deadline := time.NewTimer(timeLeft)
+	defer deadline.Stop()
 	expected := string(c.Request.Header.Peek(platform.HeaderExpectTarget))
 	switch {
 	case expected != "" && expected != target.options.ID:
@@ -167,12 +296,12 @@
 	case id == "":
 		target.rejectUnexecuted(c, 400)
 		return
-	case !target.acquireSlot():
+	case !target.acquireSlot(ctx, deadline):
 		target.rejectUnexecuted(c, 503)
 		return
 	}
 	defer target.releaseSlot()
-	if !target.execute(ctx, c, id) {
+	if !target.execute(ctx, c, id, deadline) {
 		c.SetStatusCode(504)
 		target.setLoadHeader(c)
 		return
@@ -185,11 +314,16 @@
 	c.Response.Header.Set(platform.HeaderNotExecuted, "1")
 	target.setLoadHeader(c)
 	c.SetStatusCode(status)
+	target.addNoise(c, string(c.Request.Header.Peek(platform.HeaderRequestID)), "", "")
 }
 
-// acquireSlot takes a slot. If none is free, it waits in the queue, or returns
-// false if the queue is full.
-func (target *Target) acquireSlot() bool {
+// acquireSlot takes a slot. If none is free, it waits in the queue. It returns false
+// if the queue is full, the target is killed or the request is dropped.
+func (target *Target) acquireSlot(ctx context.Context, deadline *time.Timer) bool {
+	var abandoned, expired = ctx.Done(), deadline.C
+	if !target.options.DropsAbandoned {
+		abandoned, expired = nil, nil
+	}
 	select {
 	case <-target.freeSlots:
 	default:
@@ -200,14 +334,28 @@
 		}
 		target.waiting++
 		target.mu.Unlock()
-		<-target.freeSlots
+		acquired := false
+		select {
+		case <-target.freeSlots:
+			acquired = true
+		case <-target.killed:
+		case <-abandoned:
+		case <-expired:
+		}
 		target.mu.Lock()
 		target.waiting--
 		target.mu.Unlock()
+		if !acquired {
+			return false
+		}
 	}
 	target.mu.Lock()
+	defer target.mu.Unlock()
+	if target.isKilled() {
+		target.freeSlots <- struct{}{}
+		return false
+	}
 	target.running++
-	target.mu.Unlock()
 	return true
 }
 
@@ -219,30 +367,31 @@
 }
 
 // execute simulates the execution of a request. It returns false if the deadline
-// passes or the client disconnects first.
-func (target *Target) execute(ctx context.Context, c *app.RequestContext, id string) bool {
+// passes, the client disconnects or the target is killed first.
+func (target *Target) execute(ctx context.Context, c *app.RequestContext, id string, deadline *time.Timer) bool {
 	object := string(c.Request.Header.Cookie("X-Jacinthstall-Affinity-Key"))
 	target.mu.Lock()
-	target.executions[id]++
 	target.lastStart = time.Now()
-	target.bodies[id] = string(c.Request.Body())
+	history := target.history(id)
+	history.Executions = append(history.Executions, target.lastStart)
+	if sum := string(c.Request.Header.Peek(HeaderBodySum)); sum == "" {
+		target.bodies[id] = string(c.Request.Body())
+	} else if sum != BodySum(c.Request.Body()) {
+		history.WrongBody = true
+	}
 	executionTime := target.options.ColdTime
 	if object == "" || target.knownObjects[object] {
 		executionTime = target.options.WarmTime
 	}
 	target.knownObjects[object] = true
 	target.mu.Unlock()
-	timeLeft := time.Hour
-	if ms, err := strconv.Atoi(string(c.Request.Header.Peek(platform.HeaderDeadline))); err == nil {
-		timeLeft = time.Duration(ms) * time.Millisecond
-	}
-	deadline := time.NewTimer(timeLeft)
-	defer deadline.Stop()
 	select {
 	case <-time.After(executionTime):
+		target.awaitThaw()
 		return true
 	case <-deadline.C:
 	case <-ctx.Done():
+	case <-target.killed:
 	}
 	target.mu.Lock()
 	target.aborted++
@@ -250,9 +399,12 @@
 	return false
 }
 
-func (target *Target) recordArrival() {
+func (target *Target) recordArrival(id string) {
 	target.mu.Lock()
 	defer target.mu.Unlock()
+	if id != "" {
+		target.history(id).Arrivals++
+	}
 	target.arrivals = append(target.arrivals, time.Now())
 }
 
@@ -297,6 +449,7 @@
 		c.Response.Header.Set(platform.HeaderServerStamp, stamp)
 	}
 	c.Response.SetBodyString(body)
+	target.addNoise(c, id, stamp, body)
 }
 
 // writeRaw writes raw bytes to the connection, and closes it if closes is set.
