Soak shows REFUSED with repeated refusals and LOST behind a broken response

New options: -noise (extra and repeated responses of all targets), -rejects (targets that reject though they have room), -kinds (some kinds of faults only). Callers ask for long responses; some targets start, or reject, a request at its head.

Seen on with real processes, 8 instances, 36 targets: - true "not run": s27500-c58-4 (-callers 200 -faults 20 -kinds stop,hup,configure -noise 0.1 -rejects 0.05) was answered 503 after two attempts at the same target and was executed there: the target sent its first refusal again, with the same ID. - no request is lost: s27302-c237-19 (-callers 300 -faults 30 -noise 0.1), sent behind a request whose target broke off a long response, was passed on to a sound target; its connection was closed 182 ms later without an answer.

--- a/cmd/jacinth-soak/main.go
+++ b/cmd/jacinth-soak/main.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"path/filepath"
 	"slices"
+	"strings"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/peterbourgon/ff/v3"
@@ -42,6 +43,9 @@
 	faults := flags.Int("faults", 20, "number of injected faults per seed")
 	throttle := flags.Float64("throttle", 0, "share of the time for which each instance runs, in periods of 100 ms; 0 for always")
 	cores := flags.Int("cores", 0, "processors that an instance uses; 0 for all")
+	noise := flags.Float64("noise", 0, "probability that an extra or repeated response of a target precedes a response")
+	rejects := flags.Float64("rejects", 0, "probability that a target rejects a request though it has room")
+	kinds := flags.String("kinds", "", "kinds of faults, separated by commas; empty for all")
 	dir := flags.String("dir", "", "directory for logs; empty for a new temporary directory")
 	recovery := flags.Bool("recovery", false, "measure the recovery after all instances have ended, instead of injecting faults")
 	verbose := flags.Bool("v", false, "print the injected faults")
@@ -71,7 +75,8 @@
 		seed := *firstSeed + uint64(i)
 		result, err := soak.Run(ctx, soak.Options{Binary: *binary, Dir: filepath.Join(*dir, fmt.Sprint("seed", seed)), Seed: seed,
 			Instances: *instances, Targets: *targets, Callers: *callers, Faults: *faults,
-			Throttle: *throttle, Cores: *cores, Log: faultLog})
+			Throttle: *throttle, Cores: *cores, Noise: *noise, Rejects: *rejects,
+			Kinds: strings.FieldsFunc(*kinds, func(r rune) bool { return r == ',' }), Log: faultLog})
 		if err != nil {
 			return totalViolations, err
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -29,6 +29,7 @@
 	maxAttempts      = 4  // Attempts of a caller for one request.
 	maxPipelined     = 4
 	longBodyBytes    = 200 << 10
+	maxPaddingBytes  = 400 << 10
 	maxBodyPieces    = 8
 	maxPiecePause    = 60 * time.Millisecond
 	maxIdlePause     = 4 * time.Second
@@ -45,7 +46,8 @@
 	halfClosesShare    = 0.01
 	closeHeaderShare   = 0.02
 	targetFaultShare   = 0.02
-	impatientShare     = 0.3 // Callers that ignore Retry-After.
+	paddingShare       = 0.03 // Requests with a long response.
+	impatientShare     = 0.3  // Callers that ignore Retry-After.
 )
 
 // targetFaults are the faults of targets that requests select.
@@ -71,6 +73,7 @@
 	partial       bool   // A part of the response arrived.
 	fault         string // Fault of the target that the request selects.
 	err           error  // Why there is no complete response.
+	connectedAt   time.Time
 	sentAt        time.Time
 	sentWholeAt   time.Time // Zero if the request could not be sent completely.
 	doneAt        time.Time
@@ -119,6 +122,7 @@
 	sent       int  // Requests sent, retries included.
 	conn       net.Conn
 	reader     *bufio.Reader
+	connected  time.Time
 	used       bool // The connection has carried a request.
 	instance   *instance
 }
@@ -168,7 +172,7 @@
 	if err != nil {
 		return false
 	}
-	caller.conn, caller.reader, caller.used = conn, bufio.NewReader(conn), false
+	caller.conn, caller.reader, caller.used, caller.connected = conn, bufio.NewReader(conn), false, time.Now()
 	return true
 }
 
@@ -197,7 +201,8 @@
 	id := fmt.Sprintf("%s-%d", caller.name, caller.sent)
 	caller.sent++
 	outcome := requestOutcome{id: id, idempotent: idempotent, method: "POST", path: "/unsafe/" + id, instance: caller.instance,
-		configVersion: int(caller.deployment.configVersion.Load()), kept: caller.used, sentAt: time.Now()}
+		configVersion: int(caller.deployment.configVersion.Load()), kept: caller.used,
+		connectedAt: caller.connected, sentAt: time.Now()}
 	if idempotent {
 		outcome.method, outcome.path = "GET", "/safe/"+id
 	}
@@ -302,6 +307,9 @@
 	} else {
 		headers = append(headers, fmt.Sprint("Content-Length: ", len(body)))
 	}
+	if caller.random.Float64() < paddingShare {
+		headers = append(headers, fmt.Sprint(wiretarget.HeaderPadding, ": ", caller.random.IntN(maxPaddingBytes)))
+	}
 	if closes {
 		headers = append(headers, "Connection: close")
 	}
@@ -347,7 +355,7 @@
 	if err != nil {
 		return err
 	}
-	outcome.status, outcome.body, outcome.signature = response.StatusCode, string(body), response.Header.Get(platform.HeaderServerStamp)
+	outcome.status, outcome.body, outcome.signature = response.StatusCode, strings.TrimRight(string(body), " "), response.Header.Get(platform.HeaderServerStamp)
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		outcome.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -196,7 +196,7 @@
 	switch {
 	case outcome.left:
 		return causeCallerLeft
-	case during(faultKill):
+	case during(faultKill), !passedOn && deployment.faultDuring(faultKill, outcome.instance, outcome.connectedAt, outcome.doneAt):
 		return causeKilled
 	case during(faultFreeze):
 		return causeFrozen
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,15 +23,21 @@
 // so faults overlap.
 func (deployment *Deployment) injectFaults(ctx context.Context) {
 	var running sync.WaitGroup
+	var kinds []faultKind
+	for _, kind := range faultKinds {
+		if len(deployment.options.Kinds) == 0 || slices.Contains(deployment.options.Kinds, kind.name) {
+			kinds = append(kinds, kind)
+		}
+	}
 	for range deployment.options.Faults {
 		if ctx.Err() != nil {
 			break
 		}
-		kind, selector := deployment.random.IntN(len(faultKinds)), deployment.random.IntN(1<<16)
+		kind, selector := deployment.random.IntN(len(kinds)), deployment.random.IntN(1<<16)
 		duration := time.Duration(deployment.random.Int64N(int64(maxFaultDuration)))
 		pause := time.Duration(deployment.random.Int64N(int64(maxFaultGap)))
-		deployment.log("fault %s %d for %s", faultKinds[kind].name, selector, duration.Round(time.Millisecond))
-		running.Go(func() { faultKinds[kind].inject(deployment, selector, duration) })
+		deployment.log("fault %s %d for %s", kinds[kind].name, selector, duration.Round(time.Millisecond))
+		running.Go(func() { kinds[kind].inject(deployment, selector, duration) })
 		time.Sleep(pause)
 	}
 	running.Wait()
@@ -41,13 +48,15 @@
 	_, _ = fmt.Fprintf(deployment.options.Log, format+"\n", args...) // The log is informational; write errors are ignored.
 }
 
+type faultKind struct {
+	name   string
+	inject func(deployment *Deployment, selector int, duration time.Duration)
+}
+
 // faultKinds are the kinds of faults. Each fault runs in a goroutine of its own.
 // The selector is a random number that determines the affected instance, target,
 // domain or variant of the fault.
-var faultKinds = []struct {
-	name   string
-	inject func(deployment *Deployment, selector int, duration time.Duration)
-}{
+var faultKinds = []faultKind{
 	{"kill", (*Deployment).killInstance},
 	{"kill-all", (*Deployment).killAllInstances},
 	{"pause", (*Deployment).pauseInstance},
@@ -318,14 +327,15 @@
 )
 
 // limitTarget makes a target state a rate limit, checks that all instances together
-// keep it, and ends the limit. A target that already states one is left as it is.
+// keep it, and ends the limit. Targets that are reserved for another fault are left as
+// they are: a frozen one states no limit, and the requests that waited arrive at once.
 func (deployment *Deployment) limitTarget(selector int, _ time.Duration) {
-	index := selector % len(deployment.seats)
-	if _, limited := deployment.limitedTargets.LoadOrStore(index, true); limited {
+	index, seat := selector%len(deployment.seats), deployment.seatAt(selector)
+	if !seat.reserve() {
 		return
 	}
-	defer deployment.limitedTargets.Delete(index)
-	target, _ := deployment.seats[index].current()
+	defer seat.release()
+	target, _ := seat.current()
 	perSecond := float64(minRateLimit + selector/7%(maxRateLimit-minRateLimit+1))
 	start := time.Now()
 	target.SetRateLimit(perSecond)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -29,6 +29,9 @@
 	Faults    int       // Number of faults to inject; they may overlap.
 	Throttle  float64   // Share of the time for which each process runs, in periods of quotaPeriod; 0 for always.
 	Cores     int       // Processors that the runtime of an instance uses; 0 for all.
+	Kinds     []string  // Names of the kinds of faults; all if empty.
+	Rejects   float64   // Probability that a target rejects a request though it has room.
+	Noise     float64   // Probability that an extra or repeated response of a target precedes a response.
 	Log       io.Writer // Receives a line for each injected fault.
 }
 
@@ -56,7 +59,6 @@
 	configVersion   atomic.Int64
 	evacuating      atomic.Bool // Whether a failure domain is being evacuated.
 	drainingTargets sync.Map    // Set of the indexes of draining targets.
-	limitedTargets  sync.Map    // Set of the indexes of targets with a rate limit.
 	closers         []func()    // Close the proxies and the servers of stand-ins.
 
 	idleTimeout atomic.Int64   // Idle time-out of the latest published configuration, in nanoseconds.
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -47,7 +47,7 @@
 	address  string // In the record of the target.
 	target   *wiretarget.Target
 	listener *killableListener
-	busy     bool // A fault that ends the target has reserved the seat.
+	busy     bool // A fault has reserved the seat.
 }
 
 // killableListener keeps the accepted connections, to reset them with the target.
@@ -141,7 +141,9 @@
 	}
 	warmTime := max(minExecutionTime, time.Second*time.Duration(targetSlots*deployment.options.Targets)/maxExecutionRate)
 	seat.target = wiretarget.New(wiretarget.Options{ID: seat.id, Slots: seat.slots, MaxQueued: queue, WarmTime: warmTime,
-		ColdTime: coldFactor * warmTime, DropsAbandoned: seat.index%2 == 0})
+		ColdTime: coldFactor * warmTime, DropsAbandoned: seat.index%2 == 0, StartsAtHead: seat.index%3 == 0,
+		RejectShare: deployment.options.Rejects})
+	seat.target.SetNoise(deployment.options.Noise)
 	seat.listener = &killableListener{Listener: listener, conns: map[net.Conn]struct{}{}}
 	server := seat.target.NewServer(seat.listener)
 	go func() { _ = server.Run() }()
@@ -183,6 +185,22 @@
 	}
 }
 
+// reserve reserves the seat for a fault that excludes others. It reports false if
+// another fault has reserved it.
+func (seat *targetSeat) reserve() bool {
+	seat.mu.Lock()
+	defer seat.mu.Unlock()
+	reserved := !seat.busy
+	seat.busy = true
+	return reserved
+}
+
+func (seat *targetSeat) release() {
+	seat.mu.Lock()
+	defer seat.mu.Unlock()
+	seat.busy = false
+}
+
 func (deployment *Deployment) seatAt(selector int) *targetSeat {
 	return deployment.seats[selector%len(deployment.seats)]
 }
@@ -192,14 +210,11 @@
 // removed some time after.
 func (deployment *Deployment) replaceTarget(selector int, downtime time.Duration) {
 	seat := deployment.seatAt(selector)
-	seat.mu.Lock()
-	reserved := !seat.busy
-	seat.busy = true
-	id := seat.id
-	seat.mu.Unlock()
-	if !reserved {
+	if !seat.reserve() {
 		return
 	}
+	defer seat.release()
+	_, id := seat.current()
 	deployment.recordFault(faultTarget, nil, func() {
 		deployment.killTarget(seat)
 		time.Sleep(downtime / 2)
@@ -209,13 +224,15 @@
 		time.Sleep(downtime / 2)
 		deployment.store.Delete(wiresite.TargetKey(id))
 	})
-	seat.mu.Lock()
-	seat.busy = false
-	seat.mu.Unlock()
 }
 
 func (deployment *Deployment) freezeTarget(selector int, duration time.Duration) {
-	target, _ := deployment.seatAt(selector).current()
+	seat := deployment.seatAt(selector)
+	if !seat.reserve() {
+		return
+	}
+	defer seat.release()
+	target, _ := seat.current()
 	deployment.recordFault(faultTarget, nil, func() {
 		thaw := target.Freeze()
 		time.Sleep(duration)
@@ -228,5 +245,5 @@
 	target, _ := deployment.seatAt(selector).current()
 	target.SetNoise(noiseProbability)
 	time.Sleep(2 * duration)
-	target.SetNoise(0)
+	target.SetNoise(deployment.options.Noise)
 }
--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -13,6 +13,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +37,10 @@
 	FaultStatus500     = "error"    // The response has status 500.
 )
 
+// HeaderPadding is the request header that contains a number of spaces to add to the
+// body of the response.
+const HeaderPadding = "X-Padding"
+
 // HeaderBodySum is the request header that contains the checksum of the body. The
 // bodies of requests with this header are checked and not kept.
 const HeaderBodySum = "X-Body-Sum"
@@ -51,6 +56,8 @@
 	WarmTime       time.Duration // Execution time of requests without an object or with a known object.
 	ColdTime       time.Duration // Execution time of requests with a new object; 0 means WarmTime.
 	DropsAbandoned bool          // Waiting requests are dropped when their deadline passes or the client disconnects.
+	RejectShare    float64       // Probability that a request is rejected though there is room.
+	StartsAtHead   bool          // Requests are rejected, or their execution starts, before the body has arrived.
 }
 
 // History is what a target has recorded of a request ID.
@@ -101,7 +108,8 @@
 // NewServer returns an HTTP server that serves the target on a listener.
 func (target *Target) NewServer(listener net.Listener) *server.Hertz {
 	httpServer := server.New(server.WithListener(listener), server.WithTransport(standard.NewTransporter),
-		server.WithSenseClientDisconnection(true), server.WithExitWaitTime(0), server.WithDisablePrintRoute(true))
+		server.WithSenseClientDisconnection(true), server.WithExitWaitTime(0), server.WithDisablePrintRoute(true),
+		server.WithStreamBody(target.options.StartsAtHead))
 	httpServer.NoRoute(target.handleRequest)
 	return httpServer
 }
@@ -183,6 +191,9 @@
 	target.noise, target.sent = probability, map[net.Conn]string{}
 }
 
+// maxNoiseBytes limits the bodies of repeated responses.
+const maxNoiseBytes = 1 << 10
+
 // addNoise writes an earlier response or one to another request, with the
 // probability that SetNoise has set, and remembers the response that follows.
 func (target *Target) addNoise(c *app.RequestContext, id, stamp string, body string) {
@@ -192,6 +203,9 @@
 		target.mu.Unlock()
 		return
 	}
+	if len(body) > maxNoiseBytes {
+		body = ""
+	}
 	previous := target.sent[conn]
 	head := fmt.Sprintf("HTTP/1.1 %d Noise\r\n%s: %s\r\n", c.Response.StatusCode(), platform.HeaderRequestID, id)
 	for _, name := range []string{platform.HeaderNotExecuted, platform.HeaderServerLoad} {
@@ -296,7 +310,7 @@
 	case id == "":
 		target.rejectUnexecuted(c, 400)
 		return
-	case !target.acquireSlot(ctx, deadline):
+	case rand.Float64() < target.options.RejectShare || !target.acquireSlot(ctx, deadline):
 		target.rejectUnexecuted(c, 503)
 		return
 	}
@@ -374,17 +388,15 @@
 	target.lastStart = time.Now()
 	history := target.history(id)
 	history.Executions = append(history.Executions, target.lastStart)
-	if sum := string(c.Request.Header.Peek(HeaderBodySum)); sum == "" {
-		target.bodies[id] = string(c.Request.Body())
-	} else if sum != BodySum(c.Request.Body()) {
-		history.WrongBody = true
-	}
 	executionTime := target.options.ColdTime
 	if object == "" || target.knownObjects[object] {
 		executionTime = target.options.WarmTime
 	}
 	target.knownObjects[object] = true
 	target.mu.Unlock()
+	if !target.readBody(c, id) {
+		return false
+	}
 	select {
 	case <-time.After(executionTime):
 		target.awaitThaw()
@@ -399,6 +411,24 @@
 	return false
 }
 
+// readBody reads, records and checks the body. It returns false if the connection
+// ends before the body.
+func (target *Target) readBody(c *app.RequestContext, id string) bool {
+	body, err := c.Request.BodyE()
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	switch sum := string(c.Request.Header.Peek(HeaderBodySum)); {
+	case err != nil:
+		target.aborted++
+		return false
+	case sum == "":
+		target.bodies[id] = string(body)
+	case sum != BodySum(body):
+		target.history(id).WrongBody = true
+	}
+	return true
+}
+
 func (target *Target) recordArrival(id string) {
 	target.mu.Lock()
 	defer target.mu.Unlock()
@@ -425,6 +455,9 @@
 	c.SetStatusCode(200)
 	stamp := "stamp-" + target.options.ID
 	body := fmt.Sprintf("%s %s by %s", c.Method(), c.Request.RequestURI(), target.options.ID)
+	if padding, err := strconv.Atoi(string(c.Request.Header.Peek(HeaderPadding))); err == nil {
+		body += strings.Repeat(" ", padding)
+	}
 	switch string(c.Request.Header.Peek(HeaderFault)) {
 	case FaultExtraResponse:
 		target.writeRaw(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other-%s\r\n%s: %s\r\nContent-Length: 5\r\n\r\nextra",
@@ -434,8 +467,8 @@
 			platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp, body), true)
 		return
 	case FaultTruncate:
-		target.writeRaw(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: 500\r\n\r\n%s",
-			platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp, body), true)
+		target.writeRaw(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+			platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp, len(body)+500, body), true)
 		return
 	case FaultNoResponse:
 		_ = c.GetConn().Close()
