--- a/cmd/jacinth-soak/main.go
+++ b/cmd/jacinth-soak/main.go
@@ -46,6 +46,7 @@
 	noise := flags.Float64("noise", 0, "probability that an extra or repeated response of a target precedes a response")
 	rejects := flags.Float64("rejects", 0, "probability that a target rejects a request though it has room")
 	kinds := flags.String("kinds", "", "kinds of faults, separated by commas; empty for all")
+	targetFaults := flags.Float64("target-faults", 0, "share of requests that select a fault of the target; 0 for a small one")
 	dir := flags.String("dir", "", "directory for logs; empty for a new temporary directory")
 	recovery := flags.Bool("recovery", false, "measure the recovery after all instances have ended, instead of injecting faults")
 	verbose := flags.Bool("v", false, "print the injected faults")
@@ -75,7 +76,7 @@
 		seed := *firstSeed + uint64(i)
 		result, err := soak.Run(ctx, soak.Options{Binary: *binary, Dir: filepath.Join(*dir, fmt.Sprint("seed", seed)), Seed: seed,
 			Instances: *instances, Targets: *targets, Callers: *callers, Faults: *faults,
-			Throttle: *throttle, Cores: *cores, Noise: *noise, Rejects: *rejects,
+			Throttle: *throttle, Cores: *cores, Noise: *noise, Rejects: *rejects, TargetFaults: *targetFaults,
 			Kinds: strings.FieldsFunc(*kinds, func(r rune) bool { return r == ',' }), Log: faultLog})
 		if err != nil {
 			return totalViolations, err
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -34,7 +34,7 @@
 	maxPiecePause    = 60 * time.Millisecond
 	maxIdlePause     = 4 * time.Second
 	// readMargin is how long a caller waits for a response beyond its deadline.
-	readMargin = time.Second
+	readMargin = 5 * time.Second
 )
 
 // Probabilities of the variants of requests.
@@ -47,6 +47,7 @@
 	closeHeaderShare   = 0.02
 	targetFaultShare   = 0.02
 	paddingShare       = 0.03 // Requests with a long response.
+	faultPaddingShare  = 0.5  // The same, of requests that select a fault.
 	impatientShare     = 0.3  // Callers that ignore Retry-After.
 )
 
@@ -73,6 +74,7 @@
 	partial       bool   // A part of the response arrived.
 	fault         string // Fault of the target that the request selects.
 	err           error  // Why there is no complete response.
+	deadline      time.Duration
 	connectedAt   time.Time
 	sentAt        time.Time
 	sentWholeAt   time.Time // Zero if the request could not be sent completely.
@@ -201,12 +203,16 @@
 	id := fmt.Sprintf("%s-%d", caller.name, caller.sent)
 	caller.sent++
 	outcome := requestOutcome{id: id, idempotent: idempotent, method: "POST", path: "/unsafe/" + id, instance: caller.instance,
-		configVersion: int(caller.deployment.configVersion.Load()), kept: caller.used,
+		configVersion: int(caller.deployment.configVersion.Load()), kept: caller.used, deadline: requestDeadline,
 		connectedAt: caller.connected, sentAt: time.Now()}
 	if idempotent {
 		outcome.method, outcome.path = "GET", "/safe/"+id
 	}
-	if caller.random.Float64() < targetFaultShare {
+	faultShare := caller.deployment.options.TargetFaults
+	if faultShare == 0 {
+		faultShare = targetFaultShare
+	}
+	if caller.random.Float64() < faultShare {
 		outcome.fault = targetFaults[caller.random.IntN(len(targetFaults))]
 	}
 	return outcome
@@ -215,18 +221,18 @@
 // exchange sends a request with a random body and reads the response.
 func (caller *caller) exchange(outcome *requestOutcome) {
 	caller.used = true
-	deadline := requestDeadline
 	if caller.random.Float64() < shortDeadlineShare {
-		deadline = shortDeadline
+		outcome.deadline = shortDeadline
 	}
-	_ = caller.conn.SetDeadline(outcome.sentAt.Add(deadline + readMargin))
+	_ = caller.conn.SetDeadline(outcome.sentAt.Add(outcome.deadline + readMargin))
 	body := ""
 	if !outcome.idempotent {
 		body = caller.randomBody(outcome.id)
 	}
 	closes := caller.random.Float64() < closeHeaderShare
-	if caller.send(outcome, body, deadline, closes) == nil {
+	if caller.send(outcome, body, closes) == nil {
 		outcome.sentWholeAt = time.Now()
+		_ = caller.conn.SetDeadline(outcome.sentWholeAt.Add(outcome.deadline + readMargin)) // A long pause of this process is not a late response.
 	}
 	switch choice := caller.random.Float64(); {
 	case choice < leavesEarlyShare:
@@ -255,13 +261,13 @@
 		outcomes[i] = caller.newOutcome(true)
 		outcomes[i].behind = i > 0
 		caller.used = true
-		if caller.send(&outcomes[i], "", requestDeadline, false) == nil {
+		if caller.send(&outcomes[i], "", false) == nil {
 			outcomes[i].sentWholeAt = time.Now()
 		}
 	}
 	for i := range outcomes {
 		if caller.conn == nil {
-			outcomes[i].err, outcomes[i].doneAt = io.EOF, time.Now()
+			outcomes[i].err, outcomes[i].doneAt, outcomes[i].left = io.EOF, time.Now(), outcomes[i-1].left || outcomes[i-1].timedOut()
 		} else {
 			caller.receive(&outcomes[i])
 		}
@@ -296,7 +302,7 @@
 }
 
 // send writes a request. Some bodies are sent in chunks, and some slowly.
-func (caller *caller) send(outcome *requestOutcome, body string, deadline time.Duration, closes bool) error {
+func (caller *caller) send(outcome *requestOutcome, body string, closes bool) error {
 	chunked, pieces := body != "" && caller.random.IntN(4) == 0, 1
 	if body != "" && caller.random.IntN(4) == 0 {
 		pieces = min(len(body), 2+caller.random.IntN(maxBodyPieces-1))
@@ -307,7 +313,7 @@
 	} else {
 		headers = append(headers, fmt.Sprint("Content-Length: ", len(body)))
 	}
-	if caller.random.Float64() < paddingShare {
+	if share := caller.random.Float64(); share < paddingShare || outcome.fault != "" && share < faultPaddingShare {
 		headers = append(headers, fmt.Sprint(wiretarget.HeaderPadding, ": ", caller.random.IntN(maxPaddingBytes)))
 	}
 	if closes {
@@ -316,7 +322,8 @@
 	if outcome.fault != "" {
 		headers = append(headers, wiretarget.HeaderFault+": "+outcome.fault)
 	}
-	head := wiresite.RequestHead(outcome.method, outcome.path, outcome.id, fmt.Sprint(caller.random.IntN(affinityKeyCount)), deadline, headers...)
+	head := wiresite.RequestHead(outcome.method, outcome.path, outcome.id, fmt.Sprint(caller.random.IntN(affinityKeyCount)),
+		outcome.deadline, headers...)
 	if body == "" {
 		_, err := io.WriteString(caller.conn, head)
 		return err
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -52,7 +52,8 @@
 	causeCrossedClose    = "crossed the close, not passed on"
 	causeBehind          = "behind another, not passed on"
 	causeNotSent         = "not sent completely, not passed on"
-	causeLateUndisturbed = "no response a second after the deadline"
+	causeDeadline        = "deadline or time-out reached while a response was passed on"
+	causeLateUndisturbed = "no response long after the deadline"
 	causeNone            = "unexplained"
 )
 
@@ -204,6 +205,8 @@
 		return causeHalfClosed
 	case outcome.partial && (fromTarget || during(faultTarget)):
 		return causeTargetBrokeOff
+	case outcome.partial && outcome.doneAt.Sub(outcome.sentAt) >= min(outcome.deadline, routeTimeout):
+		return causeDeadline
 	case deployment.faultDuring(faultKill, outcome.instance, outcome.sentAt.Add(-stabilityTime), outcome.doneAt),
 		deployment.faultDuring(faultFreeze, outcome.instance, outcome.sentAt.Add(-stabilityTime), outcome.doneAt):
 		return causeDisrupted
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -26,13 +26,16 @@
 	Instances int
 	Targets   int
 	Callers   int
-	Faults    int       // Number of faults to inject; they may overlap.
-	Throttle  float64   // Share of the time for which each process runs, in periods of quotaPeriod; 0 for always.
-	Cores     int       // Processors that the runtime of an instance uses; 0 for all.
-	Kinds     []string  // Names of the kinds of faults; all if empty.
-	Rejects   float64   // Probability that a target rejects a request though it has room.
-	Noise     float64   // Probability that an extra or repeated response of a target precedes a response.
-	Log       io.Writer // Receives a line for each injected fault.
+	Faults    int      // Number of faults to inject; they may overlap.
+	Throttle  float64  // Share of the time for which each process runs, in periods of quotaPeriod; 0 for always.
+	Cores     int      // Processors that the runtime of an instance uses; 0 for all.
+	Kinds     []string // Names of the kinds of faults; all if empty.
+	Rejects   float64  // Probability that a target rejects a request though it has room.
+	Noise     float64  // Probability that an extra or repeated response of a target precedes a response.
+	// TargetFaults is the share of requests that select a fault of the target; 0 means
+	// targetFaultShare.
+	TargetFaults float64
+	Log          io.Writer // Receives a line for each injected fault.
 }
 
 // Result holds the numbers of requests by outcome and the violations of a run.
