--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -216,7 +216,7 @@
 		return causeBehind
 	case !passedOn && outcome.sentWholeAt.IsZero():
 		return causeNotSent
-	case !passedOn && outcome.doneAt.Sub(outcome.sentWholeAt) <= lossSlack:
+	case !passedOn && outcome.doneAt.Sub(outcome.sentWholeAt) <= lossSlack+deployment.lag.total(outcome.sentAt, outcome.doneAt):
 		return causeCrossedClose
 	}
 	return causeNone
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -59,6 +59,7 @@
 	seats           []*targetSeat
 	instances       []*instance
 	recorder        outcomeRecorder
+	lag             lagMeter
 	configVersion   atomic.Int64
 	evacuating      atomic.Bool // Whether a failure domain is being evacuated.
 	drainingTargets sync.Map    // Set of the indexes of draining targets.
@@ -104,6 +105,7 @@
 		client := newCaller(deployment, fmt.Sprintf("s%d-c%d", options.Seed, i), uint64(i+2))
 		callers.Go(func() { client.sendLoop(load) })
 	}
+	go deployment.lag.run(load)
 	deployment.injectFaults(ctx)
 	stopLoad()
 	callers.Wait()
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -13,9 +13,11 @@
 
 const (
 	targetPort = ":8200"
-	// targetSlots is the number of slots of most targets; every smallTargetEvery-th
-	// has smallTargetSlots and a queue of smallTargetQueue, and rejects much.
+	// targetSlots is the number of slots of most targets; fewer if all would have more
+	// than maxSlots. Every smallTargetEvery-th target has smallTargetSlots and a queue
+	// of smallTargetQueue, and rejects much.
 	targetSlots      = 6
+	maxSlots         = 360
 	targetQueue      = 12
 	smallTargetEvery = 4
 	smallTargetSlots = 2
@@ -98,7 +100,8 @@
 }
 
 func (deployment *Deployment) addTarget(index int) error {
-	seat := &targetSeat{index: index, domain: domainNames[index%len(domainNames)], slots: targetSlots}
+	seat := &targetSeat{index: index, domain: domainNames[index%len(domainNames)],
+		slots: max(smallTargetSlots, min(targetSlots, maxSlots/deployment.options.Targets))}
 	if index%smallTargetEvery == smallTargetEvery-1 {
 		seat.slots = smallTargetSlots
 	}
@@ -136,10 +139,10 @@
 	seat.starts++
 	seat.id = fmt.Sprintf("t%d.%d", seat.index, seat.starts)
 	queue := targetQueue
-	if seat.slots == smallTargetSlots {
+	if seat.index%smallTargetEvery == smallTargetEvery-1 {
 		queue = smallTargetQueue
 	}
-	warmTime := max(minExecutionTime, time.Second*time.Duration(targetSlots*deployment.options.Targets)/maxExecutionRate)
+	warmTime := max(minExecutionTime, time.Second*time.Duration(min(targetSlots*deployment.options.Targets, maxSlots))/maxExecutionRate)
 	seat.target = wiretarget.New(wiretarget.Options{ID: seat.id, Slots: seat.slots, MaxQueued: queue, WarmTime: warmTime,
 		ColdTime: coldFactor * warmTime, DropsAbandoned: seat.index%2 == 0, StartsAtHead: seat.index%3 == 0,
 		RejectShare: deployment.options.Rejects})
