--- a/cmd/jacinth-soak/main.go
+++ b/cmd/jacinth-soak/main.go
@@ -47,6 +47,7 @@
 	rejects := flags.Float64("rejects", 0, "probability that a target rejects a request though it has room")
 	kinds := flags.String("kinds", "", "kinds of faults, separated by commas; empty for all")
 	targetFaults := flags.Float64("target-faults", 0, "share of requests that select a fault of the target; 0 for a small one")
+	cut := flags.Bool("cut", false, "let targets break off some of their responses")
 	dir := flags.String("dir", "", "directory for logs; empty for a new temporary directory")
 	recovery := flags.Bool("recovery", false, "measure the recovery after all instances have ended, instead of injecting faults")
 	verbose := flags.Bool("v", false, "print the injected faults")
@@ -76,7 +77,7 @@
 		seed := *firstSeed + uint64(i)
 		result, err := soak.Run(ctx, soak.Options{Binary: *binary, Dir: filepath.Join(*dir, fmt.Sprint("seed", seed)), Seed: seed,
 			Instances: *instances, Targets: *targets, Callers: *callers, Faults: *faults,
-			Throttle: *throttle, Cores: *cores, Noise: *noise, Rejects: *rejects, TargetFaults: *targetFaults,
+			Throttle: *throttle, Cores: *cores, Noise: *noise, Rejects: *rejects, TargetFaults: *targetFaults, CutResponses: *cut,
 			Kinds: strings.FieldsFunc(*kinds, func(r rune) bool { return r == ',' }), Log: faultLog})
 		if err != nil {
 			return totalViolations, err
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -26,13 +26,18 @@
 	callerPause      = 15 * time.Millisecond
 	dialTimeout      = 500 * time.Millisecond
 	affinityKeyCount = 20 // Number of different affinity keys that requests carry.
-	maxAttempts      = 4  // Attempts of a caller for one request.
-	maxPipelined     = 4
-	longBodyBytes    = 200 << 10
-	maxPaddingBytes  = 400 << 10
-	maxBodyPieces    = 8
-	maxPiecePause    = 60 * time.Millisecond
-	maxIdlePause     = 4 * time.Second
+	// cutInterval is the number of requests per response that a target breaks off,
+	// if Options.CutResponses is set.
+	cutInterval = 5
+	// maxCutBytes is more than the length of a short response of a target.
+	maxCutBytes     = 220
+	maxAttempts     = 4 // Attempts of a caller for one request.
+	maxPipelined    = 4
+	longBodyBytes   = 200 << 10
+	maxPaddingBytes = 400 << 10
+	maxBodyPieces   = 8
+	maxPiecePause   = 60 * time.Millisecond
+	maxIdlePause    = 4 * time.Second
 	// readMargin is how long a caller waits for a response beyond its deadline.
 	readMargin = 5 * time.Second
 )
@@ -47,7 +52,7 @@
 	closeHeaderShare   = 0.02
 	targetFaultShare   = 0.02
 	paddingShare       = 0.03 // Requests with a long response.
-	faultPaddingShare  = 0.5  // The same, of requests that select a fault.
+	faultPaddingShare  = 0.5  // See paddingShareOf.
 	impatientShare     = 0.3  // Callers that ignore Retry-After.
 )
 
@@ -215,6 +220,9 @@
 	if caller.random.Float64() < faultShare {
 		outcome.fault = targetFaults[caller.random.IntN(len(targetFaults))]
 	}
+	if caller.deployment.options.CutResponses && caller.random.IntN(cutInterval) == 0 {
+		outcome.fault = wiretarget.FaultCutAfter
+	}
 	return outcome
 }
 
@@ -313,14 +321,14 @@
 	} else {
 		headers = append(headers, fmt.Sprint("Content-Length: ", len(body)))
 	}
-	if share := caller.random.Float64(); share < paddingShare || outcome.fault != "" && share < faultPaddingShare {
+	if caller.random.Float64() < caller.paddingShareOf(outcome) {
 		headers = append(headers, fmt.Sprint(wiretarget.HeaderPadding, ": ", caller.random.IntN(maxPaddingBytes)))
 	}
 	if closes {
 		headers = append(headers, "Connection: close")
 	}
 	if outcome.fault != "" {
-		headers = append(headers, wiretarget.HeaderFault+": "+outcome.fault)
+		headers = append(headers, wiretarget.HeaderFault+": "+outcome.fault, fmt.Sprint(wiretarget.HeaderFaultBytes, ": ", caller.random.IntN(maxCutBytes)))
 	}
 	head := wiresite.RequestHead(outcome.method, outcome.path, outcome.id, fmt.Sprint(caller.random.IntN(affinityKeyCount)),
 		outcome.deadline, headers...)
@@ -348,6 +356,18 @@
 	return nil
 }
 
+// paddingShareOf returns the probability that the response is to be long. Responses
+// that are broken off are long only if Options.TargetFaults asks for many of them.
+func (caller *caller) paddingShareOf(outcome *requestOutcome) float64 {
+	switch {
+	case outcome.fault == "":
+		return paddingShare
+	case outcome.fault == wiretarget.FaultCutAfter || caller.deployment.options.TargetFaults == 0:
+		return 0
+	}
+	return faultPaddingShare
+}
+
 // readResponse reads the response and stores it in outcome.
 func (caller *caller) readResponse(outcome *requestOutcome) error {
 	if _, err := caller.reader.Peek(1); err != nil {
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -171,8 +171,9 @@
 // checkSuccess checks that a successful response is complete, is signed, belongs
 // to the request and comes from an execution of it.
 func checkSuccess(outcome requestOutcome, record requestRecord, add func(string, string, ...any)) {
-	target, own := strings.CutPrefix(outcome.body, outcome.method+" "+outcome.path+" by t")
-	if !own || strings.Trim(target, "0123456789.") != "" {
+	target, own := strings.CutPrefix(outcome.body, outcome.method+" "+outcome.path+" by ")
+	executedBy := func(execution string) bool { return strings.HasPrefix(execution, target+" at ") }
+	if !own || !slices.ContainsFunc(record.executions, executedBy) {
 		add("own whole answer", "got %q", outcome.body)
 	}
 	if outcome.signature == "" {
@@ -193,7 +194,7 @@
 		return deployment.faultDuring(kind, outcome.instance, outcome.sentAt, outcome.doneAt)
 	}
 	passedOn := record.arrivals > 0
-	fromTarget := outcome.fault == wiretarget.FaultTruncate || outcome.fault == wiretarget.FaultUnframed
+	fromTarget := outcome.fault == wiretarget.FaultTruncate || outcome.fault == wiretarget.FaultCutAfter || outcome.fault == wiretarget.FaultUnframed
 	switch {
 	case outcome.left:
 		return causeCallerLeft
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -35,6 +35,9 @@
 	// TargetFaults is the share of requests that select a fault of the target; 0 means
 	// targetFaultShare.
 	TargetFaults float64
+	// CutResponses makes targets break off a part of their responses after a random
+	// number of bytes.
+	CutResponses bool
 	Log          io.Writer // Receives a line for each injected fault.
 }
 
--- a/standin/wiresite/wiresite.go
+++ b/standin/wiresite/wiresite.go
@@ -99,9 +99,10 @@
 		"status":  map[string]any{"state": state, "sequence": 1, "coldLeft": "0ms"}})
 }
 
-// Request returns an HTTP/1.1 request in the form in which callers send it.
-func Request(method, path, id, object, body string, deadline time.Duration) string {
-	return RequestHead(method, path, id, object, deadline, fmt.Sprint("Content-Length: ", len(body))) + body
+// Request returns an HTTP/1.1 request in the form in which callers send it, with
+// additional header lines.
+func Request(method, path, id, object, body string, deadline time.Duration, headers ...string) string {
+	return RequestHead(method, path, id, object, deadline, append(headers, fmt.Sprint("Content-Length: ", len(body)))...) + body
 }
 
 // RequestHead returns the head of an HTTP/1.1 request with further header lines.
