--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -37,6 +37,9 @@
 	// statusCallerLeft may be sent to a caller that has closed its sending side, which
 	// an instance cannot tell from one that has left.
 	statusCallerLeft = 499
+	// deadlineMargin is more than the time before a caller's deadline at which an
+	// instance gives up a request.
+	deadlineMargin = 25 * time.Millisecond
 	// maxTracedViolations limits the violations whose log lines are looked up.
 	maxTracedViolations = 40
 )
@@ -53,6 +56,7 @@
 	causeBehind          = "behind another, not passed on"
 	causeNotSent         = "not sent completely, not passed on"
 	causeDeadline        = "deadline or time-out reached while a response was passed on"
+	causeBeforeDeadline  = "response cut within the margin before the deadline"
 	causeLateUndisturbed = "no response long after the deadline"
 	causeNone            = "unexplained"
 )
@@ -208,6 +212,8 @@
 		return causeTargetBrokeOff
 	case outcome.partial && outcome.doneAt.Sub(outcome.sentAt) >= min(outcome.deadline, routeTimeout):
 		return causeDeadline
+	case outcome.partial && outcome.doneAt.Sub(outcome.sentAt) >= outcome.deadline-deadlineMargin:
+		return causeBeforeDeadline
 	case deployment.faultDuring(faultKill, outcome.instance, outcome.sentAt.Add(-stabilityTime), outcome.doneAt),
 		deployment.faultDuring(faultFreeze, outcome.instance, outcome.sentAt.Add(-stabilityTime), outcome.doneAt):
 		return causeDisrupted
