--- a/cmd/jacinth-soak/main.go
+++ b/cmd/jacinth-soak/main.go
@@ -8,9 +8,12 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
+	"strings"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/peterbourgon/ff/v3"
@@ -38,6 +41,12 @@
 	targets := flags.Int("targets", 9, "number of targets")
 	callers := flags.Int("callers", 16, "number of callers")
 	faults := flags.Int("faults", 20, "number of injected faults per seed")
+	throttle := flags.Float64("throttle", 0, "share of the time for which each instance runs, in periods of 100 ms; 0 for always")
+	cores := flags.Int("cores", 0, "processors that an instance uses; 0 for all")
+	noise := flags.Float64("noise", 0, "probability that an extra or repeated response of a target precedes a response")
+	rejects := flags.Float64("rejects", 0, "probability that a target rejects a request though it has room")
+	kinds := flags.String("kinds", "", "kinds of faults, separated by commas; empty for all")
+	targetFaults := flags.Float64("target-faults", 0, "share of requests that select a fault of the target; 0 for a small one")
 	cut := flags.Bool("cut", false, "let targets break off some of their responses")
 	dir := flags.String("dir", "", "directory for logs; empty for a new temporary directory")
 	recovery := flags.Bool("recovery", false, "measure the recovery after all instances have ended, instead of injecting faults")
@@ -67,12 +76,17 @@
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		result, err := soak.Run(ctx, soak.Options{Binary: *binary, Dir: filepath.Join(*dir, fmt.Sprint("seed", seed)), Seed: seed,
-			Instances: *instances, Targets: *targets, Callers: *callers, Faults: *faults, CutResponses: *cut, Log: faultLog})
+			Instances: *instances, Targets: *targets, Callers: *callers, Faults: *faults,
+			Throttle: *throttle, Cores: *cores, Noise: *noise, Rejects: *rejects, TargetFaults: *targetFaults, CutResponses: *cut,
+			Kinds: strings.FieldsFunc(*kinds, func(r rune) bool { return r == ',' }), Log: faultLog})
 		if err != nil {
 			return totalViolations, err
 		}
-		fmt.Printf("seed %d: %d requests, %d answered, %d refused, %d unanswered, %d violations\n", seed, result.Requests,
-			result.Succeeded, result.Refused, result.NoResponse, len(result.Violations))
+		fmt.Printf("seed %d: %d requests, %d answered, %d refused or failed (%d with a promise), %d unanswered, %d planned stops, %d violations\n",
+			seed, result.Requests, result.Succeeded, result.Refused, result.Promised, result.NoResponse, result.PlannedStops, len(result.Violations))
+		for _, cause := range slices.Sorted(maps.Keys(result.Causes)) {
+			fmt.Printf("  unanswered, %s: %d\n", cause, result.Causes[cause])
+		}
 		for _, violation := range result.Violations {
 			fmt.Println("  ", violation)
 		}
