Requests are not passed on behind a response that may still break off

What callers saw (LOST): a request that had been passed on to a sound target ended without an answer, with its connection.

Cause: pipelined requests are passed on at once. A response of more than 128 KB is passed on while it arrives, so when its target breaks off, the caller's connection has to end, and with it all requests behind.

Why it works: a response is passed on while it arrives only if no request behind it has been passed on, and none is until it has ended. Otherwise it is read to its end first, up to 2 MB, so that a broken one is repeated or answered 502 and the connection goes on. Longer ones with requests behind them that were passed on before their head arrived are still passed on as they arrive.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,6 +22,9 @@
 	// before the first byte goes to the caller. If reading it fails, the request
 	// can still be retried.
 	maxBufferedResponseBytes = 128 << 10
+	// maxPipelinedResponseBytes is the same for a response with requests behind it
+	// on the caller's connection that have been passed on; see conn.passOn.
+	maxPipelinedResponseBytes = 2 << 20
 	// baseDialTimeout is the time limit for opening a connection, in addition to
 	// timeoutRoundTrips.
 	baseDialTimeout = 150 * time.Millisecond
@@ -277,8 +280,7 @@
 	return stated, stated && received.Status >= http.StatusBadRequest && (received.Match == forward.MatchesRequest || id == "")
 }
 
-// readResponse checks the response head and reads a body of up to
-// maxBufferedResponseBytes completely. A longer body is streamed.
+// readResponse checks the response head and reads the body.
 func (g *Gateway) readResponse(request *routedRequest, received *forward.Response, statedNotExecuted bool) (*response, error) {
 	if received.Status < http.StatusMultipleChoices && !g.Headers.HasStamp(received.Header) {
 		_ = received.Body.Close()
@@ -294,22 +296,39 @@
 	if request.httpRequest.Method == http.MethodHead && length != "" {
 		resp.header.Set("Content-Length", length)
 	}
+	return resp, readResponseBody(resp, received, request.beginStream)
+}
+
+// readResponseBody reads a body of up to maxBufferedResponseBytes completely. A
+// longer one is streamed if beginStream allows it; if not, up to
+// maxPipelinedResponseBytes are read completely.
+func readResponseBody(resp *response, received *forward.Response, beginStream func() bool) error {
+	limit := maxBufferedResponseBytes
 	if received.Length > maxBufferedResponseBytes {
-		resp.stream = received.Body
-		return resp, nil
+		if beginStream() || received.Length > maxPipelinedResponseBytes {
+			resp.stream = received.Body
+			return nil
+		}
+		limit = maxPipelinedResponseBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(received.Body, int64(limit)))
+	if err == nil && len(body) == maxBufferedResponseBytes && received.Length < 0 && !beginStream() {
+		limit = maxPipelinedResponseBytes
+		var rest []byte
+		rest, err = io.ReadAll(io.LimitReader(received.Body, int64(limit-len(body))))
+		body = append(body, rest...)
 	}
-	body, err := io.ReadAll(io.LimitReader(received.Body, maxBufferedResponseBytes))
 	if err != nil {
 		_ = received.Body.Close()
-		return nil, err
+		return err
 	}
-	if len(body) == maxBufferedResponseBytes && received.Length != maxBufferedResponseBytes {
+	if len(body) == limit && received.Length != int64(limit) {
 		resp.length = -1
 		resp.stream = &partlyReadBody{Reader: io.MultiReader(bytes.NewReader(body), received.Body), Closer: received.Body}
-		return resp, nil
+		return nil
 	}
 	resp.body = body
-	return resp, received.Body.Close()
+	return received.Body.Close()
 }
 
 // partlyReadBody is a response body whose first part was already read into
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -48,6 +48,8 @@
 	used              bool // A request has arrived.
 	awaiting          bool // The reader waits for a request.
 	ending            connEnding
+	lastPassedOn      *exchange // See passOn.
+	streamed          *exchange // Its response is passed on while it arrives; nil if there is none.
 }
 
 // exchange is one request of a caller and its response.
@@ -116,6 +118,12 @@
 			return true
 		}
 		ex := &exchange{request: request, ready: make(chan struct{}), ended: make(chan struct{})}
+		if errorResponse == nil {
+			if !c.passOn(ex) {
+				return true
+			}
+			request.beginStream = func() bool { return c.beginStream(ex) }
+		}
 		c.server.inFlight.Add(1)
 		if errorResponse != nil {
 			c.setClosing()
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -29,6 +29,7 @@
 	body        []byte        // The buffered body; nil when it is streamed or empty.
 	stream      *streamedBody // The streamed body; nil when it is buffered or empty.
 	close       bool          // The caller wants the connection closed after the response.
+	beginStream func() bool   // See conn.beginStream.
 }
 
 // streamedBody is a request body that is forwarded while it arrives.
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -66,6 +66,7 @@
 		}
 		c.server.inFlight.Add(-1)
 		c.responseWritten()
+		c.endStream(ex)
 		close(ex.ended)
 	}
 }
