A response that is being passed on outlasts the belief that its target is lost

What callers saw (LOST): a long response ended in the middle although its target went on sending.

Cause: when two attempts to connect to a target get no response, the target counts as lost, and all idempotent attempts at it are cancelled, so that they can be repeated elsewhere. That included attempts whose response was already on its way to the caller, which cannot be repeated.

Why it works: an attempt is taken off the list of those that a lost target cancels once its response is passed on as it arrives. If the target really is gone, the response ends at the route's time-out as before. The same cause was looked for elsewhere: a response that is read to its end first can still be repeated, and stays on the list.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -89,12 +89,12 @@
 		addressRelay(relay, &destination, out, request, grant)
 		forwarder = g.RelayForwarder
 	}
-	attemptCtx, done := ctx, func() {}
+	attemptCtx, responding, done := ctx, func() {}, func() {}
 	if request.route.Idempotent {
 		// Only idempotent requests are cancelled when their target is considered
 		// lost. Others cannot be retried, and a target that was only slow to accept
 		// connections may still respond.
-		attemptCtx, done = g.inFlight.add(ctx, grant.Target.ID)
+		attemptCtx, responding, done = g.inFlight.add(ctx, grant.Target.ID)
 	}
 	response, err := forwarder.Do(attemptCtx, destination, out)
 	targetAtFault, distinct := true, true
@@ -115,6 +115,7 @@
 	g.observeResponse(started, grant.Target, response, source)
 	outcome := g.responseReceived(ctx, request, grant, started, response, distinct)
 	if outcome.response != nil && outcome.response.stream != nil {
+		responding() // A part of the response may have been written; there can be no retry.
 		outcome.response.stream = &cancelOnClose{ReadCloser: outcome.response.stream, cancel: done}
 	} else {
 		done()
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -18,8 +18,9 @@
 }
 
 // add registers an attempt. The returned context is cancelled when the target is
-// lost; done must be called when the attempt has ended.
-func (attempts *inFlightAttempts) add(ctx context.Context, target string) (attemptCtx context.Context, done func()) {
+// lost, unless responding was called before. done must be called when the attempt
+// has ended.
+func (attempts *inFlightAttempts) add(ctx context.Context, target string) (attemptCtx context.Context, responding, done func()) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	attempts.mu.Lock()
 	defer attempts.mu.Unlock()
@@ -30,8 +31,7 @@
 		attempts.byTarget[target] = map[*context.CancelCauseFunc]struct{}{}
 	}
 	attempts.byTarget[target][&cancel] = struct{}{}
-	return attemptCtx, func() {
-		cancel(nil)
+	responding = func() {
 		attempts.mu.Lock()
 		defer attempts.mu.Unlock()
 		delete(attempts.byTarget[target], &cancel)
@@ -39,6 +39,10 @@
 			delete(attempts.byTarget, target)
 		}
 	}
+	return attemptCtx, responding, func() {
+		cancel(nil)
+		responding()
+	}
 }
 
 // cancelTarget cancels all attempts at a target with errTargetLost as cause.
--- a/gateway/policy_test.go
+++ b/gateway/policy_test.go
@@ -44,8 +44,8 @@
 // known to be lost.
 func TestAttemptsAtLostTargetAreCancelled(t *testing.T) {
 	var attempts inFlightAttempts
-	lost, doneLost := attempts.add(context.Background(), "a")
-	other, doneOther := attempts.add(context.Background(), "b")
+	lost, _, doneLost := attempts.add(context.Background(), "a")
+	other, _, doneOther := attempts.add(context.Background(), "b")
 	attempts.cancelTarget("a")
 	assert.ErrorIs(t, context.Cause(lost), errTargetLost)
 	assert.NoError(t, other.Err())
