Targets that leave or ask for a pause get no further requests

What targets saw: nothing in the tree read the statements Server-Leaving and, in a rejection with status 503, Retry-After. Requests went on until the record in the store said "draining", and for the whole pause.

Change: platform decodes both statements, each with and without the platform's prefix. balance keeps them for each incarnation of a target, also when its record disappears and returns; gateway believes only responses that name the request. A leaving target is no candidate any more, as if its record said "draining", until it starts again. A paused one gets nothing until its pause is over, then one request at a time, doubled with each response. A pause is kept for ten minutes at most; after 30 s one request tries the target. Relays refuse requests of peers for both reasons, and say so. When all targets of a service pause, callers are refused at once, with the median of the pauses as Retry-After: the first target that returns has no room for all.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -177,26 +177,14 @@
 	return max(0, t.deferredUntil.Sub(now))
 }
 
-// shortestLimitWait returns the shortest limitWait of the targets that a request
-// may use and whose limit is in its way; 0 if there is none.
-func (balancer *Balancer) shortestLimitWait(now time.Time, svc *service, request Request) time.Duration {
-	shortest := time.Duration(0)
-	for _, region := range balancer.allowedRegions(request.HomeRegions) {
-		for _, t := range svc.targetsByRegion[region] {
-			if wait := balancer.limitWait(now, t, request, false); wait > 0 && (shortest == 0 || wait < shortest) {
-				shortest = wait
-			}
-		}
-	}
-	return shortest
-}
-
 // Admission is the decision on a request of a peer that this instance relays to a
 // target.
 type Admission struct {
 	Granted bool
 	Wait    time.Duration  // Time until the peer should try the target again, if not granted.
 	Limit   LimitStatement // The target's limit, if not granted.
+	Leaving bool           // The target is leaving.
+	Pause   time.Duration  // Rest of the pause that the target has asked for.
 }
 
 // AdmitRelayed decides whether a request of a peer may be sent to a target.
@@ -212,6 +200,13 @@
 	if stated != nil {
 		balancer.applyStatement(now, t, *stated, LimitFromRelay)
 	}
+	if t.availability != nil && t.availability.leaving {
+		return Admission{Leaving: true}
+	}
+	if pause := balancer.pauseWait(now, t); pause > 0 {
+		return Admission{Pause: pause}
+	}
+	t.availability.useTrial(now)
 	if !t.limit.Active {
 		return Admission{Granted: true}
 	}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,6 +51,8 @@
 	resumedAt           time.Time            // When the process last continued after a pause.
 	statedTargets       map[*target]struct{} // Targets with a limit, or with one that has ended lately.
 	limitChanges        []LimitChange        // Since the last call of LimitChanges.
+	availabilities      map[incarnation]*availability
+	availabilityChanges []AvailabilityChange // Since the last call of AvailabilityChanges.
 }
 
 // target is the state of one incarnation of a target.
@@ -78,7 +80,8 @@
 	// coldSenderGeneration.
 	coldSender           bool
 	coldSenderGeneration uint64
-	recentObjects        *objectLRU // Objects handled recently.
+	recentObjects        *objectLRU    // Objects handled recently.
+	availability         *availability // Nil until the target has stated something about it.
 	limit                limitStatement
 	owner                steering.Instance // Admits requests while the target has a limit; valid while limit.Active.
 	bucket               tokenBucket       // Requests that this instance may admit as the owner.
@@ -126,7 +129,7 @@
 	}
 	balancer := &Balancer{options: options, state: steering.NewState().Apply(0, nil), targets: map[string]*target{},
 		services: map[string]*service{}, peers: map[string]*peer{}, peerInFlight: map[uint32]int{}, peerEvidence: map[uint32]int{}, roundTrips: map[string]time.Duration{},
-		started: now, instancesChangedAt: now, settleTime: minSettleTime, statedTargets: map[*target]struct{}{}}
+		started: now, instancesChangedAt: now, settleTime: minSettleTime, statedTargets: map[*target]struct{}{}, availabilities: map[incarnation]*availability{}}
 	if options.BootClock != nil {
 		balancer.lastTick = options.BootClock()
 	}
@@ -203,7 +206,7 @@
 func (balancer *Balancer) indexTargets(svc *service) {
 	svc.targetsByRegion, svc.targetsByHash = map[string][]*target{}, map[uint32]*target{}
 	for _, record := range balancer.state.TargetsOf(svc.name) {
-		if t := balancer.targets[record.ID]; t != nil && balancer.state.Usable(record) {
+		if t := balancer.targets[record.ID]; t != nil && balancer.takesRequests(record) {
 			svc.targetsByRegion[t.region] = append(svc.targetsByRegion[t.region], t)
 			svc.targetsByHash[shortHash(t.hash)] = t
 		}
@@ -219,6 +222,7 @@
 		if restarted {
 			t.limit.at = now // Statements of the previous incarnation are void.
 		}
+		t.availability = balancer.availabilities[incarnationOf(record)]
 		balancer.targets[id] = t
 	}
 	t.record = record
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -81,6 +81,7 @@
 	Overflow bool // The owner may admit the request only if the target has capacity to spare.
 	object   string
 	waits    bool
+	trial    bool // Sent during the target's pause; see trialAfter.
 }
 
 // RefusalReason tells why no target was selected.
@@ -91,6 +92,7 @@
 	NoTarget    RefusalReason = "no-target"    // No target is usable.
 	Overloaded  RefusalReason = "overloaded"   // No target would respond in time.
 	RateLimited RefusalReason = "rate-limited" // The targets take no more requests at present.
+	Paused      RefusalReason = "paused"       // The targets have asked for a pause.
 )
 
 // Refusal tells why a request was refused and when to retry.
@@ -135,10 +137,51 @@
 			return balancer.grantOrRefuse(now, request, c)
 		}
 	}
-	if wait := balancer.shortestLimitWait(now, svc, request); wait > 0 {
-		return Grant{}, &Refusal{Reason: RateLimited, RetryAfter: balancer.retryAfter(wait), ExpectedWait: wait}
+	return Grant{}, balancer.refuseWithoutTarget(now, svc, request)
+}
+
+// refuseWithoutTarget returns the refusal of a request for which no target is
+// usable.
+func (balancer *Balancer) refuseWithoutTarget(now time.Time, svc *service, request Request) *Refusal {
+	wait, reason := balancer.statedWait(now, svc, request)
+	refusal := &Refusal{Reason: reason, ExpectedWait: wait}
+	switch reason {
+	case Paused: // The target has named the time, however long it is.
+		refusal.RetryAfter = wait + time.Duration(balancer.options.Random(int64(min(maxResumeDelay, wait/2))+1))
+	case RateLimited:
+		refusal.RetryAfter = balancer.retryAfter(wait)
+	default:
+		refusal.RetryAfter = noTargetRetryAfter
+	}
+	return refusal
+}
+
+// statedWait returns the time until the targets that a request may use take it, as
+// far as their limits and pauses are concerned, and which of them is in its way. A
+// single target that ends its pause early has no room for the callers of all, so
+// the time is the median of the pauses.
+func (balancer *Balancer) statedWait(now time.Time, svc *service, request Request) (time.Duration, RefusalReason) {
+	shortestLimit := time.Duration(0)
+	var pauses []time.Duration
+	for _, region := range balancer.allowedRegions(request.HomeRegions) {
+		for _, t := range svc.targetsByRegion[region] {
+			limit, pause := balancer.limitWait(now, t, request, false), balancer.pauseWait(now, t)
+			switch {
+			case pause > limit:
+				pauses = append(pauses, pause)
+			case limit > 0 && (shortestLimit == 0 || limit < shortestLimit):
+				shortestLimit = limit
+			}
+		}
+	}
+	switch {
+	case shortestLimit > 0:
+		return shortestLimit, RateLimited
+	case len(pauses) > 0:
+		slices.Sort(pauses)
+		return pauses[len(pauses)/2], Paused
 	}
-	return Grant{}, &Refusal{Reason: NoTarget, RetryAfter: noTargetRetryAfter}
+	return 0, NoTarget
 }
 
 // retryAfter returns the Retry-After for an expected wait. A random part spreads
@@ -303,7 +346,7 @@
 	if t.down && t.ownInFlight > 0 {
 		return false
 	}
-	return balancer.coldRequestAllowed(now, t) && balancer.limitWait(now, t, request, overflow) == 0
+	return balancer.pauseWait(now, t) == 0 && balancer.coldRequestAllowed(now, t) && balancer.limitWait(now, t, request, overflow) == 0
 }
 
 // estimate returns the expected wait for a slot and the total expected time. A
@@ -345,6 +388,7 @@
 			grant.Owner, grant.Overflow = t.owner, c.overflow
 		}
 	}
+	grant.trial = t.availability.useTrial(now)
 	t.ownInFlight++
 	balancer.recordColdRequest(now, t)
 	return grant
--- a/balance/rebalance.go
+++ b/balance/rebalance.go
@@ -134,7 +134,7 @@
 func (balancer *Balancer) rebalanceCandidates(now time.Time, svc *service) []*target {
 	var candidates []*target
 	for _, t := range svc.targetsByRegion[balancer.options.Region] {
-		if now.Before(t.rebalanceAfter) || now.Before(t.coldUntil) || now.Before(t.avoidUntil) || t.down || t.limit.Active {
+		if now.Before(t.rebalanceAfter) || now.Before(t.coldUntil) || now.Before(t.avoidUntil) || t.down || t.limit.Active || balancer.pauseWait(now, t) > 0 {
 			continue
 		}
 		candidates = append(candidates, t)
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -163,6 +163,7 @@
 		balancer.lastTick = balancer.options.BootClock()
 	}
 	balancer.expirePeers(now)
+	balancer.expireAvailabilities(now)
 	if !now.Before(balancer.nextLoadSample) {
 		balancer.nextLoadSample = now.Add(weightInterval)
 		balancer.updateUtilization(now)
@@ -210,7 +211,7 @@
 		slots[region] += 0
 	}
 	for _, record := range balancer.state.TargetsOf(svc.name) {
-		if balancer.state.Usable(record) {
+		if balancer.takesRequests(record) {
 			slots[balancer.options.Regions[record.Domain]] += float64(record.Slots)
 		}
 	}
--- a/balance/result.go
+++ b/balance/result.go
@@ -43,6 +43,7 @@
 	Executing, Waiting int
 	LoadReported       bool
 	ColdFor            time.Duration // How long the target stays cold, as it reported.
+	AskedForPause      bool          // The target rejected the request and asked for a pause.
 }
 
 // AvoidedTarget is a target that gets no requests for some time.
@@ -78,12 +79,14 @@
 	}
 	switch observation.Result {
 	case Succeeded:
+		balancer.recordExecution(t, grant.trial)
 		balancer.recordResponse(now, t, grant, observation.Duration)
 	case Failed:
+		balancer.recordExecution(t, grant.trial)
 		balancer.recordAttempt(now, t, true)
 		t.consecutiveFailures = 0
 	case Shed:
-		if !observation.reportsFull(t.record) {
+		if !observation.reportsFull(t.record) && !observation.AskedForPause {
 			balancer.recordAttempt(now, t, true)
 		}
 	case Misdirected:
--- a/balance/simulation_test.go
+++ b/balance/simulation_test.go
@@ -32,6 +32,7 @@
 	hotShare  float64 // Share of a region's requests for one object.
 	homeMoves int     // Number of objects moved by home tables.
 	counts    requestCounts
+	pauses    pauseCounts
 }
 
 type simulatedInstance struct {
@@ -42,7 +43,8 @@
 type simulatedTarget struct {
 	slots, running int
 	executed       int
-	limit          float64 // Stated in responses; 0 for none.
+	limit          float64   // Stated in responses; 0 for none.
+	pausedUntil    time.Time // Until then requests are rejected.
 	queue          []func()
 	knownObjects   map[string]bool
 }
@@ -90,13 +92,17 @@
 	targetsPerDomain = map[string]int{"p1": 2, "c1": 4, "a1": 6} // Of 5 slots each.
 )
 
-func newSimulation(seed uint64) *simulation {
+func newSimulation(seed uint64) *simulation { return newScaledSimulation(seed, 1) }
+
+// newScaledSimulation returns a simulation with scale times as many instances and
+// targets.
+func newScaledSimulation(seed uint64, scale int) *simulation {
 	sim := &simulation{random: rand.New(rand.NewPCG(seed, 7)), now: start, targets: map[string]*simulatedTarget{}}
 	config := &steering.Config{Version: 1, Services: map[string]steering.Service{"s": {Name: "s"}}}
 	config.Index()
 	updates := []steering.Update{steering.ConfigUpdate{Config: config}}
 	for domain, n := range targetsPerDomain {
-		for i := range n {
+		for i := range n * scale {
 			id := fmt.Sprint(domain, "-", i)
 			updates = append(updates, steering.TargetUpdate{Target: newTarget(id, domain, 5)})
 			sim.targets[id] = &simulatedTarget{slots: 5, knownObjects: map[string]bool{}}
@@ -104,7 +110,7 @@
 	}
 	sim.state = steering.NewState().Apply(1, updates)
 	var live []steering.Instance
-	for i, domain := range []string{"p1", "p1", "p1", "c1", "c1", "c1", "a1", "a1"} {
+	for i, domain := range slices.Repeat([]string{"p1", "p1", "p1", "c1", "c1", "c1", "a1", "a1"}, scale) {
 		name, region := fmt.Sprint("n", i), simulatedRegions[domain]
 		b := balance.New(balance.Options{Name: name, Domain: domain, Region: region, Regions: simulatedRegions, MaxWeightShift: 0.15,
 			Random: sim.random.Int64N}, start)
@@ -228,14 +234,10 @@
 func (sim *simulation) attempt(instance *simulatedInstance, object string, firstSent time.Time, retry bool, previous balance.Request) {
 	region, elapsed := instance.region, sim.now.Sub(firstSent)
 	request := balance.Request{Service: "s", Object: object, Objective: simulatedObjective, Elapsed: elapsed,
-		Remaining: simulatedDeadline - elapsed, ExcludedTargets: previous.ExcludedTargets, OverflowRefused: previous.OverflowRefused}
+		Remaining: simulatedDeadline - elapsed, ExcludedTargets: previous.ExcludedTargets, Retry: previous.Retry, OverflowRefused: previous.OverflowRefused}
 	grant, refusal := instance.Pick(sim.now, request)
 	if refusal != nil {
-		if retry || refusal.RetryAfter > (simulatedDeadline-elapsed)/3 {
-			sim.counts.refused++
-			return
-		}
-		sim.after(refusal.RetryAfter, func() { sim.request(region, object, firstSent, true) })
+		sim.refuse(region, object, firstSent, retry, refusal.RetryAfter)
 		return
 	}
 	delay := time.Millisecond
@@ -254,12 +256,32 @@
 		return
 	}
 	sim.after(delay, func() {
+		if sim.targets[grant.Target.ID].pausedUntil.After(sim.now) {
+			sim.reject(instance, grant, request, sent, delay, func(request balance.Request) {
+				if previous.Retry { // Each request has two attempts.
+					sim.refuse(region, object, firstSent, retry, rejectedRetryAfter)
+					return
+				}
+				sim.attempt(instance, object, firstSent, retry, request)
+			})
+			return
+		}
 		sim.execute(sim.targets[grant.Target.ID], object, func(t *simulatedTarget) {
 			sim.after(delay, func() { sim.recordResponse(instance, grant, t, sent, firstSent) })
 		})
 	})
 }
 
+// refuse tells the caller of a request when to come back. Callers come back once,
+// if that is within a third of the time that they have left.
+func (sim *simulation) refuse(region, object string, firstSent time.Time, retry bool, retryAfter time.Duration) {
+	if retry || retryAfter > (simulatedDeadline-sim.now.Sub(firstSent))/3 {
+		sim.counts.refused++
+		return
+	}
+	sim.after(retryAfter, func() { sim.request(region, object, firstSent, true) })
+}
+
 // admitted asks the owner of a limited target and reports whether it admits a
 // request.
 func (sim *simulation) admitted(instance *simulatedInstance, grant balance.Grant) bool {
--- a/events/steering.go
+++ b/events/steering.go
@@ -86,6 +86,12 @@
 	UnknownHeader = register(Event{Number: 533, Name: "unknown-header", Level: log.InfoLevel,
 		Message: "target sent a response header that this version does not know", Fields: []string{"header", "target"},
 		Action: "check the platform's protocol for changes"})
+	TargetAvailability = register(Event{Number: 535, Name: "target-availability", Level: log.InfoLevel,
+		Message: "target stated that it is leaving or asked for a pause, or a pause ended", Fields: []string{"target", "leaving", "paused", "forMs", "source"},
+		Action: "check the target if its record says that it is ready"})
+	InvalidStatement = register(Event{Number: 536, Name: "invalid-statement", Level: log.WarnLevel,
+		Message: "target made a statement about itself that cannot be believed", Fields: []string{"statement", "target"},
+		Action: "check the target's response headers"})
 	CallerLeft = register(Event{Number: 524, Name: "caller-left", Level: log.InfoLevel,
 		Message: "caller closed the connection before all responses were sent", Fields: []string{"unanswered"}, Action: "none"})
 )
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -105,11 +105,7 @@
 		done()
 		return g.attemptFailed(ctx, attemptCtx, request, grant, started, targetAtFault, err)
 	}
-	source := balance.LimitFromResponse
-	if relayed {
-		source = balance.LimitFromRelay
-	}
-	g.observeResponse(started, grant.Target, response, source)
+	g.observeResponse(started, grant.Target, request.id, response, relayed)
 	outcome := g.responseReceived(ctx, request, grant, started, response)
 	if outcome.response != nil && outcome.response.stream != nil {
 		outcome.response.stream = &cancelOnClose{ReadCloser: outcome.response.stream, cancel: done}
@@ -122,7 +118,7 @@
 // newForwardRequest builds the request that is sent to a target.
 func (g *Gateway) newForwardRequest(request *routedRequest, grant balance.Grant, now time.Time) *forward.Request {
 	header := request.httpRequest.Header.Clone()
-	for _, name := range []string{headerRelayTarget, headerRelayNonIdempotent, headerRelayLimit, headerRelayOverflow} {
+	for _, name := range []string{headerRelayTarget, headerRelayNonIdempotent, headerRelayLimit, headerRelayOverflow, headerRelayLeaving, headerRelayPause} {
 		header.Del(name)
 	}
 	g.Headers.SetTarget(header, grant.Target.ID, request.deadline.Sub(now))
@@ -188,7 +184,7 @@
 			delete(request.excludedTargets, grant.Target.ID)
 		}
 	}
-	g.deferLimitedTarget(request, grant, targetAtFault, err)
+	g.deferTarget(request, grant, targetAtFault, err)
 	if targetAtFault && failure != nil && failure.TargetClosed {
 		g.Suspects.RecordCrash(time.Now(), request.fingerprint())
 	}
@@ -215,10 +211,12 @@
 	if g.Headers.NotExecuted(received.Status, received.Header) {
 		_ = received.Body.Close()
 		observation.Result = balance.Shed
+		pause, _ := g.Headers.Pause(received.Status, received.Header)
+		observation.AskedForPause = pause > 0
 		if received.Status == http.StatusMisdirectedRequest {
 			observation.Result = balance.Misdirected
 		}
-		if observation.MayRetry(grant.Target) {
+		if observation.MayRetry(grant.Target) && !observation.AskedForPause {
 			delete(request.excludedTargets, grant.Target.ID)
 		} else {
 			request.targetFull = true
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jacinthstall/jacinthstall/balance"
+	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 // errOwnerUnavailable means that the instance that admits requests to a limited
@@ -54,9 +55,12 @@
 	return &statement
 }
 
-// setLimitRefusal adds a refusal because of a target's limit to the response to a
-// peer.
-func setLimitRefusal(header http.Header, admission balance.Admission) {
+// setRefusal adds the reason of a refusal to the response to a peer.
+func setRefusal(header http.Header, target *steering.Target, admission balance.Admission) {
+	if admission.Leaving || admission.Pause > 0 {
+		setAvailabilityRefusal(header, target, admission)
+		return
+	}
 	header.Set(headerRelayLimit, formatLimit(admission.Limit))
 	header.Set(headerRelayWait, strconv.FormatInt(admission.Wait.Milliseconds(), 10))
 }
@@ -71,11 +75,14 @@
 	return &limitRefusal{wait: time.Duration(ms) * time.Millisecond, limit: parseLimit(header.Get(headerRelayLimit))}
 }
 
-// deferLimitedTarget stops asking for a limited target for some time after its
-// owner has refused a request or could not be reached.
-func (g *Gateway) deferLimitedTarget(request *routedRequest, grant balance.Grant, targetAtFault bool, err error) {
+// deferTarget stops using a target for some time after a relay has refused a
+// request to it, or the owner of a limited target could not be reached.
+func (g *Gateway) deferTarget(request *routedRequest, grant balance.Grant, targetAtFault bool, err error) {
 	var refusal *limitRefusal
+	var unavailable *availabilityRefusal
 	switch {
+	case errors.As(err, &unavailable):
+		g.recordAvailability(grant.Target, unavailable.leaving, unavailable.pause, balance.StatementFromRelay)
 	case errors.As(err, &refusal):
 		request.overflowRefused = request.overflowRefused || grant.Overflow
 		g.Balancer.DeferTarget(time.Now(), grant, refusal.wait, refusal.limit)
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -14,13 +14,18 @@
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
-// maxUnknownHeaders limits the number of unknown response headers that are logged.
-const maxUnknownHeaders = 16
+const (
+	// maxUnknownHeaders limits the number of unknown response headers that are
+	// logged.
+	maxUnknownHeaders = 16
+	// maxInvalidStatements limits the number of invalid statements that are logged.
+	maxInvalidStatements = 64
+)
 
 // observeResponse records what the head of a target's response tells about the
-// target, except for its load. sent is a time at which the request had not yet
-// been sent.
-func (g *Gateway) observeResponse(sent time.Time, target *steering.Target, received *forward.Response, source balance.LimitSource) {
+// target, except for its load. id is the ID of the request; sent is a time at which
+// the request had not yet been sent.
+func (g *Gateway) observeResponse(sent time.Time, target *steering.Target, id string, received *forward.Response, relayed bool) {
 	if received.Status == http.StatusMisdirectedRequest {
 		return // The response is from another target.
 	}
@@ -29,7 +34,15 @@
 			g.events.Emit(events.UnknownHeader, log.Fields{"header": name, "target": target.ID})
 		}
 	}
+	g.observeAvailability(target, id, received, relayed)
+	source := balance.LimitFromResponse
+	if relayed {
+		source = balance.LimitFromRelay
+	}
 	perSecond, ok := g.Headers.RateLimit(received.Header)
+	if !ok {
+		g.logInvalidStatement("rate limit", target)
+	}
 	if !ok || math.IsInf(perSecond, 1) && !g.Headers.HasStamp(received.Header) {
 		return // Without a signature, the missing header says nothing about the limit.
 	}
@@ -38,6 +51,57 @@
 	}
 }
 
+// observeAvailability records whether the target states that it is leaving or asks
+// for a pause. Only a response that names the request is believed.
+func (g *Gateway) observeAvailability(target *steering.Target, id string, received *forward.Response, relayed bool) {
+	leaving, leavingValid := g.Headers.Leaving(received.Header)
+	pause, pauseValid := g.Headers.Pause(received.Status, received.Header)
+	if !leavingValid {
+		g.logInvalidStatement("leaving", target)
+	}
+	if !pauseValid {
+		g.logInvalidStatement("pause", target)
+	}
+	if !leaving && pause == 0 {
+		return
+	}
+	if id == "" || g.Headers.MatchResponse(received.Header, id) != forward.MatchesRequest {
+		g.logInvalidStatement("response without the request's ID", target)
+		return
+	}
+	source := balance.StatementFromResponse
+	if relayed {
+		source = balance.StatementFromRelay
+	}
+	g.recordAvailability(target, leaving, pause, source)
+}
+
+func (g *Gateway) recordAvailability(target *steering.Target, leaving bool, pause time.Duration, source balance.StatementSource) {
+	if leaving {
+		g.Balancer.ObserveLeaving(time.Now(), target, source)
+	}
+	if pause > 0 {
+		g.Balancer.ObservePause(time.Now(), target, pause, source)
+	}
+	g.LogAvailabilityChanges()
+}
+
+// LogAvailabilityChanges logs the changes of targets' availability since the last
+// call.
+func (g *Gateway) LogAvailabilityChanges() {
+	for _, c := range g.Balancer.AvailabilityChanges() {
+		g.events.Emit(events.TargetAvailability, log.Fields{"target": c.Target, "leaving": c.Leaving, "paused": c.Paused, "forMs": c.For.Milliseconds(), "source": c.Source})
+	}
+}
+
+// logInvalidStatement logs that a target has made a statement that cannot be
+// believed, once for each kind of statement and target.
+func (g *Gateway) logInvalidStatement(statement string, target *steering.Target) {
+	if g.invalidStatements.add(statement + " " + target.ID) {
+		g.events.Emit(events.InvalidStatement, log.Fields{"statement": statement, "target": target.ID})
+	}
+}
+
 // LogLimitChanges logs the changes of targets' limits since the last call.
 func (g *Gateway) LogLimitChanges() {
 	for _, c := range g.Balancer.LimitChanges() {
@@ -45,8 +109,9 @@
 	}
 }
 
-// nameSet is a set of up to maxUnknownHeaders names.
+// nameSet is a set of a limited number of names.
 type nameSet struct {
+	limit int
 	mu    sync.Mutex
 	names map[string]bool
 }
@@ -55,7 +120,7 @@
 func (set *nameSet) add(name string) bool {
 	set.mu.Lock()
 	defer set.mu.Unlock()
-	if set.names[name] || len(set.names) >= maxUnknownHeaders {
+	if set.names[name] || len(set.names) >= set.limit {
 		return false
 	}
 	if set.names == nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -45,6 +45,13 @@
 	// headerRelayWait is the time in milliseconds after which the instance that was
 	// refused may ask again.
 	headerRelayWait = "Jacinth-Relay-Wait"
+	// headerRelayLeaving is set when the relay refuses a request because the target
+	// has stated that it is leaving. It holds the start time of that incarnation.
+	headerRelayLeaving = "Jacinth-Relay-Leaving"
+	// headerRelayPause is set when the relay refuses a request because the target
+	// has asked it for a pause. It holds the start time of that incarnation and the
+	// rest of the pause in milliseconds, separated by a semicolon.
+	headerRelayPause = "Jacinth-Relay-Pause"
 	// relayHeadBytes is added to the limit for a caller's request head to make
 	// room for these headers.
 	relayHeadBytes = 1 << 10
@@ -342,7 +349,13 @@
 	}
 	_ = received.Body.Close()
 	failure := result.failure(grant.Target.Address)
-	if refusal := readLimitRefusal(received.Header); result == relayRefused && refusal != nil {
+	if result != relayRefused {
+		return nil, failure
+	}
+	if refusal := readLimitRefusal(received.Header); refusal != nil {
+		failure.Err = refusal
+	}
+	if refusal := readAvailabilityRefusal(received.Header); refusal != nil && refusal.startedMs == grant.Target.StartedMs {
 		failure.Err = refusal
 	}
 	return nil, failure
@@ -376,7 +389,7 @@
 	header := incoming.httpRequest.Header
 	if admission := g.Balancer.AdmitRelayed(time.Now(), record, parseLimit(header.Get(headerRelayLimit)), header.Get(headerRelayOverflow) != ""); !admission.Granted {
 		resp, result := failed(relayRefused)
-		setLimitRefusal(resp.header, admission)
+		setRefusal(resp.header, record, admission)
 		return resp, result
 	}
 	request := &routedRequest{incomingRequest: incoming, id: id, deadline: incoming.arrived.Add(timeLeft)}
@@ -391,7 +404,7 @@
 		cancel()
 		return failed(relayResultOf(err))
 	}
-	g.observeResponse(sent, record, received, balance.LimitFromRelay)
+	g.observeResponse(sent, record, id, received, true)
 	if g.Headers.NotExecuted(received.Status, received.Header) {
 		defer cancel()
 		_ = received.Body.Close()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -69,6 +69,12 @@
 	// instances together, +Inf if it states no limit; ok is false if the header is
 	// invalid.
 	RateLimit(http.Header) (perSecond float64, ok bool)
+	// Leaving reports whether the target states that it is leaving; ok is false if
+	// the header is invalid.
+	Leaving(http.Header) (leaving, ok bool)
+	// Pause returns the time for which the target, which rejects a request, asks
+	// this instance to send it nothing; ok is false if the header is invalid.
+	Pause(status int, h http.Header) (pause time.Duration, ok bool)
 	// KnownResponseHeader reports whether a response header, in canonical form, is
 	// known.
 	KnownResponseHeader(name string) bool
@@ -100,11 +106,15 @@
 	counters  Counters
 	// unknownHeaders holds the response headers that were logged as unknown.
 	unknownHeaders nameSet
+	// invalidStatements holds the kinds of statements and targets that were logged
+	// as invalid.
+	invalidStatements nameSet
 }
 
 func New(o Options) *Gateway {
 	return &Gateway{Options: o, events: o.Events, splitter: serviceSplitter{credits: map[string][]float64{}},
-		deadlines: deadlineHistory{routes: map[string]*majorityDeadline{}}, counters: newCounters()}
+		deadlines: deadlineHistory{routes: map[string]*majorityDeadline{}}, counters: newCounters(),
+		unknownHeaders: nameSet{limit: maxUnknownHeaders}, invalidStatements: nameSet{limit: maxInvalidStatements}}
 }
 
 func (g *Gateway) limits() steering.Limits {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -18,6 +18,9 @@
 	gauge("caller_connections", int64(node.callerServer.Connections()))
 	gauge("instances_live", int64(len(node.exchange.Live())))
 	gauge("targets_limited", int64(node.balancer.LimitedTargets()))
+	leaving, paused := node.balancer.UnavailableTargets()
+	gauge("targets_leaving", int64(leaving))
+	gauge("targets_paused", int64(paused))
 	gauge("store_revision", int64(node.mirror.Revision()))
 	if config := node.mirror.State().Config; config != nil {
 		gauge("config_version", int64(config.Version))
--- a/node/node.go
+++ b/node/node.go
@@ -245,6 +245,7 @@
 					"load": roundToHundredths(c.Load), "slots": c.Slots})
 			}
 			node.gateway.LogLimitChanges()
+			node.gateway.LogAvailabilityChanges()
 			if !now.Before(nextSweep) {
 				nextSweep = now.Add(sweepInterval)
 				node.forwarder.PruneIdle()
--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -1,8 +1,8 @@
 // Package wiretarget is a stand-in for a target of the platform, used by tests and
 // the soak. It reports its load, rejects requests that are addressed to another
 // target, sheds requests with a statement that they were not executed, is slower
-// for objects that it has not served before, may state a rate limit, and records
-// arrivals and executions. Faults are selected by request headers.
+// for objects that it has not served before, may state a rate limit, that it is
+// leaving or that it wants a pause, and records arrivals and executions. Faults are selected by request headers.
 package wiretarget
 
 import (
@@ -56,6 +56,8 @@
 	bodies       map[string]string
 	lastStart    time.Time     // Time at which the latest execution started.
 	rateLimit    string        // Stated in responses; empty for none.
+	leaving      bool          // Stated in responses.
+	pausedUntil  time.Time     // Until then requests are rejected, with the rest of the time.
 	arrivals     []time.Time   // Of all requests, rejected ones included.
 	freeSlots    chan struct{} // Contains one element for each free slot.
 }
@@ -122,6 +124,28 @@
 	target.rateLimit = stated
 }
 
+// SetLeaving makes the target state in all responses that it is leaving.
+func (target *Target) SetLeaving(leaving bool) {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.leaving = leaving
+}
+
+// Pause makes the target reject all requests for some time and ask the senders to
+// send nothing until its end.
+func (target *Target) Pause(duration time.Duration) {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.pausedUntil = time.Now().Add(duration)
+}
+
+// pauseLeft returns the rest of the pause.
+func (target *Target) pauseLeft() time.Duration {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	return time.Until(target.pausedUntil)
+}
+
 // Arrivals returns the times at which requests arrived, in ascending order.
 func (target *Target) Arrivals() []time.Time { return target.ArrivalsAfter(time.Time{}) }
 
@@ -167,6 +191,10 @@
 	case id == "":
 		target.rejectUnexecuted(c, 400)
 		return
+	case target.pauseLeft() > 0:
+		c.Response.Header.Set(platform.HeaderRetryAfter, strconv.FormatFloat(target.pauseLeft().Seconds(), 'f', 3, 64))
+		target.rejectUnexecuted(c, 503)
+		return
 	case !target.acquireSlot():
 		target.rejectUnexecuted(c, 503)
 		return
@@ -256,13 +284,17 @@
 	target.arrivals = append(target.arrivals, time.Now())
 }
 
-// setLoadHeader adds the current load and the rate limit to a response.
+// setLoadHeader adds the current load, the rate limit and whether the target is
+// leaving to a response.
 func (target *Target) setLoadHeader(c *app.RequestContext) {
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	if target.rateLimit != "" {
 		c.Response.Header.Set(platform.HeaderServerLimit, target.rateLimit)
 	}
+	if target.leaving {
+		c.Response.Header.Set(platform.HeaderServerLeaving, "1")
+	}
 	c.Response.Header.Set(platform.HeaderServerLoad, fmt.Sprintf("%d,%d,%d", target.running, target.waiting, target.options.Slots))
 }
 
