--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -108,11 +108,7 @@
 		done()
 		return g.attemptFailed(ctx, attemptCtx, request, grant, started, targetAtFault, err)
 	}
-	source := balance.LimitFromResponse
-	if relayed {
-		source = balance.LimitFromRelay
-	}
-	g.observeResponse(started, grant.Target, response, source)
+	g.observeResponse(started, grant.Target, response, relayed)
 	outcome := g.responseReceived(ctx, request, grant, started, response, distinct)
 	if outcome.response != nil && outcome.response.stream != nil {
 		responding() // A part of the response may have been written; there can be no retry.
@@ -126,7 +122,7 @@
 // newForwardRequest builds the request that is sent to a target.
 func (g *Gateway) newForwardRequest(request *routedRequest, grant balance.Grant, now time.Time) *forward.Request {
 	header := request.httpRequest.Header.Clone()
-	for _, name := range []string{headerRelayTarget, headerRelayNonIdempotent, headerRelayLimit, headerRelayOverflow, headerRelayDistinct} {
+	for _, name := range []string{headerRelayTarget, headerRelayNonIdempotent, headerRelayLimit, headerRelayOverflow, headerRelayDistinct, headerRelayLeaving, headerRelayPause} {
 		header.Del(name)
 	}
 	g.Headers.SetTarget(header, grant.Target.ID, request.deadline.Sub(now))
@@ -192,7 +188,7 @@
 			delete(request.excludedTargets, grant.Target.ID)
 		}
 	}
-	g.deferLimitedTarget(request, grant, targetAtFault, err)
+	g.deferTarget(request, grant, targetAtFault, err)
 	if targetAtFault && failure != nil && failure.TargetClosed {
 		g.Suspects.RecordCrash(time.Now(), request.fingerprint())
 	}
@@ -221,12 +217,14 @@
 	if certain {
 		_ = received.Body.Close()
 		observation.Result = balance.Shed
+		pause, _ := g.Headers.Pause(received.Status, received.Header)
+		observation.AskedForPause = pause > 0
 		if received.Status == http.StatusMisdirectedRequest {
 			observation.Result = balance.Misdirected
 		}
 		cause := fmt.Sprintf("not executed, status %d", received.Status)
 		switch {
-		case !observation.MayRetry(grant.Target):
+		case !observation.MayRetry(grant.Target) || observation.AskedForPause:
 			request.targetFull = true
 		case distinct || request.route.Idempotent:
 			delete(request.excludedTargets, grant.Target.ID)
