--- a/balance/availability_test.go
+++ b/balance/availability_test.go
@@ -101,16 +101,16 @@
 		_, used = usedAt(start.Add(time.Duration(minute) * time.Minute))
 		assert.False(t, used, "no second trial in the same pause")
 	}
-	again, used := usedAt(start.Add(32*time.Second + 10*time.Minute))
+	_, used = usedAt(start.Add(32*time.Second + 10*time.Minute))
 	assert.True(t, used, "a pause is kept for ten minutes at most")
 
 	b = withoutDelay()
 	home = mustPick(t, b, start, newRequest("x"))
 	b.Done(start, home, balance.Observation{Result: balance.Shed, AskedForPause: true})
 	b.ObservePause(start, home.Target, time.Hour, balance.StatementFromResponse)
-	again, used = usedAt(start.Add(30 * time.Second))
+	trial, used = usedAt(start.Add(30 * time.Second))
 	require.True(t, used)
-	succeed(b, start.Add(30*time.Second), again)
+	succeed(b, start.Add(30*time.Second), trial)
 	_, used = usedAt(start.Add(31 * time.Second))
 	assert.True(t, used, "a successful trial ends the pause")
 }
