Soak: targets state that they leave or ask for a pause

Two kinds of faults beside kills, freezes, stops and a store that is down. The checks compare what targets record with what callers got: an instance that has passed on a response of a leaving target sends it nothing 2.5 s later, and one that was asked for a pause sends two requests at most from half a second after that. A restart or a freeze excuses the instance.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -94,6 +94,7 @@
 // executions of the targets. The returned violations include those that were
 // found during the run.
 func (deployment *Deployment) checkGuarantees(result *Result) {
+	deployment.checkStatements()
 	records := deployment.requestRecords()
 	sent := map[string]bool{}
 	for _, outcome := range deployment.recorder.all() {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -71,6 +71,8 @@
 	{"drain", (*Deployment).drainTarget},
 	{"evacuate", (*Deployment).evacuateDomain},
 	{"limit", (*Deployment).limitTarget},
+	{"leave", (*Deployment).leaveTarget},
+	{"ask-for-pause", (*Deployment).pauseTarget},
 	{"replace-target", (*Deployment).replaceTarget},
 	{"freeze-target", (*Deployment).freezeTarget},
 	{"noisy-target", (*Deployment).makeTargetNoisy},
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,7 +29,8 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	exited   chan struct{}
-	stopping bool    // A fault that ends the process has reserved the instance.
+	stopping bool // A fault that ends the process has reserved the instance.
+	starts   []time.Time
 	ending   bool    // A signal that ends the process has been sent.
 	throttle float64 // Share of the time for which the process runs; 0 if it always does.
 	env      []string
@@ -57,6 +59,7 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", inst.name, err)
 	}
+	inst.starts = append(inst.starts, time.Now())
 	exited := make(chan struct{})
 	go func() {
 		defer close(exited)
@@ -97,6 +100,13 @@
 	}
 }
 
+// startedBetween reports whether the process was started in an interval.
+func (inst *instance) startedBetween(start, end time.Time) bool {
+	inst.mu.Lock()
+	defer inst.mu.Unlock()
+	return slices.ContainsFunc(inst.starts, func(at time.Time) bool { return at.After(start) && at.Before(end) })
+}
+
 func (inst *instance) signal(sig syscall.Signal) {
 	inst.mu.Lock()
 	defer inst.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -40,6 +40,8 @@
 		soak.Options{Seed: 27404, Instances: 4, Targets: 8, Callers: 120, Faults: 16, Kinds: []string{"stop", "stop-signals"}, Throttle: 0.15, Cores: 1}},
 	{"a request behind one whose target broke off a long response",
 		soak.Options{Seed: 27302, Instances: 2, Targets: 4, Callers: 60, Faults: 12, Kinds: []string{"noisy-target"}, TargetFaults: 0.3}},
+	{"instances did not read that targets leave or ask for a pause",
+		soak.Options{Seed: 30001, Instances: 4, Targets: 6, Callers: 40, Faults: 14, Kinds: []string{"leave", "ask-for-pause", "stop", "pause", "store-down"}}},
 }
 
 // openSeeds are regressions whose cause is not mended; they move to regressionSeeds.
--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -74,31 +74,40 @@
 	WrongBody  bool        // The body of an execution did not match HeaderBodySum.
 }
 
+// StatedArrival is a request that arrived while the target stated that it is leaving
+// or rejected requests in a pause.
+type StatedArrival struct {
+	ID          string
+	At          time.Time
+	PausedUntil time.Time // Zero unless the request was rejected in a pause.
+}
+
 // Target is a stand-in target. It is safe for concurrent use.
 type Target struct {
 	options Options
 
-	mu           sync.Mutex
-	running      int
-	waiting      int
-	knownObjects map[string]bool
-	histories    map[string]*History // By request ID.
-	aborted      int                 // Executions ended by a disconnected client or a passed deadline.
-	bodies       map[string]string
-	lastStart    time.Time               // Time at which the latest execution started.
-	rateLimit    string                  // Stated in responses; empty for none.
-	arrivals     []time.Time             // Of all requests, rejected ones included.
-	leaving      bool                    // Stated in responses.
-	pausedUntil  time.Time               // Until then requests are rejected, with the rest of the time.
-	noise        float64                 // Probability that an earlier response or one to another request precedes a response.
-	sent         map[net.Conn]string     // Latest response of each connection while noise is set.
-	thawed       chan struct{}           // Closed when the target is not frozen.
-	refuseEvery  int                     // See RepeatRefusals; 0 when it is off.
-	untilRefusal int                     // Arrivals until the next refusal.
-	refusals     map[network.Conn]string // Refusals to be written once more, by connection.
-	repeated     int                     // Refusals that were written once more.
-	freeSlots    chan struct{}           // Contains one element for each free slot.
-	killed       chan struct{}           // Closed by Kill.
+	mu             sync.Mutex
+	running        int
+	waiting        int
+	knownObjects   map[string]bool
+	histories      map[string]*History // By request ID.
+	aborted        int                 // Executions ended by a disconnected client or a passed deadline.
+	bodies         map[string]string
+	lastStart      time.Time               // Time at which the latest execution started.
+	rateLimit      string                  // Stated in responses; empty for none.
+	arrivals       []time.Time             // Of all requests, rejected ones included.
+	leaving        bool                    // Stated in responses.
+	pausedUntil    time.Time               // Until then requests are rejected, with the rest of the time.
+	statedArrivals []StatedArrival         // See StatedArrivals.
+	noise          float64                 // Probability that an earlier response or one to another request precedes a response.
+	sent           map[net.Conn]string     // Latest response of each connection while noise is set.
+	thawed         chan struct{}           // Closed when the target is not frozen.
+	refuseEvery    int                     // See RepeatRefusals; 0 when it is off.
+	untilRefusal   int                     // Arrivals until the next refusal.
+	refusals       map[network.Conn]string // Refusals to be written once more, by connection.
+	repeated       int                     // Refusals that were written once more.
+	freeSlots      chan struct{}           // Contains one element for each free slot.
+	killed         chan struct{}           // Closed by Kill.
 }
 
 // New returns a target without executions.
@@ -530,9 +539,24 @@
 	return true
 }
 
+// StatedArrivals returns the requests that arrived while the target was leaving or
+// paused, in the order of their arrival.
+func (target *Target) StatedArrivals() []StatedArrival {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	return slices.Clone(target.statedArrivals)
+}
+
 func (target *Target) recordArrival(id string) {
 	target.mu.Lock()
 	defer target.mu.Unlock()
+	now, paused := time.Now(), time.Time{}
+	if now.Before(target.pausedUntil) {
+		paused = target.pausedUntil
+	}
+	if target.leaving || !paused.IsZero() {
+		target.statedArrivals = append(target.statedArrivals, StatedArrival{id, now, paused})
+	}
 	if id != "" {
 		target.history(id).Arrivals++
 	}
