Connections in the listener's queue are accepted however slow accepting is

Cause: an accept call that ended at its deadline was taken for one that had found the queue empty. A call that begins after its deadline ends at once too, without a look at the queue.

Why it works: the server asks the kernel whether a connection waits, and stops accepting when none does, after a second at most. What remains is the moment between that question and the close of the listener.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -6,9 +6,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sys/unix"
 
 	"github.com/jacinthstall/jacinthstall/events"
 )
@@ -21,11 +23,9 @@
 	// acceptRetryDelay is the pause after a failed accept, for example when no file
 	// descriptors are left.
 	acceptRetryDelay = 20 * time.Millisecond
-	// acceptDrainTime is how long connections in the listener's queue are accepted
-	// before it is closed. If the process got no processor time meanwhile, it is
-	// repeated up to maxAcceptDrains times.
-	acceptDrainTime = 10 * time.Millisecond
-	maxAcceptDrains = 20
+	// acceptDrainTime limits the time for accepting the connections in the listener's
+	// queue before it is closed. Callers may go on connecting.
+	acceptDrainTime = time.Second
 	// writeTimeout limits each write to a caller, in case it does not read.
 	writeTimeout = 10 * time.Second
 	// closeAllTimeout limits the time that CloseAll waits for the connections' log
@@ -69,20 +69,21 @@
 	s.running = true
 	s.mu.Unlock()
 	defer close(s.acceptDone)
-	drains := 0
+	var drainEnd time.Time
 	for {
-		began := time.Now()
+		if s.stopping.Load() {
+			if drainEnd.IsZero() {
+				drainEnd = time.Now().Add(acceptDrainTime)
+			}
+			if !s.connectionQueued(drainEnd) {
+				return nil
+			}
+		}
 		raw, err := s.listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case err != nil && isTimeout(err) && s.stopping.Load():
-			// A call that began before its deadline and returned soon after it has
-			// found the queue empty.
-			if drains++; drains > maxAcceptDrains || drains > 1 && time.Since(began) < 2*acceptDrainTime {
-				return nil
-			}
-			s.limitAccept()
 			continue
 		case err != nil:
 			s.gateway.events.Emit(events.AcceptFailed, log.Fields{"error": err.Error()})
@@ -122,7 +123,7 @@
 	running := s.running
 	s.mu.Unlock()
 	s.stopping.Store(true)
-	if running && s.limitAccept() {
+	if running && s.limitAccept(expiredDeadline) {
 		<-s.acceptDone
 	}
 	_ = s.listener.Close()
@@ -131,11 +132,30 @@
 	}
 }
 
-// limitAccept makes Accept return after acceptDrainTime if no connection is in the
-// listener's queue. It reports whether the listener can do that.
-func (s *Server) limitAccept() bool {
+// limitAccept sets the deadline of Accept. It reports whether the listener can do
+// that.
+func (s *Server) limitAccept(deadline time.Time) bool {
 	limited, ok := s.listener.(interface{ SetDeadline(time.Time) error })
-	return ok && limited.SetDeadline(time.Now().Add(acceptDrainTime)) == nil
+	return ok && limited.SetDeadline(deadline) == nil
+}
+
+// connectionQueued reports whether a connection waits in the listener's queue, and
+// lets Accept return it until the given time.
+func (s *Server) connectionQueued(until time.Time) bool {
+	socket, ok := s.listener.(syscall.Conn)
+	if !ok || time.Now().After(until) {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := false
+	err = raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		queued = err == nil && n > 0
+	})
+	return err == nil && queued && s.limitAccept(until)
 }
 
 // CloseAll closes all connections and returns how many requests had no complete
