Test: a stop closes a listener with connections in its queue

What callers see: the connection is reset at a stop, unread.

Cause: Server.Run takes an accept call that fails soon after it began for one that found the queue empty. A call that begins after its deadline fails at once too, without a look at the queue: the deadline may have passed while the process had no processor time, or while it accepted other connections.

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -76,6 +76,49 @@
 	assert.Eventually(t, func() bool { return server.Connections() == 0 }, 2*time.Second, time.Millisecond, "nothing holds up the stop")
 }
 
+// pausedListener has no processor time for a while after each accepted connection.
+type pausedListener struct {
+	*net.TCPListener
+	pause time.Duration
+}
+
+func (l pausedListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err == nil {
+		time.Sleep(l.pause)
+	}
+	return c, err
+}
+
+// Guards against closing a listener with connections in its queue because the
+// deadline of an accept call had passed before the call.
+func TestQueuedConnectionsAreServedWhenAcceptIsSlow(t *testing.T) {
+	s := startSite(t, siteOptions{targets: []wiretarget.Options{{Slots: 32, MaxQueued: 32, WarmTime: 5 * time.Millisecond}}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.address = listener.Addr().String()
+	server := gateway.NewServer(s.gateway, pausedListener{listener.(*net.TCPListener), 15 * time.Millisecond})
+	t.Cleanup(func() { server.CloseAll() })
+	var callers []*caller
+	for i := range 10 {
+		c := s.dial()
+		c.send("POST", "/unsafe/x", fmt.Sprint("r", i), "b")
+		callers = append(callers, c)
+	}
+	go func() { _ = server.Run(context.Background()) }()
+	assert.Eventually(t, func() bool { return server.Connections() > 0 }, time.Second, time.Millisecond)
+	server.Drain()
+	server.StopAccepting()
+	server.CloseIdle()
+	for i, c := range callers {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+		r, err := http.ReadResponse(c.reader, nil)
+		if assert.NoError(t, err, "caller %d", i) {
+			assert.Equal(t, 200, r.StatusCode)
+		}
+	}
+}
+
 // Load pattern: a caller always has a request pending. Guards against reading its
 // requests until the end of a stop, which cuts them.
 func TestBusyPipelineEndsInAStop(t *testing.T) {
