A closed log does not end jacinthd

What callers saw: the connection ended, with all requests in flight, when the reader of the process's log went away: the runtime raises SIGPIPE for writes to descriptors 1 and 2. It is ignored, as in jacinth-node, and the write fails.

--- a/cmd/jacinthd/main.go
+++ b/cmd/jacinthd/main.go
@@ -19,6 +19,8 @@
 )
 
 func main() {
+	// A write to a closed standard error would end the process. It fails instead.
+	signal.Ignore(syscall.SIGPIPE)
 	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "jacinthd:", err)
 		os.Exit(1)
