jacinthd: a connection is not used again after a refusal

What callers saw (REFUSED, and twice for a key): 'not executed' for a request that a target executed, when the target wrote its refusal of an earlier request once more on the kept connection.

Requests of jacinthd to targets have no ID, so nothing tells a repeated refusal from the response to the next request.

Why it works: package forward asks its caller whether a connection may be used again after a response, and entry says no for refusals. A refusal costs a new connection; a repeated response with a body is not covered, since that protocol has no way to name the request.

--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -155,9 +156,9 @@
 	if targetResponse.Header.Get(outcome.HeaderTargetState) == targetStateLeaving {
 		assignment.targetLeaving = true
 	}
-	executed := targetResponse.Header.Values(outcome.HeaderExecuted)
+	refused := statesNotExecuted(targetResponse.Header)
 	forward.CleanResponseHeaders(targetResponse.Header)
-	if len(executed) == 1 && outcome.ParseExecuted(executed[0]) == outcome.No {
+	if refused {
 		defer cancel()
 		_ = targetResponse.Body.Close()
 		inst.quarantineGuard.EndAttempt(attempt)
@@ -173,6 +174,13 @@
 	return &response{Outcome: o, header: targetResponse.Header, bodyLength: targetResponse.Length, body: body}
 }
 
+// statesNotExecuted reports whether a response states that the target did not
+// execute the request.
+func statesNotExecuted(header http.Header) bool {
+	executed := header.Values(outcome.HeaderExecuted)
+	return len(executed) == 1 && outcome.ParseExecuted(executed[0]) == outcome.No
+}
+
 // withSlotExpiry limits the exchange to the time for which its slot is granted.
 func withSlotExpiry(ctx context.Context, assignment Assignment) (context.Context, context.CancelFunc) {
 	if assignment.EndBy.IsZero() {
--- a/entry/incomingrequest.go
+++ b/entry/incomingrequest.go
@@ -113,7 +113,8 @@
 
 // targetRequest returns the request to send to a target.
 func (request *incomingRequest) targetRequest() *forward.Request {
-	out := &forward.Request{Method: request.method, URI: request.uri, Header: request.header, Length: request.bodyLength}
+	out := &forward.Request{Method: request.method, URI: request.uri, Header: request.header, Length: request.bodyLength,
+		CloseAfter: statesNotExecuted}
 	switch {
 	case request.bodyRemainder != nil:
 		out.Body = io.MultiReader(bytes.NewReader(request.bodyPrefix), trackedRemainder{request})
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, ex.fail(err)
 	}
-	return ex.newResponse(response, match, request.AllowCloseDelimited), nil
+	return ex.newResponse(response, match, request), nil
 }
 
 func (f *Forwarder) connect(ctx context.Context, target Target, request *Request) (*conn, error) {
@@ -265,8 +265,9 @@
 	}
 }
 
-func (ex *exchange) newResponse(r *http.Response, match ResponseMatch, allowCloseDelimited bool) *Response {
-	b := &responseBody{exchange: ex, source: r.Body, closeAfter: r.Close, allowCloseDelimited: allowCloseDelimited}
+func (ex *exchange) newResponse(r *http.Response, match ResponseMatch, request *Request) *Response {
+	closeAfter := r.Close || request.CloseAfter != nil && request.CloseAfter(r.Header)
+	b := &responseBody{exchange: ex, source: r.Body, closeAfter: closeAfter, allowCloseDelimited: request.AllowCloseDelimited}
 	b.closeDelimited = r.ContentLength < 0 && len(r.TransferEncoding) == 0
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		b.complete()
--- a/forward/write.go
+++ b/forward/write.go
@@ -36,6 +36,10 @@
 	// AllowCloseDelimited treats a response without a declared length as complete
 	// when the target closes the connection.
 	AllowCloseDelimited bool
+	// CloseAfter reports from a response head that the connection must not be used
+	// again. It is for responses that the target may write once more, and that could
+	// not be told from the response to the next request. Nil means never.
+	CloseAfter func(http.Header) bool
 	// MatchResponse reports from a response head which request the response
 	// belongs to, so that late responses to earlier requests on the connection
 	// are skipped. If it is nil, every response is accepted and counts as matching.
