Test: a caller that leaves behind a stream is not noticed

What targets see: they work on for a caller that has left, up to the route's timeout (GONE), if the caller had sent another request behind the response that is being passed on.

Cause: since conn.passOn holds the connection's reader until that response ends. Nothing reads from the caller meanwhile, so the end of its connection is seen by a write only, and a target that sends nothing causes none.

--- a/gateway/streamed_test.go
+++ b/gateway/streamed_test.go
@@ -85,3 +85,34 @@
 	default:
 	}
 }
+
+// Guards against a target that works on for a caller that has left, because a request
+// behind the response that is being passed on holds up the reader of the connection.
+func TestCallerThatLeavesWithARequestBehindAStreamIsNoticed(t *testing.T) {
+	for _, behind := range []bool{false, true} {
+		left := make(chan struct{})
+		s := startSite(t, siteOptions{timeout: 10 * time.Second, scripts: []script{func(_ int, r *http.Request, c net.Conn) bool {
+			if startStream(r, c) == nil {
+				_, _ = c.Read(make([]byte, 1)) // Returns when the instance ends the attempt.
+			}
+			if r.URL.Path == "/safe/x" {
+				close(left)
+			}
+			return false
+		}}})
+		c := s.dial()
+		c.send("GET", "/safe/x", "r1", "")
+		_, err := io.ReadFull(c.reader, make([]byte, firstBytes))
+		require.NoError(t, err)
+		if behind {
+			c.send("GET", "/safe/behind", "r2", "")
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.NoError(t, c.Close())
+		select {
+		case <-left:
+		case <-time.After(2 * time.Second):
+			assert.Fail(t, "the target works on", "request behind: %v", behind)
+		}
+	}
+}
