Gateway: refuse requests whose framing is ambiguous

What callers saw: the body of a request with 'Content-Length : N' ran as a second request, and requests were executed with another body than the caller's. On the code before, directly, through a relay and at a relay:

blank before the colon of the length: expected [400], actual [200 200], target ran [POST /unsafe/inner [inner] "" POST /unsafe/x [outer] ""] chunked HTTP/1.0: expected [400], actual [200], target ran [POST /unsafe/x [outer] ""]

The same was seen for a blank before the colon of Transfer-Encoding and within a name, and for a folded header line. A folded length or encoding, a length beside an encoding, HTTP/0.9 and HTTP/2.0 were accepted too.

Cause: net/http keeps a name with a blank under that name, so it declares no length; it joins folded lines, removes Transfer-Encoding from HTTP/1.0 and Content-Length beside chunks without a trace, and accepts any version.

The gateway keeps the bytes of the head while net/http reads it and refuses such heads with 400 and the end of the connection, however long they are. Blanks in names and the search for a field are shared with the heads of responses.

All other cases of the tests passed before any change: differing, signed and list lengths, NUL and bare CR, other encodings, odd chunk sizes and line ends, several hosts, odd paths, absolute URIs with another host, odd deadlines.

--- a/forward/head.go
+++ b/forward/head.go
@@ -19,7 +19,7 @@
 func parseHead(reader *bufio.Reader, method string) (*http.Response, error) {
 	// In HTTP/1.0, net/http removes Transfer-Encoding without a trace and reads the
 	// chunks as the body.
-	if version, err := reader.Peek(len(http10Prefix)); err == nil && string(version) == http10Prefix && hasTransferEncoding(peekHead(reader)) {
+	if version, err := reader.Peek(len(http10Prefix)); err == nil && string(version) == http10Prefix && hasField(peekHead(reader), "transfer-encoding") {
 		return nil, errAmbiguousHead
 	}
 	response, err := http.ReadResponse(reader, &http.Request{Method: method})
@@ -32,6 +32,31 @@
 	return response, nil
 }
 
+// IsAmbiguousRequest reports whether a request that net/http has accepted is one
+// that other parsers may read with another body, or that is not one of HTTP/1.
+// received is its head as received; it may be followed by further bytes.
+func IsAmbiguousRequest(received []byte, request *http.Request) bool {
+	end := headEnd(received)
+	if end < 0 {
+		return true
+	}
+	head := received[:end]
+	switch {
+	case request.ProtoMajor != 1 || hasInvalidName(request.Header) || hasFoldedLine(head):
+		return true
+	case !request.ProtoAtLeast(1, 1): // See parseHead.
+		return hasField(head, "transfer-encoding")
+	case len(request.TransferEncoding) > 0:
+		return hasField(head, "content-length") // Removed by net/http.
+	}
+	return false
+}
+
+// hasFoldedLine reports whether a line of a head continues the one before it.
+func hasFoldedLine(head []byte) bool {
+	return bytes.Contains(head, []byte("\n ")) || bytes.Contains(head, []byte("\n\t"))
+}
+
 // hasInvalidName reports whether a header name contains a space. Parsers that
 // ignore the space read another header, which may declare a length.
 func hasInvalidName(header http.Header) bool {
@@ -73,6 +98,7 @@
 	}
 }
 
-func hasTransferEncoding(head []byte) bool {
-	return bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding"))
+// hasField reports whether a head has a header field. The name is in lower case.
+func hasField(head []byte, name string) bool {
+	return bytes.Contains(bytes.ToLower(head), []byte("\n"+name+":"))
 }
--- /dev/null
+++ b/gateway/framing_test.go
@@ -0,0 +1,242 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/platform"
+)
+
+// arrivalLog records what a target receives.
+type arrivalLog struct {
+	mu       sync.Mutex
+	arrivals []string
+}
+
+func (l *arrivalLog) handle(_ int, r *http.Request, c net.Conn) bool {
+	body, err := io.ReadAll(r.Body)
+	l.mu.Lock()
+	l.arrivals = append(l.arrivals, fmt.Sprintf("%s %s %s %s %v %q", r.Method, r.RequestURI, r.Host, r.Header.Get(platform.HeaderExpectTarget),
+		r.Header.Values(platform.HeaderRequestID), body))
+	l.mu.Unlock()
+	if err != nil {
+		return false
+	}
+	_, err = io.WriteString(c, stampedHead(200, r)+"Content-Length: 0\r\n\r\n")
+	return err == nil
+}
+
+// take returns what has arrived since the last call.
+func (l *arrivalLog) take() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	arrivals := l.arrivals
+	l.arrivals = nil
+	return arrivals
+}
+
+// framingSites returns an instance beside its target, one that uses a relay, and a
+// relay that is called directly, all with one log of arrivals.
+func framingSites(t *testing.T, arrivals *arrivalLog) map[string]*site {
+	far := startFarSite(t, nil, arrivals.handle)
+	return map[string]*site{"direct": startSite(t, siteOptions{scripts: []script{arrivals.handle}}), "relayed": far.site,
+		"relay": {t: t, address: far.relayAddress}}
+}
+
+// answers sends bytes and returns the status of each response and whether the
+// connection was closed after the last one.
+func (s *site) answers(input string) (statuses []int, closed bool) {
+	c := s.dial()
+	_, err := io.WriteString(c.Conn, input)
+	require.NoError(s.t, err)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+		response, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			netErr, ok := err.(net.Error)
+			return statuses, !ok || !netErr.Timeout()
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		statuses = append(statuses, response.StatusCode)
+	}
+}
+
+const framingHost = "Host: " + host + "\r\n"
+
+func framingHeaders(id string) string {
+	return framingHost + platform.HeaderRequestID + ": " + id + "\r\n" + platform.HeaderDeadline + ": 3000\r\nJacinth-Relay-Target: script0\r\n"
+}
+
+// Guards against running a request that is part of another one's body, and against
+// passing on a request with another body, because its head does not declare the
+// framing in a valid way.
+func TestAmbiguousRequestIsRefused(t *testing.T) {
+	inner := "POST /unsafe/inner HTTP/1.1\r\n" + framingHeaders("inner") + "Content-Length: 0\r\n\r\n"
+	post := "POST /unsafe/x HTTP/1.1\r\n" + framingHeaders("outer")
+	length := fmt.Sprint(len(inner))
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(inner), inner)
+	cases := map[string]string{
+		"blank before the colon of the length":   post + "Content-Length : " + length + "\r\n\r\n" + inner,
+		"tab before the colon of the length":     post + "Content-Length\t: " + length + "\r\n\r\n" + inner,
+		"blank before the colon of the encoding": post + "Transfer-Encoding : chunked\r\n\r\n" + chunked,
+		"blank before the first name":            "POST /unsafe/x HTTP/1.1\r\n Content-Length: " + length + "\r\n" + framingHeaders("outer") + "\r\n" + inner,
+		"blank within a name":                    post + "Content Length: " + length + "\r\n\r\n" + inner,
+		"NUL in a name":                          post + "Content-Length\x00: " + length + "\r\n\r\n" + inner,
+		"no name":                                post + ": " + length + "\r\n\r\n" + inner,
+		"line without a colon":                   post + "Content-Length\r\n\r\n" + inner,
+		"folded line":                            post + "X-Other: a\r\n Content-Length: " + length + "\r\n\r\n" + inner,
+		"folded length":                          post + "Content-Length:\r\n " + length + "\r\n\r\n" + inner,
+		"folded encoding":                        post + "Transfer-Encoding:\r\n chunked\r\n\r\n" + chunked,
+		"bare CR":                                post + "X-Other: a\rContent-Length: " + length + "\r\n\r\n" + inner,
+		"NUL in a value":                         post + "X-Other: a\x00\r\nContent-Length: 0\r\n\r\n",
+		"DEL in a value":                         post + "X-Other: a\x7f\r\nContent-Length: 0\r\n\r\n",
+		"two lengths":                            post + "Content-Length: 0\r\nContent-Length: " + length + "\r\n\r\n" + inner,
+		"list of lengths":                        post + "Content-Length: 5, 5\r\n\r\nhello",
+		"signed length":                          post + "Content-Length: +5\r\n\r\nhello",
+		"negative length":                        post + "Content-Length: -1\r\n\r\n" + inner,
+		"hexadecimal length":                     post + "Content-Length: 0x5\r\n\r\nhello",
+		"empty length":                           post + "Content-Length: \r\n\r\n" + inner,
+		"huge length":                            post + "Content-Length: 18446744073709551617\r\n\r\n" + inner,
+		"length and encoding":                    post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"encoding and length":                    post + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
+		"unknown encoding":                       post + "Transfer-Encoding: xchunked\r\n\r\n" + chunked,
+		"two encodings":                          post + "Transfer-Encoding: identity, chunked\r\n\r\n" + chunked,
+		"two encoding lines":                     post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n" + chunked,
+		"encoding that isn't chunked":            post + "Transfer-Encoding: identity\r\n\r\n" + inner,
+		"quoted encoding":                        post + "Transfer-Encoding: \"chunked\"\r\n\r\n" + chunked,
+		"chunked HTTP/1.0":                       strings.Replace(post, "HTTP/1.1", "HTTP/1.0", 1) + "Transfer-Encoding: chunked\r\nConnection: keep-alive\r\n\r\n" + chunked,
+		"chunked HTTP/1.0 after a long header":   strings.Replace(post, "HTTP/1.1", "HTTP/1.0", 1) + "X-Other: " + strings.Repeat("x", 9000) + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked,
+		"HTTP/0.9":                               strings.Replace(post, "HTTP/1.1", "HTTP/0.9", 1) + "\r\n",
+		"HTTP/2":                                 strings.Replace(post, "HTTP/1.1", "HTTP/2.0", 1) + "\r\n",
+		"signed chunk size":                      post + "Transfer-Encoding: chunked\r\n\r\n+5\r\nhello\r\n0\r\n\r\n",
+		"hexadecimal prefix of a chunk size":     post + "Transfer-Encoding: chunked\r\n\r\n0x5\r\nhello\r\n0\r\n\r\n",
+		"huge chunk size":                        post + "Transfer-Encoding: chunked\r\n\r\n10000000000000005\r\nhello\r\n0\r\n\r\n",
+		"empty chunk size":                       post + "Transfer-Encoding: chunked\r\n\r\n\r\nhello\r\n0\r\n\r\n",
+		"bare LF after a chunk size":             post + "Transfer-Encoding: chunked\r\n\r\n5\nhello\r\n0\r\n\r\n",
+		"bare LF after a chunk":                  post + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\n0\r\n\r\n",
+		"bare LF after an extension":             post + "Transfer-Encoding: chunked\r\n\r\n5;a\nhello\r\n0\r\n\r\n",
+		"bytes after a chunk":                    post + "Transfer-Encoding: chunked\r\n\r\n5\r\nhelloworld\r\n0\r\n\r\n",
+		"two hosts":                              "POST /unsafe/x HTTP/1.1\r\nHost: other.example\r\n" + framingHeaders("outer") + "Content-Length: 0\r\n\r\n",
+		"two equal hosts":                        post + framingHost + "Content-Length: 0\r\n\r\n",
+		"blank in the path":                      strings.Replace(post, "/unsafe/x", "/unsafe/x y", 1) + "Content-Length: 0\r\n\r\n",
+		"two blanks before the path":             strings.Replace(post, "/unsafe/x", " /unsafe/x", 1) + "Content-Length: 0\r\n\r\n",
+		"control character in the path":          strings.Replace(post, "/unsafe/x", "/unsafe/\x01x", 1) + "Content-Length: 0\r\n\r\n",
+	}
+	arrivals := &arrivalLog{}
+	for way, s := range framingSites(t, arrivals) {
+		for name, input := range cases {
+			statuses, closed := s.answers(input)
+			assert.Equal(t, []int{400}, statuses, "%s, %s", way, name)
+			assert.True(t, closed, "%s, %s: the connection stays open", way, name)
+			assert.Empty(t, arrivals.take(), "%s, %s", way, name)
+		}
+	}
+}
+
+// Guards against refusing or changing proper requests that are unusual.
+func TestUnusualRequestIsPassedOnUnchanged(t *testing.T) {
+	type message struct{ line, headers, body, uri, arrivedBody string }
+	long := strings.Repeat("x", 6000)
+	cases := map[string]message{
+		"GET with a length":     {line: "GET /safe/x", headers: "Content-Length: 5\r\n", body: "hello", arrivedBody: "hello"},
+		"GET in chunks":         {line: "GET /safe/x", headers: "Transfer-Encoding: chunked\r\n", body: "5\r\nhello\r\n0\r\n\r\n", arrivedBody: "hello"},
+		"equal lengths":         {line: "POST /unsafe/x", headers: "Content-Length: 5\r\nContent-Length: 5\r\n", body: "hello", arrivedBody: "hello"},
+		"zeros before a length": {line: "POST /unsafe/x", headers: "Content-Length: 005\r\n", body: "hello", arrivedBody: "hello"},
+		"encoding in capitals":  {line: "POST /unsafe/x", headers: "Transfer-Encoding: Chunked\r\n", body: "5\r\nhello\r\n0\r\n\r\n", arrivedBody: "hello"},
+		"chunk extensions":      {line: "POST /unsafe/x", headers: "Transfer-Encoding: chunked\r\n", body: "005;a=\"b\"\r\nhello\r\n0;c\r\n\r\n", arrivedBody: "hello"},
+		"trailer":               {line: "POST /unsafe/x", headers: "Transfer-Encoding: chunked\r\nTrailer: X-Other\r\n", body: "5\r\nhello\r\n0\r\nX-Other: a\r\n\r\n", arrivedBody: "hello"},
+		"TE":                    {line: "POST /unsafe/x", headers: "TE: trailers, chunked\r\nContent-Length: 5\r\n", body: "hello", arrivedBody: "hello"},
+		"empty header":          {line: "GET /safe/x", headers: "X-Other:\r\nX-Other2: \t \r\n"},
+		"non-ASCII value":       {line: "GET /safe/x", headers: "X-Other: \xc3\xa9\xff\ta\r\n"},
+		"punctuation in a name": {line: "GET /safe/x", headers: "X!#$%&'*+-.^_`|~9: a\r\n"},
+		"long header":           {line: "GET /safe/x", headers: "X-Other: " + long + "\r\n"},
+		"two equal IDs":         {line: "GET /safe/x", headers: platform.HeaderRequestID + ": outer\r\n"},
+		"double slash":          {line: "GET /safe//x"},
+		"encoded slash":         {line: "GET /safe/a%2Fb%2f..%2F"},
+		"dots":                  {line: "GET /safe/./a/../../b"},
+		"encoded dots":          {line: "GET /safe/%2e%2E/a"},
+		"odd characters":        {line: "GET /safe/[a]\"<>|^`{}\\'!$&()*+,;=:@~"},
+		"non-ASCII path":        {line: "GET /safe/\xc3\xa9"},
+		"query":                 {line: "GET /safe/x?a=b&c=%zz;d?e//../\"<>"},
+		"empty query":           {line: "GET /safe/x?"},
+		"long path":             {line: "GET /safe/" + long},
+		"hash":                  {line: "GET /safe/x#a"},
+		"absolute":              {line: "GET http://" + host + "/safe/x?a=b", uri: "/safe/x?a=b"},
+		"absolute, own host":    {line: "GET HTTP://" + host + "/safe/x", uri: "/safe/x"},
+		"absolute, empty query": {line: "GET http://" + host + "/safe/x?", uri: "/safe/x?"},
+	}
+	arrivals := &arrivalLog{}
+	sites := framingSites(t, arrivals)
+	delete(sites, "relay")
+	for way, s := range sites {
+		for name, m := range cases {
+			method, uri, _ := strings.Cut(m.line, " ")
+			if m.uri != "" {
+				uri = m.uri
+			}
+			next := "GET /no-route HTTP/1.1\r\nConnection: close\r\n" + framingHeaders("next") + "\r\n"
+			statuses, _ := s.answers(m.line + " HTTP/1.1\r\n" + framingHeaders("outer") + m.headers + "\r\n" + m.body + next)
+			assert.Equal(t, []int{200, 404}, statuses, "%s, %s", way, name)
+			ids := []string{"outer"}
+			if name == "two equal IDs" {
+				ids = append(ids, "outer")
+			}
+			assert.Equal(t, []string{fmt.Sprintf("%s %s %s script0 %v %q", method, uri, host, ids, m.arrivedBody)}, arrivals.take(), "%s, %s", way, name)
+		}
+	}
+}
+
+// Guards against a request whose host in the absolute URI differs from that of the
+// header being run with the route of one and the host of the other.
+func TestHostOfAbsoluteURIDecides(t *testing.T) {
+	arrivals := &arrivalLog{}
+	for way, s := range framingSites(t, arrivals) {
+		if way == "relay" {
+			continue
+		}
+		head := strings.Replace(framingHeaders("outer"), host, "other.example", 1)
+		statuses, _ := s.answers("GET http://" + host + "/safe/x HTTP/1.1\r\nConnection: close\r\n" + head + "\r\n")
+		assert.Equal(t, []int{200}, statuses, way)
+		assert.Equal(t, []string{fmt.Sprintf("GET /safe/x %s script0 [outer] %q", host, "")}, arrivals.take(), way)
+		statuses, _ = s.answers("GET http://other.example/safe/x HTTP/1.1\r\nConnection: close\r\n" + framingHeaders("outer") + "\r\n")
+		assert.Equal(t, []int{404}, statuses, way)
+		assert.Empty(t, arrivals.take(), way)
+	}
+}
+
+// Guards against a deadline that is lost or lengthened because it is repeated or
+// out of range.
+func TestOddDeadlinesAreBounded(t *testing.T) {
+	var mu sync.Mutex
+	var values [][]string
+	s := startSite(t, siteOptions{scripts: []script{func(_ int, r *http.Request, c net.Conn) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		values = append(values, slices.Clone(r.Header.Values(platform.HeaderDeadline)))
+		_, err := io.WriteString(c, stampedHead(200, r)+"Content-Length: 0\r\n\r\n")
+		return err == nil
+	}}})
+	for _, odd := range []string{"99999999999999999999", "9223372036854775807", "9300000000000000", "1e309", "x", "", "1.5", "3000, 1"} {
+		statuses, _ := s.answers("GET /safe/x HTTP/1.1\r\n" + framingHost + platform.HeaderRequestID + ": r\r\n" + platform.HeaderDeadline + ": " + odd + "\r\n" + platform.HeaderDeadline + ": 99999\r\nConnection: close\r\n\r\n")
+		assert.Equal(t, []int{200}, statuses, "%q", odd)
+		mu.Lock()
+		if assert.Len(t, values, 1, "%q", odd) && assert.Len(t, values[0], 1, "%q", odd) {
+			var ms int
+			_, err := fmt.Sscan(values[0][0], &ms)
+			assert.NoError(t, err)
+			assert.True(t, ms > 0 && ms <= 2000, "%q: %d ms passed on, route timeout 2 s", odd, ms)
+		}
+		values = nil
+		mu.Unlock()
+	}
+}
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/jacinthstall/jacinthstall/forward"
 )
 
 const (
@@ -97,17 +99,27 @@
 
 // headLimiter limits the bytes read while a request head is expected. Bytes that
 // were buffered before are not counted, as the buffer is smaller than any useful
-// limit.
+// limit. While recording is set, it also keeps what is read.
 type headLimiter struct {
 	source    net.Conn
 	active    bool
 	remaining int
 	exceeded  bool
+	recording bool
+	recorded  []byte
 }
 
 var errHeadTooLarge = errors.New("request head exceeds the size limit")
 
 func (limiter *headLimiter) Read(p []byte) (int, error) {
+	n, err := limiter.readLimited(p)
+	if limiter.recording {
+		limiter.recorded = append(limiter.recorded, p[:n]...)
+	}
+	return n, err
+}
+
+func (limiter *headLimiter) readLimited(p []byte) (int, error) {
 	if !limiter.active {
 		return limiter.source.Read(p)
 	}
@@ -120,13 +132,31 @@
 	return n, err
 }
 
+// parseHead reads a request head. It refuses heads that net/http accepts although
+// they do not tell for certain where the body ends or what is to be executed.
+func (c *conn) parseHead() (*http.Request, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // Never fails for what is buffered.
+	c.headLimit.recorded, c.headLimit.recording = bytes.Clone(buffered), true
+	request, err := http.ReadRequest(c.reader)
+	head := c.headLimit.recorded
+	c.headLimit.active, c.headLimit.recording, c.headLimit.recorded = false, false, nil
+	switch {
+	case err != nil:
+		return nil, err
+	case forward.IsAmbiguousRequest(head, request):
+		return nil, errAmbiguousHead
+	}
+	return request, nil
+}
+
+var errAmbiguousHead = errors.New("ambiguous request head")
+
 // readRequest reads a request whose first byte has arrived. It returns an error
 // response for an invalid request, and neither a request nor a response when the
 // caller has disconnected.
 func (c *conn) readRequest() (*incomingRequest, *response) {
 	limits := c.server.gateway.limits()
-	httpRequest, err := http.ReadRequest(c.reader)
-	c.headLimit.active = false
+	httpRequest, err := c.parseHead()
 	if err != nil {
 		return nil, c.readErrorResponse(err)
 	}
