Gateway: refuse requests with several different IDs

What a target saw: both IDs of a request. It is open which of them it runs and echoes; the response to the other one is skipped, and the request that this instance counts as sent once may run under an ID that another attempt bears:

two IDs: expected [400], actual [200], target ran [POST /unsafe/x shop.example script0 [outer other] ""]

Also with an empty second ID. Cause: the first ID is taken and all lines are passed on. Such a request is answered with 400, at a relay too. The check is that of MatchResponse for responses. Equal IDs are passed on as before.

--- a/gateway/read.go
+++ b/gateway/read.go
@@ -143,7 +143,7 @@
 	switch {
 	case err != nil:
 		return nil, err
-	case forward.IsAmbiguousRequest(head, request):
+	case forward.IsAmbiguousRequest(head, request), c.server.gateway.Headers.ConflictingIDs(request.Header):
 		return nil, errAmbiguousHead
 	}
 	return request, nil
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -48,6 +48,8 @@
 type Headers interface {
 	// RequestID returns the request's ID, or "" if it has none.
 	RequestID(http.Header) string
+	// ConflictingIDs reports whether a request has several different IDs.
+	ConflictingIDs(http.Header) bool
 	// Deadline returns the time that the sender gives the request, if it states one.
 	Deadline(http.Header) (time.Duration, bool)
 	// ObjectKey returns the key of the object that the request concerns, or "".
