Gateway: pass on the path of an absolute URI unchanged

What targets saw: another path than the caller's.

GET http://shop.example/safe/[a]"<>|^/%2F/../b expected /safe/[a]"<>|^/%2F/../b, actual /safe/%5Ba%5D%22%3C%3E%7C%5E///../b

Cause: URL.RequestURI encodes the decoded path again if the path has a character that is not valid there, so an encoded slash becomes a slash. Path and query are now cut from the URI as received, at the first slash or question mark behind the scheme, where net/url ends the host as well.

--- a/gateway/read.go
+++ b/gateway/read.go
@@ -161,10 +161,7 @@
 		return nil, c.readErrorResponse(err)
 	}
 	r := &incomingRequest{httpRequest: httpRequest, arrived: time.Now(), close: httpRequest.Close || !httpRequest.ProtoAtLeast(1, 1)}
-	r.uri = httpRequest.RequestURI
-	if !strings.HasPrefix(r.uri, "/") {
-		r.uri = httpRequest.URL.RequestURI()
-	}
+	r.uri = pathAndQuery(httpRequest)
 	r.path, _, _ = strings.Cut(r.uri, "?")
 	if limits.MaxBodyBytes > 0 && httpRequest.ContentLength > limits.MaxBodyBytes {
 		return nil, systemResponse(http.StatusRequestEntityTooLarge, "body-too-large")
@@ -178,6 +175,27 @@
 	return r, nil
 }
 
+// pathAndQuery returns the path and query of a request as the caller sent them.
+func pathAndQuery(request *http.Request) string {
+	uri := request.RequestURI
+	if strings.HasPrefix(uri, "/") {
+		return uri
+	}
+	_, rest, isAbsolute := strings.Cut(uri, "://")
+	if !isAbsolute || request.URL.Opaque != "" {
+		return request.URL.RequestURI()
+	}
+	// URL.RequestURI encodes characters that are not valid in a path.
+	start := strings.IndexAny(rest, "/?")
+	switch {
+	case start < 0:
+		return "/"
+	case rest[start] == '?':
+		return "/" + rest[start:]
+	}
+	return rest[start:]
+}
+
 // readBody buffers a body of up to maxBufferedBodyBytes in request.body. It sets
 // request.stream for a longer one.
 func (c *conn) readBody(request *incomingRequest, maxBytes int64) error {
