Gateway: keep own headers that a caller's Connection header names

What targets saw: a request without the ID of the target that is to execute it and without a deadline, if the caller's Connection header named these headers; at an address that is used again, a target of another service could run it. Through a relay the caller got a 503, since the relay saw no target:

direct: expected instance "script0", actual "" relayed: expected [200], actual [503]

Cause: the headers of an attempt were added before those that the Connection header names were removed. Peers send no Connection header.

--- a/gateway/framing_test.go
+++ b/gateway/framing_test.go
@@ -179,6 +179,7 @@
 		"absolute, odd query":    {line: "GET http://" + host + "/safe/x?a=http://b/\"c", uri: "/safe/x?a=http://b/\"c"},
 		"absolute, slashes":      {line: "GET http://" + host + "/safe//%2f//", uri: "/safe//%2f//"},
 		"absolute, without host": {line: "GET http:///safe/\"", uri: "/safe/\""},
+		"connection headers":     {line: "GET /safe/x", headers: "Connection: keep-alive, " + platform.HeaderExpectTarget + ", " + platform.HeaderDeadline + ", Jacinth-Relay-Target\r\n"},
 		"absolute, own host":     {line: "GET HTTP://" + host + "/safe/x", uri: "/safe/x"},
 		"absolute, empty query":  {line: "GET http://" + host + "/safe/x?", uri: "/safe/x?"},
 	}
@@ -203,6 +204,30 @@
 	}
 }
 
+// Guards against sending on what only the caller's connection concerns, and against
+// dropping the headers of this system that a caller's Connection header names.
+func TestConnectionHeaderConcernsCallersHeadersOnly(t *testing.T) {
+	var mu sync.Mutex
+	var received http.Header
+	handle := func(_ int, r *http.Request, c net.Conn) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		received = r.Header.Clone()
+		_, err := io.WriteString(c, stampedHead(200, r)+"Content-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	for way, s := range map[string]*site{"direct": startSite(t, siteOptions{scripts: []script{handle}}), "relayed": startFarSite(t, nil, handle).site} {
+		statuses, _ := s.answers("POST /unsafe/x HTTP/1.1\r\n" + framingHeaders("outer") + "X-Own: a\r\nConnection: close, x-own, " + platform.HeaderExpectTarget + ", " +
+			platform.HeaderDeadline + ", Jacinth-Relay-Target, Jacinth-Relay-Once\r\nContent-Length: 0\r\n\r\n")
+		assert.Equal(t, []int{200}, statuses, way)
+		mu.Lock()
+		assert.Equal(t, "script0", received.Get(platform.HeaderExpectTarget), way)
+		assert.NotEmpty(t, received.Get(platform.HeaderDeadline), way)
+		assert.Empty(t, received.Get("X-Own"), way)
+		mu.Unlock()
+	}
+}
+
 // Guards against a request whose host in the absolute URI differs from that of the
 // header being run with the route of one and the host of the other.
 func TestHostOfAbsoluteURIDecides(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -208,6 +208,8 @@
 			request.deadline = callerDeadline
 		}
 	}
+	// The caller's Connection header must not name headers that attempts add.
+	forward.CleanRequestHeaders(request.httpRequest.Header)
 	ctx, cancel := context.WithDeadline(ctx, request.deadline)
 	if request.stream != nil {
 		context.AfterFunc(ctx, func() {
