Gateway: refuse CONNECT

What a caller could cause: bytes that belong to a tunnel ran as requests, and 'CONNECT /unsafe/x' was passed on to a target:

expected [400], actual [200 200], target ran [CONNECT /unsafe/x [outer] "" POST /unsafe/inner [inner] ""]

After a 2xx to CONNECT, a caller reads no body and sends no further requests, so where a message ends is not certain. There are no tunnels; it is answered with 400 and the end of the connection.

--- a/forward/head.go
+++ b/forward/head.go
@@ -44,6 +44,8 @@
 	switch {
 	case request.ProtoMajor != 1 || hasInvalidName(request.Header) || hasFoldedLine(head):
 		return true
+	case request.Method == http.MethodConnect: // What follows may belong to a tunnel.
+		return true
 	case !request.ProtoAtLeast(1, 1): // See parseHead.
 		return hasField(head, "transfer-encoding")
 	case len(request.TransferEncoding) > 0:
--- a/gateway/framing_test.go
+++ b/gateway/framing_test.go
@@ -131,6 +131,8 @@
 		"two IDs":                                post + platform.HeaderRequestID + ": other\r\nContent-Length: 0\r\n\r\n",
 		"ID and empty ID":                        post + platform.HeaderRequestID + ":\r\nContent-Length: 0\r\n\r\n",
 		"list of IDs, then one":                  strings.Replace(post, ": outer", ": outer, other", 1) + platform.HeaderRequestID + ": outer\r\nContent-Length: 0\r\n\r\n",
+		"CONNECT":                                strings.Replace(post, "POST /unsafe/x", "CONNECT "+host+":80", 1) + "\r\n" + inner,
+		"CONNECT with a path":                    strings.Replace(post, "POST /unsafe/x", "CONNECT /unsafe/x", 1) + "\r\n" + inner,
 		"blank in the path":                      strings.Replace(post, "/unsafe/x", "/unsafe/x y", 1) + "Content-Length: 0\r\n\r\n",
 		"two blanks before the path":             strings.Replace(post, "/unsafe/x", " /unsafe/x", 1) + "Content-Length: 0\r\n\r\n",
 		"control character in the path":          strings.Replace(post, "/unsafe/x", "/unsafe/\x01x", 1) + "Content-Length: 0\r\n\r\n",
