Gateway tests: invalid chunks in long bodies, odd IDs, requests before an ambiguous one

The test of requests before an ambiguous one failed then: expected [200 200 400], actual [200 200 200 200].

--- a/gateway/framing_test.go
+++ b/gateway/framing_test.go
@@ -274,3 +274,48 @@
 		mu.Unlock()
 	}
 }
+
+// Guards against a long body that breaks off in an invalid chunk reaching a target
+// as a complete one, and against running what follows it.
+func TestInvalidChunkInLongBodyEndsTheRequest(t *testing.T) {
+	arrivals := &arrivalLog{}
+	inner := "POST /unsafe/inner HTTP/1.1\r\n" + framingHeaders("inner") + "Content-Length: 0\r\n\r\n"
+	chunk := "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"
+	for way, s := range framingSites(t, arrivals) {
+		for _, rest := range []string{"+0\r\n\r\n", "0\n\r\n", "-1\r\n\r\n", "5\r\nhelloworld\r\n0\r\n\r\n", "0\r\n" + inner} {
+			statuses, closed := s.answers("POST /unsafe/x HTTP/1.1\r\n" + framingHeaders("outer") + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat(chunk, 40) + rest + inner)
+			assert.NotContains(t, statuses, 200, "%s, %q", way, rest)
+			assert.LessOrEqual(t, len(statuses), 1, "%s, %q", way, rest)
+			assert.True(t, closed, "%s, %q: the connection stays open", way, rest)
+			for _, arrival := range arrivals.take() {
+				assert.NotContains(t, arrival, "[inner]", "%s, %q", way, rest)
+			}
+		}
+	}
+}
+
+// Guards against refusing or losing the requests before an ambiguous one.
+func TestRequestsBeforeAnAmbiguousOneAreAnswered(t *testing.T) {
+	arrivals := &arrivalLog{}
+	for way, s := range framingSites(t, arrivals) {
+		good := "GET /safe/x HTTP/1.1\r\n" + framingHeaders("good") + "\r\n"
+		statuses, closed := s.answers(good + good + "GET /safe/x HTTP/1.1\r\nX-Other : a\r\n" + framingHeaders("bad") + "\r\n" + good)
+		assert.Equal(t, []int{200, 200, 400}, statuses, way)
+		assert.True(t, closed, way)
+		assert.Len(t, arrivals.take(), 2, way)
+	}
+}
+
+// Guards against changing or refusing request IDs with unusual characters.
+func TestUnusualRequestIDIsPassedOnUnchanged(t *testing.T) {
+	arrivals := &arrivalLog{}
+	for way, s := range framingSites(t, arrivals) {
+		for _, id := range []string{"a b", "a, b;c=\"d\"", "\xc3\xa9\xff", "a\tb", "%0d%0a", strings.Repeat("x", 6000)} {
+			statuses, _ := s.answers("GET /safe/x HTTP/1.1\r\nConnection: close\r\n" + framingHeaders(id) + "\r\n")
+			assert.Equal(t, []int{200}, statuses, "%s, %q", way, id)
+			got := arrivals.take()
+			assert.Len(t, got, 1, "%s, %q", way, id)
+			assert.Contains(t, fmt.Sprint(got), "["+id+"]", way)
+		}
+	}
+}
