Gateway: log requests that are refused while they are read

The log had no line for a request that is answered with 400, 408, 413 or 431 before it has a route; a test of five such requests found none for each. Refused heads have the reason invalid-request, others keep theirs.

--- a/gateway/framing_test.go
+++ b/gateway/framing_test.go
@@ -11,10 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log/handlers/memory"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 // arrivalLog records what a target receives.
@@ -319,3 +321,27 @@
 		}
 	}
 }
+
+// Guards against requests that are refused while they are read without a trace in
+// the log.
+func TestRequestRefusedWhileReadIsLogged(t *testing.T) {
+	for reason, input := range map[string]string{
+		"invalid-request": "POST /unsafe/x HTTP/1.1\r\n" + framingHeaders("r1") + "Content-Length : 4\r\n\r\nbody",
+		"not-http":        "hello\r\n\r\n",
+		"body-too-large":  "POST /unsafe/x HTTP/1.1\r\n" + framingHeaders("r1") + "Content-Length: 40\r\n\r\n",
+		"head-too-large":  "GET /safe/" + strings.Repeat("x", 20000) + " HTTP/1.1\r\n",
+		"head-too-slow":   "GET / HTTP/1.1\r\n",
+	} {
+		logs := memory.New()
+		s := startSite(t, siteOptions{targets: fastTargets(1), logs: logs, limits: steering.Limits{MaxBodyBytes: 30, MaxHeadBytes: 8 << 10, HeadTimeout: 100 * time.Millisecond}})
+		statuses, _ := s.answers(input)
+		require.Len(t, statuses, 1, reason)
+		require.Eventually(t, func() bool { return s.server.Connections() == 0 }, 5*time.Second, time.Millisecond)
+		refused := entriesNamed(logs, "request-unreadable")
+		if assert.Len(t, refused, 1, reason) {
+			assert.Equal(t, reason, refused[0].Fields["reason"])
+			assert.EqualValues(t, statuses[0], refused[0].Fields["status"], reason)
+			assert.NotEmpty(t, refused[0].Fields["caller"], reason)
+		}
+	}
+}
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -11,6 +11,9 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
 )
 
@@ -155,6 +158,14 @@
 // response for an invalid request, and neither a request nor a response when the
 // caller has disconnected.
 func (c *conn) readRequest() (*incomingRequest, *response) {
+	request, refusal := c.readRequestUnlogged()
+	if refusal != nil {
+		c.server.gateway.events.Emit(events.RequestUnreadable, log.Fields{"reason": refusal.reason, "status": refusal.status, "caller": c.Conn.RemoteAddr().String()})
+	}
+	return request, refusal
+}
+
+func (c *conn) readRequestUnlogged() (*incomingRequest, *response) {
 	limits := c.server.gateway.limits()
 	httpRequest, err := c.parseHead()
 	if err != nil {
@@ -257,6 +268,8 @@
 		return systemResponse(http.StatusRequestHeaderFieldsTooLarge, "head-too-large")
 	case errors.Is(err, errBodyTooLarge):
 		return systemResponse(http.StatusRequestEntityTooLarge, "body-too-large")
+	case errors.Is(err, errAmbiguousHead):
+		return systemResponse(http.StatusBadRequest, "invalid-request")
 	case isTimeout(err):
 		return systemResponse(http.StatusRequestTimeout, "head-too-slow")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), isNetOpError(err):
