Gateway: 408, not 400, for a head that is not complete in time

What callers saw: 400, after which they do not retry, in place of 408 if the time for the head passed within a line, as on a machine that was suspended meanwhile:

"GET /safe/x HTTP/1.1\r\nHo": expected [408], actual [400]

and a 400 on a connection whose sending side had ended within a line. Seen at all positions within a line.

Cause: bufio.Reader.ReadLine returns what precedes a read error as a line without an error, and net/http finds it invalid. The read error now decides.

--- a/gateway/framing_test.go
+++ b/gateway/framing_test.go
@@ -345,3 +345,23 @@
 		}
 	}
 }
+
+// Guards against a 400, after which a caller does not retry, for a proper request
+// whose head is not complete in time or breaks off within a line.
+func TestIncompleteHeadIsNotInvalid(t *testing.T) {
+	head := "GET /safe/x HTTP/1.1\r\n" + framingHeaders("r1") + "\r\n"
+	s := startSite(t, siteOptions{targets: fastTargets(1), limits: steering.Limits{HeadTimeout: 50 * time.Millisecond}})
+	for _, end := range []int{1, 5, 15, 21, 22, 24, 30, 43, len(head) - 3, len(head) - 2, len(head) - 1} {
+		statuses, _ := s.answers(head[:end])
+		assert.Equal(t, []int{408}, statuses, "%q", head[:end])
+		c := s.dial()
+		_, err := io.WriteString(c.Conn, head[:end])
+		require.NoError(t, err)
+		require.NoError(t, c.Conn.(*net.TCPConn).CloseWrite())
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		received, err := io.ReadAll(c)
+		assert.NoError(t, err, "%q", head[:end])
+		assert.Empty(t, string(received), "%q", head[:end])
+	}
+	assert.Zero(t, s.executed("r1"))
+}
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -102,7 +102,7 @@
 
 // headLimiter limits the bytes read while a request head is expected. Bytes that
 // were buffered before are not counted, as the buffer is smaller than any useful
-// limit. While recording is set, it also keeps what is read.
+// limit. While recording is set, it also keeps what is read and a read error.
 type headLimiter struct {
 	source    net.Conn
 	active    bool
@@ -110,6 +110,7 @@
 	exceeded  bool
 	recording bool
 	recorded  []byte
+	err       error
 }
 
 var errHeadTooLarge = errors.New("request head exceeds the size limit")
@@ -118,6 +119,7 @@
 	n, err := limiter.readLimited(p)
 	if limiter.recording {
 		limiter.recorded = append(limiter.recorded, p[:n]...)
+		limiter.err = err
 	}
 	return n, err
 }
@@ -139,11 +141,13 @@
 // they do not tell for certain where the body ends or what is to be executed.
 func (c *conn) parseHead() (*http.Request, error) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // Never fails for what is buffered.
-	c.headLimit.recorded, c.headLimit.recording = bytes.Clone(buffered), true
+	c.headLimit.recorded, c.headLimit.err, c.headLimit.recording = bytes.Clone(buffered), nil, true
 	request, err := http.ReadRequest(c.reader)
-	head := c.headLimit.recorded
-	c.headLimit.active, c.headLimit.recording, c.headLimit.recorded = false, false, nil
+	head, readErr := c.headLimit.recorded, c.headLimit.err
+	c.headLimit.active, c.headLimit.recording, c.headLimit.recorded, c.headLimit.err = false, false, nil, nil
 	switch {
+	case readErr != nil: // net/http takes what precedes a read error for a whole line.
+		return nil, readErr
 	case err != nil:
 		return nil, err
 	case forward.IsAmbiguousRequest(head, request), c.server.gateway.Headers.ConflictingIDs(request.Header):
