A caller that leaves is noticed while a request waits behind a response

What targets saw (GONE): work went on for a caller that had left, up to the route's time-out, when another request of it waited behind a response that was passed on as it arrived.

Cause: the reader of the connection waited for the end of the response, so nothing read the end of the connection.

Why it works: the handler of the request waits, not the reader, and ends its wait with the connection. Requests behind may wake in any order, so the order of the exchanges decides which response may be passed on as it arrives.

Also from the review: at most eight long responses are held in memory at a time because of requests behind them, of 1 MB each; 64 of 2 MB on one connection were possible. And an attempt that is cancelled between its response's head and the start of the response to the caller is repeated, not cut.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,7 +24,7 @@
 	maxBufferedResponseBytes = 128 << 10
 	// maxPipelinedResponseBytes is the same for a response with requests behind it
 	// on the caller's connection that have been passed on; see conn.passOn.
-	maxPipelinedResponseBytes = 2 << 20
+	maxPipelinedResponseBytes = 1 << 20
 	// baseDialTimeout is the time limit for opening a connection, in addition to
 	// timeoutRoundTrips.
 	baseDialTimeout = 150 * time.Millisecond
@@ -111,7 +111,12 @@
 	g.observeResponse(started, grant.Target, response, relayed)
 	outcome := g.responseReceived(ctx, request, grant, started, response, distinct)
 	if outcome.response != nil && outcome.response.stream != nil {
-		responding() // A part of the response may have been written; there can be no retry.
+		responding() // A part of the response will be written; there can be no retry.
+		if errors.Is(context.Cause(attemptCtx), errTargetLost) {
+			outcome.discard()
+			done()
+			return attemptOutcome{retryable: true}
+		}
 		outcome.response.stream = &cancelOnClose{ReadCloser: outcome.response.stream, cancel: done}
 	} else {
 		done()
@@ -295,23 +300,23 @@
 	if request.httpRequest.Method == http.MethodHead && length != "" {
 		resp.header.Set("Content-Length", length)
 	}
-	return resp, readResponseBody(resp, received, request.beginStream)
+	return resp, g.readResponseBody(resp, received, request.incomingRequest)
 }
 
 // readResponseBody reads a body of up to maxBufferedResponseBytes completely. A
-// longer one is streamed if beginStream allows it; if not, up to
+// longer one is streamed if conn.beginStream allows it; if not, up to
 // maxPipelinedResponseBytes are read completely.
-func readResponseBody(resp *response, received *forward.Response, beginStream func() bool) error {
+func (g *Gateway) readResponseBody(resp *response, received *forward.Response, request *incomingRequest) error {
 	limit := maxBufferedResponseBytes
 	if received.Length > maxBufferedResponseBytes {
-		if beginStream() || received.Length > maxPipelinedResponseBytes {
+		if request.beginStream() || received.Length > maxPipelinedResponseBytes || !g.heldResponses.acquire(request) {
 			resp.stream = received.Body
 			return nil
 		}
 		limit = maxPipelinedResponseBytes
 	}
 	body, err := io.ReadAll(io.LimitReader(received.Body, int64(limit)))
-	if err == nil && len(body) == maxBufferedResponseBytes && received.Length < 0 && !beginStream() {
+	if err == nil && len(body) == maxBufferedResponseBytes && received.Length < 0 && !request.beginStream() && g.heldResponses.acquire(request) {
 		limit = maxPipelinedResponseBytes
 		var rest []byte
 		rest, err = io.ReadAll(io.LimitReader(received.Body, int64(limit-len(body))))
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -48,12 +48,13 @@
 	used              bool // A request has arrived.
 	awaiting          bool // The reader waits for a request.
 	ending            connEnding
-	lastPassedOn      *exchange // See passOn.
+	lastPassedOn      int       // Highest number of the exchanges that were passed on; see passOn.
 	streamed          *exchange // Its response is passed on while it arrives; nil if there is none.
 }
 
 // exchange is one request of a caller and its response.
 type exchange struct {
+	number   int // On its connection, in the order of arrival.
 	request  *incomingRequest
 	response *response     // Valid after ready is closed.
 	ready    chan struct{} // Closed when response is set.
@@ -108,7 +109,7 @@
 // pipelined requests run concurrently. It reports whether the caller has
 // disconnected.
 func (c *conn) readLoop() bool {
-	for {
+	for number := 1; ; number++ {
 		if !c.awaitRequest() {
 			return !c.isClosing()
 		}
@@ -117,13 +118,7 @@
 			c.setCause(causeInputEnded) // Unless readErrorResponse has set another one.
 			return true
 		}
-		ex := &exchange{request: request, ready: make(chan struct{}), ended: make(chan struct{})}
-		if errorResponse == nil {
-			if !c.passOn(ex) {
-				return true
-			}
-			request.beginStream = func() bool { return c.beginStream(ex) }
-		}
+		ex := &exchange{number: number, request: request, ready: make(chan struct{}), ended: make(chan struct{})}
 		c.server.inFlight.Add(1)
 		if errorResponse != nil {
 			c.setClosing()
@@ -136,9 +131,14 @@
 			request.close = true
 			c.setClosing()
 		}
+		request.beginStream = func() bool { return c.beginStream(ex) }
 		c.exchanges <- ex
 		go func() {
 			defer close(ex.ready)
+			if !c.passOn(ex) {
+				ex.response = systemResponse(statusCallerLeft, reasonCallerLeft)
+				return
+			}
 			ex.response = c.server.handler(c.ctx, request)
 		}()
 		if !request.awaitBody(ex.ended) || request.close {
--- a/gateway/pipeline.go
+++ b/gateway/pipeline.go
@@ -1,26 +1,29 @@
 package gateway
 
+import "sync/atomic"
+
 // Pipelined requests are passed on to targets before the responses to earlier ones
 // are complete. When the target of an earlier one breaks off a response of which a
 // part has been written, the connection must end, and so would the requests behind.
 // A response is therefore passed on while it arrives only if no request behind it
 // has been passed on, and none is until it ends.
 
-// passOn makes an exchange the last one that is passed on to a target. It waits
-// while a response is passed on as it arrives, and reports false if the connection
-// has ended by then.
+// passOn waits while a response to an earlier request is passed on as it arrives. It
+// reports false if the connection has ended by then; otherwise the request of the
+// exchange is about to be passed on to a target.
 func (c *conn) passOn(ex *exchange) bool {
 	for {
 		c.mu.Lock()
 		streamed := c.streamed
-		if streamed == nil {
-			c.lastPassedOn = ex
+		if streamed == nil || streamed.number > ex.number {
+			c.lastPassedOn = max(c.lastPassedOn, ex.number)
 			c.mu.Unlock()
-			return true
+			return c.ctx.Err() == nil
 		}
 		c.mu.Unlock()
-		<-streamed.ended
-		if c.ctx.Err() != nil {
+		select {
+		case <-streamed.ended:
+		case <-c.ctx.Done():
 			return false
 		}
 	}
@@ -31,7 +34,7 @@
 func (c *conn) beginStream(ex *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lastPassedOn != ex {
+	if c.lastPassedOn > ex.number {
 		return false
 	}
 	c.streamed = ex
@@ -47,3 +50,23 @@
 		c.streamed = nil
 	}
 }
+
+// maxPipelinedResponses limits the long responses that are held in memory because
+// requests behind them have been passed on, over all connections.
+const maxPipelinedResponses = 8
+
+// responseSlots counts the long responses that are held in memory.
+type responseSlots struct{ used atomic.Int32 }
+
+// acquire reports whether a further response, to the given request, may be held in
+// memory.
+func (slots *responseSlots) acquire(request *incomingRequest) bool {
+	if slots.used.Add(1) > maxPipelinedResponses {
+		slots.used.Add(-1)
+		return false
+	}
+	request.heldResponses++
+	return true
+}
+
+func (slots *responseSlots) release(n int32) { slots.used.Add(-n) }
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -35,6 +35,9 @@
 	stream      *streamedBody // The streamed body; nil when it is buffered or empty.
 	close       bool          // The caller wants the connection closed after the response.
 	beginStream func() bool   // See conn.beginStream.
+	// heldResponses is the number of slots of Gateway.heldResponses that are used for
+	// this request until its response has been written.
+	heldResponses int32
 }
 
 // streamedBody is a request body that is forwarded while it arrives.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -112,6 +112,7 @@
 	// invalidStatements holds the kinds of statements and targets that were logged
 	// as invalid.
 	invalidStatements nameSet
+	heldResponses     responseSlots
 }
 
 func New(o Options) *Gateway {
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -66,6 +66,9 @@
 		}
 		c.server.inFlight.Add(-1)
 		c.responseWritten()
+		if ex.request != nil {
+			c.server.gateway.heldResponses.release(ex.request.heldResponses)
+		}
 		c.endStream(ex)
 		close(ex.ended)
 	}
