A stalled upload does not hold the response that its target has sent

A caller that pauses within a long request body got a response that the target had sent before the end of the body only when it sent more, at the latest at the timeout of the route. The same held for a failed connection to the target, which was then reported as a timeout.

exchange.finish waits for the writer of the request, and the writer waits for the caller.

The exchange now interrupts the read of the body when it ends first. As before, no one reads the body after that, the connection to the target is closed, and the caller's connection is closed after the response. A failure of the body that follows the interruption is not taken for the cause of a failed exchange.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -87,6 +88,8 @@
 	started             time.Time
 	requestDone         chan struct{} // Closed when writing the request has ended.
 	writeErr            error         // Valid after requestDone is closed.
+	bodyFailed          atomic.Bool   // The connection was closed because the request body could not be read.
+	interruptBody       func()        // See Request.InterruptBody; may be nil.
 	skippedResponse     bool          // The connection carried a response to another request.
 }
 
@@ -102,7 +105,7 @@
 	if err != nil {
 		return nil, &Error{Target: target.Address, Stage: StageConnect, Err: err}
 	}
-	ex := &exchange{forwarder: f, ctx: ctx, target: target, conn: c, started: time.Now(), requestDone: make(chan struct{})}
+	ex := &exchange{forwarder: f, ctx: ctx, target: target, conn: c, started: time.Now(), requestDone: make(chan struct{}), interruptBody: request.InterruptBody}
 	ex.stopWatchingContext = context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.addRequestID(request.ID)
 	ex.sendRequest(request)
@@ -189,6 +192,7 @@
 	defer close(ex.requestDone)
 	ex.writeErr = r.write(ex.conn, ex.target.Address)
 	if errors.Is(ex.writeErr, ErrRequestBody) {
+		ex.bodyFailed.Store(true)
 		_ = ex.conn.Close()
 	}
 }
@@ -213,8 +217,9 @@
 
 // fail ends an exchange without a response and returns its *Error.
 func (ex *exchange) fail(err error) error {
+	bodyFailed := ex.bodyFailed.Load() // Before finish, which may interrupt the body.
 	ex.finish(false)
-	if errors.Is(ex.writeErr, ErrRequestBody) {
+	if bodyFailed {
 		err = ex.writeErr
 	}
 	failure := &Error{Target: ex.target.Address, Stage: StageRequestSent, Err: err}
@@ -241,7 +246,7 @@
 	if !reuse {
 		_ = ex.conn.Close()
 	}
-	<-ex.requestDone
+	ex.awaitRequestDone()
 	// A target that wrote a response too many may write another one.
 	if !reuse || ex.skippedResponse || ex.writeErr != nil || !ex.conn.isReusable() {
 		ex.forwarder.pool.discard(ex.target.Address, ex.conn)
@@ -250,6 +255,20 @@
 	ex.forwarder.pool.release(ex.target.Address, ex.conn)
 }
 
+// awaitRequestDone waits until the request body is no longer read. A read of it that
+// waits for the sender is interrupted.
+func (ex *exchange) awaitRequestDone() {
+	select {
+	case <-ex.requestDone:
+		return
+	default:
+	}
+	if ex.interruptBody != nil {
+		ex.interruptBody()
+	}
+	<-ex.requestDone
+}
+
 // closedByTarget reports whether the target closed or reset the connection.
 func (ex *exchange) closedByTarget() bool {
 	return ex.ctx.Err() == nil && ex.conn.limit.connectionEnded
--- a/forward/write.go
+++ b/forward/write.go
@@ -33,6 +33,9 @@
 	Body          io.Reader // Nil when there is none. Read must not block indefinitely.
 	Length        int64     // Bytes of the body; -1 when unknown, sent chunked.
 	Host          string    // Host header; empty means the target's address.
+	// InterruptBody, if set, ends a Read of Body that waits. It is called when the
+	// exchange has ended before the whole body was sent.
+	InterruptBody func()
 	// AllowCloseDelimited treats a response without a declared length as complete
 	// when the target closes the connection.
 	AllowCloseDelimited bool
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -130,7 +130,7 @@
 		MatchResponse: func(h http.Header) forward.ResponseMatch { return g.Headers.MatchResponse(h, request.id) }}
 	switch {
 	case request.stream != nil:
-		out.Body, out.Length = request.stream, request.httpRequest.ContentLength
+		out.Body, out.Length, out.InterruptBody = request.stream, request.httpRequest.ContentLength, request.stream.interrupt
 	case request.body != nil:
 		out.Body, out.Length = bytes.NewReader(request.body), int64(len(request.body))
 		if request.httpRequest.ContentLength < 0 {
--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -161,3 +161,24 @@
 	require.NoError(t, err)
 	assert.Equal(t, 200, c.receive("POST").StatusCode)
 }
+
+// Guards against holding a response that its target has sent before the end of a
+// long request body until the caller sends more of the body.
+func TestEarlyResponseIsNotHeldByAStalledUpload(t *testing.T) {
+	s := startSite(t, siteOptions{timeout: 2 * time.Second, scripts: []script{func(_ int, r *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, stampedHead(413, r)+"Content-Length: 5\r\n\r\nlarge")
+		_, _ = io.Copy(io.Discard, r.Body)
+		return false
+	}}})
+	c := s.dial()
+	_, err := io.WriteString(c, fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: %s\r\n%s: r1\r\nContent-Length: %d\r\n\r\n", host, platform.HeaderRequestID, 1<<20)+countingText(100<<10))
+	require.NoError(t, err)
+	started := time.Now()
+	resp := c.receive("POST")
+	assert.Equal(t, 413, resp.StatusCode)
+	assert.Equal(t, "large", resp.body)
+	assert.True(t, resp.Close)
+	assert.Less(t, time.Since(started), time.Second)
+	_, err = c.reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
