Gossip: a failed read does not end the reception of messages

What could be seen: an instance that heard nothing of its peers any more after one failed read, without a log line; found by reading.

TestFailedReadsDoNotEndReception failed before ('reads go on', 'reception ended') and passes 3 of 3 with the race detector. Reads are tried again after 0.1 s until the socket is closed, and logged (event 541).

--- a/events/steering.go
+++ b/events/steering.go
@@ -97,6 +97,8 @@
 	ConnectionCut = register(Event{Number: 534, Name: "connection-cut", Level: log.InfoLevel,
 		Message: "connection of a caller closed with requests unanswered or bytes unread", Fields: []string{"cause", "caller", "unanswered", "requests", "unreadBytes"},
 		Action: "check for slow requests if the cause is stop-ended, and for callers that do not read if it is write-timed-out"})
+	PeerReadFailed = register(Event{Number: 541, Name: "peer-read-failed", Level: log.WarnLevel,
+		Message: "failed to read a message of a peer", Fields: []string{"error"}, Action: "check the network interface of the peer address if it occurs often"})
 	RequestUnreadable = register(Event{Number: 540, Name: "request-unreadable", Level: log.InfoLevel,
 		Message: "request refused while it was read", Fields: []string{"reason", "status", "caller"},
 		Action: "check the caller if it occurs often, and the limits if the reason is too-large or too-slow"})
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"errors"
 	"net"
 	"slices"
 	"time"
@@ -11,13 +12,21 @@
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
+// readRetryDelay is the pause after a failed read of a message.
+const readRetryDelay = 100 * time.Millisecond
+
 // receive dispatches incoming messages until the socket is closed.
 func (exchange *Exchange) receive() {
 	buffer := make([]byte, maxMessageBytes)
 	for {
 		n, from, err := exchange.conn.ReadFrom(buffer)
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
+		case err != nil:
+			exchange.options.Events.Emit(events.PeerReadFailed, log.Fields{"error": err.Error()})
+			time.Sleep(readRetryDelay)
+			continue
 		}
 		m, err := Parse(buffer[:n])
 		switch {
