--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -184,6 +184,9 @@
 			pause = minBackoff
 			continue
 		}
+		if ctx.Err() != nil {
+			return // The call ended with the context.
+		}
 		mirror.handleStoreError(err)
 		mirror.fetchDuringOutage(ctx)
 		sleep(ctx, pause+time.Duration(rand.Int64N(int64(pause/3))))
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -435,3 +435,17 @@
 		assert.Len(t, lines.of("t:2"), 1)
 	}
 }
+
+// Guards against a stopping instance that reports the store as lost because its
+// call ended with the context.
+func TestStopDoesNotCountAsALostStore(t *testing.T) {
+	s := &fakeStore{items: []kv.Item{put("t:1", "a", 3)}, revision: 5, changes: make(chan watchResponse)}
+	m := newMirror(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); m.Run(ctx) }()
+	require.Eventually(t, func() bool { return m.Revision() == 5 }, time.Second, time.Millisecond)
+	cancel()
+	<-done
+	assert.True(t, m.StoreReachable(time.Now(), time.Minute))
+}
