Cold targets: bound the interval between requests

What could be seen: with a coldPerS below some 1e-10 the interval exceeds the range of a duration. The conversion of such a number depends on the processor: arm64 yields the largest duration, x86-64 a negative one, with which a cold target has no limit at all.

Evidence: TestTinyColdRateHasABoundedInterval on arm64, before the change: "2562047h47m16.854775807s is not less than or equal to 1h0m0s" for 1e-12. Not run on x86-64. The number is now limited before the conversion.

--- a/balance/cold.go
+++ b/balance/cold.go
@@ -12,6 +12,9 @@
 	// target. Each gets an equal share of the rate, which needs no
 	// coordination of single requests.
 	coldSenders = 2
+	// maxColdInterval bounds the time between two requests from one instance to
+	// a cold target. Targets are cold for seconds.
+	maxColdInterval = time.Hour
 )
 
 // coldRequestAllowed reports whether the target is warm or may receive a
@@ -40,7 +43,8 @@
 	if perSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(time.Second) * coldSenders / (perSecond * balancer.partitionShare()))
+	interval := float64(time.Second) * coldSenders / (perSecond * balancer.partitionShare())
+	return time.Duration(min(interval, float64(maxColdInterval)))
 }
 
 // recordColdRequest uses up this instance's share of the rate of a cold target
