A follower whose fetches from peers fail reads the store

What was seen: an instance that takes changes from the peers that watch the store never called the store itself. When its fetches kept failing although peers announced newer revisions, it kept its old state for ever.

Why: after 3 to 6 s of failed fetches one watch with a short wait returns what is missing, or that all records have to be read. A fetch that succeeds starts the time anew, so that one failing peer costs no calls.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -123,6 +123,7 @@
 	heldTargets   map[string]time.Time // Until when targets with lapsed records are kept, by key.
 	rejections    map[string]rejection // Faults of records that were logged, by key.
 	lastPeerFetch time.Time            // Last fetch from a peer while the store didn't respond.
+	fallback      storeFallback
 }
 
 // New returns a mirror without records.
@@ -158,7 +159,7 @@
 	for ctx.Err() == nil {
 		mirror.removeExpiredTargets(time.Now())
 		if !mirror.loaded && mirror.options.DefersFirstRead != nil {
-			if mirror.fetchFromPeer(ctx) {
+			if mirror.fetchFromPeer(ctx) == fetchTaken {
 				continue
 			}
 			if mirror.options.DefersFirstRead() {
@@ -166,14 +167,14 @@
 				continue
 			}
 		}
-		if mirror.loaded && mirror.options.WatchesStore != nil && !mirror.options.WatchesStore() {
-			mirror.followPeer(ctx)
-			continue
-		}
 		var err error
-		if !mirror.loaded {
+		switch {
+		case !mirror.loaded:
 			err = mirror.readAll(ctx, reason)
-		} else {
+		case mirror.options.WatchesStore != nil && !mirror.options.WatchesStore():
+			err = mirror.followPeer(ctx)
+		default:
+			mirror.fallback.clear()
 			err = mirror.watchStore(ctx)
 		}
 		if errors.Is(err, kv.ErrHistoryGone) {
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -40,15 +41,25 @@
 	}
 }
 
-// followPeer fetches changes from a peer that watches the store.
-func (mirror *Mirror) followPeer(ctx context.Context) {
+// followPeer fetches changes from a peer that watches the store. When fetches
+// keep failing, it asks the store at long intervals.
+func (mirror *Mirror) followPeer(ctx context.Context) error {
 	if !mirror.lostSince.IsZero() {
 		mirror.options.Events.Emit(events.StoreLeftToPeers, log.Fields{"revision": mirror.Revision(), "lostMs": time.Since(mirror.lostSince).Milliseconds()})
 		mirror.lostSince = time.Time{}
 	}
-	if mirror.fetchFromPeer(ctx) {
+	switch mirror.fetchFromPeer(ctx) {
+	case fetchTaken:
+		mirror.fallback.clear()
 		sleep(ctx, changePause)
-		return
+		return nil
+	case fetchNotNeeded:
+		mirror.fallback.clear()
+	case fetchFailed:
+		if mirror.fallback.fetchFailed(time.Now(), len(mirror.State().Instances), rand.Float64()) {
+			items, revision, err := mirror.options.Store.Watch(ctx, mirror.options.Prefix, mirror.Revision(), lostWatchTimeout)
+			return mirror.handleWatchResult(ctx, watchResult{items, revision, err})
+		}
 	}
 	t := time.NewTimer(followPollInterval)
 	defer t.Stop()
@@ -57,6 +68,7 @@
 	case <-t.C:
 	case <-ctx.Done():
 	}
+	return nil
 }
 
 // fetchDuringOutage fetches changes from a peer with a newer revision while the
@@ -69,23 +81,32 @@
 	mirror.fetchFromPeer(ctx)
 }
 
+// fetchResult is the result of a fetch from a peer.
+type fetchResult int
+
+const (
+	fetchNotNeeded fetchResult = iota // No peer has a newer revision.
+	fetchTaken                        // The changes of a peer were applied.
+	fetchFailed                       // A peer with a newer revision didn't send its changes.
+)
+
 // fetchFromPeer fetches and applies the changes of a peer with a newer
-// revision. It reports whether there were any.
-func (mirror *Mirror) fetchFromPeer(ctx context.Context) bool {
+// revision.
+func (mirror *Mirror) fetchFromPeer(ctx context.Context) fetchResult {
 	if mirror.options.NewerPeer == nil {
-		return false
+		return fetchNotNeeded
 	}
 	peer, ok := mirror.options.NewerPeer(mirror.Revision())
 	if !ok {
-		return false
+		return fetchNotNeeded
 	}
 	snapshot, err := mirror.options.Fetch(ctx, peer, mirror.Revision())
 	if err != nil {
 		mirror.options.Events.Emit(events.PeerStateNotTaken, log.Fields{"peer": peer.Name, "error": err.Error()})
-		return false
+		return fetchFailed
 	}
 	if snapshot.Revision <= mirror.Revision() {
-		return false
+		return fetchFailed
 	}
 	mirror.options.Events.Emit(events.PeerStateTaken, log.Fields{"peer": peer.Name, "revision": snapshot.Revision, "items": len(snapshot.Items)})
 	if snapshot.ReturnedMs > 0 {
@@ -95,8 +116,8 @@
 	if snapshot.Whole {
 		mirror.replaceAll(snapshot.Items, snapshot.Revision, time.Now(), source)
 		mirror.loaded = true
-		return true
+		return fetchTaken
 	}
 	mirror.apply(snapshot.Items, snapshot.Revision, time.Now(), source)
-	return true
+	return fetchTaken
 }
