A store whose large response is arriving counts as reachable

What would have been seen: a response may take longer than the 3.5 s after which an instance says that it does not hear the store. Others of its domain would then have called the store for the same changes, over links that are as slow.

Why: each part that arrives in time counts, except before the first complete response, when peers would leave the store to an instance without records.

--- a/kv/httpclient.go
+++ b/kv/httpclient.go
@@ -163,6 +163,7 @@
 	status, body, err := c.readResponse(ctx, call, func(received int) {
 		now := time.Now()
 		timer.Reset(limits.deadline(now, received).Sub(now))
+		reportProgress(ctx)
 	})
 	if err != nil && context.Cause(ctx) != nil {
 		err = context.Cause(ctx)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -107,7 +107,7 @@
 	options      Options
 	state        atomic.Pointer[steering.State]
 	storeFailing atomic.Bool               // The last call to the store failed.
-	lastResponse atomic.Pointer[time.Time] // When the store last responded; monotonic, so that setting the clock doesn't matter.
+	lastResponse atomic.Pointer[time.Time] // When a part of a response of the store last arrived; monotonic, so that setting the clock doesn't matter.
 
 	mu            sync.Mutex // Guards items, revision, history and storeReturned.
 	items         map[string]kv.Item
@@ -197,7 +197,7 @@
 
 // readAll replaces all records with those of the store.
 func (mirror *Mirror) readAll(ctx context.Context, reason string) error {
-	items, revision, err := mirror.options.Store.Range(ctx, mirror.options.Prefix)
+	items, revision, err := mirror.options.Store.Range(kv.WithProgress(ctx, mirror.noteProgress), mirror.options.Prefix)
 	if err != nil {
 		return err
 	}
@@ -224,7 +224,7 @@
 	after, wait := mirror.Revision(), mirror.nextWatchTimeout(time.Now())
 	watch := make(chan watchResult, 1)
 	go func() {
-		items, revision, err := mirror.options.Store.Watch(ctx, mirror.options.Prefix, after, wait)
+		items, revision, err := mirror.options.Store.Watch(kv.WithProgress(ctx, mirror.noteProgress), mirror.options.Prefix, after, wait)
 		watch <- watchResult{items, revision, err}
 	}()
 	var fallback <-chan time.Time
@@ -320,6 +320,17 @@
 	mirror.setStoreReturned(now)
 }
 
+// noteProgress records that a response of the store is arriving. A large one
+// takes seconds over a slow link. It doesn't count before the first complete
+// response: peers would leave the store to an instance without records.
+func (mirror *Mirror) noteProgress() {
+	if mirror.lastResponse.Load() == nil {
+		return
+	}
+	now := time.Now()
+	mirror.lastResponse.Store(&now)
+}
+
 func (mirror *Mirror) setStoreReturned(at time.Time) {
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -449,3 +449,19 @@
 	<-done
 	assert.True(t, m.StoreReachable(time.Now(), time.Minute))
 }
+
+// Guards against peers that leave the store to an instance that is still reading
+// its first records.
+func TestFirstReadDoesNotCountAsReachingTheStoreBeforeItsEnd(t *testing.T) {
+	m := newMirror(nil)
+	m.noteProgress()
+	assert.False(t, m.StoreReachable(time.Now(), time.Minute))
+	now := time.Now()
+	m.handleStoreResponse(now.Add(-time.Hour), 5)
+	assert.False(t, m.StoreReachable(now, time.Minute))
+	m.noteProgress()
+	assert.True(t, m.StoreReachable(now, time.Minute))
+	m.handleStoreError(&kv.Error{Op: "watch", Kind: kv.ErrUnavailable})
+	m.noteProgress()
+	assert.False(t, m.StoreReachable(now, time.Minute), "the call before failed")
+}
