--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -107,7 +107,7 @@
 	options      Options
 	state        atomic.Pointer[steering.State]
 	storeFailing atomic.Bool               // The last call to the store failed.
-	lastResponse atomic.Pointer[time.Time] // When the store last responded; monotonic, so that setting the clock doesn't matter.
+	lastResponse atomic.Pointer[time.Time] // When a part of a response of the store last arrived; monotonic, so that setting the clock doesn't matter.
 
 	mu            sync.Mutex // Guards items, revision, history and storeReturned.
 	items         map[string]kv.Item
@@ -123,6 +123,7 @@
 	heldTargets   map[string]time.Time // Until when targets with lapsed records are kept, by key.
 	rejections    map[string]rejection // Faults of records that were logged, by key.
 	lastPeerFetch time.Time            // Last fetch from a peer while the store didn't respond.
+	fallback      storeFallback
 }
 
 // New returns a mirror without records.
@@ -158,7 +159,7 @@
 	for ctx.Err() == nil {
 		mirror.removeExpiredTargets(time.Now())
 		if !mirror.loaded && mirror.options.DefersFirstRead != nil {
-			if mirror.fetchFromPeer(ctx) {
+			if mirror.fetchFromPeer(ctx) == fetchTaken {
 				continue
 			}
 			if mirror.options.DefersFirstRead() {
@@ -166,14 +167,14 @@
 				continue
 			}
 		}
-		if mirror.loaded && mirror.options.WatchesStore != nil && !mirror.options.WatchesStore() {
-			mirror.followPeer(ctx)
-			continue
-		}
 		var err error
-		if !mirror.loaded {
+		switch {
+		case !mirror.loaded:
 			err = mirror.readAll(ctx, reason)
-		} else {
+		case mirror.options.WatchesStore != nil && !mirror.options.WatchesStore():
+			err = mirror.followPeer(ctx)
+		default:
+			mirror.fallback.clear()
 			err = mirror.watchStore(ctx)
 		}
 		if errors.Is(err, kv.ErrHistoryGone) {
@@ -184,6 +185,9 @@
 			pause = minBackoff
 			continue
 		}
+		if ctx.Err() != nil {
+			return // The call ended with the context.
+		}
 		mirror.handleStoreError(err)
 		mirror.fetchDuringOutage(ctx)
 		sleep(ctx, pause+time.Duration(rand.Int64N(int64(pause/3))))
@@ -193,7 +197,7 @@
 
 // readAll replaces all records with those of the store.
 func (mirror *Mirror) readAll(ctx context.Context, reason string) error {
-	items, revision, err := mirror.options.Store.Range(ctx, mirror.options.Prefix)
+	items, revision, err := mirror.options.Store.Range(kv.WithProgress(ctx, mirror.noteProgress), mirror.options.Prefix)
 	if err != nil {
 		return err
 	}
@@ -220,7 +224,7 @@
 	after, wait := mirror.Revision(), mirror.nextWatchTimeout(time.Now())
 	watch := make(chan watchResult, 1)
 	go func() {
-		items, revision, err := mirror.options.Store.Watch(ctx, mirror.options.Prefix, after, wait)
+		items, revision, err := mirror.options.Store.Watch(kv.WithProgress(ctx, mirror.noteProgress), mirror.options.Prefix, after, wait)
 		watch <- watchResult{items, revision, err}
 	}()
 	var fallback <-chan time.Time
@@ -316,6 +320,17 @@
 	mirror.setStoreReturned(now)
 }
 
+// noteProgress records that a response of the store is arriving. A large one
+// takes seconds over a slow link. It doesn't count before the first complete
+// response: peers would leave the store to an instance without records.
+func (mirror *Mirror) noteProgress() {
+	if mirror.lastResponse.Load() == nil {
+		return
+	}
+	now := time.Now()
+	mirror.lastResponse.Store(&now)
+}
+
 func (mirror *Mirror) setStoreReturned(at time.Time) {
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
