--- a/review/testdata/casekit/poison.go
+++ b/review/testdata/casekit/poison.go
@@ -13,14 +13,14 @@
 
 // crashingRequest: one request crashes each backend that runs it, and comes again
 // with the same path, caller and body at any instance.
-func crashingRequest(dir string) { playCrashes(dir, 75*time.Second, 50*time.Millisecond, false) }
+func crashingRequest(dir string) { playCrashes(dir, 75*time.Second, 100*time.Millisecond, 3, false) }
 
 // crashInAnswer: the same, and the backend has begun its answer when it crashes.
-func crashInAnswer(dir string) { playCrashes(dir, 40*time.Second, time.Second, true) }
+func crashInAnswer(dir string) { playCrashes(dir, 40*time.Second, time.Second, 1, true) }
 
-// playCrashes plays for some time. pause is the time after which the request comes
-// again.
-func playCrashes(dir string, playTime, pause time.Duration, inAnswer bool) {
+// playCrashes plays for some time. The request comes again from each of the callers
+// after a pause.
+func playCrashes(dir string, playTime, pause time.Duration, callers int, inAnswer bool) {
 	const (
 		stability = 3 * time.Second
 		deadline  = 3 * time.Second
@@ -65,10 +65,18 @@
 		}()
 	}
 	repeats := 0
-	for time.Now().Before(end) { // The client of the request that crashes backends.
-		e.send(e.nodes[rand.IntN(len(e.nodes))].front(), "POST", "/book/crash", []byte("the same body"), deadline)
-		repeats++
-		time.Sleep(pause)
+	for range callers { // The request that crashes backends.
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for time.Now().Before(end) {
+				e.send(e.nodes[rand.IntN(len(e.nodes))].front(), "POST", "/book/crash", []byte("the same body"), deadline)
+				mu.Lock()
+				repeats++
+				mu.Unlock()
+				time.Sleep(pause)
+			}
+		}()
 	}
 	wg.Wait()
 	late := map[string]bool{}
