--- a/review/testdata/casekit/backend.go
+++ b/review/testdata/casekit/backend.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	_ "embed"
 	"fmt"
 	"hash/crc32"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +19,9 @@
 	"github.com/jacinthstall/jacinthstall/platform"
 )
 
+//go:embed health.txt
+var healthAnswer string
+
 // arrival is a request that has reached a backend.
 type arrival struct {
 	id, from, method, uri string
@@ -43,7 +48,9 @@
 	headers func() string
 
 	running  atomic.Int64
+	born     atomic.Int64 // Unix milliseconds of its start.
 	down     atomic.Bool
+	leaving  atomic.Bool // Stated in all answers.
 	listener net.Listener
 
 	mu       sync.Mutex
@@ -62,6 +69,7 @@
 func (b *backend) open() {
 	b.listener = b.env.listen(b.address)
 	b.down.Store(false)
+	b.born.Store(time.Now().UnixMilli())
 	go b.accept(b.listener)
 }
 
@@ -94,6 +102,7 @@
 	b.env.note("backend %s crashed", b.id)
 	time.AfterFunc(downFor, func() {
 		b.open()
+		b.env.putBackend(b) // Under its id, as a new incarnation.
 		b.env.note("backend %s is back", b.id)
 	})
 }
@@ -133,6 +142,14 @@
 		b.keep(a)
 		return true
 	}
+	if request.Method == http.MethodGet && request.URL.Path == "/health" {
+		status := http.StatusOK
+		if b.leaving.Load() {
+			status = http.StatusServiceUnavailable
+		}
+		_, err := fmt.Fprintf(c, strings.ReplaceAll(healthAnswer, "\n", "\r\n"), status, http.StatusText(status), b.id)
+		return err == nil
+	}
 	switch expected := request.Header.Get(platform.HeaderExpectTarget); {
 	case expected != "" && expected != b.id:
 		b.keep(a)
@@ -208,6 +225,9 @@
 // head returns the head of an answer, without its last line.
 func (b *backend) head(a arrival, status int) string {
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n", status, http.StatusText(status), headerID, a.id, platform.HeaderServerLoad, b.load())
+	if b.leaving.Load() {
+		head += "Server-Leaving: 1\r\n"
+	}
 	if b.headers != nil {
 		head += b.headers()
 	}
--- a/review/testdata/casekit/env.go
+++ b/review/testdata/casekit/env.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"bytes"
 	_ "embed"
 	"encoding/json"
 	"fmt"
@@ -271,7 +272,9 @@
 // putBackend writes the record of a backend. Heartbeats that change nothing but the
 // sequence do not change the entry, so they are left out.
 func (e *env) putBackend(b *backend) {
-	e.store.Put(wiresite.TargetKey(b.id), wiresite.TargetRecord(b.service, b.zone, b.address, "ready", b.slots))
+	record := wiresite.TargetRecord(b.service, b.zone, b.address, "ready", b.slots)
+	born := fmt.Sprintf(`"born":%d,`, b.born.Load())
+	e.store.Put(wiresite.TargetKey(b.id), bytes.Replace(record, []byte(`"born":1,`), []byte(born), 1))
 }
 
 var headerID = platform.HeaderRequestID
--- a/review/testdata/casekit/silent.go
+++ b/review/testdata/casekit/silent.go
@@ -110,14 +110,15 @@
 		deadline     = 3 * time.Second
 	)
 	e := newEnv(dir, map[string]string{"a1": "a", "a2": "a"})
+	// Instances, backends and requests a second are those of the site's enrolments.
 	p := e.startProxy()
 	backends := map[string]*backend{}
-	for i := range 6 {
+	for i := range 12 {
 		id := fmt.Sprintf("i-%d", i+1)
 		backends[id] = e.addBackend(id, "booking", []string{"a1", "a2"}[i%2], 8, 150*time.Millisecond)
 	}
 	e.configure(1, []string{"booking"}, route{Name: "book", Prefix: "/book/", Kind: "unsafe", Service: "booking", Timeout: "2500ms", Goal: "600ms", Attempts: 2})
-	e.addNodes("a1", "a2", "a1", "a2")
+	e.addNodes("a1", "a2", "a1", "a2", "a1", "a2", "a1", "a2")
 	e.awaitServing("/book/warm-up")
 	time.Sleep(6 * time.Second)
 	end := time.Now().Add(rounds * 11 * time.Second)
@@ -129,7 +130,7 @@
 		go func() {
 			defer wg.Done()
 			for time.Now().Before(end) {
-				time.Sleep(time.Duration(50+rand.IntN(200)) * time.Millisecond)
+				time.Sleep(time.Duration(rand.IntN(450)) * time.Millisecond)
 				before := time.Now()
 				a := e.send(e.nodes[rand.IntN(len(e.nodes))].front(), "POST", "/book/"+nextID(), []byte("seat"), deadline)
 				mu.Lock()
@@ -152,11 +153,12 @@
 			e.note("%d open connections to the store go silent", p.silence())
 		}
 		time.Sleep(time.Duration(100+rand.IntN(400)) * time.Millisecond)
+		b.leaving.Store(true)
 		e.store.Delete(wiresite.TargetKey(id))
 		removed := time.Now()
 		e.note("backend %s begins to leave: its entry is removed", id)
 		left = append(left, leaving{b, silent, removed})
-		next := fmt.Sprintf("i-%d", i+7) // Another takes its place.
+		next := fmt.Sprintf("i-%d", i+13) // Another takes its place.
 		backends[next] = e.addBackend(next, "booking", b.zone, 8, 150*time.Millisecond)
 		time.Sleep(time.Until(removed.Add(drain + littleLonger)))
 		b.leave()
