Count crashes of targets within their response

Cause: the arrival of the head counted as the end of the execution. Crashes were recorded only for attempts without a head, and a response that is passed on while it arrives cleared the request before its body. Relays reported nothing of the bodies that they pass on.

Change: the end of the body decides, with one wrapper for buffered, held and streamed bodies. A relay counts the crashes in the bodies that it passes on; its peer does not, because it cannot tell the end of the target from that of the relay. Event 537 (crash-counted) logs each.

--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -56,8 +56,9 @@
 	return len(suspects.ownCrashes)+len(suspects.peerCrashes) > 0
 }
 
-// RecordCrash counts a crash during the execution of a request.
-func (suspects *Suspects) RecordCrash(now time.Time, f quarantine.Fingerprint) {
+// RecordCrash counts a crash during the execution of a request. It returns the
+// number that this instance has counted.
+func (suspects *Suspects) RecordCrash(now time.Time, f quarantine.Fingerprint) int {
 	suspects.mu.Lock()
 	defer suspects.mu.Unlock()
 	suspects.expire(now)
@@ -68,6 +69,7 @@
 	}
 	entry.crashes++
 	entry.lastCrash = now
+	return entry.crashes
 }
 
 // Clear forgets the crashes that this instance has counted for a request. It
--- a/events/steering.go
+++ b/events/steering.go
@@ -74,6 +74,9 @@
 	RequestSuspected = register(Event{Number: 528, Name: "request-suspected", Level: log.WarnLevel,
 		Message: "request refused because several targets closed the connection while executing it", Fields: []string{"request", "route", "service", "fingerprint", "crashes"},
 		Action: "check the request and the targets that crashed"})
+	CrashCounted = register(Event{Number: 537, Name: "crash-counted", Level: log.InfoLevel,
+		Message: "target closed the connection while it executed a request", Fields: []string{"request", "target", "service", "fingerprint", "stage", "crashes"},
+		Action: "check the target's log if the count of a fingerprint grows"})
 	PeerRequestEnded = register(Event{Number: 529, Name: "peer-request-ended", Level: log.InfoLevel,
 		Message: "request of a peer relayed to a target", Fields: []string{"request", "target", "result", "status", "tookMs"}, Action: "none"})
 	RelayUnreachable = register(Event{Number: 530, Name: "relay-unreachable", Level: log.InfoLevel,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -109,6 +109,11 @@
 		return g.attemptFailed(ctx, attemptCtx, request, grant, started, targetAtFault, err)
 	}
 	g.observeResponse(started, grant.Target, response, relayed)
+	if relayed {
+		response.Body = g.watchRelayedBody(request, response.Body)
+	} else {
+		response.Body = g.watchBody(request, grant.Target, response.Body)
+	}
 	outcome := g.responseReceived(ctx, request, grant, started, response, distinct)
 	if outcome.response != nil && outcome.response.stream != nil {
 		responding() // A part of the response will be written; there can be no retry.
@@ -195,7 +200,7 @@
 	}
 	g.deferTarget(request, grant, targetAtFault, err)
 	if targetAtFault && failure != nil && failure.TargetClosed {
-		g.Suspects.RecordCrash(time.Now(), request.fingerprint())
+		g.recordCrash(request, grant.Target, crashBeforeHead)
 	}
 	switch {
 	case stage == forward.StageConnect:
@@ -251,9 +256,6 @@
 		g.recordAttempt(request, grant, started, observation, outcome, err.Error())
 		return outcome
 	}
-	if g.Suspects.Any() {
-		g.Suspects.Clear(request.fingerprint())
-	}
 	outcome := attemptOutcome{response: resp}
 	observation.Result = balance.Succeeded
 	if resp.status >= http.StatusInternalServerError {
--- /dev/null
+++ b/gateway/crashes_test.go
@@ -0,0 +1,114 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/gateway"
+)
+
+// crashingTarget is a target that is crashed by requests whose path ends with
+// /poison: it sends the first part of its response and resets the connection. Other
+// requests get a whole response of the same length.
+type crashingTarget struct {
+	bytes    int // Length of the body.
+	sent     int // Bytes of the body that are sent before the crash; -1: not even the head.
+	executed atomic.Int32
+}
+
+func (target *crashingTarget) handle(_ int, r *http.Request, c net.Conn) bool {
+	_, _ = io.Copy(io.Discard, r.Body)
+	head, body := stampedHead(200, r)+fmt.Sprintf("Content-Length: %d\r\n\r\n", target.bytes), strings.Repeat("x", target.bytes)
+	if !strings.HasSuffix(r.URL.Path, "/poison") {
+		_, err := io.WriteString(c, head+body)
+		return err == nil
+	}
+	target.executed.Add(1)
+	if target.sent >= 0 {
+		_, _ = io.WriteString(c, head+body[:target.sent])
+		time.Sleep(20 * time.Millisecond) // So that the reset does not overtake the bytes.
+	}
+	_ = c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+// exchangeSuspicions delivers the reports of all instances to each other.
+func exchangeSuspicions(instances ...*gateway.Gateway) {
+	for i, from := range instances {
+		for j, to := range instances {
+			if i != j {
+				to.Suspects.ApplyReport(time.Now(), fmt.Sprint("n", i), from.Suspects.Report(time.Now()))
+			}
+		}
+	}
+}
+
+// Guards against a request that crashes targets within their response and is never
+// refused: directly and through a relay, in buffered and in streamed responses.
+func TestCrashesWithinTheResponseAreCounted(t *testing.T) {
+	for name, c := range map[string]struct{ bytes, sent int }{
+		"before the head":       {2000, -1},
+		"after the head":        {2000, 0},
+		"in a short response":   {2000, 900},
+		"in a streamed one":     {streamedBytes, firstBytes},
+		"in a streamed one, at": {streamedBytes, streamedBytes - 1},
+	} {
+		for _, route := range []string{"safe", "unsafe"} {
+			for _, path := range []string{"direct", "relayed"} {
+				t.Run(fmt.Sprint(name, " ", route, " ", path), func(t *testing.T) {
+					t.Parallel()
+					target := &crashingTarget{bytes: c.bytes, sent: c.sent}
+					scripts := []script{}
+					for range 6 {
+						scripts = append(scripts, target.handle)
+					}
+					var s *site
+					instances := []*gateway.Gateway{}
+					if path == "relayed" {
+						f := startFarSite(t, nil, scripts...)
+						s, instances = f.site, append(instances, f.gateway, f.relayGateway)
+					} else {
+						s = startSite(t, siteOptions{scripts: scripts})
+						instances = append(instances, s.gateway)
+					}
+					refused := 0
+					for i := range 8 {
+						conn := s.dial()
+						conn.send("POST", "/"+route+"/poison", fmt.Sprint("r", i), "b")
+						if resp, err := conn.receiveOrAbort("POST"); err == nil && resp.StatusCode == http.StatusServiceUnavailable {
+							refused++
+						}
+						exchangeSuspicions(instances...)
+					}
+					assert.LessOrEqual(t, target.executed.Load(), int32(4), "executions")
+					assert.GreaterOrEqual(t, refused, 4)
+					assert.Equal(t, 200, s.request("POST", "/"+route+"/sound", "sound", "b").StatusCode)
+				})
+			}
+		}
+	}
+}
+
+// Guards against taking a truncated response of a relay, which has ended itself, for
+// a crash of the target.
+func TestEndOfRelayIsNotACrashOfTheTarget(t *testing.T) {
+	target := &crashingTarget{bytes: 2000}
+	f := startFarSite(t, nil, target.handle, target.handle)
+	f.useRelay(cuttingProxy(t, f.relayAddress, 1000))
+	for i := range 6 {
+		conn := f.dial()
+		conn.send("POST", "/unsafe/sound", fmt.Sprint("r", i), "b")
+		_, _ = conn.receiveOrAbort("POST")
+		exchangeSuspicions(f.gateway, f.relayGateway)
+	}
+	require.False(t, f.gateway.Suspects.Any())
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -239,7 +239,7 @@
 		setRefusal(resp.header, record, admission)
 		return resp, result
 	}
-	request := &routedRequest{incomingRequest: incoming, id: id, deadline: incoming.arrived.Add(timeLeft)}
+	request := &routedRequest{incomingRequest: incoming, id: id, service: record.Service, deadline: incoming.arrived.Add(timeLeft)}
 	destination := forward.Target{Address: record.Address, MaxConnections: g.connectionShare(record.Service), DialTimeout: baseDialTimeout, AckTimeout: baseAckTimeout}
 	if header.Get(headerRelayNonIdempotent) != "" {
 		destination.MaxIdleTime = nonIdempotentMaxIdle
@@ -252,6 +252,7 @@
 		return failed(relayResultOf(err))
 	}
 	g.observeResponse(sent, record, received, true)
+	received.Body = g.watchBody(request, record, received.Body)
 	if stated, certain := g.notExecuted(received, id); stated {
 		defer cancel()
 		_ = received.Body.Close()
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -33,6 +33,7 @@
 	relay        *gateway.Server
 	relayAddress string
 	gateway      *gateway.Gateway
+	relayGateway *gateway.Gateway
 	balancers    map[string]*balance.Balancer // By name of the instance.
 }
 
@@ -78,7 +79,8 @@
 			Address: f.startScript(handle), Domain: "d", Slots: 8}})
 	}
 	state := steering.NewState().Apply(1, updates)
-	f.relay, f.relayAddress = f.serve(gateway.NewRelayServer, f.newGateway("beside", "d", state))
+	f.relayGateway = f.newGateway("beside", "d", state)
+	f.relay, f.relayAddress = f.serve(gateway.NewRelayServer, f.relayGateway)
 	f.gateway = f.newGateway("asked", "near", state)
 	f.server, f.address = f.serve(gateway.NewServer, f.gateway)
 	f.useRelay(f.relayAddress)
