Keep the counts of crashing requests at every instance

A request that targets execute stayed refused by all for a minute if its crashes had been counted at another instance than the one that saw its success.

Cause: the count was the sum of parts, of which each instance kept its own. The report of an instance that had started again replaced the one before, and a success cleared one part only.

Change: every instance keeps the whole count. Counts are merged by taking the greater one, so reports may come late, twice or through others; a success begins a new series at all instances. An instance that starts is told everything by the first peer that hears it. Memory: 1,024 requests instead of 256, those with the fewest crashes are dropped first; the test of the limit has the new figures. The field of the old reports is not used any more.

--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -1,7 +1,9 @@
 package balance
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,140 +18,233 @@
 	// suspectTTL is how long a crash counts, and therefore how long a request
 	// is refused after its last crash.
 	suspectTTL = time.Minute
-	// maxSuspects limits the number of requests remembered. The one with the
-	// oldest last crash is dropped first.
-	maxSuspects = 256
+	// clearedTTL is how long it is remembered that a request was cleared. It
+	// outlasts the reports of peers that have not heard of it yet.
+	clearedTTL = 5 * time.Minute
+	// maxSuspects limits the number of requests remembered. Requests with the
+	// fewest crashes are dropped first.
+	maxSuspects = 1024
 	// maxReportedSuspects limits the number of suspects in a report.
-	maxReportedSuspects = 16
+	maxReportedSuspects = 32
+	// suspectRepeats is the number of reports in a row that contain a change.
+	// Reports may be lost.
+	suspectRepeats = 5
+	// refusedReportPeriod and suspectReportPeriod are how often requests that
+	// are refused, and others, are reported without a change: to instances that
+	// have started meanwhile or were unreachable.
+	refusedReportPeriod = 2 * time.Second
+	suspectReportPeriod = 30 * time.Second
 )
 
+// CrashCount is the number of crashes of a request in a row. Of two counts, the
+// one with the higher Clearance holds, else the one with more crashes.
+type CrashCount struct {
+	// Clearance is the number of times that a complete response has cleared the
+	// request.
+	Clearance uint32
+	Crashes   int
+}
+
+// Suspicion is a CrashCount as reported to other instances.
+type Suspicion struct {
+	CrashCount
+	Age time.Duration // Since the last crash, or since the request was cleared.
+}
+
+func (count CrashCount) compare(other CrashCount) int {
+	return cmp.Or(cmp.Compare(count.Clearance, other.Clearance), cmp.Compare(count.Crashes, other.Crashes))
+}
+
 // Suspects tracks requests during whose execution targets closed the
 // connection. Such a request may crash targets, and its caller may retry it
-// through any instance. A success clears a request, because popular requests
-// are often in flight when another request crashes a target.
+// through any instance. Every instance keeps the counts of all: they are merged
+// by taking the greater one, so that a report may come twice, late or through
+// others, and the end of an instance loses nothing that it has reported.
+//
+// A success clears a request at all instances, because popular requests are
+// often in flight when another request crashes a target.
 //
 // Suspects is safe for concurrent use.
 type Suspects struct {
-	mu             sync.Mutex
-	ownCrashes     map[uint64]*suspect
-	peerCrashes    map[string]map[uint64]int // Crash counts reported by peers, by peer name.
-	peerReportedAt map[string]time.Time
+	mu      sync.Mutex
+	counts  map[uint64]*suspect // By short fingerprint.
+	crashed int                 // Number of counts with crashes.
 }
 
 type suspect struct {
-	crashes   int // Consecutive.
-	lastCrash time.Time
+	CrashCount
+	lastCrash time.Time // Or when the request was cleared.
+	changedAt time.Time
 }
 
 // NewSuspects returns an empty tracker.
 func NewSuspects() *Suspects {
-	return &Suspects{ownCrashes: map[uint64]*suspect{}, peerCrashes: map[string]map[uint64]int{}, peerReportedAt: map[string]time.Time{}}
+	return &Suspects{counts: map[uint64]*suspect{}}
 }
 
 // shortFingerprint returns the part of a fingerprint that reports carry.
 func shortFingerprint(f quarantine.Fingerprint) uint64 { return binary.BigEndian.Uint64(f[:8]) }
 
-// Any reports whether a crash is known to this instance or its peers.
+// Any reports whether a crash is known.
 func (suspects *Suspects) Any() bool {
 	suspects.mu.Lock()
 	defer suspects.mu.Unlock()
-	return len(suspects.ownCrashes)+len(suspects.peerCrashes) > 0
+	return suspects.crashed > 0
 }
 
 // RecordCrash counts a crash during the execution of a request. It returns the
-// number that this instance has counted.
+// new count.
 func (suspects *Suspects) RecordCrash(now time.Time, f quarantine.Fingerprint) int {
 	suspects.mu.Lock()
 	defer suspects.mu.Unlock()
-	suspects.expire(now)
-	entry := suspects.ownCrashes[shortFingerprint(f)]
-	if entry == nil {
-		entry = &suspect{}
-		suspects.ownCrashes[shortFingerprint(f)] = entry
+	key := shortFingerprint(f)
+	count := CrashCount{Crashes: 1}
+	if entry := suspects.counts[key]; entry != nil && !entry.expired(now) {
+		count = CrashCount{Clearance: entry.Clearance, Crashes: entry.Crashes + 1}
 	}
-	entry.crashes++
-	entry.lastCrash = now
-	return entry.crashes
+	return suspects.merge(now, key, count, now).Crashes
 }
 
-// Clear forgets the crashes that this instance has counted for a request. It
-// is called after a success.
-func (suspects *Suspects) Clear(f quarantine.Fingerprint) {
+// Clear forgets the crashes of a request at all instances. It is called after a
+// complete response.
+func (suspects *Suspects) Clear(now time.Time, f quarantine.Fingerprint) {
 	suspects.mu.Lock()
 	defer suspects.mu.Unlock()
-	delete(suspects.ownCrashes, shortFingerprint(f))
+	key := shortFingerprint(f)
+	if entry := suspects.counts[key]; entry != nil && entry.Crashes > 0 {
+		suspects.merge(now, key, CrashCount{Clearance: entry.Clearance + 1}, now)
+	}
 }
 
-// Refused reports whether a request must be refused, and the number of known
-// crashes.
-func (suspects *Suspects) Refused(now time.Time, f quarantine.Fingerprint) (int, bool) {
+// Check returns the crashes of a request in a row, and whether it must be
+// refused.
+func (suspects *Suspects) Check(now time.Time, f quarantine.Fingerprint) (CrashCount, bool) {
 	suspects.mu.Lock()
 	defer suspects.mu.Unlock()
-	suspects.expire(now)
-	crashes := 0
-	if e := suspects.ownCrashes[shortFingerprint(f)]; e != nil {
-		crashes = e.crashes
+	entry := suspects.counts[shortFingerprint(f)]
+	if entry == nil || entry.expired(now) {
+		return CrashCount{}, false
 	}
-	for _, counts := range suspects.peerCrashes {
-		crashes += counts[shortFingerprint(f)]
+	return entry.CrashCount, entry.refused()
+}
+
+func (entry *suspect) refused() bool { return entry.Crashes >= refuseAfterCrashes }
+
+func (entry *suspect) expired(now time.Time) bool {
+	ttl := suspectTTL
+	if entry.Crashes == 0 {
+		ttl = clearedTTL
 	}
-	return crashes, crashes >= refuseAfterCrashes
+	return now.Sub(entry.lastCrash) > ttl
 }
 
-// Report returns the most recent crashes seen by this instance.
-func (suspects *Suspects) Report(now time.Time) map[uint64]int {
-	suspects.mu.Lock()
-	defer suspects.mu.Unlock()
-	suspects.expire(now)
-	crashes := map[uint64]int{}
-	for len(crashes) < maxReportedSuspects {
-		var latest uint64
-		var at time.Time
-		for k, e := range suspects.ownCrashes {
-			if _, reported := crashes[k]; !reported && e.lastCrash.After(at) {
-				latest, at = k, e.lastCrash
-			}
+// merge takes the greater of a count and the stored one, and returns it. at is
+// the time of its last crash.
+func (suspects *Suspects) merge(now time.Time, key uint64, count CrashCount, at time.Time) CrashCount {
+	entry := suspects.counts[key]
+	if entry == nil || entry.expired(now) {
+		entry = &suspect{}
+	}
+	switch order := count.compare(entry.CrashCount); {
+	case order < 0:
+		return entry.CrashCount
+	case order == 0:
+		if at.Before(entry.lastCrash) { // Each report adds the time that it was under way.
+			entry.lastCrash = at
 		}
-		if at.IsZero() {
-			break
+		return entry.CrashCount
+	}
+	updated := &suspect{CrashCount: count, lastCrash: at, changedAt: now}
+	if updated.expired(now) {
+		return entry.CrashCount
+	}
+	suspects.remove(key)
+	suspects.makeRoom()
+	suspects.counts[key] = updated
+	if count.Crashes > 0 {
+		suspects.crashed++
+	}
+	return count
+}
+
+func (suspects *Suspects) remove(key uint64) {
+	if entry := suspects.counts[key]; entry != nil && entry.Crashes > 0 {
+		suspects.crashed--
+	}
+	delete(suspects.counts, key)
+}
+
+// makeRoom drops the request with the fewest crashes, of several the one whose
+// last crash is the longest ago, if there is no room for another one.
+func (suspects *Suspects) makeRoom() {
+	if len(suspects.counts) < maxSuspects {
+		return
+	}
+	var least uint64
+	var found *suspect
+	for key, entry := range suspects.counts {
+		if found == nil || entry.Crashes < found.Crashes || entry.Crashes == found.Crashes && entry.lastCrash.Before(found.lastCrash) {
+			least, found = key, entry
 		}
-		crashes[latest] = suspects.ownCrashes[latest].crashes
 	}
-	return crashes
+	suspects.remove(least)
 }
 
-// ApplyReport replaces the report of a peer.
-func (suspects *Suspects) ApplyReport(now time.Time, name string, counts map[uint64]int) {
+// Report returns what another instance is to be told, to which interval ago the
+// last report was sent: recent changes, and the rest from time to time. Requests
+// with the most crashes come first.
+func (suspects *Suspects) Report(now time.Time, interval time.Duration) map[uint64]Suspicion {
 	suspects.mu.Lock()
 	defer suspects.mu.Unlock()
-	if len(counts) == 0 {
-		delete(suspects.peerCrashes, name)
-		delete(suspects.peerReportedAt, name)
-		return
+	var due []uint64
+	for key, entry := range suspects.counts {
+		switch {
+		case entry.expired(now):
+			suspects.remove(key)
+		case entry.reportDue(now, key, interval):
+			due = append(due, key)
+		}
+	}
+	if len(due) > maxReportedSuspects {
+		slices.SortFunc(due, func(a, b uint64) int {
+			first, second := suspects.counts[a], suspects.counts[b]
+			return cmp.Or(cmp.Compare(second.Crashes, first.Crashes), second.changedAt.Compare(first.changedAt))
+		})
+		due = due[:maxReportedSuspects]
+	}
+	report := make(map[uint64]Suspicion, len(due))
+	for _, key := range due {
+		entry := suspects.counts[key]
+		report[key] = Suspicion{CrashCount: entry.CrashCount, Age: now.Sub(entry.lastCrash)}
 	}
-	suspects.peerCrashes[name], suspects.peerReportedAt[name] = counts, now
+	return report
 }
 
-func (suspects *Suspects) expire(now time.Time) {
-	for k, e := range suspects.ownCrashes {
-		if now.Sub(e.lastCrash) > suspectTTL {
-			delete(suspects.ownCrashes, k)
-		}
+// ReportAll returns a report for an instance that knows nothing yet.
+func (suspects *Suspects) ReportAll(now time.Time) map[uint64]Suspicion {
+	return suspects.Report(now, max(refusedReportPeriod, suspectReportPeriod))
+}
+
+// reportDue reports whether a request has changed recently, or one of its
+// regular reports falls into the interval that ends now. Those of different
+// requests are spread over the period.
+func (entry *suspect) reportDue(now time.Time, key uint64, interval time.Duration) bool {
+	if now.Sub(entry.changedAt) < suspectRepeats*interval {
+		return true
 	}
-	for name, at := range suspects.peerReportedAt {
-		if now.Sub(at) > suspectTTL {
-			delete(suspects.peerCrashes, name)
-			delete(suspects.peerReportedAt, name)
-		}
+	period := suspectReportPeriod
+	if entry.refused() {
+		period = refusedReportPeriod
 	}
-	for len(suspects.ownCrashes) > maxSuspects {
-		var oldest uint64
-		var at time.Time
-		for k, e := range suspects.ownCrashes {
-			if at.IsZero() || e.lastCrash.Before(at) {
-				oldest, at = k, e.lastCrash
-			}
-		}
-		delete(suspects.ownCrashes, oldest)
+	sinceReport := (now.Sub(entry.changedAt) + time.Duration(key%uint64(period))) % period
+	return sinceReport < interval
+}
+
+// ApplyReport merges the report of another instance.
+func (suspects *Suspects) ApplyReport(now time.Time, report map[uint64]Suspicion) {
+	suspects.mu.Lock()
+	defer suspects.mu.Unlock()
+	for key, suspicion := range report {
+		suspects.merge(now, key, suspicion.CrashCount, now.Add(-suspicion.Age))
 	}
 }
--- a/balance/suspects_test.go
+++ b/balance/suspects_test.go
@@ -1,7 +1,6 @@
 package balance_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -11,33 +10,82 @@
 	"github.com/jacinthstall/jacinthstall/quarantine"
 )
 
+// reportInterval is the interval between the reports of two instances.
+const reportInterval = 100 * time.Millisecond
+
+// exchangeReports delivers a report of each tracker to all others.
+func exchangeReports(now time.Time, fleet []*balance.Suspects) {
+	for j, from := range fleet {
+		for k, to := range fleet {
+			if j != k {
+				to.ApplyReport(now, from.Report(now, reportInterval))
+			}
+		}
+	}
+}
+
+func newSuspectsFleet(n int) []*balance.Suspects {
+	fleet := make([]*balance.Suspects, n)
+	for i := range fleet {
+		fleet[i] = balance.NewSuspects()
+	}
+	return fleet
+}
+
+func isRefused(s *balance.Suspects, now time.Time, f quarantine.Fingerprint) bool {
+	_, refused := s.Check(now, f)
+	return refused
+}
+
 // A request crashes every target, and its caller retries it through all
 // instances in turn.
 func TestCrashingRequestIsRefusedByAllInstances(t *testing.T) {
-	fleet := []*balance.Suspects{balance.NewSuspects(), balance.NewSuspects(), balance.NewSuspects()}
+	fleet := newSuspectsFleet(3)
 	poison, other := quarantine.Fingerprint{1}, quarantine.Fingerprint{2}
 	reached := 0
 	for i := range 30 {
 		now := start.Add(time.Duration(i) * 500 * time.Millisecond)
 		s := fleet[i%len(fleet)]
-		if _, refused := s.Refused(now, poison); !refused {
+		if !isRefused(s, now, poison) {
 			reached++
 			s.RecordCrash(now, poison)
 		}
-		for j, from := range fleet {
-			for k, to := range fleet {
-				if j != k {
-					to.ApplyReport(now, fmt.Sprint("n", j), from.Report(now))
-				}
-			}
-		}
+		exchangeReports(now, fleet)
 	}
 	assert.Equal(t, 3, reached)
 	for _, s := range fleet {
-		_, refused := s.Refused(start.Add(16*time.Second), other)
-		assert.False(t, refused)
-		_, refused = s.Refused(start.Add(5*time.Minute), poison)
-		assert.False(t, refused, "the request is allowed again after the last crash expires")
+		assert.False(t, isRefused(s, start.Add(16*time.Second), other))
+		assert.False(t, isRefused(s, start.Add(5*time.Minute), poison), "the request is allowed again after the last crash expires")
+	}
+}
+
+// Guards against letting a crashing request through again when instances that have
+// counted its crashes are restarted.
+func TestRefusedRequestStaysRefusedWhileInstancesRestart(t *testing.T) {
+	for name, lastReport := range map[string]bool{"planned": true, "killed": false} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newSuspectsFleet(6)
+			poison := quarantine.Fingerprint{1}
+			reached := 0
+			for i := range 600 {
+				now := start.Add(time.Duration(i) * reportInterval)
+				if s := fleet[i%len(fleet)]; i%2 == 0 && !isRefused(s, now, poison) {
+					reached++
+					s.RecordCrash(now, poison)
+				}
+				if i%25 == 24 { // One instance after the other.
+					if lastReport {
+						exchangeReports(now, fleet)
+					}
+					restarted := i / 25 % len(fleet)
+					fleet[restarted] = balance.NewSuspects()
+					peer := fleet[(restarted+1)%len(fleet)] // Hears of the new instance first.
+					fleet[restarted].ApplyReport(now, peer.ReportAll(now))
+				}
+				exchangeReports(now, fleet)
+			}
+			assert.Equal(t, 3, reached)
+		})
 	}
 }
 
@@ -48,10 +96,32 @@
 	for i := range 20 {
 		now := start.Add(time.Duration(i) * time.Second)
 		s.RecordCrash(now, f)
-		_, refused := s.Refused(now, f)
-		assert.False(t, refused)
+		assert.False(t, isRefused(s, now, f))
 		s.RecordCrash(now, f)
-		s.Clear(f)
+		s.Clear(now, f)
+	}
+}
+
+// Guards against refusing a request at all instances although it succeeds at one:
+// the crashes were counted elsewhere.
+func TestSuccessClearsTheRequestAtAllInstances(t *testing.T) {
+	fleet := newSuspectsFleet(4)
+	f := quarantine.Fingerprint{1}
+	for i, s := range fleet[:3] {
+		s.RecordCrash(start.Add(time.Duration(i)*time.Millisecond), f)
+		exchangeReports(start.Add(time.Duration(i)*time.Millisecond), fleet)
+	}
+	for _, s := range fleet {
+		assert.True(t, isRefused(s, start.Add(time.Second), f))
+	}
+	late := fleet[0].Report(start.Add(time.Second), time.Second)
+	fleet[3].Clear(start.Add(time.Second), f) // A response to a request that was in flight.
+	exchangeReports(start.Add(time.Second), fleet)
+	fleet[2].ApplyReport(start.Add(2*time.Second), late) // From before the success.
+	exchangeReports(start.Add(2*time.Second), fleet)
+	for i, s := range fleet {
+		assert.False(t, isRefused(s, start.Add(2*time.Second), f), "instance %d", i)
+		assert.False(t, s.Any(), "instance %d", i)
 	}
 }
 
@@ -67,14 +137,32 @@
 	now := start.Add(5 * time.Second)
 	known := 0
 	for i := range 5000 {
-		if _, refused := s.Refused(now, quarantine.Fingerprint{byte(i), byte(i >> 8)}); refused {
+		if isRefused(s, now, quarantine.Fingerprint{byte(i), byte(i >> 8)}) {
 			known++
 		}
 	}
-	assert.LessOrEqual(t, known, 257)
-	assert.Len(t, s.Report(now), 16)
-	_, refused := s.Refused(now, quarantine.Fingerprint{4999 & 0xff, 4999 >> 8})
-	assert.True(t, refused, "the most recent suspect is kept")
+	assert.LessOrEqual(t, known, 1024)
+	assert.Len(t, s.ReportAll(now), 32)
+	assert.True(t, isRefused(s, now, quarantine.Fingerprint{4999 & 0xff, 4999 >> 8}), "the most recent suspect is kept")
+}
+
+// Load pattern: many requests are in flight when targets crash. Guards against
+// forgetting a request that is refused, and against reports that leave it out.
+func TestManySuspectsDoNotHideARefusedRequest(t *testing.T) {
+	fleet := newSuspectsFleet(2)
+	poison := quarantine.Fingerprint{255}
+	for range 3 {
+		fleet[0].RecordCrash(start, poison)
+	}
+	for i := range 5000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		fleet[0].RecordCrash(now, quarantine.Fingerprint{1, byte(i), byte(i >> 8)})
+	}
+	assert.True(t, isRefused(fleet[0], start.Add(5*time.Second), poison))
+	for i := range 30 {
+		exchangeReports(start.Add(5*time.Second+time.Duration(i)*reportInterval), fleet)
+	}
+	assert.True(t, isRefused(fleet[1], start.Add(8*time.Second), poison), "reported")
 }
 
 // Guards against computing fingerprints while no crash is known.
@@ -83,10 +171,13 @@
 	assert.False(t, s.Any())
 	s.RecordCrash(start, quarantine.Fingerprint{1})
 	assert.True(t, s.Any())
-	s.Clear(quarantine.Fingerprint{1})
+	s.Clear(start, quarantine.Fingerprint{1})
 	assert.False(t, s.Any())
-	s.ApplyReport(start, "n2", map[uint64]int{5: 1})
+	s.ApplyReport(start, map[uint64]balance.Suspicion{5: {CrashCount: balance.CrashCount{Crashes: 1}}})
 	assert.True(t, s.Any())
-	s.ApplyReport(start, "n2", nil)
+	s.ApplyReport(start, map[uint64]balance.Suspicion{5: {CrashCount: balance.CrashCount{Clearance: 1}}})
 	assert.False(t, s.Any())
+	s.RecordCrash(start, quarantine.Fingerprint{1})
+	s.Report(start.Add(time.Hour*48), reportInterval)
+	assert.False(t, s.Any(), "forgotten")
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -32,7 +32,7 @@
 // recordComplete clears the request of suspicion after a complete response.
 func (g *Gateway) recordComplete(request *routedRequest) {
 	if g.Suspects.Any() {
-		g.Suspects.Clear(request.fingerprint())
+		g.Suspects.Clear(time.Now(), request.fingerprint())
 	}
 }
 
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -46,7 +46,7 @@
 	for i, from := range instances {
 		for j, to := range instances {
 			if i != j {
-				to.Suspects.ApplyReport(time.Now(), fmt.Sprint("n", i), from.Suspects.Report(time.Now()))
+				to.Suspects.ApplyReport(time.Now(), from.Suspects.ReportAll(time.Now()))
 			}
 		}
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -318,7 +318,8 @@
 	if !g.Suspects.Any() {
 		return 0, false
 	}
-	return g.Suspects.Refused(time.Now(), request.fingerprint())
+	count, refused := g.Suspects.Check(time.Now(), request.fingerprint())
+	return count.Crashes, refused
 }
 
 // suspectResponse returns the response to a request after which several targets in
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -15,6 +15,7 @@
 	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/internal/loopback"
+	"github.com/jacinthstall/jacinthstall/quarantine"
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
@@ -234,3 +235,33 @@
 	exchange.remoteDomains = map[string]*remoteDomain{"b": {}}
 	assert.Equal(t, 2, exchange.watcherCount(1))
 }
+
+// Guards against forgetting the crashes of a request when the instance that has
+// counted them ends, and against an instance that starts without knowing them.
+func TestCrashCountsOutliveTheirInstance(t *testing.T) {
+	fleet := startFleet(t, "a1", "a1", "b1")
+	poison := quarantine.Fingerprint{1}
+	refuses := func(instance *testInstance) bool {
+		_, refused := instance.options.Suspects.Check(time.Now(), poison)
+		return refused
+	}
+	for range 3 {
+		fleet[0].options.Suspects.RecordCrash(time.Now(), poison)
+	}
+	for _, instance := range fleet {
+		require.Eventually(t, func() bool { return refuses(instance) }, 10*time.Second, 10*time.Millisecond, instance.options.Self.Name)
+	}
+	fleet[0].cancel()
+	require.Eventually(t, func() bool { return len(fleet[1].Live()) == 2 }, 10*time.Second, 10*time.Millisecond)
+	self := fleet[0].options.Self
+	self.Incarnation++
+	known := map[string]steering.Instance{}
+	for _, instance := range fleet {
+		known[instance.options.Self.Name] = instance.options.Self
+	}
+	again := startInstance(t, self, known)
+	require.Eventually(t, func() bool { return refuses(again) }, 10*time.Second, 10*time.Millisecond)
+	for _, instance := range fleet[1:] {
+		assert.True(t, refuses(instance), instance.options.Self.Name)
+	}
+}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -27,7 +27,7 @@
 	Sent           uint64 // Sender's clock in microseconds.
 	Echo           uint64 // Sent of the digest that this message acknowledges; otherwise 0.
 	Report         balance.Report
-	Suspects       map[uint64]int // Crashes in a row by the short fingerprint of a request.
+	Suspects       map[uint64]balance.Suspicion // By the short fingerprint of a request.
 	// Members is set in digests and holds the live instances of the sender's
 	// domain. Report is then the sum of their reports.
 	Members   []Member
@@ -75,12 +75,13 @@
 	fieldMember // A Member with the fields of Message, once for each.
 	fieldForwarded
 	fieldRoundTrip
-	fieldSuspects // Fixed64 fingerprint and varint count, packed.
-	fieldFailing  // Fixed32 hash and varint count, packed.
+	_
+	fieldFailing // Fixed32 hash and varint count, packed.
 	fieldCapacity
 	fieldHello
 	fieldIntroduction
-	fieldLimits // Fixed32 hash, float32 rate and a varint with the age in ms and whether the target is owned, packed.
+	fieldLimits   // Fixed32 hash, float32 rate and a varint with the age in ms and whether the target is owned, packed.
+	fieldSuspects // Fixed64 fingerprint and three varints: clearance, crashes and age in seconds, packed.
 )
 
 // Upper bounds of values in a message. Messages that exceed them are rejected,
@@ -90,6 +91,8 @@
 	maxRate  = 1e9 // Requests per second.
 	// maxLimitAge is the greatest age of a target's statement about its limit.
 	maxLimitAge = 24 * time.Hour
+	// maxSuspicionAge is the greatest age of the last crash of a request.
+	maxSuspicionAge = 7 * 24 * time.Hour
 )
 
 // Append encodes the message and appends it to b.
@@ -148,9 +151,7 @@
 }
 
 func (m *Message) appendReport(b []byte) []byte {
-	b = appendPairs(b, fieldSuspects, m.Suspects, func(b []byte, fingerprint uint64, n int) []byte {
-		return protowire.AppendVarint(protowire.AppendFixed64(b, fingerprint), uint64(n))
-	})
+	b = appendPairs(b, fieldSuspects, m.Suspects, appendSuspicion)
 	counts := func(b []byte, hash uint32, n int) []byte {
 		return protowire.AppendVarint(protowire.AppendFixed32(b, hash), uint64(n))
 	}
@@ -191,6 +192,31 @@
 	return statement, n + m
 }
 
+func appendSuspicion(b []byte, fingerprint uint64, suspicion balance.Suspicion) []byte {
+	b = protowire.AppendFixed64(b, fingerprint)
+	b = protowire.AppendVarint(b, uint64(suspicion.Clearance))
+	b = protowire.AppendVarint(b, uint64(suspicion.Crashes))
+	return protowire.AppendVarint(b, uint64(max(0, suspicion.Age).Seconds()))
+}
+
+// consumeSuspicion decodes a suspicion. Like the functions of protowire it returns a
+// negative length if the encoding is invalid.
+func consumeSuspicion(b []byte) (balance.Suspicion, int) {
+	var values [3]uint64
+	length := 0
+	for i := range values {
+		v, n := protowire.ConsumeVarint(b[length:])
+		if n < 0 {
+			return balance.Suspicion{}, n
+		}
+		values[i], length = v, length+n
+	}
+	return balance.Suspicion{
+		CrashCount: balance.CrashCount{Clearance: uint32(min(values[0], math.MaxUint32)), Crashes: int(min(values[1], maxCount))},
+		Age:        time.Duration(min(values[2], uint64(maxSuspicionAge.Seconds()))) * time.Second,
+	}, length
+}
+
 // appendPairs packs the entries of a map into one field. An empty map is
 // omitted.
 func appendPairs[K comparable, V any](b []byte, field protowire.Number, pairs map[K]V, pack func([]byte, K, V) []byte) []byte {
@@ -320,10 +346,10 @@
 		}
 		m.Members = append(m.Members, member)
 	case fieldSuspects:
-		m.Suspects = map[uint64]int{}
-		return eachPair(v, protowire.ConsumeFixed64, protowire.ConsumeVarint, func(fingerprint, n uint64) bool {
-			m.Suspects[fingerprint] = int(n)
-			return n <= maxCount
+		m.Suspects = map[uint64]balance.Suspicion{}
+		return eachPair(v, protowire.ConsumeFixed64, consumeSuspicion, func(fingerprint uint64, suspicion balance.Suspicion) bool {
+			m.Suspects[fingerprint] = suspicion
+			return true
 		})
 	case fieldInFlight:
 		return readCounts(v, m.Report.InFlight)
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -24,7 +24,7 @@
 			Limits: rapid.MapOf(rapid.Uint32(), rapid.Custom(genLimit)).Draw(t, "limits")},
 	}
 	if rapid.Bool().Draw(t, "suspects") {
-		m.Suspects = map[uint64]int{rapid.Uint64().Draw(t, "fingerprint"): 3}
+		m.Suspects = rapid.MapOfN(rapid.Uint64(), rapid.Custom(genSuspicion), 1, 4).Draw(t, "suspicions")
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "members") {
 		m.Members = append(m.Members, Member{Name: rapid.StringN(1, 5, -1).Draw(t, "member"), Address: text.Draw(t, "a"),
@@ -33,6 +33,11 @@
 	return m
 }
 
+func genSuspicion(t *rapid.T) balance.Suspicion {
+	return balance.Suspicion{CrashCount: balance.CrashCount{Clearance: rapid.Uint32().Draw(t, "clearance"), Crashes: rapid.IntRange(0, maxCount).Draw(t, "crashes")},
+		Age: time.Duration(rapid.IntRange(0, int(maxSuspicionAge.Seconds())).Draw(t, "age")) * time.Second}
+}
+
 func genLimit(t *rapid.T) balance.LimitStatement {
 	statement := balance.LimitStatement{Age: time.Duration(rapid.IntRange(0, 100_000).Draw(t, "age")) * time.Millisecond, Owned: rapid.Bool().Draw(t, "owned")}
 	if rapid.Bool().Draw(t, "active") {
@@ -65,7 +70,7 @@
 func FuzzParse(f *testing.F) {
 	m := Message{Name: "n", Domain: "d", Report: balance.Report{InFlight: map[uint32]int{1: 2}, CallerRates: map[uint32]float64{3: 4}, FailureEvidence: map[uint32]int{5: 6},
 		Limits: map[uint32]balance.LimitStatement{9: {RateLimit: balance.RateLimit{Active: true, PerSecond: 4.5}, Age: time.Second}}},
-		Suspects: map[uint64]int{7: 8}, Members: []Member{{Name: "m", Address: "a"}}}
+		Suspects: map[uint64]balance.Suspicion{7: {CrashCount: balance.CrashCount{Clearance: 1, Crashes: 8}, Age: time.Second}}, Members: []Member{{Name: "m", Address: "a"}}}
 	f.Add(m.Append(nil))
 	f.Add([]byte{fieldInFlight<<3 | 2, 14, 1, 0, 0, 0, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1})
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -73,7 +73,7 @@
 	}
 	changed := peer.timedOut || peer.lastMessage.Ready != m.Ready || peer.lastMessage.Leaving != m.Leaving || m.Domain != "" && peer.instance != before
 	peer.lastMessage, peer.lastHeard = *m, now
-	isNew := peer.timedOut && m.PeerAddress != ""
+	isNew := (peer.timedOut || m.Incarnation != before.Incarnation) && m.PeerAddress != ""
 	if peer.timedOut {
 		peer.timedOut = false
 		exchange.options.Events.Emit(events.PeerHeard, log.Fields{"peer": m.Name, "domain": exchange.options.Self.Domain})
@@ -81,12 +81,13 @@
 	if isNew { // A peer that joins waits for messages of its domain.
 		reply := exchange.newMessage(now)
 		exchange.addIdentity(&reply)
+		reply.Suspects = exchange.options.Suspects.ReportAll(now)
 		exchange.sendTo(m.PeerAddress, reply.Append(nil))
 	}
 	timeout := exchange.peerTimeout()
 	exchange.mu.Unlock()
 	exchange.options.Balancer.ApplyReport(now, m.Name, exchange.options.Self.Region, m.Report, timeout)
-	exchange.options.Suspects.ApplyReport(now, m.Name, m.Suspects)
+	exchange.options.Suspects.ApplyReport(now, m.Suspects)
 	if changed {
 		exchange.updateLive(now)
 	}
@@ -122,7 +123,7 @@
 	exchange.mu.Unlock()
 	exchange.observeRoundTrip(region, time.Duration(m.RoundTrip)*time.Microsecond)
 	exchange.options.Balancer.ApplyReport(now, "domain "+m.Domain, region, m.Report, timeout)
-	exchange.options.Suspects.ApplyReport(now, "domain "+m.Domain, m.Suspects)
+	exchange.options.Suspects.ApplyReport(now, m.Suspects)
 	if changed {
 		exchange.updateLive(now)
 	}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -51,7 +51,7 @@
 		return
 	}
 	m := exchange.newMessage(now)
-	m.Report, m.Suspects = report, exchange.options.Suspects.Report(now)
+	m.Report, m.Suspects = report, exchange.options.Suspects.Report(now, exchange.messageInterval())
 	if exchange.lastSequence%messagesPerIdentity == 0 || m.Leaving || now.Sub(exchange.started) < minDomainTimeout {
 		exchange.addIdentity(&m)
 	}
@@ -74,18 +74,19 @@
 	rank = max(0, rank)
 	base := exchange.newMessage(now)
 	base.Domain = exchange.options.Self.Domain
-	base.Suspects = exchange.options.Suspects.Report(now)
-	base.Report, base.Members = exchange.mergePeerReports(now, report, base.Suspects), exchange.liveMembers(now)
+	base.Report, base.Members = exchange.mergePeerReports(now, report), exchange.liveMembers(now)
 	for name, remote := range exchange.remoteDomains {
 		if !all && now.Before(remote.nextDigest) {
 			continue
 		}
-		remote.nextDigest = now.Add(exchange.digestInterval(name, rank) - minMessageInterval/2)
+		interval := exchange.digestInterval(name, rank)
+		remote.nextDigest = now.Add(interval - minMessageInterval/2)
 		address := exchange.digestReceiver(now, name, remote, rank)
 		if address == "" {
 			continue
 		}
 		digest := base
+		digest.Suspects = exchange.options.Suspects.Report(now, interval)
 		if region := exchange.options.Regions[name]; region != exchange.options.Self.Region && len(base.Report.InFlight) > maxTargetsInRemoteReport {
 			digest.Report = exchange.options.Balancer.ReportForRegion(base.Report, region)
 		}
@@ -161,17 +162,13 @@
 	return list
 }
 
-// mergePeerReports adds the reports and suspects of the live peers to those of
-// this instance.
-func (exchange *Exchange) mergePeerReports(now time.Time, sum balance.Report, suspects map[uint64]int) balance.Report {
+// mergePeerReports adds the reports of the live peers to that of this instance.
+func (exchange *Exchange) mergePeerReports(now time.Time, sum balance.Report) balance.Report {
 	for _, peer := range exchange.peers {
 		if now.Sub(peer.lastHeard) >= exchange.peerTimeout() {
 			continue
 		}
 		sum.Merge(peer.lastMessage.Report, now.Sub(peer.lastHeard))
-		for fingerprint, count := range peer.lastMessage.Suspects {
-			suspects[fingerprint] += count
-		}
 	}
 	return sum
 }
