Count copies of a request in flight at a crash once

Callers: while another request crashed a target, copies of a popular request were in flight there. All instances refused the popular one for a minute (503, suspected-crash), although targets execute it.

Cause: each attempt that ended counted, so one crash of a target counted as often as copies were in flight.

Change: an attempt carries the count that was known when it was sent, and its crash counts as the one after that. Copies that were in flight together count once, at one instance or several.

--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -92,15 +92,17 @@
 	return suspects.crashed > 0
 }
 
-// RecordCrash counts a crash during the execution of a request. It returns the
-// new count.
-func (suspects *Suspects) RecordCrash(now time.Time, f quarantine.Fingerprint) int {
+// RecordCrash counts a crash during the execution of a request. sent is the
+// count that was known when the attempt was sent: crashes of attempts that were
+// in flight at the same time count once, since one of them, or another request,
+// may have caused them all. It returns the new count.
+func (suspects *Suspects) RecordCrash(now time.Time, f quarantine.Fingerprint, sent CrashCount) int {
 	suspects.mu.Lock()
 	defer suspects.mu.Unlock()
 	key := shortFingerprint(f)
-	count := CrashCount{Crashes: 1}
-	if entry := suspects.counts[key]; entry != nil && !entry.expired(now) {
-		count = CrashCount{Clearance: entry.Clearance, Crashes: entry.Crashes + 1}
+	count := CrashCount{Clearance: sent.Clearance, Crashes: sent.Crashes + 1}
+	if entry := suspects.counts[key]; entry != nil && entry.Clearance > sent.Clearance {
+		count = CrashCount{Clearance: entry.Clearance, Crashes: 1}
 	}
 	return suspects.merge(now, key, count, now).Crashes
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -24,7 +24,7 @@
 // recordCrash counts that a target closed the connection while it executed the
 // request.
 func (g *Gateway) recordCrash(request *routedRequest, target *steering.Target, stage crashStage) {
-	crashes := g.Suspects.RecordCrash(time.Now(), request.fingerprint())
+	crashes := g.Suspects.RecordCrash(time.Now(), request.fingerprint(), request.crashesWhenSent)
 	g.events.Emit(events.CrashCounted, log.Fields{"request": request.id, "target": target.ID, "service": request.service,
 		"fingerprint": request.fingerprint().String(), "stage": string(stage), "crashes": crashes})
 }
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthstall/jacinthstall/gateway"
+	"github.com/jacinthstall/jacinthstall/platform"
 )
 
 // crashingTarget is a target that is crashed by requests whose path ends with
@@ -112,3 +114,41 @@
 	}
 	require.False(t, f.gateway.Suspects.Any())
 }
+
+// Load pattern: a popular request is in flight several times at a target that
+// another request crashes. Guards against refusing the popular one.
+func TestPopularRequestInFlightAtACrashIsNotRefused(t *testing.T) {
+	const copies = 4
+	for _, stage := range []string{"head", "body"} {
+		t.Run(stage, func(t *testing.T) {
+			var inFlight sync.WaitGroup
+			inFlight.Add(copies)
+			s := startSite(t, siteOptions{scripts: []script{func(_ int, r *http.Request, c net.Conn) bool {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if !strings.HasPrefix(r.Header.Get(platform.HeaderRequestID), "caught") {
+					_, err := io.WriteString(c, stampedHead(200, r)+"Content-Length: 2\r\n\r\nok")
+					return err == nil
+				}
+				if stage == "body" {
+					_, _ = io.WriteString(c, stampedHead(200, r)+"Content-Length: 2\r\n\r\no")
+				}
+				inFlight.Done()
+				inFlight.Wait() // Here another request crashes the target.
+				time.Sleep(20 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				return false
+			}}})
+			var callers sync.WaitGroup
+			for i := range copies {
+				callers.Go(func() {
+					assert.Equal(t, 502, s.request("POST", "/unsafe/popular", fmt.Sprint("caught", i), "b").StatusCode)
+				})
+			}
+			callers.Wait()
+			require.Eventually(t, func() bool { // The target is avoided for a moment.
+				return s.request("POST", "/unsafe/other", "other", "c").StatusCode == 200
+			}, 10*time.Second, 50*time.Millisecond)
+			assert.Equal(t, 200, s.request("POST", "/unsafe/popular", "next", "b").StatusCode)
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -245,6 +245,7 @@
 		destination.MaxIdleTime = nonIdempotentMaxIdle
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.deadline)
+	g.suspectedCrashes(request) // For the count; the peer has decided.
 	sent := time.Now()
 	received, err := g.Forwarder.Do(ctx, destination, g.newForwardRequest(request, balance.Grant{Target: record}, sent))
 	if err != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -146,6 +146,7 @@
 	failedResponse    *response               // A target's error response, delivered if no retry gets a better one.
 	targetFull        bool                    // A target had no capacity.
 	overflowRefused   bool                    // See balance.Request.
+	crashesWhenSent   balance.CrashCount      // That were known when the last attempt was sent.
 	cachedFingerprint *quarantine.Fingerprint // See fingerprint; nil until it is needed.
 }
 
@@ -315,10 +316,12 @@
 // suspectedCrashes returns how many targets the request has probably crashed, and
 // whether it must not be sent to a target any more.
 func (g *Gateway) suspectedCrashes(request *routedRequest) (int, bool) {
+	request.crashesWhenSent = balance.CrashCount{}
 	if !g.Suspects.Any() {
 		return 0, false
 	}
 	count, refused := g.Suspects.Check(time.Now(), request.fingerprint())
+	request.crashesWhenSent = count
 	return count.Crashes, refused
 }
 
