Remember requests that crash targets for longer than a minute

Cause: a crash counted for a minute, and refusing the request did not extend that. When the three crashes expired, all instances let the request through until three new ones were known to all.

Change: a refused request is remembered for 24 hours, one with fewer crashes for an hour. So that a request whose targets were replaced is served again, it is sent to one target 2, 10 and 50 minutes after its last crash, by one instance at a time, and counts as crashed until a response has arrived.

--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jacinthstall/jacinthstall/quarantine"
+	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 const (
@@ -15,9 +16,20 @@
 	// instances, after which a request is refused. A lost response looks like
 	// a crash, so a lower number would be unreliable.
 	refuseAfterCrashes = 3
-	// suspectTTL is how long a crash counts, and therefore how long a request
-	// is refused after its last crash.
-	suspectTTL = time.Minute
+	// suspectTTL is how long after its last crash a request is remembered that
+	// is not refused, and refusedTTL the same for one that is.
+	suspectTTL = time.Hour
+	refusedTTL = 24 * time.Hour
+	// firstTrialDelay is how long after its last crash a refused request is sent
+	// to a target once more: the targets may have been replaced. After each trial
+	// that crashes a target too, it is trialDelayFactor times as long. After
+	// maxTrials, the request is refused until it is forgotten.
+	firstTrialDelay  = 2 * time.Minute
+	trialDelayFactor = 5
+	maxTrials        = 3
+	// trialTurn is the time in which only one instance may begin a trial. It does
+	// so in the first half, and the others hear of it in the second.
+	trialTurn = 4 * time.Second
 	// clearedTTL is how long it is remembered that a request was cleared. It
 	// outlasts the reports of peers that have not heard of it yet.
 	clearedTTL = 5 * time.Minute
@@ -66,9 +78,11 @@
 //
 // Suspects is safe for concurrent use.
 type Suspects struct {
-	mu      sync.Mutex
-	counts  map[uint64]*suspect // By short fingerprint.
-	crashed int                 // Number of counts with crashes.
+	mu        sync.Mutex
+	counts    map[uint64]*suspect // By short fingerprint.
+	crashed   int                 // Number of counts with crashes.
+	position  int                 // Of this instance among the live ones, sorted by name; negative if it is not among them.
+	instances int                 // Number of live instances.
 }
 
 type suspect struct {
@@ -79,7 +93,15 @@
 
 // NewSuspects returns an empty tracker.
 func NewSuspects() *Suspects {
-	return &Suspects{counts: map[uint64]*suspect{}}
+	return &Suspects{counts: map[uint64]*suspect{}, instances: 1}
+}
+
+// SetInstances sets the live instances, sorted by name.
+func (suspects *Suspects) SetInstances(self string, live []steering.Instance) {
+	suspects.mu.Lock()
+	defer suspects.mu.Unlock()
+	suspects.position = slices.IndexFunc(live, func(in steering.Instance) bool { return in.Name == self })
+	suspects.instances = max(1, len(live))
 }
 
 // shortFingerprint returns the part of a fingerprint that reports carry.
@@ -118,8 +140,43 @@
 	}
 }
 
-// Check returns the crashes of a request in a row, and whether it must be
-// refused.
+// Admit returns the crashes of a request in a row, and whether it must be refused.
+// A request that has not crashed a target for some time is admitted once, as a
+// trial. The trial counts as a crash until a complete response clears the request.
+func (suspects *Suspects) Admit(now time.Time, f quarantine.Fingerprint) (CrashCount, bool) {
+	suspects.mu.Lock()
+	defer suspects.mu.Unlock()
+	key := shortFingerprint(f)
+	entry := suspects.counts[key]
+	if entry == nil || entry.expired(now) {
+		return CrashCount{}, false
+	}
+	if !entry.refused() {
+		return entry.CrashCount, false
+	}
+	if !suspects.trialDue(now, entry) {
+		return entry.CrashCount, true
+	}
+	suspects.merge(now, key, CrashCount{Clearance: entry.Clearance, Crashes: entry.Crashes + 1}, now)
+	return entry.CrashCount, false
+}
+
+// trialDue reports whether this instance may send a refused request to a target.
+func (suspects *Suspects) trialDue(now time.Time, entry *suspect) bool {
+	trials := entry.Crashes - refuseAfterCrashes
+	if trials >= maxTrials || suspects.position < 0 {
+		return false
+	}
+	delay := firstTrialDelay
+	for range trials {
+		delay *= trialDelayFactor
+	}
+	late := now.Sub(entry.lastCrash) - delay
+	turn := int(late/trialTurn) % suspects.instances
+	return late >= 0 && turn == suspects.position && late%trialTurn < trialTurn/2
+}
+
+// Check returns the crashes of a request in a row, and whether it is refused.
 func (suspects *Suspects) Check(now time.Time, f quarantine.Fingerprint) (CrashCount, bool) {
 	suspects.mu.Lock()
 	defer suspects.mu.Unlock()
@@ -134,8 +191,11 @@
 
 func (entry *suspect) expired(now time.Time) bool {
 	ttl := suspectTTL
-	if entry.Crashes == 0 {
+	switch {
+	case entry.Crashes == 0:
 		ttl = clearedTTL
+	case entry.refused():
+		ttl = refusedTTL
 	}
 	return now.Sub(entry.lastCrash) > ttl
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -245,7 +245,9 @@
 		destination.MaxIdleTime = nonIdempotentMaxIdle
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.deadline)
-	g.suspectedCrashes(request) // For the count; the peer has decided.
+	if g.Suspects.Any() { // For the count; the peer has decided to send the request.
+		request.crashesWhenSent, _ = g.Suspects.Check(time.Now(), request.fingerprint())
+	}
 	sent := time.Now()
 	received, err := g.Forwarder.Do(ctx, destination, g.newForwardRequest(request, balance.Grant{Target: record}, sent))
 	if err != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -320,7 +320,7 @@
 	if !g.Suspects.Any() {
 		return 0, false
 	}
-	count, refused := g.Suspects.Check(time.Now(), request.fingerprint())
+	count, refused := g.Suspects.Admit(time.Now(), request.fingerprint())
 	request.crashesWhenSent = count
 	return count.Crashes, refused
 }
--- a/node/node.go
+++ b/node/node.go
@@ -148,6 +148,7 @@
 
 func (node *Node) instancesChanged(live []steering.Instance) {
 	node.balancer.SetInstances(time.Now(), live, node.exchange.PeerTimeout())
+	node.suspects.SetInstances(node.self.Name, live)
 	live = slices.Clone(live)
 	registered := node.mirror.State().Instances
 	for i := range live {
