Keep requests that are refused for crashes in the store

Change: the requests that are refused are one record of the platform's store, with the same merge as the reports between instances. An instance has read it when it has its configuration, so before it serves.

--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -48,23 +49,14 @@
 	suspectReportPeriod = 30 * time.Second
 )
 
-// CrashCount is the number of crashes of a request in a row. Of two counts, the
-// one with the higher Clearance holds, else the one with more crashes.
-type CrashCount struct {
-	// Clearance is the number of times that a complete response has cleared the
-	// request.
-	Clearance uint32
-	Crashes   int
-}
-
-// Suspicion is a CrashCount as reported to other instances.
-type Suspicion struct {
-	CrashCount
-	Age time.Duration // Since the last crash, or since the request was cleared.
-}
+// CrashCount and Suspicion are those of package steering.
+type (
+	CrashCount = steering.CrashCount
+	Suspicion  = steering.Suspicion
+)
 
-func (count CrashCount) compare(other CrashCount) int {
-	return cmp.Or(cmp.Compare(count.Clearance, other.Clearance), cmp.Compare(count.Crashes, other.Crashes))
+func compareCounts(a, b CrashCount) int {
+	return cmp.Or(cmp.Compare(a.Clearance, b.Clearance), cmp.Compare(a.Crashes, b.Crashes))
 }
 
 // Suspects tracks requests during whose execution targets closed the
@@ -207,7 +199,7 @@
 	if entry == nil || entry.expired(now) {
 		entry = &suspect{}
 	}
-	switch order := count.compare(entry.CrashCount); {
+	switch order := compareCounts(count, entry.CrashCount); {
 	case order < 0:
 		return entry.CrashCount
 	case order == 0:
@@ -282,6 +274,19 @@
 	return report
 }
 
+// Refused returns the requests that are refused.
+func (suspects *Suspects) Refused(now time.Time) map[uint64]Suspicion {
+	suspects.mu.Lock()
+	defer suspects.mu.Unlock()
+	refused := map[uint64]Suspicion{}
+	for key, entry := range suspects.counts {
+		if entry.refused() && !entry.expired(now) {
+			refused[key] = Suspicion{CrashCount: entry.CrashCount, Age: now.Sub(entry.lastCrash)}
+		}
+	}
+	return refused
+}
+
 // ReportAll returns a report for an instance that knows nothing yet.
 func (suspects *Suspects) ReportAll(now time.Time) map[uint64]Suspicion {
 	return suspects.Report(now, max(refusedReportPeriod, suspectReportPeriod))
@@ -307,6 +312,9 @@
 	suspects.mu.Lock()
 	defer suspects.mu.Unlock()
 	for key, suspicion := range report {
+		if suspicion.Clearance == math.MaxUint32 {
+			continue // No success could clear it.
+		}
 		suspects.merge(now, key, suspicion.CrashCount, now.Add(-suspicion.Age))
 	}
 }
--- a/cmd/jacinth-node/records_test.go
+++ b/cmd/jacinth-node/records_test.go
@@ -46,6 +46,8 @@
 	require.NoError(t, err)
 	homes, err := platform.Codec{}.HomesValue(&steering.HomeTable{Objects: map[uint32]uint32{1: 2, 3: 4}})
 	require.NoError(t, err)
+	crashes, err := platform.Codec{}.CrashesValue(&steering.CrashTable{Requests: map[uint64]steering.Suspicion{1: {CrashCount: steering.CrashCount{Crashes: 3}}}})
+	require.NoError(t, err)
 	config := regexp.MustCompile(`^(.*)("version".*)$`)
 	for i := range records {
 		parts := config.FindStringSubmatch(string(wiresite.Config(int64(i+2), "s", wiresite.Route{Segment: "app", Timeout: 8 * time.Second}, wiresite.Route{Segment: "other", Idempotent: true, Timeout: time.Second})))
@@ -54,6 +56,7 @@
 		p.store.Put(wiresite.TargetKey(fmt.Sprint("t", random.IntN(4))), []byte(mutateRecord(random, target)))
 		p.store.Put(platform.Codec{}.InstanceKey("n2"), []byte(mutateRecord(random, string(instance))))
 		p.store.Put(platform.Codec{}.HomesKey("r"), []byte(mutateRecord(random, string(homes))))
+		p.store.Put(platform.Codec{}.CrashesKey(), []byte(mutateRecord(random, string(crashes))))
 		p.store.Put(wiresite.EvacuationKey(string(rune('a'+i%5))), []byte(mutateRecord(random, "{}")))
 		if i%10 != 0 {
 			continue
--- a/events/steering.go
+++ b/events/steering.go
@@ -50,6 +50,8 @@
 		Message: "home table of a region is now in force", Fields: []string{"region", "objects", "revision", "source"}, Action: "none"})
 	HomesNotWritten = register(Event{Number: 930, Name: "homes-not-written", Level: log.InfoLevel,
 		Message: "failed to write the home table; the current one stays in force", Fields: []string{"region", "revision", "error"}, Action: "check the store if the event repeats"})
+	CrashesNotWritten = register(Event{Number: 932, Name: "crashes-not-written", Level: log.InfoLevel,
+		Message: "failed to write the requests that are refused; they are lost if all instances end", Fields: []string{"requests", "error"}, Action: "check the store if the event repeats"})
 	HomeMoved = register(Event{Number: 931, Name: "home-moved", Level: log.InfoLevel,
 		Message: "object assigned to another home target to balance load", Fields: []string{"service", "from", "to", "fromLevel", "toLevel", "part", "more"}, Action: "none"})
 	SettingsRejected = register(Event{Number: 927, Name: "settings-rejected", Level: log.WarnLevel,
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,8 @@
 	InstanceValue(steering.Instance) ([]byte, error)
 	HomesKey(region string) string
 	HomesValue(*steering.HomeTable) ([]byte, error)
+	CrashesKey() string
+	CrashesValue(*steering.CrashTable) ([]byte, error)
 	Resolution(addresses []string, ttl time.Duration) ([]byte, error)
 	ReadyPath() string
 	ResolvePath() string
@@ -170,6 +172,7 @@
 	go node.keepRegistered(background)
 	go node.runMaintenance(background)
 	go node.runRebalancing(background)
+	go node.keepCrashTable(background)
 	for _, server := range node.requestServers() {
 		go func() { failed <- server.Run(background) }()
 	}
@@ -219,7 +222,8 @@
 func (node *Node) watchesStore() bool    { return node.exchange.WatchesStore() }
 func (node *Node) defersFirstRead() bool { return node.exchange.DefersFirstRead() }
 
-func (node *Node) stateChanged(_, after *steering.State) {
+func (node *Node) stateChanged(before, after *steering.State) {
+	node.applyCrashTable(before.CrashTable, after.CrashTable)
 	node.balancer.SetState(time.Now(), after)
 	node.exchange.SetRegistered(after.Instances)
 	node.exchange.Announce()
--- a/steering/state.go
+++ b/steering/state.go
@@ -47,6 +47,7 @@
 	Evacuated  map[string]bool // Failure domains whose targets get no requests.
 	Instances  map[string]Instance
 	HomeTables map[string]*HomeTable // By region.
+	CrashTable *CrashTable           // Nil if there is none.
 
 	targetsByService map[string][]*Target
 }
