Tell long uploads apart in crash counts

Callers: an upload of more than 64 KB that crashes targets made the instances refuse every upload of the same length to the same path (503, suspected-crash).

Cause: a streamed body is not kept, so its fingerprint held the length only.

Change: the hash of its first 64 KB is taken when it is read, and part of the fingerprint.

Evidence: gateway.TestUploadsOfTheSameLengthAreTold: the sound upload got 503 before, 200 now; the one that crashes targets is refused after three as before.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -152,3 +152,36 @@
 		})
 	}
 }
+
+// Guards against refusing an upload because others of the same length to the same
+// path crash targets, and against not recognizing those.
+func TestUploadsOfTheSameLengthAreTold(t *testing.T) {
+	const size = 100 << 10
+	poison, sound := strings.Repeat("p", size), strings.Repeat("s", size)
+	var executed atomic.Int32
+	target := func(_ int, r *http.Request, c net.Conn) bool {
+		body, _ := io.ReadAll(r.Body)
+		if string(body) != poison {
+			_, err := io.WriteString(c, stampedHead(200, r)+"Content-Length: 2\r\n\r\nok")
+			return err == nil
+		}
+		executed.Add(1)
+		_, _ = io.WriteString(c, stampedHead(200, r)+"Content-Length: 2\r\n\r\no")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	s := startSite(t, siteOptions{scripts: []script{target, target, target, target}})
+	refused := 0
+	for i := range 6 {
+		if s.request("POST", "/unsafe/x", fmt.Sprint("r", i), poison).StatusCode == 503 {
+			refused++
+		}
+	}
+	assert.Equal(t, int32(3), executed.Load())
+	assert.Equal(t, 3, refused)
+	require.Eventually(t, func() bool { // Targets are avoided for a moment.
+		return s.request("POST", "/unsafe/other", "other", "c").StatusCode == 200
+	}, 10*time.Second, 50*time.Millisecond)
+	assert.Equal(t, 200, s.request("POST", "/unsafe/x", "sound", sound).StatusCode)
+}
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
@@ -33,6 +34,7 @@
 	arrived     time.Time     // When the head, or all of a buffered body, was read.
 	body        []byte        // The buffered body; nil when it is streamed or empty.
 	stream      *streamedBody // The streamed body; nil when it is buffered or empty.
+	prefixHash  uint64        // Hash of the start of a streamed body.
 	close       bool          // The caller wants the connection closed after the response.
 	beginStream func() bool   // See conn.beginStream.
 	// heldResponses is the number of slots of Gateway.heldResponses that are used for
@@ -248,6 +250,7 @@
 		request.arrived = time.Now()
 		return nil
 	}
+	request.prefixHash = xxhash.Sum64(prefix)
 	request.stream = &streamedBody{Reader: io.MultiReader(bytes.NewReader(prefix), buffered), finished: make(chan struct{}), conn: c.Conn}
 	return nil
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net/http"
@@ -156,11 +157,15 @@
 }
 
 // fingerprint returns the fingerprint by which identical requests are recognized.
-// It hashes the whole request and is therefore computed only when a target has
-// crashed.
+// It hashes the whole request, of a streamed body the start, and is therefore
+// computed only when a target has crashed.
 func (request *routedRequest) fingerprint() quarantine.Fingerprint {
 	if request.cachedFingerprint == nil {
-		f := quarantine.Request{Service: request.service, Method: request.httpRequest.Method, URI: request.uri, Body: request.body,
+		body := request.body
+		if request.stream != nil {
+			body = binary.BigEndian.AppendUint64(nil, request.prefixHash)
+		}
+		f := quarantine.Request{Service: request.service, Method: request.httpRequest.Method, URI: request.uri, Body: body,
 			BodyLength: request.httpRequest.ContentLength}.Fingerprint()
 		request.cachedFingerprint = &f
 	}
