Deliver a target's failure response when the retry is refused

Callers: a response with a failure that a target had made was replaced by 502 (suspected-crash) if peers reported three crashes of the request before its second attempt.

Cause: the refusal of a suspected request was the one end of a request that did not look for a response that is kept.

Evidence: gateway.TestFailureResponseIsDeliveredWhenTheRetryIsRefused got 502 without a body before, the target's 500 now.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -11,11 +12,15 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthstall/jacinthstall/balance"
+	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/gateway"
 	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/quarantine"
 )
 
 // crashingTarget is a target that is crashed by requests whose path ends with
@@ -185,3 +190,28 @@
 	}, 10*time.Second, 50*time.Millisecond)
 	assert.Equal(t, 200, s.request("POST", "/unsafe/x", "sound", sound).StatusCode)
 }
+
+// Guards against replacing a failure response of a target by one of this instance,
+// because the request is refused before its second attempt.
+func TestFailureResponseIsDeliveredWhenTheRetryIsRefused(t *testing.T) {
+	fingerprint := quarantine.Request{Service: "s", Method: "GET", URI: "/safe/x"}.Fingerprint()
+	crashed := map[uint64]balance.Suspicion{binary.BigEndian.Uint64(fingerprint[:8]): {CrashCount: balance.CrashCount{Clearance: 7, Crashes: 3}}}
+	var s *site
+	logs := log.HandlerFunc(func(entry *log.Entry) error {
+		if entry.Message == events.AttemptEnded.Message { // A report of a peer arrives.
+			s.gateway.Suspects.ApplyReport(time.Now(), crashed)
+		}
+		return nil
+	})
+	s = startSite(t, siteOptions{logs: logs, scripts: []script{func(_ int, r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, stampedHead(500, r)+"Content-Length: 6\r\n\r\nfailed")
+		return err == nil
+	}, func(_ int, r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, stampedHead(500, r)+"Content-Length: 6\r\n\r\nfailed")
+		return err == nil
+	}}})
+	resp := s.request("GET", "/safe/x", "r1", "")
+	assert.Equal(t, 500, resp.StatusCode)
+	assert.Equal(t, "failed", resp.body)
+	assert.Equal(t, 503, s.request("GET", "/safe/x", "r2", "").StatusCode, "it is refused")
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -335,6 +335,9 @@
 func (g *Gateway) suspectResponse(request *routedRequest, crashes int) *response {
 	g.events.Emit(events.RequestSuspected, log.Fields{"request": request.id, "route": request.route.Name, "service": request.service,
 		"fingerprint": request.fingerprint().String(), "crashes": crashes})
+	if request.failedResponse != nil {
+		return request.failedResponse
+	}
 	if request.mayHaveExecuted {
 		return systemResponse(http.StatusBadGateway, "suspected-crash")
 	}
