Bound the bytes of queued log lines

Report of another operator: bytes without end from a faulty target took all memory of the instance that had called it.

Cause here: errors of the HTTP parser quote the line that they reject, up to 64 KB, and 4,096 lines are queued while nobody reads the log. The number of lines was bounded, their length was not.

Change: texts of errors about targets are cut to 512 bytes, of all fields to 16 KB, and lines are dropped and counted when 8 MB are queued.

--- a/events/field.go
+++ b/events/field.go
@@ -114,10 +114,17 @@
 	return append(b, ']')
 }
 
+// maxTextBytes is the length to which texts are cut. They may contain what a caller
+// or target has sent.
+const maxTextBytes = 16 << 10
+
 // appendString appends s as a JSON string. Invalid UTF-8 bytes are replaced by
 // U+FFFD.
 func appendString(b []byte, s string) []byte {
 	b = append(b, '"')
+	if len(s) > maxTextBytes {
+		s = s[:maxTextBytes] + "..."
+	}
 	start := 0
 	for i := 0; i < len(s); {
 		if isUnescaped[s[i]] {
--- a/events/handler.go
+++ b/events/handler.go
@@ -17,6 +17,9 @@
 	// ringCapacity is the number of lines that may be queued for the writer
 	// goroutine.
 	ringCapacity = 4096
+	// maxQueuedBytes is the length of all queued lines at which the ring counts as
+	// full.
+	maxQueuedBytes = 8 << 20
 	// maxBatchBytes is the size at which a batch of lines is written.
 	maxBatchBytes = 64 << 10
 	// batchDelay is the pause after a write, during which further lines are queued.
@@ -40,6 +43,7 @@
 type Handler struct {
 	level        atomic.Int32
 	queue        *ring.Ring[*[]byte]
+	queuedBytes  atomic.Int64
 	buffers      sync.Pool
 	writeMutex   sync.Mutex // Held during each write.
 	w            io.Writer
@@ -168,9 +172,11 @@
 // enqueue queues a line. If the ring is full or closed, it drops or writes the line,
 // depending on dropWhenFull.
 func (h *Handler) enqueue(line *[]byte) {
-	if h.queue.TryPush(line) {
+	length := int64(len(*line))
+	if h.queuedBytes.Add(length) <= maxQueuedBytes && h.queue.TryPush(line) {
 		return
 	}
+	h.queuedBytes.Add(-length)
 	if h.dropWhenFull {
 		h.droppedLines.Add(1)
 		h.releaseBuffer(line)
@@ -213,6 +219,7 @@
 
 // appendLine appends a line to a batch and releases its buffer.
 func (h *Handler) appendLine(batch []byte, line *[]byte) []byte {
+	h.queuedBytes.Add(-int64(len(*line)))
 	batch = append(batch, *line...)
 	h.releaseBuffer(line)
 	return batch
--- a/events/handler_test.go
+++ b/events/handler_test.go
@@ -204,3 +204,24 @@
 	close(w.unblock)
 	require.NoError(t, h.Close())
 }
+
+// Load pattern: targets send long lines that are no responses, the errors quote
+// them, and nobody reads the log. Guards against queued lines that take all memory.
+func TestQueuedLinesAreBoundedInBytes(t *testing.T) {
+	w := &blockedWriter{open: make(chan struct{})}
+	h := NewDroppingHandler(w)
+	logger := &log.Logger{Handler: h, Level: log.DebugLevel}
+	long := strings.Repeat("\x01", 60<<10)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for range 1000 {
+		logger.WithField("cause", long).Info("x")
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	assert.Less(t, int64(after.HeapAlloc)-int64(before.HeapAlloc), int64(32<<20))
+	assert.NotZero(t, h.DroppedLines())
+	close(w.open)
+	require.NoError(t, h.Close())
+}
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -2,7 +2,7 @@
 
 import (
 	"errors"
-	"fmt"
+	"strings"
 )
 
 // Stage is the point that a failed exchange had reached.
@@ -52,8 +52,16 @@
 	Err             error
 }
 
+// maxErrorBytes is the length to which the text of an error is cut. Errors of the
+// HTTP parser quote what the target has sent.
+const maxErrorBytes = 512
+
 func (e *Error) Error() string {
-	return fmt.Sprintf("target %s: %v", e.Target, e.Err)
+	text := e.Err.Error()
+	if len(text) > maxErrorBytes {
+		text = strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
+	}
+	return "target " + e.Target + ": " + text
 }
 
 func (e *Error) Unwrap() error { return e.Err }
--- a/gateway/input_test.go
+++ b/gateway/input_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/stretchr/testify/assert"
 
 	"github.com/jacinthstall/jacinthstall/platform"
@@ -80,3 +81,22 @@
 	assert.Eventually(t, func() bool { return f.server.Connections() == 0 }, 10*time.Second, 10*time.Millisecond)
 	assert.Zero(t, f.server.InFlight())
 }
+
+// Guards against log lines as long as what a faulty target sends: the errors of the
+// HTTP parser quote it.
+func TestLogLineAboutAFaultyResponseIsShort(t *testing.T) {
+	longest := 0
+	logs := log.HandlerFunc(func(entry *log.Entry) error {
+		if cause, ok := entry.Fields["cause"].(string); ok {
+			longest = max(longest, len(cause))
+		}
+		return nil
+	})
+	s := startSite(t, siteOptions{attempts: 1, logs: logs, scripts: []script{func(_ int, _ *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 "+strings.Repeat("\x01", 60<<10)+"\r\n\r\n")
+		return false
+	}}})
+	assert.Equal(t, 502, s.request("POST", "/unsafe/x", "r1", "b").StatusCode)
+	assert.NotZero(t, longest)
+	assert.Less(t, longest, 1<<10)
+}
--- a/standin/wiresite/wiresite.go
+++ b/standin/wiresite/wiresite.go
@@ -52,6 +52,7 @@
 // Route is a route of a configuration. Its first path segment is also its name.
 type Route struct {
 	Segment    string
+	Service    string // "" means that of the configuration.
 	Idempotent bool
 	Timeout    time.Duration
 }
@@ -62,7 +63,8 @@
 // DefaultIdleTimeout is the idle time-out of callers' connections that Config sets.
 const DefaultIdleTimeout = 15 * time.Second
 
-// Config returns a configuration record with routes to one service.
+// Config returns a configuration record with a service, to which routes lead that
+// name no other.
 func Config(version int64, service string, routes ...Route) []byte {
 	return ConfigWithIdleTimeout(version, service, DefaultIdleTimeout, routes...)
 }
@@ -70,17 +72,26 @@
 // ConfigWithIdleTimeout returns a configuration record that also sets the idle
 // time-out of callers' connections.
 func ConfigWithIdleTimeout(version int64, service string, idleTimeout time.Duration, routes ...Route) []byte {
-	routesByName := map[string]any{}
+	routesByName, services := map[string]any{}, map[string]any{}
+	addService := func(name string) {
+		services[name] = map[string]any{"maxConns": 200, "coldStart": "1s", "coldPerS": 50}
+	}
+	addService(service)
 	for _, route := range routes {
 		routeKind := "unsafe"
 		if route.Idempotent {
 			routeKind = "safe"
 		}
+		routeService := service
+		if route.Service != "" {
+			routeService = route.Service
+			addService(routeService)
+		}
 		routesByName[route.Segment] = map[string]any{"host": Host, "prefix": "/" + route.Segment + "/", "routeKind": routeKind,
-			"timeout": route.Timeout.String(), "goal": "400ms", "service": service, "attempts": 2, "sticky": true}
+			"timeout": route.Timeout.String(), "goal": "400ms", "service": routeService, "attempts": 2, "sticky": true}
 	}
 	return encode(map[string]any{"version": fmt.Sprintf("r%d", version), "routes": routesByName,
-		"services": map[string]any{service: map[string]any{"maxConns": 200, "coldStart": "1s", "coldPerS": 50}},
+		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": idleTimeout.String()}})
 }
 
