Refuse requests that a planned stop would cut

Cause: whether an instance still takes requests was decided by the time since the stop began alone, not by the time left. On connections accepted before 3 s, requests that arrive after it are read, and all connections are closed 5.6 s after the signal.

Change: in a stop, a request whose deadline lies beyond the close is not sent if it arrived later than callers may use the instance, or if one and a half times its expected time does too. It gets 503, reason stopping, with Retry-After and the end of the connection; relays refuse late requests of peers. Grace periods under 5.4 s accept connections for three fifths of them.

--- a/cmd/jacinth-node/stop_test.go
+++ b/cmd/jacinth-node/stop_test.go
@@ -177,3 +177,62 @@
 	p.awaitEnd()
 	assert.Less(t, time.Since(started), lastUse+350*time.Millisecond)
 }
+
+// Load pattern: callers whose look-up has just expired open connections until the
+// instance stops accepting, and send their requests a moment later. Targets take
+// longer than the rest of the shutdown period. Guards against passing on such a
+// request and cutting it at the end without a response.
+func TestRequestsLateInAStopAreAnswered(t *testing.T) {
+	p := newProcess(t, 4*time.Second)
+	p.startReady()
+	started := time.Now()
+	p.signal(syscall.SIGTERM)
+	var callers sync.WaitGroup
+	type result struct {
+		id     string
+		sent   time.Duration
+		status int
+		err    error
+	}
+	results := make(chan result, 40)
+	for i := range cap(results) {
+		callers.Go(func() {
+			time.Sleep(time.Until(started.Add(lastUse - 200*time.Millisecond + time.Duration(i)*5*time.Millisecond)))
+			c, err := p.dial()
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				return
+			}
+			if !assert.NoError(t, err) {
+				return
+			}
+			time.Sleep(150 * time.Millisecond)
+			sent := time.Since(started)
+			id, err := c.send()
+			status := 0
+			if err == nil {
+				status, _, err = c.receive()
+			}
+			results <- result{id, sent, status, err}
+		})
+	}
+	callers.Wait()
+	close(results)
+	p.awaitEnd()
+	executions := p.target.Executions()
+	late := 0
+	for r := range results {
+		if r.sent < lastUse {
+			continue // Callers may still use the instance.
+		}
+		if executions[r.id] > 0 {
+			assert.NoError(t, r.err, "passed on and cut: sent after %s", r.sent)
+		}
+		if r.err == nil {
+			late++
+			assert.Equal(t, http.StatusServiceUnavailable, r.status)
+			assert.Zero(t, executions[r.id], "refused and executed")
+		}
+	}
+	t.Logf("%d answered that were sent later than %s", late, lastUse)
+	assert.NotZero(t, late)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -233,6 +233,9 @@
 	if record == nil || !state.Usable(record) || !ok {
 		return failed(relayRefused)
 	}
+	if g.stop.outlastsStop(time.Now(), incoming.arrived, incoming.arrived.Add(timeLeft), 0) {
+		return failed(relayRefused)
+	}
 	header := incoming.httpRequest.Header
 	if admission := g.Balancer.AdmitRelayed(time.Now(), record, parseLimit(header.Get(headerRelayLimit)), header.Get(headerRelayOverflow) != ""); !admission.Granted {
 		resp, result := failed(relayRefused)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -114,6 +114,7 @@
 	// as invalid.
 	invalidStatements nameSet
 	heldResponses     responseSlots
+	stop              stopTimes
 }
 
 func New(o Options) *Gateway {
@@ -267,6 +268,9 @@
 		if refusal != nil {
 			return g.refusalResponse(request, refusal)
 		}
+		if g.stop.outlastsStop(time.Now(), request.arrived, request.deadline, grant.ExpectedTime) {
+			return g.refuseForStop(request, grant)
+		}
 		outcome := g.sendAttempt(ctx, request, grant)
 		if outcome.response != nil && !outcome.retryable {
 			return outcome.response
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -154,3 +154,56 @@
 	_, err := c.reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against passing on a request that a planned stop will cut: one that comes
+// too late for its deadline, or one that takes longer than the rest of the stop. Its
+// caller can turn to another instance.
+func TestRequestsThatWouldOutlastAStopAreRefused(t *testing.T) {
+	const work = 150 * time.Millisecond
+	for name, c := range map[string]struct {
+		lateFrom, end time.Duration // From now.
+		status        int
+	}{
+		"late, may outlast the stop":     {-time.Millisecond, time.Second, 503},
+		"late, ends in time":             {-time.Millisecond, 10 * time.Second, 200},
+		"early, expected to outlast it":  {time.Hour, work, 503},
+		"early, expected to end in time": {time.Hour, time.Second, 200},
+		"early, no time left":            {time.Hour, 0, 503},
+		"no stop":                        {0, 0, 200},
+	} {
+		for _, path := range []string{"direct", "relayed"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				t.Parallel()
+				targets := []wiretarget.Options{{Slots: 4, WarmTime: work}}
+				var s *site
+				var stopping *gateway.Gateway
+				if path == "relayed" {
+					f := startFarSite(t, targets)
+					s, stopping = f.site, f.relayGateway
+				} else {
+					s = startSite(t, siteOptions{targets: targets})
+					stopping = s.gateway
+				}
+				for i := range 10 {
+					require.Equal(t, 200, s.request("POST", "/unsafe/x", fmt.Sprint("w", i), "b").StatusCode)
+				}
+				if name != "no stop" {
+					stopping.BeginStop(time.Now().Add(c.lateFrom), time.Now().Add(c.end))
+				}
+				want := c.status
+				if path == "relayed" && c.lateFrom > 0 && c.end > 0 {
+					want = 200 // Peers know how long their requests take, and leave a relay that stops.
+				}
+				resp := s.request("POST", "/unsafe/x", "r1", "b")
+				assert.Equal(t, want, resp.StatusCode)
+				executions := 0
+				if want == 200 {
+					executions = 1
+				} else {
+					assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+				}
+				assert.Equal(t, executions, s.executed("r1"))
+			})
+		}
+	}
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -13,11 +13,14 @@
 const (
 	// lateUseTime is how long new connections are accepted and idle ones kept after
 	// the instance has left the look-up responses. By then, callers that keep a
-	// response three times as long as its TTL have switched to other instances.
+	// response three times as long as its TTL have switched to other instances. It
+	// is at most three fifths of the time until the connections are closed.
 	lateUseTime = 3 * lookupTTL
 	// processExitMargin is the part of the deployment's shutdown period that is
 	// reserved for the exit of the process.
 	processExitMargin = 400 * time.Millisecond
+	// signalMargin is how long the signal may have waited for the process.
+	signalMargin = 200 * time.Millisecond
 	// defaultStopTimeout applies when the deployment sets no shutdown period.
 	defaultStopTimeout = 10 * time.Second
 	stopPollInterval   = 20 * time.Millisecond
@@ -33,6 +36,8 @@
 		grace = defaultStopTimeout
 	}
 	end := started.Add(grace - processExitMargin)
+	lateFrom := started.Add(min(lateUseTime, end.Sub(started)*3/5))
+	node.gateway.BeginStop(lateFrom.Add(-signalMargin), end)
 	node.events.Emit(events.NodeStopping, log.Fields{"inFlight": node.inFlight(), "connections": node.callerServer.Connections()})
 	node.fire("stop")
 	node.exchange.Leave()
@@ -40,7 +45,7 @@
 		server.Drain()
 	}
 	go node.unregister(ctx)
-	node.waitUntil(started.Add(lateUseTime), end, func() bool { return false })
+	node.waitUntil(lateFrom, end, func() bool { return false })
 	for _, server := range node.requestServers() {
 		server.StopAccepting()
 	}
