Withdraw trials of refused requests that reach no target

Callers: a request that is refused because it crashed targets, and would be served again, could lose all of its trials to full targets, each counted as a crash, and stay refused for 24 hours.

Cause: a trial was counted when it was admitted, not when it was sent.

--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -132,25 +132,36 @@
 	}
 }
 
-// Admit returns the crashes of a request in a row, and whether it must be refused.
-// A request that has not crashed a target for some time is admitted once, as a
-// trial. The trial counts as a crash until a complete response clears the request.
-func (suspects *Suspects) Admit(now time.Time, f quarantine.Fingerprint) (CrashCount, bool) {
+// SuspectDecision tells whether a request may be sent to a target.
+type SuspectDecision struct {
+	Count   CrashCount
+	Refused bool
+	Trial   bool // The request is sent although it has crashed targets; see AbortTrial.
+}
+
+// Admit decides on a request. A refused one that has not crashed a target for some
+// time is admitted once, as a trial. The trial counts as a crash until a complete
+// response clears the request.
+func (suspects *Suspects) Admit(now time.Time, f quarantine.Fingerprint) SuspectDecision {
 	suspects.mu.Lock()
 	defer suspects.mu.Unlock()
 	key := shortFingerprint(f)
 	entry := suspects.counts[key]
 	if entry == nil || entry.expired(now) {
-		return CrashCount{}, false
-	}
-	if !entry.refused() {
-		return entry.CrashCount, false
+		return SuspectDecision{}
 	}
-	if !suspects.trialDue(now, entry) {
-		return entry.CrashCount, true
+	if !entry.refused() || !suspects.trialDue(now, entry) {
+		return SuspectDecision{Count: entry.CrashCount, Refused: entry.refused()}
 	}
 	suspects.merge(now, key, CrashCount{Clearance: entry.Clearance, Crashes: entry.Crashes + 1}, now)
-	return entry.CrashCount, false
+	return SuspectDecision{Count: entry.CrashCount, Trial: true}
+}
+
+// AbortTrial withdraws a trial that has not reached a target.
+func (suspects *Suspects) AbortTrial(now time.Time, f quarantine.Fingerprint, trial SuspectDecision) {
+	suspects.mu.Lock()
+	defer suspects.mu.Unlock()
+	suspects.merge(now, shortFingerprint(f), CrashCount{Clearance: trial.Count.Clearance + 1, Crashes: trial.Count.Crashes}, now)
 }
 
 // trialDue reports whether this instance may send a refused request to a target.
--- a/balance/suspects_test.go
+++ b/balance/suspects_test.go
@@ -106,10 +106,10 @@
 	nextReport := from
 	for at, i := from, 0; at < until; at, i = at+interval, i+1 {
 		now := start.Add(at)
-		if sent, refused := fleet[i%len(fleet)].Admit(now, f); !refused {
+		if admission := fleet[i%len(fleet)].Admit(now, f); !admission.Refused {
 			reached++
 			if crashes(at) {
-				fleet[i%len(fleet)].RecordCrash(now.Add(interval/2), f, sent)
+				fleet[i%len(fleet)].RecordCrash(now.Add(interval/2), f, admission.Count)
 			} else {
 				fleet[i%len(fleet)].Clear(now.Add(interval/2), f)
 			}
@@ -173,6 +173,27 @@
 	assert.Equal(t, 600, reached, "all are served")
 }
 
+// Guards against refusing a request for hours because its trials found no target
+// with room and counted as crashes.
+func TestTrialThatReachesNoTargetIsNotCounted(t *testing.T) {
+	s := balance.NewSuspects()
+	f := quarantine.Fingerprint{1}
+	for range 3 {
+		recordCrash(s, start, f)
+	}
+	at := start
+	for range 10 {
+		at = at.Add(3*time.Minute + time.Second)
+		admission := s.Admit(at, f)
+		assert.True(t, admission.Trial)
+		assert.True(t, s.Admit(at, f).Refused, "one at a time")
+		s.AbortTrial(at.Add(time.Millisecond), f, admission)
+	}
+	count, refused := s.Check(at, f)
+	assert.True(t, refused)
+	assert.Equal(t, 3, count.Crashes)
+}
+
 // Guards against refusing a popular request because of lost responses.
 func TestSuccessClearsSuspectRequest(t *testing.T) {
 	s := balance.NewSuspects()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -261,8 +261,13 @@
 func (g *Gateway) sendWithRetries(ctx context.Context, request *routedRequest) *response {
 	g.Budget.CountRequest(request.arrived, request.service)
 	for {
-		if crashes, refused := g.suspectedCrashes(request); refused {
-			return g.suspectResponse(request, crashes)
+		decision := g.admitSuspect(request)
+		if decision.Refused {
+			return g.suspectResponse(request, decision.Count.Crashes)
+		}
+		request.crashesWhenSent = decision.Count
+		if decision.Trial {
+			defer g.abortUnsentTrial(request, decision)
 		}
 		grant, refusal := g.Balancer.Pick(time.Now(), request.pickCriteria(time.Now()))
 		if refusal != nil {
@@ -322,16 +327,20 @@
 	return retryAfterResponse(http.StatusServiceUnavailable, string(refusal.Reason), refusal.RetryAfter)
 }
 
-// suspectedCrashes returns how many targets the request has probably crashed, and
-// whether it must not be sent to a target any more.
-func (g *Gateway) suspectedCrashes(request *routedRequest) (int, bool) {
-	request.crashesWhenSent = balance.CrashCount{}
+// admitSuspect decides whether the request may be sent to a target although it may
+// have crashed some.
+func (g *Gateway) admitSuspect(request *routedRequest) balance.SuspectDecision {
 	if !g.Suspects.Any() {
-		return 0, false
+		return balance.SuspectDecision{}
+	}
+	return g.Suspects.Admit(time.Now(), request.fingerprint())
+}
+
+// abortUnsentTrial withdraws the trial of a request that no target can have executed.
+func (g *Gateway) abortUnsentTrial(request *routedRequest, trial balance.SuspectDecision) {
+	if !request.mayHaveExecuted {
+		g.Suspects.AbortTrial(time.Now(), request.fingerprint(), trial)
 	}
-	count, refused := g.Suspects.Admit(time.Now(), request.fingerprint())
-	request.crashesWhenSent = count
-	return count.Crashes, refused
 }
 
 // suspectResponse returns the response to a request after which several targets in
