Count the end of a connection as a crash only if the target is down

Callers: while targets lost responses and stayed up, requests that they execute were refused with 503 (suspected-crash) by all instances.

Cause: a connection that ends was taken for a crash. A safe request whose three attempts lose their responses within 5 ms reaches the limit at once.

Change: 30 ms after the end of a connection, the target is checked: it has crashed if its next incarnation is known, or if no idle connection to it is open and none can be opened. Connections that end together share a check, and the connection that it opens is kept. An attempt that is sent before a check is over counts as sent after the possible crash.

--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -14,8 +14,8 @@
 
 const (
 	// refuseAfterCrashes is the number of consecutive crashes, over all
-	// instances, after which a request is refused. A lost response looks like
-	// a crash, so a lower number would be unreliable.
+	// instances, after which a request is refused. Another request may have
+	// caused some of them.
 	refuseAfterCrashes = 3
 	// suspectTTL is how long after its last crash a request is remembered that
 	// is not refused, and refusedTTL the same for one that is.
@@ -55,12 +55,8 @@
 	Suspicion  = steering.Suspicion
 )
 
-func compareCounts(a, b CrashCount) int {
-	return cmp.Or(cmp.Compare(a.Clearance, b.Clearance), cmp.Compare(a.Crashes, b.Crashes))
-}
-
-// Suspects tracks requests during whose execution targets closed the
-// connection. Such a request may crash targets, and its caller may retry it
+// Suspects tracks requests during whose execution targets crashed. Such a
+// request may crash targets, and its caller may retry it
 // through any instance. Every instance keeps the counts of all: they are merged
 // by taking the greater one, so that a report may come twice, late or through
 // others, and the end of an instance loses nothing that it has reported.
@@ -110,7 +106,7 @@
 // count that was known when the attempt was sent: crashes of attempts that were
 // in flight at the same time count once, since one of them, or another request,
 // may have caused them all. It returns the new count.
-func (suspects *Suspects) RecordCrash(now time.Time, f quarantine.Fingerprint, sent CrashCount) int {
+func (suspects *Suspects) RecordCrash(now time.Time, f quarantine.Fingerprint, sent CrashCount) CrashCount {
 	suspects.mu.Lock()
 	defer suspects.mu.Unlock()
 	key := shortFingerprint(f)
@@ -118,7 +114,7 @@
 	if entry := suspects.counts[key]; entry != nil && entry.Clearance > sent.Clearance {
 		count = CrashCount{Clearance: entry.Clearance, Crashes: 1}
 	}
-	return suspects.merge(now, key, count, now).Crashes
+	return suspects.merge(now, key, count, now)
 }
 
 // Clear forgets the crashes of a request at all instances. It is called after a
@@ -210,7 +206,7 @@
 	if entry == nil || entry.expired(now) {
 		entry = &suspect{}
 	}
-	switch order := compareCounts(count, entry.CrashCount); {
+	switch order := count.Compare(entry.CrashCount); {
 	case order < 0:
 		return entry.CrashCount
 	case order == 0:
--- a/events/steering.go
+++ b/events/steering.go
@@ -74,10 +74,10 @@
 	RegionWeights = register(Event{Number: 527, Name: "region-weights", Level: log.InfoLevel,
 		Message: "distribution of a service's requests over the regions changed", Fields: []string{"service", "parts", "load", "slots"}, Action: "none"})
 	RequestSuspected = register(Event{Number: 528, Name: "request-suspected", Level: log.WarnLevel,
-		Message: "request refused because several targets closed the connection while executing it", Fields: []string{"request", "route", "service", "fingerprint", "crashes"},
+		Message: "request refused because several targets crashed while executing it", Fields: []string{"request", "route", "service", "fingerprint", "crashes"},
 		Action: "check the request and the targets that crashed"})
 	CrashCounted = register(Event{Number: 537, Name: "crash-counted", Level: log.InfoLevel,
-		Message: "target closed the connection while it executed a request", Fields: []string{"request", "target", "service", "fingerprint", "stage", "crashes"},
+		Message: "target closed the connection while it executed a request, and was down after that", Fields: []string{"request", "target", "service", "fingerprint", "stage", "crashes"},
 		Action: "check the target's log if the count of a fingerprint grows"})
 	PeerRequestEnded = register(Event{Number: 529, Name: "peer-request-ended", Level: log.InfoLevel,
 		Message: "request of a peer relayed to a target", Fields: []string{"request", "target", "result", "status", "tookMs"}, Action: "none"})
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -51,6 +51,13 @@
 	return nil
 }
 
+// CheckAccepting returns an error unless the target accepts connections. It opens
+// one for later use, unless there is an idle one that the target has not closed.
+func (f *Forwarder) CheckAccepting(ctx context.Context, target Target) error {
+	f.pool.pruneIdleTo(target.Address, time.Now())
+	return f.Preconnect(ctx, target)
+}
+
 // Close closes the idle connections. Connections in use are closed when their
 // exchange ends.
 func (f *Forwarder) Close() { f.pool.close() }
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -215,9 +215,14 @@
 	addresses := slices.Collect(maps.Keys(p.idle))
 	p.mu.Unlock()
 	for _, address := range addresses {
-		for _, c := range p.popUnusable(address, now.Add(-p.idleTimeout)) {
-			p.discard(address, c)
-		}
+		p.pruneIdleTo(address, now)
+	}
+}
+
+// pruneIdleTo is pruneIdle for the connections to one address.
+func (p *pool) pruneIdleTo(address string, now time.Time) {
+	for _, c := range p.popUnusable(address, now.Add(-p.idleTimeout)) {
+		p.discard(address, c)
 	}
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -200,7 +200,7 @@
 	}
 	g.deferTarget(request, grant, targetAtFault, err)
 	if targetAtFault && failure != nil && failure.TargetClosed {
-		g.recordCrash(request, grant.Target, crashBeforeHead)
+		g.suspectCrash(request, grant.Target, crashBeforeHead)
 	}
 	switch {
 	case stage == forward.StageConnect:
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -248,9 +248,11 @@
 		destination.MaxIdleTime = nonIdempotentMaxIdle
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.deadline)
-	if g.Suspects.Any() { // For the count; the peer has decided to send the request.
-		request.crashesWhenSent, _ = g.Suspects.Check(time.Now(), request.fingerprint())
+	known := balance.CrashCount{} // The peer has decided to send the request.
+	if g.Suspects.Any() {
+		known, _ = g.Suspects.Check(time.Now(), request.fingerprint())
 	}
+	g.noteCrashesWhenSent(request, known)
 	sent := time.Now()
 	received, err := g.Forwarder.Do(ctx, destination, g.newForwardRequest(request, balance.Grant{Target: record}, sent))
 	if err != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -114,6 +114,7 @@
 	// as invalid.
 	invalidStatements nameSet
 	heldResponses     responseSlots
+	crashChecks       crashChecks
 	stop              stopTimes
 }
 
@@ -149,6 +150,7 @@
 	targetFull        bool                    // A target had no capacity.
 	overflowRefused   bool                    // See balance.Request.
 	crashesWhenSent   balance.CrashCount      // That were known when the last attempt was sent.
+	uncheckedWhenSent *possibleCrash          // One that was not checked yet; nil if there was none.
 	cachedFingerprint *quarantine.Fingerprint // See fingerprint; nil until it is needed.
 }
 
@@ -265,7 +267,7 @@
 		if decision.Refused {
 			return g.suspectResponse(request, decision.Count.Crashes)
 		}
-		request.crashesWhenSent = decision.Count
+		g.noteCrashesWhenSent(request, decision.Count)
 		if decision.Trial {
 			defer g.abortUnsentTrial(request, decision)
 		}
--- a/steering/crashes.go
+++ b/steering/crashes.go
@@ -1,6 +1,9 @@
 package steering
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // CrashCount is the number of crashes of a request in a row. Of two counts, the
 // one with the higher Clearance holds, else the one with more crashes.
@@ -11,6 +14,12 @@
 	Crashes   int
 }
 
+// Compare returns a positive number if the count holds against another one, 0 if they
+// are equal.
+func (count CrashCount) Compare(other CrashCount) int {
+	return cmp.Or(cmp.Compare(count.Clearance, other.Clearance), cmp.Compare(count.Crashes, other.Crashes))
+}
+
 // Suspicion is a CrashCount as an instance tells it to others.
 type Suspicion struct {
 	CrashCount
