--- a/forward/stale_test.go
+++ b/forward/stale_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"errors"
+	"net"
 	"testing"
 	"time"
 
@@ -66,3 +68,34 @@
 	require.NoError(t, err, "at the limit an idle connection is closed for a new one")
 	assert.Equal(t, 5, f.pool.openCount[target.Address])
 }
+
+// Guards against taking a target for one that accepts connections because of an idle
+// connection that it has closed, and against a further connection where one is idle.
+func TestCheckAccepting(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	f := New()
+	defer f.Close()
+	target := Target{Address: listener.Addr().String()}
+	require.NoError(t, f.CheckAccepting(context.Background(), target))
+	first := <-accepted
+	require.NoError(t, f.CheckAccepting(context.Background(), target), "the connection is still open")
+	assert.Empty(t, accepted)
+	require.NoError(t, first.Close())
+	require.Eventually(t, func() bool {
+		return f.CheckAccepting(context.Background(), target) == nil && len(accepted) == 1
+	}, hangTimeout, time.Millisecond, "another one is opened")
+	require.NoError(t, listener.Close())
+	_ = (<-accepted).Close()
+	require.Eventually(t, func() bool { return f.CheckAccepting(context.Background(), target) != nil }, hangTimeout, time.Millisecond)
+}
