Use one function for responses to requests that are not sent again

In the tests, the choice of a direct or a relayed site stood twice, and in balance the same report entry was built twice.

Behaviour, reasons, statuses and assertions stay.

--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -56,10 +56,10 @@
 )
 
 // Suspects tracks requests during whose execution targets crashed. Such a
-// request may crash targets, and its caller may retry it
-// through any instance. Every instance keeps the counts of all: they are merged
-// by taking the greater one, so that a report may come twice, late or through
-// others, and the end of an instance loses nothing that it has reported.
+// request may be the cause, and its caller may retry it through any instance.
+// Every instance keeps the counts of all: they are merged by taking the greater
+// one, so that a report may come twice, late or through others, and the end of
+// an instance loses nothing that it has reported.
 //
 // A success clears a request at all instances, because popular requests are
 // often in flight when another request crashes a target.
@@ -186,6 +186,10 @@
 	return entry.CrashCount, entry.refused()
 }
 
+func (entry *suspect) suspicion(now time.Time) Suspicion {
+	return Suspicion{CrashCount: entry.CrashCount, Age: now.Sub(entry.lastCrash)}
+}
+
 func (entry *suspect) refused() bool { return entry.Crashes >= refuseAfterCrashes }
 
 func (entry *suspect) expired(now time.Time) bool {
@@ -275,8 +279,7 @@
 	}
 	report := make(map[uint64]Suspicion, len(due))
 	for _, key := range due {
-		entry := suspects.counts[key]
-		report[key] = Suspicion{CrashCount: entry.CrashCount, Age: now.Sub(entry.lastCrash)}
+		report[key] = suspects.counts[key].suspicion(now)
 	}
 	return report
 }
@@ -288,7 +291,7 @@
 	refused := map[uint64]Suspicion{}
 	for key, entry := range suspects.counts {
 		if entry.refused() && !entry.expired(now) {
-			refused[key] = Suspicion{CrashCount: entry.CrashCount, Age: now.Sub(entry.lastCrash)}
+			refused[key] = entry.suspicion(now)
 		}
 	}
 	return refused
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -59,6 +59,18 @@
 	}
 }
 
+// startScripts starts targets, and an instance that uses them directly or through a
+// relay. It returns the gateways that may count crashes.
+func startScripts(t *testing.T, relayed bool, scripts []script) (*site, []*gateway.Gateway) {
+	t.Helper()
+	if relayed {
+		f := startFarSite(t, nil, scripts...)
+		return f.site, []*gateway.Gateway{f.gateway, f.relayGateway}
+	}
+	s := startSite(t, siteOptions{scripts: scripts})
+	return s, []*gateway.Gateway{s.gateway}
+}
+
 // awaitCrashChecks waits until the checks of targets that have crashed are over.
 func awaitCrashChecks() { time.Sleep(100 * time.Millisecond) }
 
@@ -81,15 +93,7 @@
 					for range 6 {
 						scripts = append(scripts, target.handle)
 					}
-					var s *site
-					instances := []*gateway.Gateway{}
-					if path == "relayed" {
-						f := startFarSite(t, nil, scripts...)
-						s, instances = f.site, append(instances, f.gateway, f.relayGateway)
-					} else {
-						s = startSite(t, siteOptions{scripts: scripts})
-						instances = append(instances, s.gateway)
-					}
+					s, instances := startScripts(t, path == "relayed", scripts)
 					refused := 0
 					for i := range 8 {
 						conn := s.dial()
@@ -242,15 +246,7 @@
 						return err == nil
 					}
 					scripts := []script{target, target, target, target, target, target, target, target}
-					var s *site
-					instances := []*gateway.Gateway{}
-					if path == "relayed" {
-						f := startFarSite(t, nil, scripts...)
-						s, instances = f.site, append(instances, f.gateway, f.relayGateway)
-					} else {
-						s = startSite(t, siteOptions{scripts: scripts})
-						instances = append(instances, s.gateway)
-					}
+					s, instances := startScripts(t, path == "relayed", scripts)
 					for i := range 5 {
 						conn := s.dial()
 						conn.send("POST", "/"+route+"/popular", fmt.Sprint("lost", i), "b")
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -320,13 +320,20 @@
 		"reason": refusal.Reason, "region": refusal.Region, "load": refusal.Load, "waitMs": refusal.ExpectedWait.Milliseconds(),
 		"expectedMs": refusal.ExpectedTime.Milliseconds(), "sinceFirstMs": now.Sub(request.firstSent).Milliseconds(),
 		"leftMs": request.deadline.Sub(now).Milliseconds(), "retryAfterMs": refusal.RetryAfter.Milliseconds(), "version": uint64(request.version)})
-	if request.failedResponse != nil {
+	return request.unsentResponse("attempt-failed", string(refusal.Reason), refusal.RetryAfter)
+}
+
+// unsentResponse returns the response to a request that is not sent again: a target's
+// error response that is kept, 502 with the reason failed if an earlier attempt may
+// have been executed, or else 503 with the reason refused.
+func (request *routedRequest) unsentResponse(failed, refused string, retryAfter time.Duration) *response {
+	switch {
+	case request.failedResponse != nil:
 		return request.failedResponse
+	case request.mayHaveExecuted:
+		return systemResponse(http.StatusBadGateway, failed)
 	}
-	if request.mayHaveExecuted {
-		return systemResponse(http.StatusBadGateway, "attempt-failed")
-	}
-	return retryAfterResponse(http.StatusServiceUnavailable, string(refusal.Reason), refusal.RetryAfter)
+	return retryAfterResponse(http.StatusServiceUnavailable, refused, retryAfter)
 }
 
 // admitSuspect decides whether the request may be sent to a target although it may
@@ -350,29 +357,19 @@
 func (g *Gateway) suspectResponse(request *routedRequest, crashes int) *response {
 	g.events.Emit(events.RequestSuspected, log.Fields{"request": request.id, "route": request.route.Name, "service": request.service,
 		"fingerprint": request.fingerprint().String(), "crashes": crashes})
-	if request.failedResponse != nil {
-		return request.failedResponse
-	}
-	if request.mayHaveExecuted {
-		return systemResponse(http.StatusBadGateway, "suspected-crash")
-	}
-	return retryAfterResponse(http.StatusServiceUnavailable, "suspected-crash", suspectRetryAfter)
+	return request.unsentResponse("suspected-crash", "suspected-crash", suspectRetryAfter)
 }
 
 // failureResponse returns the response to a request whose last attempt failed.
 func (request *routedRequest) failureResponse(outcome attemptOutcome) *response {
-	switch {
-	case outcome.response != nil:
+	if outcome.response != nil {
 		return outcome.response
-	case request.failedResponse != nil:
-		return request.failedResponse
-	case request.mayHaveExecuted:
-		return systemResponse(http.StatusBadGateway, "attempt-failed")
 	}
-	if !request.targetFull {
-		return retryAfterResponse(http.StatusServiceUnavailable, "not-executed", notExecutedRetryAfter)
+	retryAfter := notExecutedRetryAfter
+	if request.targetFull {
+		retryAfter = shedRetryAfter
 	}
-	return retryAfterResponse(http.StatusServiceUnavailable, "not-executed", shedRetryAfter)
+	return request.unsentResponse("attempt-failed", "not-executed", retryAfter)
 }
 
 // interruptedResponse returns the response to a request whose deadline has passed
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -43,11 +42,5 @@
 // returns the response to the request.
 func (g *Gateway) refuseForStop(request *routedRequest, grant balance.Grant) *response {
 	g.Balancer.Done(time.Now(), grant, balance.Observation{Result: balance.Abandoned})
-	switch {
-	case request.failedResponse != nil:
-		return request.failedResponse
-	case request.mayHaveExecuted:
-		return systemResponse(http.StatusBadGateway, "stopping")
-	}
-	return retryAfterResponse(http.StatusServiceUnavailable, "stopping", notExecutedRetryAfter)
+	return request.unsentResponse("stopping", "stopping", notExecutedRetryAfter)
 }
