Add the types of client accounts and the place of the quota check

The gateway, the balancer and the configuration need common types before the parts that use accounts, quotas and ranks can be built.

Adds steering.Account, Rank and the key index, Route.Public, the headers for the key and the account, the account and rank of balance.Request, and the interface gateway.Quotas with its call between authentication and the first attempt. Records of the store are not decoded into accounts yet, so no request is authenticated.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -49,8 +49,10 @@
 // Request describes a request that needs a target.
 type Request struct {
 	Service         string
-	Object          string // Empty if the request has no object or its route is not sticky.
-	HomeRegions     steering.HomeRegions
+	Object          string               // Empty if the request has no object or its route is not sticky.
+	HomeRegions     steering.HomeRegions // That the route and the account both allow.
+	Account         string               // Empty if the request has no account.
+	Rank            steering.Rank
 	Objective       time.Duration // Latency within which a response has its full value.
 	Elapsed         time.Duration // Since the caller's first attempt.
 	Remaining       time.Duration // Until the deadline.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -55,6 +55,11 @@
 	Deadline(http.Header) (time.Duration, bool)
 	// ObjectKey returns the key of the object that the request concerns, or "".
 	ObjectKey(http.Header) string
+	// Key returns the caller's API key, or "".
+	Key(http.Header) string
+	// SetAccount removes the caller's API key, and sets the name of the account, or
+	// removes it if account is empty.
+	SetAccount(h http.Header, account string)
 	// SetTarget sets the ID of the target that a request is sent to and the time
 	// left for the request.
 	SetTarget(h http.Header, target string, left time.Duration)
@@ -97,6 +102,7 @@
 	Headers        Headers
 	Events         *events.Log
 	LiveInstances  func() int // Number of instances that share limits and budgets, including this one.
+	Quotas         Quotas     // Limits the requests of accounts; nil if there are no limits.
 }
 
 // Gateway forwards requests to targets.
@@ -135,7 +141,10 @@
 type routedRequest struct {
 	*incomingRequest
 	id                string
+	config            *steering.Config // The configuration by which the whole request is decided.
 	route             *steering.Route
+	account           *steering.Account    // Nil if the request has none.
+	homeRegions       steering.HomeRegions // That the route and the account both allow.
 	service           string
 	version           steering.Version
 	objectKey         string
@@ -209,10 +218,13 @@
 	if config == nil {
 		return retryAfterResponse(http.StatusServiceUnavailable, "no-configuration", noConfigRetryAfter)
 	}
-	request.version = config.Version
+	request.config, request.version = config, config.Version
 	if request.route = config.Match(request.httpRequest.Host, request.path); request.route == nil {
 		return systemResponse(http.StatusNotFound, "no-route")
 	}
+	if refusal := g.authenticate(request); refusal != nil {
+		return refusal
+	}
 	request.service = g.splitter.choose(request.route)
 	if request.route.Sticky {
 		request.objectKey = g.Headers.ObjectKey(request.httpRequest.Header)
@@ -230,6 +242,11 @@
 	}
 	// The caller's Connection header must not name headers that attempts add.
 	forward.CleanRequestHeaders(request.httpRequest.Header)
+	request.setAccountHeader(g.Headers)
+	if refusal := g.admitByQuota(request); refusal != nil {
+		return refusal
+	}
+	defer g.returnUnusedQuota(request)
 	ctx, cancel := context.WithDeadline(ctx, request.deadline)
 	if request.stream != nil {
 		context.AfterFunc(ctx, func() {
@@ -294,7 +311,8 @@
 }
 
 func (request *routedRequest) pickCriteria(now time.Time) balance.Request {
-	return balance.Request{Service: request.service, Object: request.objectKey, HomeRegions: request.route.HomeRegions, Objective: request.route.Objective,
+	return balance.Request{Service: request.service, Object: request.objectKey, HomeRegions: request.homeRegions,
+		Account: request.accountName(), Rank: request.config.RankOf(request.account, request.route), Objective: request.route.Objective,
 		Elapsed: now.Sub(request.firstSent), Remaining: request.deadline.Sub(now), ExcludedTargets: request.excludedTargets, Retry: request.attempts() > 0, HasFallback: request.failedResponse != nil, Unrelayable: request.stream != nil, OverflowRefused: request.overflowRefused}
 }
 
--- a/steering/config.go
+++ b/steering/config.go
@@ -16,8 +16,20 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Accounts holds the client accounts by name.
+	Accounts map[string]*Account
+	// AccountsRequired is set if requests on routes that are not public need the
+	// key of an account.
+	AccountsRequired bool
+	// AccountsUnknown is set if the accounts could not be decoded. Requests that
+	// need a key cannot be authenticated then.
+	AccountsUnknown bool
+	// DefaultPriority is the priority of accounts that state none, and of requests
+	// without an account.
+	DefaultPriority int
 
-	routesByHost map[string]map[string]*Route // By host, then by prefix.
+	routesByHost  map[string]map[string]*Route // By host, then by prefix.
+	accountsByKey map[KeyHash]*Account         // Nil for a key of several accounts.
 }
 
 // Route defines how requests for a host and path prefix are handled.
@@ -33,6 +45,7 @@
 	Sticky      bool          // A target that has handled the same object recently is faster.
 	Split       []WeightedService
 	HomeRegions HomeRegions
+	Public      bool // Requests need no key and have no account.
 }
 
 // WeightedService is a service with its share of a route's requests.
@@ -57,9 +70,10 @@
 	IdleTimeout  time.Duration // Between two requests on a connection.
 }
 
-// Index builds the lookup tables for Match. It must be called once before the
-// configuration is shared.
+// Index builds the lookup tables for Match and AccountOfKey. It must be called
+// once before the configuration is shared.
 func (config *Config) Index() {
+	config.indexKeys()
 	config.routesByHost = map[string]map[string]*Route{}
 	for i := range config.Routes {
 		r := &config.Routes[i]
@@ -96,17 +110,42 @@
 	return strings.ToLower(host)
 }
 
-// NoHomeRegion allows no region. It is used for a route whose home regions
-// cannot be decoded.
+// NoHomeRegion allows no region. It is used for a route or an account whose home
+// regions cannot be decoded.
 var NoHomeRegion = HomeRegions{""}
 
-// HomeRegions are the regions that may serve a route; an empty list allows all
-// regions.
+// HomeRegions are the regions that may serve a route or an account; an empty list
+// allows all regions.
 type HomeRegions []string
 
 // Allows reports whether targets in the region may serve the route.
 func (h HomeRegions) Allows(region string) bool { return len(h) == 0 || slices.Contains(h, region) }
 
+// Intersect returns the regions that both allow, or NoHomeRegion if there is none.
+func (h HomeRegions) Intersect(other HomeRegions) HomeRegions {
+	switch {
+	case len(h) == 0:
+		return other
+	case len(other) == 0:
+		return h
+	}
+	var both HomeRegions
+	for _, region := range h {
+		if slices.Contains(other, region) {
+			both = append(both, region)
+		}
+	}
+	if len(both) == 0 {
+		return NoHomeRegion
+	}
+	return both
+}
+
+// AllowsNone reports whether no region may serve requests.
+func (h HomeRegions) AllowsNone() bool {
+	return len(h) > 0 && !slices.ContainsFunc(h, func(region string) bool { return region != "" })
+}
+
 // SortRoutes sorts routes by name, so that equal configurations have equal
 // content.
 func SortRoutes(routes []Route) {
