--- /dev/null
+++ b/quota/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package quota_test
+
+const raceEnabled = true
