Apply the accounts' limits at the instances

Messages within a domain and digests gain field 26 with the rates of accounts; it is omitted where there is nothing to report. The settings' bounds gain quotaWindow, quotaOver and quotaSlack. The node takes the limits from the configuration in force, updates the share of the instances that it hears every 0.1 s, discards levels after a pause, logs events 550 and 551 and counts requests_over_quota_total and accounts_limited.

Reports on quotas count for 0.5 s (1.1 s from other regions), not for the 1 to 2 s of liveness: with the longer times, a surge at the moment of a partition exceeded the rule's bound.

go test -race passes for gossip, node and platform.

--- a/events/steering.go
+++ b/events/steering.go
@@ -102,6 +102,11 @@
 	ConnectionCut = register(Event{Number: 534, Name: "connection-cut", Level: log.InfoLevel,
 		Message: "connection of a caller closed with requests unanswered or bytes unread", Fields: []string{"cause", "caller", "unanswered", "requests", "unreadBytes"},
 		Action: "check for slow requests if the cause is stop-ended, and for callers that do not read if it is write-timed-out"})
+	QuotaExceeded = register(Event{Number: 550, Name: "quota-exceeded", Level: log.InfoLevel,
+		Message: "request refused because its account is over its limit at all instances together; rates per second", Fields: []string{"account", "demand", "limit", "level", "refused", "retryAfterMs"},
+		Action: "none; raise the account's limit if the demand is justified"})
+	QuotaRestored = register(Event{Number: 551, Name: "quota-restored", Level: log.InfoLevel,
+		Message: "requests of an account are no longer refused", Fields: []string{"account", "refused", "overMs"}, Action: "none"})
 	PeerReadFailed = register(Event{Number: 541, Name: "peer-read-failed", Level: log.WarnLevel,
 		Message: "failed to read a message of a peer", Fields: []string{"error"}, Action: "check the network interface of the peer address if it occurs often"})
 	RequestUnreadable = register(Event{Number: 540, Name: "request-unreadable", Level: log.InfoLevel,
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/quota"
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
@@ -83,7 +84,8 @@
 	Events   *events.Log
 	Balancer *balance.Balancer
 	Suspects *balance.Suspects
-	Seeds    []string // Peer addresses of instances that introduce peers to each other.
+	Quotas   *quota.Limiter // Nil where requests of accounts are not limited.
+	Seeds    []string       // Peer addresses of instances that introduce peers to each other.
 	// Bootstrap is set when the whole deployment starts for the first time.
 	Bootstrap      bool
 	Revision       func() uint64
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/jacinthstall/jacinthstall/balance"
+	"github.com/jacinthstall/jacinthstall/quota"
 )
 
 // Message is a message between instances. Within a failure domain it describes
@@ -28,6 +29,7 @@
 	Echo           uint64 // Sent of the digest that this message acknowledges; otherwise 0.
 	Report         balance.Report
 	Suspects       map[uint64]balance.Suspicion // By the short fingerprint of a request.
+	Quotas         quota.Report                 // In digests the sum over the domain.
 	// Members is set in digests and holds the live instances of the sender's
 	// domain. Report is then the sum of their reports.
 	Members   []Member
@@ -82,6 +84,7 @@
 	fieldIntroduction
 	fieldLimits   // Fixed32 hash, float32 rate and a varint with the age in ms and whether the target is owned, packed.
 	fieldSuspects // Fixed64 fingerprint and three varints: clearance, crashes and age in seconds, packed.
+	fieldQuotas   // Fixed32 hash and two varints: demand and refused demand in hundredths of a request per second, packed.
 )
 
 // Upper bounds of values in a message. Messages that exceed them are rejected,
@@ -152,6 +155,7 @@
 
 func (m *Message) appendReport(b []byte) []byte {
 	b = appendPairs(b, fieldSuspects, m.Suspects, appendSuspicion)
+	b = appendPairs(b, fieldQuotas, m.Quotas, appendQuota)
 	counts := func(b []byte, hash uint32, n int) []byte {
 		return protowire.AppendVarint(protowire.AppendFixed32(b, hash), uint64(n))
 	}
@@ -217,6 +221,33 @@
 	}, length
 }
 
+// quotaScale is the number of steps per request per second in which the rates of
+// accounts are sent. Most rates of an instance fit into one or two bytes then.
+const quotaScale = 100
+
+// appendQuota encodes the rates of an account. The refused rate takes one byte for
+// accounts below their limits.
+func appendQuota(b []byte, hash uint32, rates quota.Rates) []byte {
+	demand := min(max(0, rates.Demand), maxRate)
+	b = protowire.AppendVarint(protowire.AppendFixed32(b, hash), uint64(math.Round(demand*quotaScale)))
+	refused := min(max(0, demand-rates.Admitted), demand)
+	return protowire.AppendVarint(b, uint64(math.Round(refused*quotaScale)))
+}
+
+// consumeQuota decodes the rates of an account. Like the functions of protowire it
+// returns a negative length if the encoding is invalid.
+func consumeQuota(b []byte) (quota.Rates, int) {
+	demand, n := protowire.ConsumeVarint(b)
+	if n < 0 {
+		return quota.Rates{}, n
+	}
+	refused, m := protowire.ConsumeVarint(b[n:])
+	if m < 0 {
+		return quota.Rates{}, m
+	}
+	return quota.Rates{Demand: float64(demand) / quotaScale, Admitted: (float64(demand) - float64(refused)) / quotaScale}, n + m
+}
+
 // appendPairs packs the entries of a map into one field. An empty map is
 // omitted.
 func appendPairs[K comparable, V any](b []byte, field protowire.Number, pairs map[K]V, pack func([]byte, K, V) []byte) []byte {
@@ -351,6 +382,12 @@
 			m.Suspects[fingerprint] = suspicion
 			return true
 		})
+	case fieldQuotas:
+		m.Quotas = quota.Report{}
+		return eachPair(v, protowire.ConsumeFixed32, consumeQuota, func(hash uint32, rates quota.Rates) bool {
+			m.Quotas[hash] = rates
+			return rates.Demand <= maxRate && rates.Admitted >= 0
+		})
 	case fieldInFlight:
 		return readCounts(v, m.Report.InFlight)
 	case fieldFailing:
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/jacinthstall/jacinthstall/balance"
+	"github.com/jacinthstall/jacinthstall/quota"
 )
 
 func genMessage(t *rapid.T) *Message {
@@ -26,6 +27,9 @@
 	if rapid.Bool().Draw(t, "suspects") {
 		m.Suspects = rapid.MapOfN(rapid.Uint64(), rapid.Custom(genSuspicion), 1, 4).Draw(t, "suspicions")
 	}
+	if rapid.Bool().Draw(t, "quotas") {
+		m.Quotas = rapid.MapOfN(rapid.Uint32(), rapid.Custom(genRates), 1, 4).Draw(t, "rates")
+	}
 	for range rapid.IntRange(0, 3).Draw(t, "members") {
 		m.Members = append(m.Members, Member{Name: rapid.StringN(1, 5, -1).Draw(t, "member"), Address: text.Draw(t, "a"),
 			Ready: rapid.Bool().Draw(t, "r")})
@@ -38,6 +42,12 @@
 		Age: time.Duration(rapid.IntRange(0, int(maxSuspicionAge.Seconds())).Draw(t, "age")) * time.Second}
 }
 
+func genRates(t *rapid.T) quota.Rates {
+	demand := rapid.IntRange(0, 1_000_000).Draw(t, "demand")
+	refused := rapid.IntRange(0, demand).Draw(t, "refused")
+	return quota.Rates{Demand: float64(demand) / quotaScale, Admitted: float64(demand-refused) / quotaScale}
+}
+
 func genLimit(t *rapid.T) balance.LimitStatement {
 	statement := balance.LimitStatement{Age: time.Duration(rapid.IntRange(0, 100_000).Draw(t, "age")) * time.Millisecond, Owned: rapid.Bool().Draw(t, "owned")}
 	if rapid.Bool().Draw(t, "active") {
@@ -72,6 +82,8 @@
 		Limits: map[uint32]balance.LimitStatement{9: {RateLimit: balance.RateLimit{Active: true, PerSecond: 4.5}, Age: time.Second}}},
 		Suspects: map[uint64]balance.Suspicion{7: {CrashCount: balance.CrashCount{Clearance: 1, Crashes: 8}, Age: time.Second}}, Members: []Member{{Name: "m", Address: "a"}}}
 	f.Add(m.Append(nil))
+	m.Quotas = quota.Report{3: {Demand: 4.5, Admitted: 1.25}}
+	f.Add(m.Append(nil))
 	f.Add([]byte{fieldInFlight<<3 | 2, 14, 1, 0, 0, 0, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := Parse(b)
@@ -86,6 +98,9 @@
 		for _, rate := range m.Report.CallerRates {
 			require.True(t, rate >= 0 && rate <= maxRate)
 		}
+		for _, rates := range m.Quotas {
+			require.True(t, rates.Admitted >= 0 && rates.Admitted <= rates.Demand && rates.Demand <= maxRate)
+		}
 		for _, limit := range m.Report.Limits {
 			require.True(t, limit.PerSecond >= 0 && limit.PerSecond <= maxRate && limit.Age >= 0 && limit.Age <= maxLimitAge)
 		}
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -84,8 +84,9 @@
 		reply.Suspects = exchange.options.Suspects.ReportAll(now)
 		exchange.sendTo(m.PeerAddress, reply.Append(nil))
 	}
-	timeout := exchange.peerTimeout()
+	timeout, quotaTimeout := exchange.peerTimeout(), exchange.quotaTimeout()
 	exchange.mu.Unlock()
+	exchange.applyQuotas(now, m.Name, m.Quotas, quotaTimeout)
 	exchange.options.Balancer.ApplyReport(now, m.Name, exchange.options.Self.Region, m.Report, timeout)
 	exchange.options.Suspects.ApplyReport(now, m.Suspects)
 	if changed {
@@ -119,8 +120,9 @@
 		exchange.acknowledge(m, from)
 		exchange.forwardDigest(m)
 	}
-	region, timeout := exchange.options.Regions[m.Domain], exchange.domainTimeout()
+	region, timeout, quotaTimeout := exchange.options.Regions[m.Domain], exchange.domainTimeout(), exchange.domainQuotaTimeout(m.Domain)
 	exchange.mu.Unlock()
+	exchange.applyQuotas(now, "domain "+m.Domain, m.Quotas, quotaTimeout)
 	exchange.observeRoundTrip(region, time.Duration(m.RoundTrip)*time.Microsecond)
 	exchange.options.Balancer.ApplyReport(now, "domain "+m.Domain, region, m.Report, timeout)
 	exchange.options.Suspects.ApplyReport(now, m.Suspects)
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -51,6 +51,7 @@
 		return
 	}
 	m := exchange.newMessage(now)
+	m.Quotas = exchange.quotaReport(now)
 	m.Report, m.Suspects = report, exchange.options.Suspects.Report(now, exchange.messageInterval())
 	if exchange.lastSequence%messagesPerIdentity == 0 || m.Leaving || now.Sub(exchange.started) < minDomainTimeout {
 		exchange.addIdentity(&m)
@@ -75,6 +76,7 @@
 	base := exchange.newMessage(now)
 	base.Domain = exchange.options.Self.Domain
 	base.Report, base.Members = exchange.mergePeerReports(now, report), exchange.liveMembers(now)
+	base.Quotas = exchange.mergePeerQuotas(now, exchange.quotaReport(now))
 	for name, remote := range exchange.remoteDomains {
 		if !all && now.Before(remote.nextDigest) {
 			continue
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -21,6 +21,7 @@
 	leaving, paused := node.balancer.UnavailableTargets()
 	gauge("targets_leaving", int64(leaving))
 	gauge("targets_paused", int64(paused))
+	gauge("accounts_limited", int64(node.quotas.OverLimit()))
 	gauge("store_revision", int64(node.mirror.Revision()))
 	if config := node.mirror.State().Config; config != nil {
 		gauge("config_version", int64(config.Version))
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/apex/log"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/charts"
@@ -66,6 +67,7 @@
 	mirror         *mirror.Mirror
 	balancer       *balance.Balancer
 	suspects       *balance.Suspects
+	quotas         *accountQuotas
 	exchange       *gossip.Exchange
 	gateway        *gateway.Gateway
 	callerServer   *gateway.Server
@@ -96,6 +98,7 @@
 	node.balancer = balance.New(balance.Options{Name: s.Name, Domain: s.Domain, Region: s.Region, Regions: s.RegionByDomain,
 		MaxWeightShift: s.Bounds.MaxRegionShift, BootClock: bootClock}, now)
 	node.balancer.SetInstances(now, []steering.Instance{node.self}, 0)
+	node.quotas = newAccountQuotas(s.Bounds, node.events, now)
 	node.mirror = mirror.New(mirror.Options{Store: options.Store, Prefix: options.Platform.Prefix(), Codec: options.Platform, Events: node.events,
 		WatchesStore: node.watchesStore, DefersFirstRead: node.defersFirstRead, NewerPeer: node.newerPeer, Fetch: fetchSnapshot, OnStateChanged: node.stateChanged})
 	chart, err := lifecycle.Load(charts.Files, charts.EntryInstanceFile)
@@ -104,13 +107,14 @@
 	}
 	node.stateMachine = chart.NewMachine(func(_, _, to string) { node.leaving.Store(to != "starting" && to != "serving") })
 	node.exchange, err = gossip.Listen(gossip.Options{Self: node.self, Seeds: s.SeedAddresses, Bootstrap: s.Bootstrap, Regions: s.RegionByDomain, Events: node.events,
-		Balancer: node.balancer, Suspects: node.suspects, Revision: node.mirror.Revision, Ready: node.ready, Leaving: node.leaving.Load, StoreReachable: node.storeReachable,
+		Balancer: node.balancer, Suspects: node.suspects, Quotas: node.quotas.Limiter, Revision: node.mirror.Revision, Ready: node.ready, Leaving: node.leaving.Load, StoreReachable: node.storeReachable,
 		OnLiveChanged: node.instancesChanged, OnPeerAdvanced: node.mirror.Wake})
 	if err != nil {
 		return nil, fmt.Errorf("listen for gossip messages: %w", err)
 	}
 	node.gateway = gateway.New(gateway.Options{State: node.mirror.State, Balancer: node.balancer, Suspects: node.suspects, Budget: balance.NewRetryBudget(s.Bounds, now),
-		Forwarder: node.forwarder, RelayForwarder: node.relayForwarder, Headers: options.Headers, Events: node.events, LiveInstances: node.instanceCount})
+		Forwarder: node.forwarder, RelayForwarder: node.relayForwarder, Headers: options.Headers, Events: node.events, LiveInstances: node.instanceCount, Quotas: node.quotas})
+	node.quotas.refused = gometrics.GetOrRegisterCounter("requests_over_quota_total", node.gateway.Counters().Registry)
 	listener, err := net.Listen("tcp", s.CallerAddress)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
@@ -172,6 +176,7 @@
 	go node.keepRegistered(background)
 	go node.runMaintenance(background)
 	go node.runRebalancing(background)
+	go node.runQuotas(background)
 	go node.keepCrashTable(background)
 	for _, server := range node.requestServers() {
 		go func() { failed <- server.Run(background) }()
@@ -224,6 +229,8 @@
 
 func (node *Node) stateChanged(before, after *steering.State) {
 	node.applyCrashTable(before.CrashTable, after.CrashTable)
+	node.updateQuotaShare(time.Now(), after)
+	node.quotas.configChanged(time.Now(), before.Config, after.Config)
 	node.balancer.SetState(time.Now(), after)
 	node.exchange.SetRegistered(after.Instances)
 	node.exchange.Announce()
--- a/node/pause.go
+++ b/node/pause.go
@@ -41,8 +41,9 @@
 
 // handlePause discards state that may have become invalid while the process was
 // paused: the assumption that the store responds, on which decisions for other
-// instances depend, and idle connections.
+// instances depend, the levels of accounts' quotas, and idle connections.
 func (node *Node) handlePause(paused time.Duration) {
+	node.quotas.Restarted(time.Now())
 	node.mirror.ClearStoreReachable()
 	node.forwarder.CloseIdle()
 	node.relayForwarder.CloseIdle()
--- a/settings/node.go
+++ b/settings/node.go
@@ -36,4 +36,7 @@
 	RetryWindow     time.Duration // Time window over which RetryRatio applies.
 	RetrySlack      float64       // Retries per window permitted in addition to RetryRatio.
 	MaxRegionShift  float64       // Largest fraction of a region's requests that may move to another region within 2 s.
+	QuotaWindow     time.Duration // Time window in which an account's requests are counted against its limit.
+	QuotaOver       float64       // Tolerated excess over an account's limit as a fraction of it.
+	QuotaSlack      float64       // Requests per window tolerated in addition to QuotaOver.
 }
--- a/test.sh
+++ b/test.sh
@@ -37,8 +37,9 @@
 go test -race -count=1 -timeout 8m ${skipped:+-skip "^($skipped)\$"} "$@" ./...
 # The race detector changes memory allocation, so these tests run without it.
 go test -count=1 -run 'Alloc|Memory|Bounds|Figures' ./events ./lookup ./internal/capacity ./configsync/configtest
-# The models of 195 instances have one goroutine and take ten times as long with it.
+# The models of 195 and 300 instances have one goroutine and take ten times as long with it.
 go test -count=1 -run 'RateLimit|ColdRate' ./balance
+go test -count=1 -run 'RuleHolds' ./quota
 # The stand-in encodes megabytes within the time limits of calls.
 go test -count=1 -run 'SlowLink' ./platform
 if [ -e KNOWN-RED.txt ]; then
