Authenticate requests by the accounts of the configuration

Requests on routes that are not public need the key of an account where the configuration has accounts. A request without a known key gets 401, one whose account and route allow no common region 503.

Event 555 account-refused is written once a second for each reason; request-ended names the account. Counters for each reason and a gauge of the accounts are added. The check of the platform's names in test.sh covers the new ones.

--- a/events/steering.go
+++ b/events/steering.go
@@ -63,7 +63,7 @@
 		Message: "attempt ended without a usable response", Fields: []string{"request", "target", "attempt", "result", "executed", "tookMs", "cause", "again"},
 		Action: "check the target if it occurs often"})
 	RequestEnded = register(Event{Number: 522, Name: "request-ended", Level: log.InfoLevel,
-		Message: "request completed", Fields: []string{"request", "route", "status", "origin", "reason", "attempts", "tookMs", "version"}, Action: "none"})
+		Message: "request completed", Fields: []string{"request", "route", "status", "origin", "reason", "attempts", "tookMs", "version", "account"}, Action: "none"})
 	TargetAvoided = register(Event{Number: 523, Name: "target-avoided", Level: log.WarnLevel,
 		Message: "target temporarily excluded from routing", Fields: []string{"target", "reason", "failures", "forMs", "lost"}, Action: "check the target"})
 	AcceptFailed = register(Event{Number: 525, Name: "accept-failed", Level: log.WarnLevel,
@@ -104,6 +104,9 @@
 		Action: "check for slow requests if the cause is stop-ended, and for callers that do not read if it is write-timed-out"})
 	PeerReadFailed = register(Event{Number: 541, Name: "peer-read-failed", Level: log.WarnLevel,
 		Message: "failed to read a message of a peer", Fields: []string{"error"}, Action: "check the network interface of the peer address if it occurs often"})
+	AccountRefused = register(Event{Number: 555, Name: "account-refused", Level: log.InfoLevel,
+		Message: "requests refused because of their account", Fields: []string{"reason", "request", "route", "account", "refused", "version"},
+		Action: "check the caller's key and the accounts of the configuration"})
 	RequestUnreadable = register(Event{Number: 540, Name: "request-unreadable", Level: log.InfoLevel,
 		Message: "request refused while it was read", Fields: []string{"reason", "status", "caller"},
 		Action: "check the caller if it occurs often, and the limits if the reason is too-large or too-slow"})
--- a/gateway/accounts.go
+++ b/gateway/accounts.go
@@ -2,7 +2,12 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
+
+	"github.com/apex/log"
+
+	"github.com/jacinthstall/jacinthstall/events"
 )
 
 // Quotas limits the requests of accounts.
@@ -24,33 +29,43 @@
 	reasonOverQuota       = "over-quota"
 )
 
-// noHomeRegionRetryAfter is the Retry-After of a request that no region may serve.
-// Only a new version of the configuration changes that, which operators write in
-// seconds at the soonest.
-const noHomeRegionRetryAfter = 2 * time.Second
+// configChangeRetryAfter is the Retry-After of a request that can be served only after
+// a correction of the configuration. Instances have a new version within 3 s.
+const configChangeRetryAfter = 3 * time.Second
 
 // authenticate finds the account of a request and the regions that may serve it. It
 // returns the response to a request that is refused.
 func (g *Gateway) authenticate(request *routedRequest) *response {
 	config := request.config
 	request.homeRegions = request.route.HomeRegions
-	if !config.AccountsRequired || request.route.Public {
+	if !config.AccountsRequired {
 		return nil
 	}
-	if config.AccountsUnknown {
-		return g.refuseAccount(request, retryAfterResponse(http.StatusServiceUnavailable, reasonAccountsUnknown, noConfigRetryAfter))
+	if !request.route.Public {
+		if refusal := g.findAccount(request); refusal != nil {
+			return refusal
+		}
+		request.homeRegions = request.homeRegions.Intersect(request.account.HomeRegions)
+	}
+	if request.homeRegions.AllowsNone() {
+		return g.refuseAccount(request, retryAfterResponse(http.StatusServiceUnavailable, reasonNoHomeRegion, configChangeRetryAfter))
+	}
+	return nil
+}
+
+// findAccount sets the account to which the key of a request belongs, or returns the
+// response to a request without one.
+func (g *Gateway) findAccount(request *routedRequest) *response {
+	if request.config.AccountsUnknown {
+		return g.refuseAccount(request, retryAfterResponse(http.StatusServiceUnavailable, reasonAccountsUnknown, configChangeRetryAfter))
 	}
 	key := g.Headers.Key(request.httpRequest.Header)
 	if key == "" {
 		return g.refuseAccount(request, systemResponse(http.StatusUnauthorized, reasonNoKey))
 	}
-	if request.account = config.AccountOfKey(key); request.account == nil {
+	if request.account = request.config.AccountOfKey(key); request.account == nil {
 		return g.refuseAccount(request, systemResponse(http.StatusUnauthorized, reasonUnknownKey))
 	}
-	request.homeRegions = request.homeRegions.Intersect(request.account.HomeRegions)
-	if request.homeRegions.AllowsNone() {
-		return g.refuseAccount(request, retryAfterResponse(http.StatusServiceUnavailable, reasonNoHomeRegion, noHomeRegionRetryAfter))
-	}
 	return nil
 }
 
@@ -92,4 +107,48 @@
 }
 
 // refuseAccount records the refusal of a request.
-func (g *Gateway) refuseAccount(_ *routedRequest, resp *response) *response { return resp }
+func (g *Gateway) refuseAccount(request *routedRequest, resp *response) *response {
+	g.counters.recordRefusal(resp.reason)
+	if refused, write := g.accountRefusals.record(time.Now(), resp.reason); write {
+		g.events.Emit(events.AccountRefused, log.Fields{"reason": resp.reason, "request": request.id, "route": request.route.Name,
+			"account": request.accountName(), "refused": refused, "version": uint64(request.version)})
+	}
+	return resp
+}
+
+// refusalLogInterval is the shortest time between two log lines of one reason. Callers
+// with a wrong key may send any number of requests.
+const refusalLogInterval = time.Second
+
+// refusalLog limits the log lines of refused requests.
+type refusalLog struct {
+	mu      sync.Mutex
+	reasons map[string]*loggedRefusals
+}
+
+// loggedRefusals are the refusals of one reason.
+type loggedRefusals struct {
+	next     time.Time // Earliest time of the next log line.
+	unlogged int       // Since the last log line.
+}
+
+// record records a refusal. It reports whether to write a log line, and the number of
+// refusals since the last one.
+func (refusals *refusalLog) record(now time.Time, reason string) (refused int, write bool) {
+	refusals.mu.Lock()
+	defer refusals.mu.Unlock()
+	logged := refusals.reasons[reason]
+	if logged == nil {
+		if refusals.reasons == nil {
+			refusals.reasons = map[string]*loggedRefusals{}
+		}
+		logged = &loggedRefusals{}
+		refusals.reasons[reason] = logged
+	}
+	logged.unlogged++
+	if now.Before(logged.next) {
+		return 0, false
+	}
+	refused, logged.unlogged, logged.next = logged.unlogged, 0, now.Add(refusalLogInterval)
+	return refused, true
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/forward"
+	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 const (
@@ -79,7 +80,7 @@
 	}
 	out := g.newForwardRequest(request, grant, started)
 	extraTime := timeoutRoundTrips * g.Balancer.RoundTrip(grant.Region)
-	destination := forward.Target{Address: grant.Target.Address, MaxConnections: g.connectionShare(grant.Target.Service),
+	destination := forward.Target{Address: grant.Target.Address, MaxConnections: g.connectionShare(request.config, grant.Target.Service),
 		DialTimeout: baseDialTimeout + extraTime, AckTimeout: baseAckTimeout + extraTime}
 	if !request.route.Idempotent {
 		destination.MaxIdleTime = nonIdempotentMaxIdle
@@ -152,8 +153,7 @@
 
 // connectionShare returns this instance's share of the connections that a target
 // of the service accepts; 0 means no limit.
-func (g *Gateway) connectionShare(service string) int {
-	config := g.State().Config
+func (g *Gateway) connectionShare(config *steering.Config, service string) int {
 	if config == nil || config.Services[service].MaxConnections == 0 {
 		return 0
 	}
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -17,6 +18,9 @@
 	bySystem       gometrics.Counter                        // Responses that this system generated.
 	attemptResults [balance.Abandoned + 1]gometrics.Counter // Indexed by balance.Result.
 	latency        gometrics.Histogram
+	// refusals counts the requests that are refused because of their account, by
+	// reason.
+	refusals map[string]gometrics.Counter
 }
 
 var attemptResultNames = [...]string{balance.Succeeded: "answered", balance.Failed: "failed", balance.Shed: "shed",
@@ -33,6 +37,10 @@
 		latency: gometrics.NewRegisteredHistogram("request_microseconds", r,
 			gometrics.NewUniformSample(metrics.SampleSize)),
 	}
+	c.refusals = map[string]gometrics.Counter{}
+	for _, reason := range []string{reasonNoKey, reasonUnknownKey, reasonAccountsUnknown, reasonNoHomeRegion} {
+		c.refusals[reason] = gometrics.NewRegisteredCounter("requests_refused_"+strings.ReplaceAll(reason, "-", "_")+"_total", r)
+	}
 	for i, name := range attemptResultNames {
 		c.attemptResults[i] = gometrics.NewRegisteredCounter("attempts_"+name+"_total", r)
 	}
@@ -48,6 +56,13 @@
 	}
 }
 
+// recordRefusal counts a request that is refused because of its account.
+func (c *Counters) recordRefusal(reason string) {
+	if counter := c.refusals[reason]; counter != nil {
+		counter.Inc(1)
+	}
+}
+
 func (c *Counters) recordAttempt(result balance.Result) { c.attemptResults[result].Inc(1) }
 
 // Counters returns the metrics of request handling.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -150,7 +150,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	err := g.Forwarder.CheckAccepting(ctx, forward.Target{Address: target.Address, MaxConnections: g.connectionShare(target.Service)})
+	err := g.Forwarder.CheckAccepting(ctx, forward.Target{Address: target.Address, MaxConnections: g.connectionShare(g.State().Config, target.Service)})
 	return err != nil && !errors.Is(err, forward.ErrConnectionLimit)
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -51,6 +51,7 @@
 	scripts  []script
 	attempts int         // Attempts of each route; 0 means 2.
 	logs     log.Handler // Receives the log of the gateway; nil discards it.
+	quotas   gateway.Quotas
 }
 
 type script func(number int, r *http.Request, c net.Conn) bool
@@ -85,7 +86,7 @@
 	if o.logs == nil {
 		o.logs = events.NewDroppingHandler(io.Discard)
 	}
-	s.startGateway(steering.NewState().Apply(1, updates), o.logs)
+	s.startGateway(steering.NewState().Apply(1, updates), o)
 	return s
 }
 
@@ -202,7 +203,7 @@
 	return record
 }
 
-func (s *site) startGateway(state *steering.State, logs log.Handler) {
+func (s *site) startGateway(state *steering.State, o siteOptions) {
 	now := time.Now()
 	balancer := balance.New(balance.Options{Name: "n", Domain: "d", Region: "r", Regions: map[string]string{"d": "r"}}, now)
 	balancer.SetState(now, state)
@@ -210,7 +211,7 @@
 	gw := gateway.New(gateway.Options{State: s.state.Load, Balancer: balancer, Suspects: balance.NewSuspects(),
 		Budget:    balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}, time.Now().Add(-10*time.Second)),
 		Forwarder: forward.New(), RelayForwarder: forward.New(), Headers: platform.Headers{}, LiveInstances: func() int { return 1 },
-		Events: events.New(&log.Logger{Handler: logs})})
+		Events: events.New(&log.Logger{Handler: o.logs}), Quotas: o.quotas})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
 	s.address, s.gateway = listener.Addr().String(), gw
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -43,7 +43,7 @@
 	balancer.SetState(now, state)
 	balancer.ObserveRoundTrip("r2", 200*time.Millisecond) // Simulates distant regions.
 	f.balancers[name] = balancer
-	return gateway.New(gateway.Options{State: func() *steering.State { return state }, Balancer: balancer, Suspects: balance.NewSuspects(),
+	return gateway.New(gateway.Options{State: f.state.Load, Balancer: balancer, Suspects: balance.NewSuspects(),
 		Budget:    balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}, now.Add(-10*time.Second)),
 		Forwarder: forward.New(), RelayForwarder: forward.New(), Headers: platform.Headers{}, LiveInstances: func() int { return 1 },
 		Events: events.New(&log.Logger{Handler: events.NewDroppingHandler(io.Discard)})})
@@ -79,6 +79,7 @@
 			Address: f.startScript(handle), Domain: "d", Slots: 8}})
 	}
 	state := steering.NewState().Apply(1, updates)
+	f.state.Store(state)
 	f.relayGateway = f.newGateway("beside", "d", state)
 	f.relay, f.relayAddress = f.serve(gateway.NewRelayServer, f.relayGateway)
 	f.gateway = f.newGateway("asked", "near", state)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -120,6 +120,7 @@
 	// as invalid.
 	invalidStatements nameSet
 	heldResponses     responseSlots
+	accountRefusals   refusalLog
 	crashChecks       crashChecks
 	stop              stopTimes
 }
@@ -209,7 +210,7 @@
 	}
 	g.events.EmitFields(&events.RequestEnded, events.String("request", request.id), events.String("route", route),
 		events.Int("status", int64(resp.status)), events.String("origin", origin), events.String("reason", resp.reason),
-		events.Int("attempts", int64(request.reachedAttempts)), events.Int("tookMs", took.Milliseconds()), events.Uint("version", uint64(request.version)))
+		events.Int("attempts", int64(request.reachedAttempts)), events.Int("tookMs", took.Milliseconds()), events.Uint("version", uint64(request.version)), events.String("account", request.accountName()))
 }
 
 // handle determines the route, service and deadline of a request and sends it.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -24,6 +24,7 @@
 	gauge("store_revision", int64(node.mirror.Revision()))
 	if config := node.mirror.State().Config; config != nil {
 		gauge("config_version", int64(config.Version))
+		gauge("accounts", int64(len(config.Accounts)))
 	}
 	if node.options.StoreCalls != nil {
 		gauge("store_calls", int64(node.options.StoreCalls()))
--- a/test.sh
+++ b/test.sh
@@ -11,7 +11,7 @@
 fi
 # Only platform/ may refer to the platform's names. Stand-ins and tests are exempt
 # because they encode them.
-outside=$(git grep -nE '"/-/(resolve|ready|kv-)|"(expectRev|seedNodes|routeKind|homeRegions|coldLeft|ttl_time)"|"op/(config|evacuate)|X-Jacinthstall-|JACINTHSTALL_NODE_FILE' -- '*.go' ':!platform' ':!standin' ':!*_test.go' || true)
+outside=$(git grep -nE '"/-/(resolve|ready|kv-)|"(expectRev|seedNodes|routeKind|homeRegions|coldLeft|ttl_time|tenants|apiKeys|ratePerS)"|"op/(config|evacuate)|X-Jacinthstall-|X-Api-Key|JACINTHSTALL_NODE_FILE' -- '*.go' ':!platform' ':!standin' ':!*_test.go' || true)
 if [ -n "$outside" ]; then
   echo "names of the platform outside platform/:" >&2
   echo "$outside" >&2
