--- a/cmd/jacinth-node/records_test.go
+++ b/cmd/jacinth-node/records_test.go
@@ -50,7 +50,11 @@
 	require.NoError(t, err)
 	config := regexp.MustCompile(`^(.*)("version".*)$`)
 	for i := range records {
-		parts := config.FindStringSubmatch(string(wiresite.Config(int64(i+2), "s", wiresite.Route{Segment: "app", Timeout: 8 * time.Second}, wiresite.Route{Segment: "other", Idempotent: true, Timeout: time.Second})))
+		record := wiresite.Config(int64(i+2), "s", wiresite.Route{Segment: "app", Timeout: 8 * time.Second}, wiresite.Route{Segment: "other", Idempotent: true, Timeout: time.Second})
+		if i%3 == 0 {
+			record = wiresite.WithAccounts(record, wiresite.Account{Name: "a", Keys: []string{"k1", "k2"}, RatePerS: 5, Burst: 2, HomeRegions: []string{"r"}}, wiresite.Account{Name: "b", Keys: []string{"k3"}, Priority: 1})
+		}
+		parts := config.FindStringSubmatch(string(record))
 		require.Len(t, parts, 3)
 		p.store.Put(wiresite.ConfigKey, []byte(mutateRecord(random, parts[1])+parts[2]))
 		p.store.Put(wiresite.TargetKey(fmt.Sprint("t", random.IntN(4))), []byte(mutateRecord(random, target)))
--- a/standin/wiresite/wiresite.go
+++ b/standin/wiresite/wiresite.go
@@ -54,6 +54,7 @@
 	Segment    string
 	Service    string // "" means that of the configuration.
 	Idempotent bool
+	Public     bool // Requests need no key.
 	Timeout    time.Duration
 }
 
@@ -88,13 +89,41 @@
 			addService(routeService)
 		}
 		routesByName[route.Segment] = map[string]any{"host": Host, "prefix": "/" + route.Segment + "/", "routeKind": routeKind,
-			"timeout": route.Timeout.String(), "goal": "400ms", "service": routeService, "attempts": 2, "sticky": true}
+			"timeout": route.Timeout.String(), "goal": "400ms", "service": routeService, "attempts": 2, "sticky": true, "public": route.Public}
 	}
 	return encode(map[string]any{"version": fmt.Sprintf("r%d", version), "routes": routesByName,
 		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": idleTimeout.String()}})
 }
 
+// Account is a client account of a configuration record.
+type Account struct {
+	Name        string
+	Keys        []string
+	Priority    int
+	RatePerS    float64 // 0 means no limit.
+	Burst       float64
+	HomeRegions []string
+}
+
+// WithAccounts returns a configuration record with accounts added.
+func WithAccounts(config []byte, accounts ...Account) []byte {
+	var record map[string]any
+	if err := json.Unmarshal(config, &record); err != nil {
+		panic(err) // Unreachable: the functions above return objects.
+	}
+	tenants := map[string]any{}
+	for _, account := range accounts {
+		fields := map[string]any{"apiKeys": account.Keys, "priority": account.Priority, "ratePerS": account.RatePerS, "burst": account.Burst}
+		if len(account.HomeRegions) > 0 {
+			fields["homeRegions"] = account.HomeRegions
+		}
+		tenants[account.Name] = fields
+	}
+	record["tenants"] = tenants
+	return encode(record)
+}
+
 // TargetKey returns the store key of a target's record.
 func TargetKey(id string) string { return "servers/" + id }
 
