Test accounts' limits with three instances

Guards against instances of which each keeps a limit alone, or whose messages do not carry the rates.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -88,7 +88,7 @@
 	host := loopback.Host()
 	s := settings.Node{Name: name, Domain: domain, Region: domainRegions[domain], RegionByDomain: domainRegions, CallerAddress: host + ":7001",
 		ReadinessAddress: host + ":7002", LookupAddress: host + ":7003", PeerAddress: host + ":7004", MetricsAddress: host + ":7005", RelayPort: 7006, StoreAddress: d.address,
-		Bounds: settings.Bounds{GracePeriod: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}}
+		Bounds: settings.Bounds{GracePeriod: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, QuotaWindow: 5 * time.Second, QuotaOver: 0.1, QuotaSlack: 20}}
 	store, err := platform.NewStore(d.address)
 	require.NoError(d.t, err)
 	n, err := node.New(node.Options{Settings: s, Platform: platform.Codec{}, Headers: platform.Headers{}, Store: store,
