--- a/gossip/quotas.go
+++ b/gossip/quotas.go
@@ -64,7 +64,7 @@
 			sum = sum.Merge(peer.lastMessage.Quotas)
 		}
 	}
-	return sum
+	return sum.Limited()
 }
 
 func (exchange *Exchange) applyQuotas(now time.Time, source string, report quota.Report, timeout time.Duration) {
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -145,7 +145,7 @@
 			report[Hash(name)] = report[Hash(name)].add(rates, 1)
 		}
 	}
-	return report
+	return report.Limited()
 }
 
 // ApplyReport replaces the report of a peer or a failure domain. It expires after
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -175,6 +175,18 @@
 	assert.Zero(t, limiter.OverLimit())
 }
 
+// Guards against datagrams that are too large to be sent, so that all messages of an
+// instance are lost.
+func TestReportsOfManyAccountsAreLimited(t *testing.T) {
+	report := quota.Report{}
+	for hash := range uint32(5000) {
+		report[hash] = quota.Rates{Demand: float64(hash)}
+	}
+	limited := report.Limited()
+	assert.Len(t, limited, 2048)
+	assert.Contains(t, limited, uint32(4999), "the highest demand")
+}
+
 // Guards against requests that were refused for other reasons but count as
 // admitted, so that others are refused below the limit.
 func TestReturnedTokensAreAdmittedAgain(t *testing.T) {
--- a/quota/report.go
+++ b/quota/report.go
@@ -1,6 +1,9 @@
 package quota
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,6 +43,26 @@
 	return sum
 }
 
+// maxReportedAccounts limits the accounts in a report to some 16 KB; datagrams have
+// at most 64 KB.
+const maxReportedAccounts = 2048
+
+// Limited returns the report with the accounts of the highest demand, if it is too
+// large for a message.
+func (r Report) Limited() Report {
+	if len(r) <= maxReportedAccounts {
+		return r
+	}
+	order := slices.SortedFunc(maps.Keys(r), func(a, b uint32) int {
+		return cmp.Or(cmp.Compare(r[b].Demand, r[a].Demand), cmp.Compare(a, b))
+	})
+	largest := make(Report, maxReportedAccounts)
+	for _, hash := range order[:maxReportedAccounts] {
+		largest[hash] = r[hash]
+	}
+	return largest
+}
+
 // Hash returns the hash of an account's name in reports. Accounts with the same
 // hash share what peers report, so both appear busier.
 func Hash(account string) uint32 { return uint32(xxhash.Sum64String(account) >> 32) }
