Admit requests by rank where a service has several ranks

Targets execute requests in the order of arrival, and Pick did not read the priority of routes. Requests with long objectives may wait for a slot as long as their objective, so requests with short ones found full queues and were refused.

Each rank may now fill a target only up to the load behind which the higher ranks are still in time, less the requests of higher ranks that are expected until a slot is free. Demand by service and rank is measured and reported. A rank of which too few callers are served is not restricted. Callers are told to return at times one after the other, and those that waited as told are admitted before new callers of their rank. A service whose requests have one rank is not affected.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,6 +51,7 @@
 	resumedAt           time.Time            // When the process last continued after a pause.
 	statedTargets       map[*target]struct{} // Targets with a limit, or with one that has ended lately.
 	limitChanges        []LimitChange        // Since the last call of LimitChanges.
+	callers             servedCallers        // Of all services.
 	availabilities      map[incarnation]*availability
 	availabilityChanges []AvailabilityChange // Since the last call of AvailabilityChanges.
 }
@@ -111,7 +112,8 @@
 	// baselineEvidence is the median failure evidence against the targets, by
 	// region.
 	baselineEvidence map[string]float64
-	sequence         uint64 // Spreads requests without an object over targets.
+	sequence         uint64        // Spreads requests without an object over targets.
+	ranks            *serviceRanks // Nil if all requests have one rank.
 }
 
 // samples returns the number of observations behind an average execution time.
@@ -164,6 +166,9 @@
 			balancer.service(name)
 		}
 	}
+	if state.Config != before.Config {
+		balancer.setRankedServices()
+	}
 	evacuations := !maps.Equal(before.Evacuated, state.Evacuated)
 	for _, name := range state.Services() {
 		changed := !sameTargets(before.TargetsOf(name), state.TargetsOf(name))
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -84,6 +84,7 @@
 	object   string
 	waits    bool
 	trial    bool // Sent during the target's pause; see trialAfter.
+	rank     steering.Rank
 }
 
 // RefusalReason tells why no target was selected.
@@ -105,6 +106,9 @@
 	ExpectedTime time.Duration // At the best target; 0 if there is none.
 	ExpectedWait time.Duration // For a slot of that target.
 	Load         int           // Requests at that target.
+	// ReservedFor is the rank for which the capacity is kept; nil if a request of any
+	// rank would have been refused.
+	ReservedFor *steering.Rank
 }
 
 // candidate is a target with its estimated times.
@@ -328,15 +332,22 @@
 		maxShare = feasibleShare
 	}
 	infeasible := c.measured && c.expectedTime > time.Duration(maxShare*float64(request.Remaining))
-	if c.expectedWait == 0 && !infeasible || feasible && (inTime || shortWait) {
+	admission := balancer.admitByRank(now, request, c, rankOptions{
+		admitted: c.expectedWait == 0 && !infeasible || feasible && (inTime || shortWait),
+		feasible: feasible,
+	})
+	if admission.admitted {
 		return balancer.grant(now, c, request), nil
 	}
 	retryAfter := noTargetRetryAfter
-	if c.expectedWait > 0 {
+	switch {
+	case admission.retryAfter > 0:
+		retryAfter = admission.retryAfter
+	case c.expectedWait > 0:
 		retryAfter = balancer.retryAfter(c.expectedWait)
 	}
 	return Grant{}, &Refusal{Reason: Overloaded, Region: c.target.region, ExpectedTime: c.expectedTime, ExpectedWait: c.expectedWait,
-		Load: balancer.load(now, c.target), RetryAfter: retryAfter}
+		Load: balancer.load(now, c.target), RetryAfter: retryAfter, ReservedFor: admission.reservedFor}
 }
 
 // usable reports whether a request may be sent to a target now. overflow is set if
@@ -378,7 +389,7 @@
 func (balancer *Balancer) grant(now time.Time, c candidate, request Request) Grant {
 	t := c.target
 	grant := Grant{Target: t.record, Region: t.region, ExpectedTime: c.expectedTime, Load: balancer.load(now, t), LoadAge: -1,
-		object: request.Object, Warm: c.warm, waits: c.expectedWait > 0}
+		object: request.Object, Warm: c.warm, waits: c.expectedWait > 0, rank: request.Rank}
 	if !t.loadReportedAt.IsZero() {
 		grant.LoadAge = now.Sub(t.loadReportedAt)
 	}
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -166,6 +166,7 @@
 	balancer.expireAvailabilities(now)
 	if !now.Before(balancer.nextLoadSample) {
 		balancer.nextLoadSample = now.Add(weightInterval)
+		balancer.callers.age(weightInterval)
 		balancer.updateUtilization(now)
 		balancer.updateBaselines(now)
 	}
--- a/balance/report.go
+++ b/balance/report.go
@@ -13,6 +13,7 @@
 	// of other instances; see evidence.go.
 	FailureEvidence map[uint32]int
 	Limits          map[uint32]LimitStatement // By short hash of the target ID.
+	RankDemand      map[RankKey]RankDemand    // Of services whose requests have several ranks; nil if there are none.
 }
 
 // ReportForRegion returns a copy of a report with the requests in flight
@@ -20,7 +21,7 @@
 func (balancer *Balancer) ReportForRegion(report Report, region string) Report {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
-	filtered := Report{InFlight: map[uint32]int{}, CallerRates: report.CallerRates, FailureEvidence: report.FailureEvidence, Limits: report.Limits}
+	filtered := Report{InFlight: map[uint32]int{}, CallerRates: report.CallerRates, FailureEvidence: report.FailureEvidence, Limits: report.Limits, RankDemand: report.RankDemand}
 	for _, svc := range balancer.services {
 		for _, t := range svc.targetsByRegion[region] {
 			if n := report.InFlight[shortHash(t.hash)]; n > 0 {
@@ -46,6 +47,7 @@
 	r.FailureEvidence = strongestEvidence(r.FailureEvidence)
 	mergeLimits(r.Limits, other.Limits, age)
 	r.Limits = latestLimits(r.Limits)
+	r.RankDemand = mergeRankDemand(r.RankDemand, other.RankDemand)
 }
 
 type peer struct {
@@ -58,7 +60,7 @@
 func (balancer *Balancer) Report(now time.Time) Report {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
-	report := Report{InFlight: map[uint32]int{}, CallerRates: map[uint32]float64{}, FailureEvidence: balancer.ownEvidence(now), Limits: balancer.reportedLimits(now)}
+	report := Report{InFlight: map[uint32]int{}, CallerRates: map[uint32]float64{}, FailureEvidence: balancer.ownEvidence(now), Limits: balancer.reportedLimits(now), RankDemand: balancer.reportedRankDemand(now)}
 	for _, t := range balancer.targets {
 		if t.ownInFlight > 0 {
 			report.InFlight[shortHash(t.hash)] = t.ownInFlight
--- a/balance/result.go
+++ b/balance/result.go
@@ -117,6 +117,7 @@
 	if grant.waits || now.Before(t.coldUntil) {
 		return
 	}
+	svc.ranks.recordExecTime(grant.rank, work)
 	svc.meanExecTime += time.Duration(ewmaWeight * float64(work-svc.meanExecTime))
 	execTime, samples := &svc.coldExecTime, &svc.coldSamples
 	if grant.Warm {
--- a/balance/simulation_test.go
+++ b/balance/simulation_test.go
@@ -302,12 +302,17 @@
 
 // execute runs a request when the target has a free slot.
 func (sim *simulation) execute(target *simulatedTarget, object string, done func(*simulatedTarget)) {
+	sim.executeFor(target, object, simulatedWarmTime, simulatedColdTime, done)
+}
+
+// executeFor runs a request with the given execution times.
+func (sim *simulation) executeFor(target *simulatedTarget, object string, warm, cold time.Duration, done func(*simulatedTarget)) {
 	start := func() {
 		target.running++
 		target.executed++
-		work := simulatedColdTime
+		work := cold
 		if target.knownObjects[object] {
-			work = simulatedWarmTime
+			work = warm
 		}
 		target.knownObjects[object] = true
 		sim.after(time.Duration(float64(work)*(0.85+0.3*sim.random.Float64())), func() {
