Report the demand by rank to peers

An instance that gets only requests of a low rank does not know the demand of higher ranks at others.

Gossip field 28 carries rate, objective, execution time and served callers by service and rank, 14 to 18 bytes each. The encoding passes its round trip and corruption tests.

--- a/gossip/message.go
+++ b/gossip/message.go
@@ -82,6 +82,9 @@
 	fieldIntroduction
 	fieldLimits   // Fixed32 hash, float32 rate and a varint with the age in ms and whether the target is owned, packed.
 	fieldSuspects // Fixed64 fingerprint and three varints: clearance, crashes and age in seconds, packed.
+	_
+	_
+	fieldRankDemand // See appendRankDemand, packed.
 )
 
 // Upper bounds of values in a message. Messages that exceed them are rejected,
@@ -158,6 +161,7 @@
 	b = appendPairs(b, fieldInFlight, m.Report.InFlight, counts)
 	b = appendPairs(b, fieldFailing, m.Report.FailureEvidence, counts)
 	b = appendPairs(b, fieldLimits, m.Report.Limits, appendLimit)
+	b = appendPairs(b, fieldRankDemand, m.Report.RankDemand, appendRankDemand)
 	return appendPairs(b, fieldRates, m.Report.CallerRates, func(b []byte, hash uint32, r float64) []byte {
 		return protowire.AppendFixed32(protowire.AppendFixed32(b, hash), math.Float32bits(float32(r)))
 	})
@@ -360,6 +364,12 @@
 			m.Report.Limits[hash] = statement
 			return statement.PerSecond >= 0 && statement.PerSecond <= maxRate // False for NaN.
 		})
+	case fieldRankDemand:
+		m.Report.RankDemand = map[balance.RankKey]balance.RankDemand{}
+		return eachPair(v, consumeRankKey, consumeRankDemand, func(key balance.RankKey, demand balance.RankDemand) bool {
+			m.Report.RankDemand[key] = demand
+			return demand.PerSecond >= 0 && demand.PerSecond <= maxRate // False for NaN.
+		})
 	case fieldRates:
 		return eachPair(v, protowire.ConsumeFixed32, protowire.ConsumeFixed32, func(hash, bits uint32) bool {
 			rate := float64(math.Float32frombits(bits))
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/jacinthstall/jacinthstall/balance"
+	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 func genMessage(t *rapid.T) *Message {
@@ -23,6 +24,9 @@
 			CallerRates: map[uint32]float64{7: 1.5}, FailureEvidence: rapid.MapOf(rapid.Uint32(), rapid.IntRange(0, 100)).Draw(t, "failing"),
 			Limits: rapid.MapOf(rapid.Uint32(), rapid.Custom(genLimit)).Draw(t, "limits")},
 	}
+	if rapid.Bool().Draw(t, "ranks") {
+		m.Report.RankDemand = rapid.MapOfN(rapid.Custom(genRankKey), rapid.Custom(genRankDemand), 1, 4).Draw(t, "rankDemand")
+	}
 	if rapid.Bool().Draw(t, "suspects") {
 		m.Suspects = rapid.MapOfN(rapid.Uint64(), rapid.Custom(genSuspicion), 1, 4).Draw(t, "suspicions")
 	}
@@ -38,6 +42,18 @@
 		Age: time.Duration(rapid.IntRange(0, int(maxSuspicionAge.Seconds())).Draw(t, "age")) * time.Second}
 }
 
+func genRankKey(t *rapid.T) balance.RankKey {
+	return balance.RankKey{Service: rapid.Uint32().Draw(t, "service"), Rank: steering.Rank{Account: rapid.Int().Draw(t, "account"), Route: rapid.Int().Draw(t, "route")}}
+}
+
+func genRankDemand(t *rapid.T) balance.RankDemand {
+	milliseconds := func(label string) time.Duration {
+		return time.Duration(rapid.Int64Range(0, maxRankTime.Milliseconds()).Draw(t, label)) * time.Millisecond
+	}
+	return balance.RankDemand{PerSecond: float64(rapid.Float32Range(0, 1e6).Draw(t, "perSecond")), Objective: milliseconds("objective"), ExecTime: milliseconds("execTime"),
+		Served: float64(rapid.IntRange(0, 100).Draw(t, "served")) / 100}
+}
+
 func genLimit(t *rapid.T) balance.LimitStatement {
 	statement := balance.LimitStatement{Age: time.Duration(rapid.IntRange(0, 100_000).Draw(t, "age")) * time.Millisecond, Owned: rapid.Bool().Draw(t, "owned")}
 	if rapid.Bool().Draw(t, "active") {
@@ -69,7 +85,8 @@
 // Guards against messages that crash the process or whose counts overflow sums.
 func FuzzParse(f *testing.F) {
 	m := Message{Name: "n", Domain: "d", Report: balance.Report{InFlight: map[uint32]int{1: 2}, CallerRates: map[uint32]float64{3: 4}, FailureEvidence: map[uint32]int{5: 6},
-		Limits: map[uint32]balance.LimitStatement{9: {RateLimit: balance.RateLimit{Active: true, PerSecond: 4.5}, Age: time.Second}}},
+		Limits:     map[uint32]balance.LimitStatement{9: {RateLimit: balance.RateLimit{Active: true, PerSecond: 4.5}, Age: time.Second}},
+		RankDemand: map[balance.RankKey]balance.RankDemand{{Service: 8, Rank: steering.Rank{Account: 1, Route: 2}}: {PerSecond: 3, Objective: time.Second}}},
 		Suspects: map[uint64]balance.Suspicion{7: {CrashCount: balance.CrashCount{Clearance: 1, Crashes: 8}, Age: time.Second}}, Members: []Member{{Name: "m", Address: "a"}}}
 	f.Add(m.Append(nil))
 	f.Add([]byte{fieldInFlight<<3 | 2, 14, 1, 0, 0, 0, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1})
@@ -86,6 +103,9 @@
 		for _, rate := range m.Report.CallerRates {
 			require.True(t, rate >= 0 && rate <= maxRate)
 		}
+		for _, demand := range m.Report.RankDemand {
+			assert.True(t, demand.PerSecond >= 0 && demand.PerSecond <= maxRate && demand.ExecTime >= 0 && demand.Served <= 1, demand)
+		}
 		for _, limit := range m.Report.Limits {
 			require.True(t, limit.PerSecond >= 0 && limit.PerSecond <= maxRate && limit.Age >= 0 && limit.Age <= maxLimitAge)
 		}
