Log and count refusals by rank

Event 526 did not tell which rank a refused request had, and whether capacity was kept for a higher one. It gains the fields rank and reservedFor. Counters requests_refused_rank_0_total to requests_refused_rank_3_total and requests_refused_rank_other_total count refusals by the priority of the route.

--- a/events/steering.go
+++ b/events/steering.go
@@ -69,7 +69,7 @@
 	AcceptFailed = register(Event{Number: 525, Name: "accept-failed", Level: log.WarnLevel,
 		Message: "failed to accept a connection", Fields: []string{"error"}, Action: "check the limit of open file descriptors"})
 	RequestNotPlaced = register(Event{Number: 526, Name: "request-not-placed", Level: log.InfoLevel,
-		Message: "no target can respond to the request in time", Fields: []string{"request", "route", "service", "reason", "region", "load", "waitMs", "expectedMs", "sinceFirstMs", "leftMs", "retryAfterMs", "version"},
+		Message: "no target can respond to the request in time", Fields: []string{"request", "route", "service", "reason", "region", "load", "waitMs", "expectedMs", "sinceFirstMs", "leftMs", "retryAfterMs", "rank", "reservedFor", "version"},
 		Action: "add targets if the reason is overloaded and persists"})
 	RegionWeights = register(Event{Number: 527, Name: "region-weights", Level: log.InfoLevel,
 		Message: "distribution of a service's requests over the regions changed", Fields: []string{"service", "parts", "load", "slots"}, Action: "none"})
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/metrics"
+	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 // Counters are the metrics of request handling.
@@ -16,9 +18,14 @@
 	byTarget       gometrics.Counter                        // Responses of targets.
 	bySystem       gometrics.Counter                        // Responses that this system generated.
 	attemptResults [balance.Abandoned + 1]gometrics.Counter // Indexed by balance.Result.
+	refusedByRank  [countedRanks + 1]gometrics.Counter      // Requests for which no target was selected, by the rank of the route; the last one for all others.
 	latency        gometrics.Histogram
 }
 
+// countedRanks is the number of ranks of routes whose refusals have a counter of their
+// own.
+const countedRanks = 4
+
 var attemptResultNames = [...]string{balance.Succeeded: "answered", balance.Failed: "failed", balance.Shed: "shed",
 	balance.Misdirected: "misdirected", balance.Unreachable: "unreachable",
 	balance.ConnectTimedOut: "unresponsive", balance.ConnectionBroken: "broken",
@@ -36,6 +43,10 @@
 	for i, name := range attemptResultNames {
 		c.attemptResults[i] = gometrics.NewRegisteredCounter("attempts_"+name+"_total", r)
 	}
+	for rank := range countedRanks {
+		c.refusedByRank[rank] = gometrics.NewRegisteredCounter("requests_refused_rank_"+strconv.Itoa(rank)+"_total", r)
+	}
+	c.refusedByRank[countedRanks] = gometrics.NewRegisteredCounter("requests_refused_rank_other_total", r)
 	return c
 }
 
@@ -48,6 +59,14 @@
 	}
 }
 
+func (c *Counters) recordRefusal(rank steering.Rank) {
+	counter := c.refusedByRank[countedRanks]
+	if rank.Route >= 0 && rank.Route < countedRanks {
+		counter = c.refusedByRank[rank.Route]
+	}
+	counter.Inc(1)
+}
+
 func (c *Counters) recordAttempt(result balance.Result) { c.attemptResults[result].Inc(1) }
 
 // Counters returns the metrics of request handling.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -334,13 +335,24 @@
 // no target.
 func (g *Gateway) refusalResponse(request *routedRequest, refusal *balance.Refusal) *response {
 	now := time.Now()
-	g.events.Emit(events.RequestNotPlaced, log.Fields{"request": request.id, "route": request.route.Name, "service": request.service,
+	rank, reservedFor := request.config.RankOf(request.account, request.route), ""
+	if refusal.ReservedFor != nil {
+		reservedFor = rankText(*refusal.ReservedFor)
+	}
+	g.counters.recordRefusal(rank)
+	g.events.Emit(events.RequestNotPlaced, log.Fields{"rank": rankText(rank), "reservedFor": reservedFor, "request": request.id, "route": request.route.Name, "service": request.service,
 		"reason": refusal.Reason, "region": refusal.Region, "load": refusal.Load, "waitMs": refusal.ExpectedWait.Milliseconds(),
 		"expectedMs": refusal.ExpectedTime.Milliseconds(), "sinceFirstMs": now.Sub(request.firstSent).Milliseconds(),
 		"leftMs": request.deadline.Sub(now).Milliseconds(), "retryAfterMs": refusal.RetryAfter.Milliseconds(), "version": uint64(request.version)})
 	return request.unsentResponse("attempt-failed", string(refusal.Reason), refusal.RetryAfter)
 }
 
+// rankText returns a rank as it appears in log lines: those of the account and the
+// route.
+func rankText(rank steering.Rank) string {
+	return strconv.Itoa(rank.Account) + "/" + strconv.Itoa(rank.Route)
+}
+
 // unsentResponse returns the response to a request that is not sent again: a target's
 // error response that is kept, 502 with the reason failed if an earlier attempt may
 // have been executed, or else 503 with the reason refused.
