--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -20,6 +21,9 @@
 	attemptResults [balance.Abandoned + 1]gometrics.Counter // Indexed by balance.Result.
 	refusedByRank  [countedRanks + 1]gometrics.Counter      // Requests for which no target was selected, by the rank of the route; the last one for all others.
 	latency        gometrics.Histogram
+	// refusals counts the requests that are refused because of their account, by
+	// reason.
+	refusals map[string]gometrics.Counter
 }
 
 // countedRanks is the number of ranks of routes whose refusals have a counter of their
@@ -40,6 +44,10 @@
 		latency: gometrics.NewRegisteredHistogram("request_microseconds", r,
 			gometrics.NewUniformSample(metrics.SampleSize)),
 	}
+	c.refusals = map[string]gometrics.Counter{}
+	for _, reason := range []string{reasonNoKey, reasonUnknownKey, reasonAccountsUnknown, reasonNoHomeRegion} {
+		c.refusals[reason] = gometrics.NewRegisteredCounter("requests_refused_"+strings.ReplaceAll(reason, "-", "_")+"_total", r)
+	}
 	for i, name := range attemptResultNames {
 		c.attemptResults[i] = gometrics.NewRegisteredCounter("attempts_"+name+"_total", r)
 	}
@@ -59,7 +67,8 @@
 	}
 }
 
-func (c *Counters) recordRefusal(rank steering.Rank) {
+// recordNotPlaced counts a request for which no target was selected.
+func (c *Counters) recordNotPlaced(rank steering.Rank) {
 	counter := c.refusedByRank[countedRanks]
 	if rank.Route >= 0 && rank.Route < countedRanks {
 		counter = c.refusedByRank[rank.Route]
@@ -67,6 +76,13 @@
 	counter.Inc(1)
 }
 
+// recordRefusal counts a request that is refused because of its account.
+func (c *Counters) recordRefusal(reason string) {
+	if counter := c.refusals[reason]; counter != nil {
+		counter.Inc(1)
+	}
+}
+
 func (c *Counters) recordAttempt(result balance.Result) { c.attemptResults[result].Inc(1) }
 
 // Counters returns the metrics of request handling.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -121,6 +121,7 @@
 	// as invalid.
 	invalidStatements nameSet
 	heldResponses     responseSlots
+	accountRefusals   refusalLog
 	crashChecks       crashChecks
 	stop              stopTimes
 }
@@ -210,7 +211,7 @@
 	}
 	g.events.EmitFields(&events.RequestEnded, events.String("request", request.id), events.String("route", route),
 		events.Int("status", int64(resp.status)), events.String("origin", origin), events.String("reason", resp.reason),
-		events.Int("attempts", int64(request.reachedAttempts)), events.Int("tookMs", took.Milliseconds()), events.Uint("version", uint64(request.version)))
+		events.Int("attempts", int64(request.reachedAttempts)), events.Int("tookMs", took.Milliseconds()), events.Uint("version", uint64(request.version)), events.String("account", request.accountName()))
 }
 
 // handle determines the route, service and deadline of a request and sends it.
@@ -339,7 +340,7 @@
 	if refusal.ReservedFor != nil {
 		reservedFor = rankText(*refusal.ReservedFor)
 	}
-	g.counters.recordRefusal(rank)
+	g.counters.recordNotPlaced(rank)
 	g.events.Emit(events.RequestNotPlaced, log.Fields{"rank": rankText(rank), "reservedFor": reservedFor, "request": request.id, "route": request.route.Name, "service": request.service,
 		"reason": refusal.Reason, "region": refusal.Region, "load": refusal.Load, "waitMs": refusal.ExpectedWait.Milliseconds(),
 		"expectedMs": refusal.ExpectedTime.Milliseconds(), "sinceFirstMs": now.Sub(request.firstSent).Milliseconds(),
