--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -52,6 +52,8 @@
 	attempts int         // Attempts of each route; 0 means 2.
 	logs     log.Handler // Receives the log of the gateway; nil discards it.
 	quotas   gateway.Quotas
+	// unsafePriority is the priority of the route "unsafe"; that of the other is 0.
+	unsafePriority int
 }
 
 type script func(number int, r *http.Request, c net.Conn) bool
@@ -70,7 +72,7 @@
 	if o.split != nil {
 		split = o.split
 	}
-	for _, r := range []steering.Route{{Name: "safe", Prefix: "/safe/", Idempotent: true}, {Name: "unsafe", Prefix: "/unsafe/"}} {
+	for _, r := range []steering.Route{{Name: "safe", Prefix: "/safe/", Idempotent: true}, {Name: "unsafe", Prefix: "/unsafe/", Priority: o.unsafePriority}} {
 		r.Host, r.Timeout, r.Objective, r.MaxAttempts, r.Sticky, r.Split = host, o.timeout, 400*time.Millisecond, o.attempts, true, split
 		config.Routes = append(config.Routes, r)
 	}
