--- a/balance/priority_simulation_test.go
+++ b/balance/priority_simulation_test.go
@@ -93,7 +93,7 @@
 }
 
 // newRankSimulation returns instances in two failure domains in each of three regions.
-// The first region has a sixth of the targets of the others, as the registry's.
+// The first region has a quarter of the targets of each other one, as in the registry.
 func newRankSimulation(seed uint64, day rankDay) *rankSimulation {
 	sim := &rankSimulation{simulation: &simulation{random: rand.New(rand.NewPCG(seed, 9)), now: start, targets: map[string]*simulatedTarget{}},
 		day: day, kinds: slices.Clone(rankKinds), counts: make([]rankCounts, len(rankKinds)), regions: []string{"a", "b", "c"}, byRegion: map[string][]*simulatedInstance{}, domains: map[string][]*simulatedInstance{}}
