--- a/balance/rebalance.go
+++ b/balance/rebalance.go
@@ -77,7 +77,7 @@
 	defer balancer.mu.Unlock()
 	table := &steering.HomeTable{Objects: map[uint32]uint32{}}
 	if old := balancer.state.HomeTables[balancer.options.Region]; old != nil {
-		table.Revision, table.Objects = old.Revision, maps.Clone(old.Objects)
+		table.Revision, table.Era, table.Objects = old.Revision, old.Era, maps.Clone(old.Objects)
 	}
 	var moves []HomeMove
 	for _, name := range slices.Sorted(maps.Keys(balancer.services)) {
--- a/cmd/jacinth-node/main.go
+++ b/cmd/jacinth-node/main.go
@@ -108,7 +108,7 @@
 	}
 	n, err := node.New(node.Options{Settings: s, Platform: platform.Codec{}, Headers: platform.Headers{}, Store: store,
 		Log: logger.WithField("instance", s.Name), Reload: load,
-		StoreCalls: store.CallCount, DroppedLines: handler.DroppedLines})
+		StoreCalls: store.CallCount, DroppedLines: handler.DroppedLines, OnInvalidEra: store.OnInvalidEra})
 	if err != nil {
 		return err
 	}
--- a/events/steering.go
+++ b/events/steering.go
@@ -52,6 +52,12 @@
 		Message: "failed to write the home table; the current one stays in force", Fields: []string{"region", "revision", "error"}, Action: "check the store if the event repeats"})
 	CrashesNotWritten = register(Event{Number: 932, Name: "crashes-not-written", Level: log.InfoLevel,
 		Message: "failed to write the requests that are refused; they are lost if all instances end", Fields: []string{"requests", "error"}, Action: "check the store if the event repeats"})
+	StoreEraChanged = register(Event{Number: 933, Name: "store-era-changed", Level: log.WarnLevel,
+		Message: "store was restored to an older state; records that it lost are kept until they are written again", Fields: []string{"era", "eraBefore", "revision", "revisionBefore", "source"},
+		Action: "check that the store has the operators' latest records; write them again if not"})
+	StoreEraInvalid = register(Event{Number: 934, Name: "store-era-invalid", Level: log.WarnLevel,
+		Message: "store stated an era that cannot be read; the value is ignored", Fields: []string{"value"},
+		Action: "check the store's response headers"})
 	HomeMoved = register(Event{Number: 931, Name: "home-moved", Level: log.InfoLevel,
 		Message: "object assigned to another home target to balance load", Fields: []string{"service", "from", "to", "fromLevel", "toLevel", "part", "more"}, Action: "none"})
 	SettingsRejected = register(Event{Number: 927, Name: "settings-rejected", Level: log.WarnLevel,
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
@@ -86,7 +87,7 @@
 	Seeds    []string // Peer addresses of instances that introduce peers to each other.
 	// Bootstrap is set when the whole deployment starts for the first time.
 	Bootstrap      bool
-	Revision       func() uint64
+	Revision       func() kv.Revision
 	Ready          func() bool
 	Leaving        func() bool
 	StoreReachable func() bool // The store responds to this instance.
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -15,6 +15,7 @@
 	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/internal/loopback"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/quarantine"
 	"github.com/jacinthstall/jacinthstall/steering"
 )
@@ -28,6 +29,7 @@
 	leaving        atomic.Bool
 	storeReachable atomic.Bool
 	revision       atomic.Uint64
+	era            atomic.Uint64
 	advanced       atomic.Int64
 	cancel         context.CancelFunc
 }
@@ -50,12 +52,16 @@
 	return fleet
 }
 
+func (instance *testInstance) position() kv.Revision {
+	return kv.Revision{Era: instance.era.Load(), Number: instance.revision.Load()}
+}
+
 func startInstance(t *testing.T, in steering.Instance, known map[string]steering.Instance) *testInstance {
 	t.Helper()
 	instance := &testInstance{balancer: balance.New(balance.Options{Name: in.Name, Domain: in.Domain, Region: in.Region, Regions: regions}, time.Now())}
 	instance.storeReachable.Store(true)
 	exchange, err := Listen(Options{Self: in, Regions: regions, Events: events.New(&log.Logger{Handler: events.NewDroppingHandler(io.Discard)}),
-		Balancer: instance.balancer, Suspects: balance.NewSuspects(), Revision: instance.revision.Load, Ready: func() bool { return true }, Leaving: instance.leaving.Load,
+		Balancer: instance.balancer, Suspects: balance.NewSuspects(), Revision: instance.position, Ready: func() bool { return true }, Leaving: instance.leaving.Load,
 		StoreReachable: instance.storeReachable.Load, OnLiveChanged: func(live []steering.Instance) { instance.balancer.SetInstances(time.Now(), live, 0) }, OnPeerAdvanced: func() { instance.advanced.Add(1) }})
 	require.NoError(t, err)
 	instance.Exchange = exchange
@@ -160,11 +166,11 @@
 	fleet[0].revision.Store(9)
 	fleet[0].Announce()
 	require.Eventually(t, func() bool { return fleet[2].advanced.Load() > 0 }, time.Second, time.Millisecond)
-	in, revision, ok := fleet[2].NewerPeer(3)
+	in, revision, ok := fleet[2].NewerPeer(kv.Revision{Number: 3})
 	require.True(t, ok)
 	assert.Equal(t, "a1-0", in.Name)
-	assert.Equal(t, uint64(9), revision)
-	_, _, ok = fleet[2].NewerPeer(9)
+	assert.Equal(t, kv.Revision{Number: 9}, revision)
+	_, _, ok = fleet[2].NewerPeer(kv.Revision{Number: 9})
 	assert.False(t, ok)
 }
 
--- a/gossip/join_test.go
+++ b/gossip/join_test.go
@@ -15,6 +15,7 @@
 	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/internal/loopback"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
@@ -32,7 +33,7 @@
 	in := steering.Instance{Name: name, Domain: domain, Region: regions[domain], Address: "10.0.0.1:80", PeerAddress: address, Incarnation: 1}
 	exchange, err := Listen(Options{Self: in, Seeds: seeds, Bootstrap: bootstrap, Regions: regions, Events: events.New(&log.Logger{Handler: events.NewDroppingHandler(io.Discard)}),
 		Balancer: balance.New(balance.Options{Name: name, Domain: domain, Region: in.Region, Regions: regions}, time.Now()), Suspects: balance.NewSuspects(),
-		Revision: func() uint64 { return revision }, Ready: func() bool { return true }, Leaving: func() bool { return false }, StoreReachable: func() bool { return true },
+		Revision: func() kv.Revision { return kv.Revision{Number: revision} }, Ready: func() bool { return true }, Leaving: func() bool { return false }, StoreReachable: func() bool { return true },
 		OnLiveChanged: func([]steering.Instance) {}, OnPeerAdvanced: func() {}})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -102,6 +103,6 @@
 	second := startNewcomerAt(t, false, 0, "second", "a1", loopback.Host()+":7000", seed)
 	require.Eventually(t, func() bool { return !first.DefersFirstRead() && !second.DefersFirstRead() }, 2*lateJoinTimeout, time.Millisecond)
 	third := startNewcomerAt(t, false, 0, "third", "b1", loopback.Host()+":7000", seed)
-	require.Eventually(t, func() bool { _, _, ok := third.NewerPeer(0); return ok }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { _, _, ok := third.NewerPeer(kv.Revision{}); return ok }, time.Second, time.Millisecond)
 	assert.True(t, third.DefersFirstRead(), "the seed has the records")
 }
--- a/gossip/liveness.go
+++ b/gossip/liveness.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
@@ -94,6 +95,13 @@
 	return reaching == 0 && exchange.probesStore(now, len(names)-first)
 }
 
+// StoreServes reports whether the store responds to any instance of this domain.
+func (exchange *Exchange) StoreServes() bool {
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	return slices.ContainsFunc(exchange.rankedNames(time.Now()), exchange.reachesStore)
+}
+
 // reachesStore reports whether the store responds to an instance of this
 // domain.
 func (exchange *Exchange) reachesStore(name string) bool {
@@ -179,20 +187,20 @@
 
 // NewerPeer returns a live instance that has read a newer store revision than
 // the given one, and its revision. It prefers peers of the same domain.
-func (exchange *Exchange) NewerPeer(revision uint64) (steering.Instance, uint64, bool) {
+func (exchange *Exchange) NewerPeer(revision kv.Revision) (steering.Instance, kv.Revision, bool) {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
 	now := time.Now()
 	var found steering.Instance
 	newest, candidates := revision, 0
 	for _, peer := range exchange.peers {
-		if now.Sub(peer.lastHeard) >= exchange.peerTimeout() || peer.lastMessage.Revision <= revision || peer.instance.PeerAddress == "" {
+		if now.Sub(peer.lastHeard) >= exchange.peerTimeout() || !peer.lastMessage.position().After(revision) || peer.instance.PeerAddress == "" {
 			continue
 		}
-		switch {
-		case peer.lastMessage.Revision > newest:
-			found, newest, candidates = peer.instance, peer.lastMessage.Revision, 1
-		case peer.lastMessage.Revision == newest:
+		switch at := peer.lastMessage.position(); {
+		case at.After(newest):
+			found, newest, candidates = peer.instance, at, 1
+		case at == newest:
 			if candidates++; rand.IntN(candidates) == 0 { // Selects one of them with equal probability.
 				found = peer.instance
 			}
@@ -202,9 +210,9 @@
 		return found, newest, true
 	}
 	for _, remote := range exchange.remoteDomains {
-		if now.Sub(remote.lastHeard) < exchange.domainTimeout() && remote.lastDigest.Revision > newest {
+		if now.Sub(remote.lastHeard) < exchange.domainTimeout() && remote.lastDigest.position().After(newest) {
 			if in, ok := exchange.instanceByName(remote.lastDigest.Name); ok {
-				found, newest = in, remote.lastDigest.Revision
+				found, newest = in, remote.lastDigest.position()
 			}
 		}
 	}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/jacinthstall/jacinthstall/balance"
+	"github.com/jacinthstall/jacinthstall/kv"
 )
 
 // Message is a message between instances. Within a failure domain it describes
@@ -24,6 +25,7 @@
 	Leaving        bool   // Is shutting down.
 	StoreReachable bool   // The sender watches the store, which responds to it.
 	Revision       uint64 // Store revision that the sender has read.
+	Era            uint64 // Era of the revision.
 	Sent           uint64 // Sender's clock in microseconds.
 	Echo           uint64 // Sent of the digest that this message acknowledges; otherwise 0.
 	Report         balance.Report
@@ -53,6 +55,9 @@
 	Leaving     bool
 }
 
+// position returns the store revision that the sender has read, with its era.
+func (m *Message) position() kv.Revision { return kv.Revision{Era: m.Era, Number: m.Revision} }
+
 func (m *Message) isDigest() bool { return len(m.Members) > 0 && !m.Introduction }
 
 // Field numbers.
@@ -84,6 +89,8 @@
 	fieldSuspects // Fixed64 fingerprint and three varints: clearance, crashes and age in seconds, packed.
 )
 
+const fieldEra = 29
+
 // Upper bounds of values in a message. Messages that exceed them are rejected,
 // because their counts could overflow sums.
 const (
@@ -105,7 +112,7 @@
 		{fieldIncarnation, m.Incarnation}, {fieldSequence, m.Sequence},
 		{fieldReady, protowire.EncodeBool(m.Ready)}, {fieldLeaving, protowire.EncodeBool(m.Leaving)},
 		{fieldStoreReachable, protowire.EncodeBool(m.StoreReachable)}, {fieldForwarded, protowire.EncodeBool(m.Forwarded)},
-		{fieldRevision, m.Revision}, {fieldSent, m.Sent}, {fieldEcho, m.Echo},
+		{fieldRevision, m.Revision}, {fieldEra, m.Era}, {fieldSent, m.Sent}, {fieldEcho, m.Echo},
 		{fieldRoundTrip, m.RoundTrip}, {fieldCapacity, m.Capacity},
 		{fieldHello, protowire.EncodeBool(m.Hello)}, {fieldIntroduction, protowire.EncodeBool(m.Introduction)},
 	})
@@ -310,6 +317,8 @@
 		m.Leaving = protowire.DecodeBool(v)
 	case fieldRevision:
 		m.Revision = v
+	case fieldEra:
+		m.Era = v
 	case fieldSent:
 		m.Sent = v
 	case fieldEcho:
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -17,7 +17,7 @@
 		Name: rapid.StringN(1, 12, -1).Draw(t, "name"), Domain: text.Draw(t, "domain"), Address: text.Draw(t, "address"),
 		PeerAddress: text.Draw(t, "peer"), Incarnation: rapid.Uint64().Draw(t, "incarnation"), Sequence: rapid.Uint64().Draw(t, "sequence"),
 		Ready: rapid.Bool().Draw(t, "ready"), Leaving: rapid.Bool().Draw(t, "leaving"), StoreReachable: rapid.Bool().Draw(t, "touch"),
-		Revision: rapid.Uint64().Draw(t, "revision"), Sent: rapid.Uint64().Draw(t, "sent"), Forwarded: rapid.Bool().Draw(t, "relayed"),
+		Revision: rapid.Uint64().Draw(t, "revision"), Era: rapid.Uint64().Draw(t, "era"), Sent: rapid.Uint64().Draw(t, "sent"), Forwarded: rapid.Bool().Draw(t, "relayed"),
 		RoundTrip: rapid.Uint64().Draw(t, "trip"),
 		Report: balance.Report{InFlight: rapid.MapOf(rapid.Uint32(), rapid.IntRange(0, 1<<20)).Draw(t, "inFlight"),
 			CallerRates: map[uint32]float64{7: 1.5}, FailureEvidence: rapid.MapOf(rapid.Uint32(), rapid.IntRange(0, 100)).Draw(t, "failing"),
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -91,7 +91,7 @@
 	if changed {
 		exchange.updateLive(now)
 	}
-	if m.Revision > exchange.options.Revision() {
+	if m.position().After(exchange.options.Revision()) {
 		exchange.options.OnPeerAdvanced()
 	}
 }
@@ -127,7 +127,7 @@
 	if changed {
 		exchange.updateLive(now)
 	}
-	if m.Revision > exchange.options.Revision() {
+	if m.position().After(exchange.options.Revision()) {
 		exchange.options.OnPeerAdvanced()
 	}
 }
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -35,9 +35,10 @@
 // this instance.
 func (exchange *Exchange) newMessage(now time.Time) Message {
 	exchange.lastSequence++
+	revision := exchange.options.Revision()
 	m := Message{Name: exchange.options.Self.Name, Incarnation: exchange.options.Self.Incarnation, Sequence: exchange.lastSequence,
 		Ready: exchange.options.Ready(), Leaving: exchange.options.Leaving(), StoreReachable: exchange.options.StoreReachable(),
-		Revision: exchange.options.Revision()}
+		Revision: revision.Number, Era: revision.Era}
 	return m
 }
 
--- a/kv/httpclient.go
+++ b/kv/httpclient.go
@@ -51,6 +51,15 @@
 	// then applies to a response that has not begun, that arrives too slowly or
 	// that stops arriving. 0 means Timeout.
 	MaxTime time.Duration
+	// Received is called with the headers of the response, whatever its status,
+	// before its body is read. It may be nil.
+	Received func(header func(name string) string)
+}
+
+func (c *Call) received(header func(name string) string) {
+	if c.Received != nil {
+		c.Received(header)
+	}
 }
 
 // isWrite reports whether the call may modify data.
@@ -149,6 +158,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	call.received(resp.Header.Get)
 	return resp.StatusCode(), bytes.Clone(resp.Body()), nil
 }
 
@@ -186,6 +196,7 @@
 		return 0, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }() // The body is complete, or its error is returned.
+	call.received(resp.Header.Get)
 	if resp.ContentLength > maxResponseBytes {
 		return 0, nil, ErrResponseTooLarge
 	}
--- a/mirror/apply.go
+++ b/mirror/apply.go
@@ -12,32 +12,58 @@
 )
 
 // replaceAll replaces all records with the items of a full read. Records that
-// are missing there are treated as deleted.
-func (mirror *Mirror) replaceAll(items []kv.Item, revision uint64, now time.Time, source string) {
+// are missing there are treated as deleted, those of an older era as unconfirmed.
+func (mirror *Mirror) replaceAll(items []kv.Item, revision kv.Revision, now time.Time, source string) {
+	mirror.replaceAllAnd(nil, items, revision, now, source)
+}
+
+// replaceAllAnd is replaceAll with further updates, which are published together
+// with those of the items.
+func (mirror *Mirror) replaceAllAnd(further []steering.Update, items []kv.Item, revision kv.Revision, now time.Time, source string) {
+	if mirror.Position().Era > revision.Era {
+		return
+	}
+	mirror.enterEra(revision, now, source)
 	mirror.mu.Lock()
-	mirror.history.reset(revision)
+	mirror.history.reset(revision.Number)
 	mirror.mu.Unlock()
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
 		present[item.Key] = true
 	}
 	changes := append([]kv.Item(nil), items...)
-	for key := range mirror.items {
-		if !present[key] {
-			changes = append(changes, kv.Item{Key: key, Revision: revision, Deleted: true})
+	for key, old := range mirror.items {
+		switch {
+		case present[key]:
+		case old.Era < revision.Era:
+			mirror.holdUnconfirmed(old, now)
+		default:
+			changes = append(changes, kv.Item{Key: key, Revision: revision.Number, Era: revision.Era, Deleted: true})
 		}
 	}
-	mirror.apply(changes, revision, now, source)
+	mirror.applyAnd(further, changes, revision, now, source)
 }
 
 // apply stores changes and publishes the state that results from them.
-func (mirror *Mirror) apply(changes []kv.Item, revision uint64, now time.Time, source string) {
-	var updates []steering.Update
+func (mirror *Mirror) apply(changes []kv.Item, revision kv.Revision, now time.Time, source string) {
+	if known := mirror.Position(); known.Era != revision.Era && known.Number > 0 {
+		return // Changes don't lead from one era to another.
+	}
+	mirror.applyAnd(nil, changes, revision, now, source)
+}
+
+// applyAnd is apply with further updates, which are published first.
+func (mirror *Mirror) applyAnd(further []steering.Update, changes []kv.Item, revision kv.Revision, now time.Time, source string) {
+	updates := further
 	for _, change := range changes {
+		if change.Era != revision.Era {
+			continue
+		}
 		if change.Key == "" || change.Revision == 0 {
 			mirror.logRejection(change, boundedText(change.Fault, maxUnusableFaultBytes), rejectionLogInterval, now)
 			continue
 		}
+		replaced := mirror.items[change.Key]
 		if !mirror.accept(change) {
 			continue
 		}
@@ -55,6 +81,7 @@
 		if !change.Deleted && !usesValue(update) {
 			mirror.dropValue(change, fault)
 		}
+		mirror.keepConfigInForce(replaced, change, update, now)
 		if update == nil || mirror.holdLapsedTarget(change, update, now) {
 			continue
 		}
@@ -70,16 +97,17 @@
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
 	old, known := mirror.items[change.Key]
-	if known && old.Revision >= change.Revision {
+	if known && old.Position().Compare(change.Position()) >= 0 {
 		return false
 	}
 	// All records up to mirror.revision are known, so this one has been deleted.
-	if !known && change.Revision <= mirror.revision {
+	if !known && !change.Position().After(mirror.revision) {
 		return false
 	}
 	if known || !change.Deleted {
 		mirror.history.add(change)
 	}
+	delete(mirror.unconfirmed, change.Key)
 	if change.Deleted {
 		delete(mirror.items, change.Key)
 		return known
@@ -164,7 +192,8 @@
 	return true
 }
 
-// removeExpiredTargets removes held targets whose records were not renewed.
+// removeExpiredTargets removes held targets whose records were not renewed, and
+// records of an older era that were not written again.
 func (mirror *Mirror) removeExpiredTargets(now time.Time) {
 	var updates []steering.Update
 	for key, until := range mirror.heldTargets {
@@ -179,18 +208,22 @@
 		}
 		updates = append(updates, update)
 	}
-	mirror.publish(updates, mirror.Revision(), "lapsed")
+	updates = append(updates, mirror.dropUnconfirmed(now)...)
+	mirror.publish(updates, mirror.Position(), "lapsed")
 }
 
 // publish replaces the current state with one that includes the updates, and
 // logs them. The revision is visible to peers only after the state of that
 // revision is current.
-func (mirror *Mirror) publish(updates []steering.Update, revision uint64, source string) {
+func (mirror *Mirror) publish(updates []steering.Update, revision kv.Revision, source string) {
 	before := mirror.state.Load()
-	after := before.Apply(max(before.Revision, revision), updates)
+	if known := mirror.Position(); known.After(revision) {
+		revision = known
+	}
+	after := before.Apply(revision.Number, updates)
 	mirror.state.Store(after)
 	mirror.mu.Lock()
-	mirror.revision = max(mirror.revision, revision)
+	mirror.revision = revision
 	mirror.mu.Unlock()
 	if len(updates) == 0 {
 		return
--- a/mirror/fallback_test.go
+++ b/mirror/fallback_test.go
@@ -21,9 +21,9 @@
 	s := &fakeStore{items: []kv.Item{put("t:1", "a", 3)}, revision: 5, changes: make(chan watchResponse, 1)}
 	m := newMirror(s)
 	m.options.WatchesStore = func() bool { return false }
-	m.options.NewerPeer = func(revision uint64) (Peer, bool) { return Peer{Name: "p"}, revision < 6 }
+	m.options.NewerPeer = func(revision kv.Revision) (Peer, bool) { return Peer{Name: "p"}, revision.Number < 6 }
 	var fetches atomic.Int32
-	m.options.Fetch = func(context.Context, Peer, uint64) (Snapshot, error) {
+	m.options.Fetch = func(context.Context, Peer, kv.Revision) (Snapshot, error) {
 		fetches.Add(1)
 		return Snapshot{}, errors.New("connection refused")
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -64,7 +64,7 @@
 type Peer struct {
 	Name     string
 	Address  string
-	Revision uint64
+	Revision kv.Revision
 }
 
 // Options configure a Mirror.
@@ -80,10 +80,17 @@
 	// reads the records for the domain before it reads them itself. Nil means
 	// never.
 	DefersFirstRead func() bool
-	// NewerPeer returns a peer with a higher revision, if there is one.
-	NewerPeer func(revision uint64) (Peer, bool)
+	// NewerPeer returns a peer with a newer revision, if there is one.
+	NewerPeer func(revision kv.Revision) (Peer, bool)
 	// Fetch returns the changes at a peer after a revision.
-	Fetch func(ctx context.Context, p Peer, after uint64) (Snapshot, error)
+	Fetch func(ctx context.Context, p Peer, after kv.Revision) (Snapshot, error)
+	// StoreServes reports whether the store responds to any instance of the
+	// failure domain. Nil means that only this instance's own calls count.
+	StoreServes func() bool
+	// OnEraChanged is called with the last state of an older era and the revision
+	// of the first full read of a newer one, from the mirror's goroutine and before
+	// OnStateChanged.
+	OnEraChanged func(before *steering.State, revision kv.Revision)
 	// OnStateChanged is called after each change of the state, from the
 	// mirror's goroutine.
 	OnStateChanged func(before, after *steering.State)
@@ -98,9 +105,21 @@
 	// ReturnedMs is how long ago the store became responsive again, in
 	// milliseconds. It is 0 when it is too long ago to matter.
 	ReturnedMs int64
+	Era        uint64 // Of Revision.
+	// Unconfirmed holds the records of older eras that are still in use, if Whole is
+	// set. EraAgeMs is how long ago the sender, or the instance from which it learned
+	// of the era, first read the store in it, in milliseconds; 0 when it is too long
+	// ago to matter.
+	Unconfirmed []kv.Item
+	EraAgeMs    int64
+}
+
+// Position returns the revision of the snapshot with its era.
+func (snapshot *Snapshot) Position() kv.Revision {
+	return kv.Revision{Era: snapshot.Era, Number: snapshot.Revision}
 }
 
-// Mirror holds the records and the state built from them. State, Revision,
+// Mirror holds the records and the state built from them. State, Position, Revision,
 // RejectedRevision, ChangesSince, StoreReachable, ClearStoreReachable and Wake may
 // be called from any goroutine.
 type Mirror struct {
@@ -109,11 +128,15 @@
 	storeFailing atomic.Bool               // The last call to the store failed.
 	lastResponse atomic.Pointer[time.Time] // When a part of a response of the store last arrived; monotonic, so that setting the clock doesn't matter.
 
-	mu            sync.Mutex // Guards items, revision, history and storeReturned.
+	mu            sync.Mutex // Guards items, revision, history, storeReturned, eraStarted and configInForce.
 	items         map[string]kv.Item
-	revision      uint64
+	revision      kv.Revision
 	history       history
 	storeReturned time.Time // When the store last became responsive again, here or at a peer.
+	eraStarted    time.Time // When the store was first read in the current era, here or at a peer; zero if unknown.
+	// configInForce is the record of the configuration in force if the current era
+	// has a lower version, otherwise nil.
+	configInForce *kv.Item
 
 	started time.Time
 
@@ -121,6 +144,8 @@
 	loaded        bool                 // All records have been read from the store or a peer.
 	lostSince     time.Time            // Since when the store hasn't responded; zero when it responds.
 	heldTargets   map[string]time.Time // Until when targets with lapsed records are kept, by key.
+	unconfirmed   map[string]time.Time // Until when records of older eras are kept, by key. They are in items.
+	seekUntil     time.Time            // Until when a peer is asked for records of older eras; zero if none is to be asked.
 	rejections    map[string]rejection // Faults of records that were logged, by key.
 	lastPeerFetch time.Time            // Last fetch from a peer while the store didn't respond.
 	fallback      storeFallback
@@ -128,7 +153,7 @@
 
 // New returns a mirror without records.
 func New(options Options) *Mirror {
-	mirror := &Mirror{options: options, started: time.Now(), items: map[string]kv.Item{}, heldTargets: map[string]time.Time{}, rejections: map[string]rejection{}, wake: make(chan struct{}, 1)}
+	mirror := &Mirror{options: options, started: time.Now(), items: map[string]kv.Item{}, heldTargets: map[string]time.Time{}, unconfirmed: map[string]time.Time{}, rejections: map[string]rejection{}, wake: make(chan struct{}, 1)}
 	mirror.state.Store(steering.NewState().Apply(0, nil))
 	return mirror
 }
@@ -148,9 +173,21 @@
 // may have granted to others what this instance held.
 func (mirror *Mirror) ClearStoreReachable() { mirror.storeFailing.Store(true) }
 
-// reasonHistoryGone is the reason for a full read after a watch whose changes
-// are not available.
-const reasonHistoryGone = "history-gone"
+// Reasons for a full read after a watch: its changes are not available, or the
+// store is in a newer era.
+const (
+	reasonHistoryGone = "history-gone"
+	reasonEraChanged  = "era-changed"
+)
+
+// fullReadReason returns the reason for a full read after a watch that failed.
+func fullReadReason(err error) string {
+	var failed *kv.Error
+	if errors.As(err, &failed) && errors.Is(failed.Cause, kv.ErrEraChanged) {
+		return reasonEraChanged
+	}
+	return reasonHistoryGone
+}
 
 // Run keeps the records in sync with the store until ctx ends.
 func (mirror *Mirror) Run(ctx context.Context) {
@@ -167,6 +204,7 @@
 				continue
 			}
 		}
+		mirror.seekUnconfirmed(ctx, time.Now())
 		var err error
 		switch {
 		case !mirror.loaded:
@@ -178,7 +216,7 @@
 			err = mirror.watchStore(ctx)
 		}
 		if errors.Is(err, kv.ErrHistoryGone) {
-			mirror.loaded, reason = false, reasonHistoryGone
+			mirror.loaded, reason = false, fullReadReason(err)
 			continue
 		}
 		if err == nil {
@@ -202,11 +240,17 @@
 		return err
 	}
 	now := time.Now()
+	if known := mirror.Position(); known.Era > revision.Era {
+		return &kv.Error{Op: "range", Kind: kv.ErrUnavailable, Cause: kv.ErrEraChanged} // A peer has read a newer era.
+	}
 	mirror.handleStoreResponse(now, revision)
 	mirror.loaded = true
-	mirror.options.Events.Emit(events.StoreRead, log.Fields{"revision": revision, "items": len(items), "reason": reason})
+	if revision.Era > 0 && mirror.Position() == (kv.Revision{}) {
+		mirror.seekUntil = now.Add(seekPeriod)
+	}
+	mirror.options.Events.Emit(events.StoreRead, log.Fields{"revision": revision.Number, "items": len(items), "reason": reason})
 	mirror.replaceAll(items, revision, now, "store")
-	if reason == reasonHistoryGone {
+	if reason == reasonHistoryGone || reason == reasonEraChanged {
 		sleep(ctx, changePause) // The next watch may fail for the same reason.
 	}
 	return nil
@@ -214,14 +258,14 @@
 
 type watchResult struct {
 	items    []kv.Item
-	revision uint64
+	revision kv.Revision
 	err      error
 }
 
 // watchStore waits for changes and applies them. Changes that a peer reports
 // but the watch doesn't deliver within maxWatchLag are fetched from a peer.
 func (mirror *Mirror) watchStore(ctx context.Context) error {
-	after, wait := mirror.Revision(), mirror.nextWatchTimeout(time.Now())
+	after, wait := mirror.Position(), mirror.nextWatchTimeout(time.Now())
 	watch := make(chan watchResult, 1)
 	go func() {
 		items, revision, err := mirror.options.Store.Watch(kv.WithProgress(ctx, mirror.noteProgress), mirror.options.Prefix, after, wait)
@@ -248,6 +292,9 @@
 		return result.err
 	}
 	now := time.Now()
+	if mirror.Position().Era != result.revision.Era {
+		return nil // The changes are of an older era than those fetched from a peer meanwhile.
+	}
 	mirror.handleStoreResponse(now, result.revision)
 	mirror.apply(result.items, result.revision, now, "store")
 	if len(result.items) > 0 {
@@ -273,26 +320,31 @@
 	if !mirror.lostSince.IsZero() {
 		wait = lostWatchTimeout
 	}
-	for _, until := range mirror.heldTargets {
-		wait = min(wait, max(lostWatchTimeout, until.Sub(now)))
+	for _, held := range []map[string]time.Time{mirror.heldTargets, mirror.unconfirmed} {
+		for _, until := range held {
+			wait = min(wait, max(lostWatchTimeout, until.Sub(now)))
+		}
 	}
 	return wait
 }
 
-// Revision returns the store revision of the records.
-func (mirror *Mirror) Revision() uint64 {
+// Position returns the store revision of the records with its era.
+func (mirror *Mirror) Position() kv.Revision {
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
 	return mirror.revision
 }
 
+// Revision returns the number of the store revision of the records.
+func (mirror *Mirror) Revision() uint64 { return mirror.Position().Number }
+
 // RejectedRevision returns the revision of the record of a key if it cannot be
 // used.
-func (mirror *Mirror) RejectedRevision(key string) (uint64, bool) {
+func (mirror *Mirror) RejectedRevision(key string) (kv.Revision, bool) {
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
 	record := mirror.items[key]
-	return record.Revision, record.Fault != ""
+	return record.Position(), record.Fault != ""
 }
 
 func (mirror *Mirror) handleStoreError(err error) {
@@ -309,13 +361,13 @@
 	mirror.options.Events.Emit(events.StoreLost, log.Fields{"revision": mirror.Revision(), "op": op, "error": err.Error()})
 }
 
-func (mirror *Mirror) handleStoreResponse(now time.Time, revision uint64) {
+func (mirror *Mirror) handleStoreResponse(now time.Time, revision kv.Revision) {
 	mirror.lastResponse.Store(&now)
 	mirror.storeFailing.Store(false)
 	if mirror.lostSince.IsZero() {
 		return
 	}
-	mirror.options.Events.Emit(events.StoreRegained, log.Fields{"revision": revision, "lostMs": now.Sub(mirror.lostSince).Milliseconds()})
+	mirror.options.Events.Emit(events.StoreRegained, log.Fields{"revision": revision.Number, "lostMs": now.Sub(mirror.lostSince).Milliseconds()})
 	mirror.lostSince = time.Time{}
 	mirror.setStoreReturned(now)
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	items    []kv.Item
 	revision uint64
+	era      uint64
 	err      error
 	changes  chan watchResponse
 	ranges   int
@@ -37,23 +38,26 @@
 	err      error
 }
 
-func (store *fakeStore) Range(context.Context, string) ([]kv.Item, uint64, error) {
+func (store *fakeStore) Range(context.Context, string) ([]kv.Item, kv.Revision, error) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	store.ranges++
-	return store.items, store.revision, store.err
+	return store.items, kv.Revision{Era: store.era, Number: store.revision}, store.err
 }
 
-func (store *fakeStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]kv.Item, uint64, error) {
+func (store *fakeStore) Watch(ctx context.Context, _ string, after kv.Revision, _ time.Duration) ([]kv.Item, kv.Revision, error) {
 	store.mu.Lock()
-	err := store.err
+	err, era := store.err, store.era
 	store.mu.Unlock()
+	if err == nil && after.Era < era {
+		err = &kv.Error{Op: "watch", Kind: kv.ErrHistoryGone, Cause: kv.ErrEraChanged}
+	}
 	if err != nil {
 		return nil, after, err
 	}
 	select {
 	case response := <-store.changes:
-		return response.items, response.revision, response.err
+		return response.items, kv.Revision{Era: after.Era, Number: response.revision}, response.err
 	case <-ctx.Done():
 		return nil, after, ctx.Err()
 	}
@@ -90,6 +94,9 @@
 	return kv.Item{Key: key, Value: []byte(value), Revision: revision}
 }
 
+// at returns a revision of era 0.
+func at(number uint64) kv.Revision { return kv.Revision{Number: number} }
+
 func ids(state *steering.State) []string {
 	list := []string{}
 	for id := range state.Targets {
@@ -126,19 +133,19 @@
 func TestOlderRecordsAreIgnored(t *testing.T) {
 	m := newMirror(nil)
 	now := time.Now()
-	m.apply([]kv.Item{put("t:1", "new", 8)}, 8, now, "store")
-	m.apply([]kv.Item{put("t:1", "old", 4)}, 9, now, "peer")
+	m.apply([]kv.Item{put("t:1", "new", 8)}, at(8), now, "store")
+	m.apply([]kv.Item{put("t:1", "old", 4)}, at(9), now, "peer")
 	assert.Equal(t, "new", m.State().Targets["1"].Address)
-	m.apply([]kv.Item{{Key: "t:1", Revision: 5, Deleted: true}}, 10, now, "peer")
+	m.apply([]kv.Item{{Key: "t:1", Revision: 5, Deleted: true}}, at(10), now, "peer")
 	assert.Len(t, m.State().Targets, 1)
 }
 
 // Guards against a record that can't be decoded and causes others to be lost.
 func TestBadRecordDoesNotAffectOthers(t *testing.T) {
 	m := newMirror(nil)
-	m.apply([]kv.Item{put("t:1", "a", 1), put("t:2", "bad", 2), put("t:3", "c", 3)}, 3, time.Now(), "store")
+	m.apply([]kv.Item{put("t:1", "a", 1), put("t:2", "bad", 2), put("t:3", "c", 3)}, at(3), time.Now(), "store")
 	assert.ElementsMatch(t, []string{"1", "3"}, ids(m.State()))
-	m.apply([]kv.Item{put("t:1", "bad", 4)}, 4, time.Now(), "store")
+	m.apply([]kv.Item{put("t:1", "bad", 4)}, at(4), time.Now(), "store")
 	assert.ElementsMatch(t, []string{"3"}, ids(m.State()))
 }
 
@@ -147,19 +154,19 @@
 func TestLapsedTargetsAreHeldAfterAStoreOutage(t *testing.T) {
 	m := newMirror(nil)
 	now := time.Now()
-	m.apply([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, 2, now, "store")
+	m.apply([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, at(2), now, "store")
 	m.lostSince = now
 	now = now.Add(5 * time.Second)
-	m.handleStoreResponse(now, 6)
+	m.handleStoreResponse(now, at(6))
 	gone := []kv.Item{{Key: "t:1", Revision: 5, Deleted: true}, {Key: "t:2", Revision: 6, Deleted: true}}
-	m.apply(gone, 6, now, "store")
+	m.apply(gone, at(6), now, "store")
 	assert.Len(t, m.State().Targets, 2)
-	m.apply([]kv.Item{put("t:1", "a", 7)}, 7, now.Add(time.Second), "store")
+	m.apply([]kv.Item{put("t:1", "a", 7)}, at(7), now.Add(time.Second), "store")
 	m.removeExpiredTargets(now.Add(renewalGrace - time.Millisecond))
 	assert.Len(t, m.State().Targets, 2)
 	m.removeExpiredTargets(now.Add(renewalGrace))
 	assert.Equal(t, []string{"1"}, ids(m.State()))
-	m.apply([]kv.Item{{Key: "t:1", Revision: 8, Deleted: true}}, 8, now.Add(renewalGrace+time.Second), "store")
+	m.apply([]kv.Item{{Key: "t:1", Revision: 8, Deleted: true}}, at(8), now.Add(renewalGrace+time.Second), "store")
 	assert.Empty(t, m.State().Targets, "without an outage a deletion takes effect immediately")
 }
 
@@ -168,36 +175,36 @@
 func TestPeersGetChangesOrAllRecords(t *testing.T) {
 	m := newMirror(nil)
 	now := time.Now()
-	m.replaceAll([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, 10, now, "store")
-	m.apply([]kv.Item{put("t:3", "c", 11), {Key: "t:1", Revision: 12, Deleted: true}}, 12, now, "store")
-	s := m.ChangesSince(10)
+	m.replaceAll([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, at(10), now, "store")
+	m.apply([]kv.Item{put("t:3", "c", 11), {Key: "t:1", Revision: 12, Deleted: true}}, at(12), now, "store")
+	s := m.ChangesSince(at(10))
 	assert.False(t, s.Whole)
 	assert.Equal(t, []kv.Item{put("t:3", "c", 11), {Key: "t:1", Revision: 12, Deleted: true}}, s.Items)
-	assert.Empty(t, m.ChangesSince(12).Items)
-	whole := m.ChangesSince(3)
+	assert.Empty(t, m.ChangesSince(at(12)).Items)
+	whole := m.ChangesSince(at(3))
 	assert.True(t, whole.Whole)
 	assert.Len(t, whole.Items, 2)
 
 	other := newMirror(nil)
-	other.replaceAll(whole.Items, whole.Revision, now, "peer")
+	other.replaceAll(whole.Items, whole.Position(), now, "peer")
 	assert.ElementsMatch(t, ids(m.State()), ids(other.State()))
 	for i := range uint64(2*maxHistoryKeys + 10) {
-		m.apply([]kv.Item{put(fmt.Sprint("t:new", i), "b", 20+i)}, 20+i, now, "store")
+		m.apply([]kv.Item{put(fmt.Sprint("t:new", i), "b", 20+i)}, at(20+i), now, "store")
 	}
-	assert.True(t, m.ChangesSince(12).Whole)
-	assert.False(t, m.ChangesSince(20+2*maxHistoryKeys).Whole)
+	assert.True(t, m.ChangesSince(at(12)).Whole)
+	assert.False(t, m.ChangesSince(at(20+2*maxHistoryKeys)).Whole)
 }
 
 // Guards against a history that holds many versions of a large configuration.
 func TestHistoryHoldsTheLatestChangeOfAKey(t *testing.T) {
 	m := newMirror(nil)
 	now := time.Now()
-	m.replaceAll(nil, 10, now, "store")
-	m.apply([]kv.Item{put("t:1", "a", 11)}, 11, now, "store")
+	m.replaceAll(nil, at(10), now, "store")
+	m.apply([]kv.Item{put("t:1", "a", 11)}, at(11), now, "store")
 	for i := range uint64(5 * maxHistoryKeys) {
-		m.apply([]kv.Item{put("c", "", 20+i)}, 20+i, now, "store")
+		m.apply([]kv.Item{put("c", "", 20+i)}, at(20+i), now, "store")
 	}
-	s := m.ChangesSince(10)
+	s := m.ChangesSince(at(10))
 	assert.False(t, s.Whole)
 	assert.Equal(t, []kv.Item{put("t:1", "a", 11), put("c", "", 19+5*maxHistoryKeys)}, s.Items)
 	assert.LessOrEqual(t, len(m.history.items), 2*maxHistoryKeys)
@@ -209,14 +216,16 @@
 	s := &fakeStore{err: &kv.Error{Op: "range", Kind: kv.ErrUnavailable}}
 	m := newMirror(s)
 	peer := newMirror(nil)
-	peer.replaceAll([]kv.Item{put("c", "", 4), put("t:1", "a", 3)}, 4, time.Now(), "store")
-	m.options.NewerPeer = func(revision uint64) (Peer, bool) { return Peer{Name: "p"}, peer.Revision() > revision }
-	m.options.Fetch = func(_ context.Context, _ Peer, after uint64) (Snapshot, error) { return peer.ChangesSince(after), nil }
+	peer.replaceAll([]kv.Item{put("c", "", 4), put("t:1", "a", 3)}, at(4), time.Now(), "store")
+	m.options.NewerPeer = func(revision kv.Revision) (Peer, bool) { return Peer{Name: "p"}, peer.Position().After(revision) }
+	m.options.Fetch = func(_ context.Context, _ Peer, after kv.Revision) (Snapshot, error) {
+		return peer.ChangesSince(after), nil
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go m.Run(ctx)
 	require.Eventually(t, func() bool { return m.State().Config != nil }, time.Second, time.Millisecond)
-	peer.apply([]kv.Item{put("c", "", 6)}, 6, time.Now(), "store")
+	peer.apply([]kv.Item{put("c", "", 6)}, at(6), time.Now(), "store")
 	require.Eventually(t, func() bool { return m.State().Config.Version == 6 }, 3*time.Second, time.Millisecond)
 }
 
@@ -226,9 +235,11 @@
 	s := &fakeStore{items: []kv.Item{put("c", "", 3)}, revision: 5, changes: make(chan watchResponse)}
 	m := newMirror(s)
 	peer := newMirror(nil)
-	peer.replaceAll([]kv.Item{put("c", "", 6)}, 6, time.Now(), "store")
-	m.options.NewerPeer = func(revision uint64) (Peer, bool) { return Peer{Name: "p"}, peer.Revision() > revision }
-	m.options.Fetch = func(_ context.Context, _ Peer, after uint64) (Snapshot, error) { return peer.ChangesSince(after), nil }
+	peer.replaceAll([]kv.Item{put("c", "", 6)}, at(6), time.Now(), "store")
+	m.options.NewerPeer = func(revision kv.Revision) (Peer, bool) { return Peer{Name: "p"}, peer.Position().After(revision) }
+	m.options.Fetch = func(_ context.Context, _ Peer, after kv.Revision) (Snapshot, error) {
+		return peer.ChangesSince(after), nil
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go m.Run(ctx)
@@ -242,15 +253,17 @@
 	s := &fakeStore{items: []kv.Item{put("t:1", "a", 3)}, revision: 5, changes: make(chan watchResponse)}
 	m := newMirror(s)
 	peer := newMirror(nil)
-	peer.replaceAll([]kv.Item{put("t:1", "a", 3)}, 5, time.Now(), "store")
+	peer.replaceAll([]kv.Item{put("t:1", "a", 3)}, at(5), time.Now(), "store")
 	m.options.WatchesStore = func() bool { return false }
-	m.options.NewerPeer = func(revision uint64) (Peer, bool) { return Peer{Name: "p"}, peer.Revision() > revision }
-	m.options.Fetch = func(_ context.Context, _ Peer, after uint64) (Snapshot, error) { return peer.ChangesSince(after), nil }
+	m.options.NewerPeer = func(revision kv.Revision) (Peer, bool) { return Peer{Name: "p"}, peer.Position().After(revision) }
+	m.options.Fetch = func(_ context.Context, _ Peer, after kv.Revision) (Snapshot, error) {
+		return peer.ChangesSince(after), nil
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go m.Run(ctx)
 	require.Eventually(t, func() bool { return m.Revision() == 5 }, time.Second, time.Millisecond)
-	peer.apply([]kv.Item{put("t:2", "b", 6)}, 6, time.Now(), "store")
+	peer.apply([]kv.Item{put("t:2", "b", 6)}, at(6), time.Now(), "store")
 	m.Wake()
 	require.Eventually(t, func() bool { return m.Revision() == 6 }, time.Second, time.Millisecond)
 	assert.Equal(t, 1, s.ranges)
@@ -261,19 +274,21 @@
 func TestFollowersHoldLapsedTargets(t *testing.T) {
 	now := time.Now()
 	peer := newMirror(nil)
-	peer.replaceAll([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, 2, now, "store")
+	peer.replaceAll([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, at(2), now, "store")
 	follower := newMirror(nil)
-	follower.replaceAll([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, 2, now, "store")
-	follower.options.NewerPeer = func(revision uint64) (Peer, bool) { return Peer{Name: "p"}, peer.Revision() > revision }
-	follower.options.Fetch = func(_ context.Context, _ Peer, after uint64) (Snapshot, error) { return peer.ChangesSince(after), nil }
+	follower.replaceAll([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, at(2), now, "store")
+	follower.options.NewerPeer = func(revision kv.Revision) (Peer, bool) { return Peer{Name: "p"}, peer.Position().After(revision) }
+	follower.options.Fetch = func(_ context.Context, _ Peer, after kv.Revision) (Snapshot, error) {
+		return peer.ChangesSince(after), nil
+	}
 
 	peer.lostSince = now.Add(-5 * time.Second)
-	peer.handleStoreResponse(now, 4)
-	peer.apply([]kv.Item{{Key: "t:1", Revision: 3, Deleted: true}, {Key: "t:2", Revision: 4, Deleted: true}}, 4, now, "store")
+	peer.handleStoreResponse(now, at(4))
+	peer.apply([]kv.Item{{Key: "t:1", Revision: 3, Deleted: true}, {Key: "t:2", Revision: 4, Deleted: true}}, at(4), now, "store")
 	follower.fetchFromPeer(context.Background())
 	assert.Equal(t, uint64(4), follower.Revision())
 	assert.ElementsMatch(t, []string{"1", "2"}, ids(follower.State()))
-	follower.apply([]kv.Item{put("t:2", "b", 5)}, 5, now, "peer")
+	follower.apply([]kv.Item{put("t:2", "b", 5)}, at(5), now, "peer")
 	follower.removeExpiredTargets(now.Add(renewalGrace + time.Second))
 	assert.Equal(t, []string{"2"}, ids(follower.State()), "a target whose record isn't renewed is removed")
 }
@@ -282,13 +297,13 @@
 // slow watch is older than the changes fetched from a peer meanwhile.
 func TestLateWatchResponseDoesNotRestoreDeletedTargets(t *testing.T) {
 	m := newMirror(nil)
-	m.replaceAll([]kv.Item{put("t:1", "a", 3)}, 5, time.Now(), "store")
-	m.apply([]kv.Item{put("t:2", "b", 6), {Key: "t:2", Revision: 8, Deleted: true}, {Key: "t:1", Revision: 9, Deleted: true}}, 9, time.Now(), "peer p")
-	m.apply([]kv.Item{put("t:2", "b", 6)}, 7, time.Now(), "store")
+	m.replaceAll([]kv.Item{put("t:1", "a", 3)}, at(5), time.Now(), "store")
+	m.apply([]kv.Item{put("t:2", "b", 6), {Key: "t:2", Revision: 8, Deleted: true}, {Key: "t:1", Revision: 9, Deleted: true}}, at(9), time.Now(), "peer p")
+	m.apply([]kv.Item{put("t:2", "b", 6)}, at(7), time.Now(), "store")
 	assert.Empty(t, ids(m.State()), "it was deleted at revision 8")
-	m.replaceAll([]kv.Item{put("t:1", "a", 3), put("t:3", "c", 11)}, 8, time.Now(), "store")
+	m.replaceAll([]kv.Item{put("t:1", "a", 3), put("t:3", "c", 11)}, at(8), time.Now(), "store")
 	assert.Equal(t, []string{"3"}, ids(m.State()), "a late full read doesn't restore it either; newer records are applied")
-	m.apply([]kv.Item{put("t:1", "a", 12)}, 12, time.Now(), "store")
+	m.apply([]kv.Item{put("t:1", "a", 12)}, at(12), time.Now(), "store")
 	assert.ElementsMatch(t, []string{"1", "3"}, ids(m.State()), "it was registered again")
 }
 
@@ -301,7 +316,7 @@
 	joining.Store(true)
 	m.options.DefersFirstRead = joining.Load
 	m.options.WatchesStore = func() bool { return false }
-	m.options.NewerPeer = func(uint64) (Peer, bool) { return Peer{}, false }
+	m.options.NewerPeer = func(kv.Revision) (Peer, bool) { return Peer{}, false }
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go m.Run(ctx)
@@ -318,10 +333,12 @@
 	s := &fakeStore{items: []kv.Item{put("t:1", "a", 3)}, revision: 5, changes: make(chan watchResponse)}
 	m := newMirror(s)
 	peer := newMirror(nil)
-	peer.replaceAll([]kv.Item{put("t:1", "a", 3)}, 5, time.Now(), "store")
+	peer.replaceAll([]kv.Item{put("t:1", "a", 3)}, at(5), time.Now(), "store")
 	m.options.DefersFirstRead = func() bool { return false }
-	m.options.NewerPeer = func(revision uint64) (Peer, bool) { return Peer{Name: "p"}, peer.Revision() > revision }
-	m.options.Fetch = func(_ context.Context, _ Peer, after uint64) (Snapshot, error) { return peer.ChangesSince(after), nil }
+	m.options.NewerPeer = func(revision kv.Revision) (Peer, bool) { return Peer{Name: "p"}, peer.Position().After(revision) }
+	m.options.Fetch = func(_ context.Context, _ Peer, after kv.Revision) (Snapshot, error) {
+		return peer.ChangesSince(after), nil
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go m.Run(ctx)
@@ -335,13 +352,13 @@
 func TestItemWithoutKeyOrRevisionIsSkipped(t *testing.T) {
 	m := newMirror(nil)
 	now := time.Now()
-	m.replaceAll([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, 3, now, "store")
-	m.replaceAll([]kv.Item{{Key: "t:1", Fault: "bad revision"}, {Revision: 4, Fault: "bad key"}, put("t:2", "b", 2), put("t:3", "c", 5)}, 5, now, "store")
+	m.replaceAll([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 2)}, at(3), now, "store")
+	m.replaceAll([]kv.Item{{Key: "t:1", Fault: "bad revision"}, {Revision: 4, Fault: "bad key"}, put("t:2", "b", 2), put("t:3", "c", 5)}, at(5), now, "store")
 	assert.ElementsMatch(t, []string{"1", "2", "3"}, ids(m.State()))
-	m.apply([]kv.Item{{Fault: "bad"}, {Key: "t:2", Fault: "bad revision"}, put("t:4", "d", 6)}, 6, now, "store")
+	m.apply([]kv.Item{{Fault: "bad"}, {Key: "t:2", Fault: "bad revision"}, put("t:4", "d", 6)}, at(6), now, "store")
 	assert.ElementsMatch(t, []string{"1", "2", "3", "4"}, ids(m.State()))
 	assert.Equal(t, uint64(6), m.Revision())
-	for _, item := range m.ChangesSince(0).Items {
+	for _, item := range m.ChangesSince(at(0)).Items {
 		assert.Empty(t, item.Fault, "peers get readable records")
 	}
 }
@@ -377,7 +394,7 @@
 	now := time.Now()
 	revision := uint64(1)
 	write := func(key, value string) {
-		m.apply([]kv.Item{put(key, value, revision)}, revision, now, "store")
+		m.apply([]kv.Item{put(key, value, revision)}, at(revision), now, "store")
 		revision++
 		now = now.Add(1500 * time.Millisecond)
 	}
@@ -390,7 +407,7 @@
 	write("t:1", "a")
 	write("t:1", "bad")
 	assert.Len(t, lines.of("t:1"), 2, "it was valid in between")
-	m.apply([]kv.Item{{Key: "t:1", Revision: revision, Deleted: true}}, revision, now, "store")
+	m.apply([]kv.Item{{Key: "t:1", Revision: revision, Deleted: true}}, at(revision), now, "store")
 	revision++
 	write("t:1", "bad")
 	assert.Len(t, lines.of("t:1"), 3, "it was deleted in between")
@@ -400,7 +417,7 @@
 	assert.Greater(t, len(lines.of("t:3")), 1, "another fault is logged")
 	assert.Less(t, len(lines.of("t:3")), 20, "faults that change each time are not all logged")
 	for range 100 {
-		m.apply([]kv.Item{{Key: "t:4", Fault: "bad revision"}, {Fault: "bad key"}}, revision, now, "store")
+		m.apply([]kv.Item{{Key: "t:4", Fault: "bad revision"}, {Fault: "bad key"}}, at(revision), now, "store")
 	}
 	assert.Len(t, lines.of("t:4"), 1)
 	assert.Len(t, lines.of(""), 1)
@@ -409,7 +426,7 @@
 	require.Len(t, lines.of("t:5"), 1)
 	assert.Less(t, len(lines.of("t:5")[0]), 16<<10)
 	for i := range 3 * maxRejections {
-		m.apply([]kv.Item{{Key: fmt.Sprint("t:many", i), Fault: "bad revision"}}, revision, now, "store")
+		m.apply([]kv.Item{{Key: fmt.Sprint("t:many", i), Fault: "bad revision"}}, at(revision), now, "store")
 	}
 	assert.LessOrEqual(t, len(m.rejections), maxRejections)
 }
@@ -420,17 +437,17 @@
 	m, _ := newLoggedMirror()
 	now := time.Now()
 	large := strings.Repeat("x", 1_000_000)
-	m.replaceAll([]kv.Item{put("t:1", "a", 1)}, 1, now, "store")
-	m.apply([]kv.Item{put("t:2", "bad "+large, 2), put("other", large, 3), put("t:3", "c", 4)}, 4, now, "store")
-	for _, snapshot := range []Snapshot{m.ChangesSince(1), m.ChangesSince(0)} {
+	m.replaceAll([]kv.Item{put("t:1", "a", 1)}, at(1), now, "store")
+	m.apply([]kv.Item{put("t:2", "bad "+large, 2), put("other", large, 3), put("t:3", "c", 4)}, at(4), now, "store")
+	for _, snapshot := range []Snapshot{m.ChangesSince(at(1)), m.ChangesSince(at(0))} {
 		size := 0
 		for _, item := range snapshot.Items {
 			size += len(item.Value) + len(item.Fault)
 		}
 		assert.Less(t, size, 1024)
 		peer, lines := newLoggedMirror()
-		peer.replaceAll([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 1)}, 1, now, "store")
-		peer.apply(snapshot.Items, snapshot.Revision, now, "peer")
+		peer.replaceAll([]kv.Item{put("t:1", "a", 1), put("t:2", "b", 1)}, at(1), now, "store")
+		peer.apply(snapshot.Items, snapshot.Position(), now, "peer")
 		assert.ElementsMatch(t, []string{"1", "3"}, ids(peer.State()), "peers reject the record too")
 		assert.Len(t, lines.of("t:2"), 1)
 	}
@@ -457,7 +474,7 @@
 	m.noteProgress()
 	assert.False(t, m.StoreReachable(time.Now(), time.Minute))
 	now := time.Now()
-	m.handleStoreResponse(now.Add(-time.Hour), 5)
+	m.handleStoreResponse(now.Add(-time.Hour), at(5))
 	assert.False(t, m.StoreReachable(now, time.Minute))
 	m.noteProgress()
 	assert.True(t, m.StoreReachable(now, time.Minute))
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -10,24 +10,39 @@
 	"github.com/apex/log"
 
 	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/kv"
 )
 
 // ChangesSince returns a snapshot for a peer: the changes after a revision if
-// all of them are still in the history, otherwise all records.
-func (mirror *Mirror) ChangesSince(after uint64) Snapshot {
+// all of them are still in the history, otherwise all records. A peer that has read
+// a newer era gets no records.
+func (mirror *Mirror) ChangesSince(after kv.Revision) Snapshot {
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
-	snapshot := Snapshot{Revision: mirror.revision}
+	snapshot := Snapshot{Revision: mirror.revision.Number, Era: mirror.revision.Era}
+	if after.Era > snapshot.Era {
+		return snapshot
+	}
 	if sinceReturn := time.Since(mirror.storeReturned); !mirror.storeReturned.IsZero() && sinceReturn < renewalGrace {
 		snapshot.ReturnedMs = sinceReturn.Milliseconds() + 1
 	}
-	if changes, ok := mirror.history.since(after); ok {
+	if changes, ok := mirror.history.since(after.Number); ok && after.Era == snapshot.Era {
 		snapshot.Items = changes
 		return snapshot
 	}
 	snapshot.Whole = true
 	for _, k := range slices.Sorted(maps.Keys(mirror.items)) {
-		snapshot.Items = append(snapshot.Items, mirror.items[k])
+		if item := mirror.items[k]; item.Era == snapshot.Era {
+			snapshot.Items = append(snapshot.Items, item)
+		} else {
+			snapshot.Unconfirmed = append(snapshot.Unconfirmed, item)
+		}
+	}
+	if mirror.configInForce != nil {
+		snapshot.Unconfirmed = append(snapshot.Unconfirmed, *mirror.configInForce)
+	}
+	if age := time.Since(mirror.eraStarted); !mirror.eraStarted.IsZero() && age < rewriteGrace {
+		snapshot.EraAgeMs = age.Milliseconds() + 1
 	}
 	return snapshot
 }
@@ -57,7 +72,7 @@
 		mirror.fallback.clear()
 	case fetchFailed:
 		if mirror.fallback.fetchFailed(time.Now(), len(mirror.State().Instances), rand.Float64()) {
-			items, revision, err := mirror.options.Store.Watch(ctx, mirror.options.Prefix, mirror.Revision(), lostWatchTimeout)
+			items, revision, err := mirror.options.Store.Watch(ctx, mirror.options.Prefix, mirror.Position(), lostWatchTimeout)
 			return mirror.handleWatchResult(ctx, watchResult{items, revision, err})
 		}
 	}
@@ -96,16 +111,17 @@
 	if mirror.options.NewerPeer == nil {
 		return fetchNotNeeded
 	}
-	peer, ok := mirror.options.NewerPeer(mirror.Revision())
+	peer, ok := mirror.options.NewerPeer(mirror.Position())
 	if !ok {
 		return fetchNotNeeded
 	}
-	snapshot, err := mirror.options.Fetch(ctx, peer, mirror.Revision())
+	snapshot, err := mirror.options.Fetch(ctx, peer, mirror.Position())
 	if err != nil {
 		mirror.options.Events.Emit(events.PeerStateNotTaken, log.Fields{"peer": peer.Name, "error": err.Error()})
 		return fetchFailed
 	}
-	if snapshot.Revision <= mirror.Revision() {
+	known := mirror.Position()
+	if !snapshot.Position().After(known) || !snapshot.Whole && known.Number > 0 && snapshot.Era != known.Era {
 		return fetchFailed
 	}
 	mirror.options.Events.Emit(events.PeerStateTaken, log.Fields{"peer": peer.Name, "revision": snapshot.Revision, "items": len(snapshot.Items)})
@@ -114,10 +130,12 @@
 	}
 	source := "peer " + peer.Name
 	if snapshot.Whole {
-		mirror.replaceAll(snapshot.Items, snapshot.Revision, time.Now(), source)
-		mirror.loaded = true
+		now := time.Now()
+		mirror.noteEraStart(&snapshot, now)
+		mirror.replaceAllAnd(mirror.takeUnconfirmed(&snapshot, now), snapshot.Items, snapshot.Position(), now, source)
+		mirror.loaded, mirror.seekUntil = true, time.Time{}
 		return fetchTaken
 	}
-	mirror.apply(snapshot.Items, snapshot.Revision, time.Now(), source)
+	mirror.apply(snapshot.Items, snapshot.Position(), time.Now(), source)
 	return fetchTaken
 }
--- a/node/crashes.go
+++ b/node/crashes.go
@@ -33,7 +33,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, crashTableInterval)
 		refused := node.suspects.Refused(time.Now())
-		if !node.storeReachable() || !crashTableDiffers(node.mirror.State().CrashTable, refused) {
+		if !node.storeReachable() || !crashTableDiffers(node.mirror.State().CrashTable, refused, node.mirror.Position().Era) {
 			differences = 0
 			continue
 		}
@@ -58,9 +58,10 @@
 	return min(1+position, maxCrashTableTurns)
 }
 
-// crashTableDiffers reports whether a table holds other counts than those given.
-func crashTableDiffers(table *steering.CrashTable, refused map[uint64]steering.Suspicion) bool {
-	if table == nil {
+// crashTableDiffers reports whether the table in an era of the store holds other
+// counts than those given. A table of an older era is not in the store any more.
+func crashTableDiffers(table *steering.CrashTable, refused map[uint64]steering.Suspicion, era uint64) bool {
+	if table == nil || table.Era != era {
 		return len(refused) > 0
 	}
 	if len(table.Requests) != len(refused) {
@@ -79,14 +80,11 @@
 	if err != nil {
 		return err
 	}
-	key, revision := node.options.Platform.CrashesKey(), uint64(0)
+	key, revision := node.options.Platform.CrashesKey(), kv.Revision{}
 	if table := node.mirror.State().CrashTable; table != nil {
-		revision = table.Revision
+		revision = kv.Revision{Era: table.Era, Number: table.Revision}
 	}
-	if rejected, ok := node.mirror.RejectedRevision(key); ok {
-		revision = rejected // A record that cannot be read is replaced.
-	}
-	return node.options.Store.Swap(ctx, key, value, revision)
+	return node.options.Store.Swap(ctx, key, value, node.expectedRevision(key, revision))
 }
 
 // applyCrashTable takes over the counts of a table that was read.
--- a/node/homes.go
+++ b/node/homes.go
@@ -8,6 +8,7 @@
 
 	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/events"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
@@ -28,6 +29,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, pause)
 		if node.leadsRebalancing() {
+			node.restoreHomeTable(ctx, time.Now())
 			node.rebalance(ctx)
 		}
 	}
@@ -67,11 +69,8 @@
 	if err != nil {
 		return err
 	}
-	key, revision := node.options.Platform.HomesKey(node.self.Region), table.Revision
-	if rejected, ok := node.mirror.RejectedRevision(key); ok {
-		revision = rejected // A record that cannot be read is replaced.
-	}
-	return node.options.Store.Swap(ctx, key, value, revision)
+	key := node.options.Platform.HomesKey(node.self.Region)
+	return node.options.Store.Swap(ctx, key, value, node.expectedRevision(key, kv.Revision{Era: table.Era, Number: table.Revision}))
 }
 
 func moveLogFields(m balance.HomeMove) log.Fields {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -22,6 +22,7 @@
 	gauge("targets_leaving", int64(leaving))
 	gauge("targets_paused", int64(paused))
 	gauge("store_revision", int64(node.mirror.Revision()))
+	gauge("store_era", int64(node.mirror.Position().Era))
 	if config := node.mirror.State().Config; config != nil {
 		gauge("config_version", int64(config.Version))
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,9 @@
 	// nil.
 	StoreCalls   func() uint64
 	DroppedLines func() uint64
+	// OnInvalidEra sets the function that is called with values of the store's era
+	// that cannot be read. It may be nil.
+	OnInvalidEra func(report func(value string))
 }
 
 // Node is one entry instance.
@@ -74,7 +77,8 @@
 	relayForwarder *forward.Forwarder // Sends requests to relays.
 	stateMachine   *lifecycle.Machine
 	leaving        atomic.Bool
-	lease          atomic.Uint64
+	lease          atomic.Pointer[kv.LeaseID]    // Nil before the first registration.
+	lostHomeTable  atomic.Pointer[lostHomeTable] // Nil if there is nothing to write again.
 }
 
 // maintenanceInterval is the interval between calls of Balancer.Tick, which
@@ -97,14 +101,18 @@
 		MaxWeightShift: s.Bounds.MaxRegionShift, BootClock: bootClock}, now)
 	node.balancer.SetInstances(now, []steering.Instance{node.self}, 0)
 	node.mirror = mirror.New(mirror.Options{Store: options.Store, Prefix: options.Platform.Prefix(), Codec: options.Platform, Events: node.events,
-		WatchesStore: node.watchesStore, DefersFirstRead: node.defersFirstRead, NewerPeer: node.newerPeer, Fetch: fetchSnapshot, OnStateChanged: node.stateChanged})
+		WatchesStore: node.watchesStore, DefersFirstRead: node.defersFirstRead, NewerPeer: node.newerPeer, Fetch: fetchSnapshot, OnStateChanged: node.stateChanged,
+		StoreServes: node.storeServes, OnEraChanged: node.eraChanged})
+	if options.OnInvalidEra != nil {
+		options.OnInvalidEra(node.invalidEra)
+	}
 	chart, err := lifecycle.Load(charts.Files, charts.EntryInstanceFile)
 	if err != nil {
 		return nil, err
 	}
 	node.stateMachine = chart.NewMachine(func(_, _, to string) { node.leaving.Store(to != "starting" && to != "serving") })
 	node.exchange, err = gossip.Listen(gossip.Options{Self: node.self, Seeds: s.SeedAddresses, Bootstrap: s.Bootstrap, Regions: s.RegionByDomain, Events: node.events,
-		Balancer: node.balancer, Suspects: node.suspects, Revision: node.mirror.Revision, Ready: node.ready, Leaving: node.leaving.Load, StoreReachable: node.storeReachable,
+		Balancer: node.balancer, Suspects: node.suspects, Revision: node.mirror.Position, Ready: node.ready, Leaving: node.leaving.Load, StoreReachable: node.storeReachable,
 		OnLiveChanged: node.instancesChanged, OnPeerAdvanced: node.mirror.Wake})
 	if err != nil {
 		return nil, fmt.Errorf("listen for gossip messages: %w", err)
@@ -229,7 +237,7 @@
 	node.exchange.Announce()
 }
 
-func (node *Node) newerPeer(revision uint64) (mirror.Peer, bool) {
+func (node *Node) newerPeer(revision kv.Revision) (mirror.Peer, bool) {
 	in, at, ok := node.exchange.NewerPeer(revision)
 	return mirror.Peer{Name: in.Name, Address: in.PeerAddress, Revision: at}, ok
 }
--- a/node/register.go
+++ b/node/register.go
@@ -32,12 +32,11 @@
 // keepRegistered keeps this instance registered in the store.
 func (node *Node) keepRegistered(ctx context.Context) {
 	pause := minRegisterBackoff
-	// A written record that isn't in the mirror by readBackDeadline is written
-	// again.
-	var nextRenewal, readBackDeadline time.Time
+	var schedule registrationSchedule
 	for ctx.Err() == nil && !node.leaving.Load() {
-		if now := time.Now(); now.Before(nextRenewal) && (node.isRegistered() || now.Before(readBackDeadline)) {
-			sleep(ctx, registrationCheckInterval)
+		delay := rand.N(rewriteSpread(node.instanceCount()))
+		if wait := schedule.wait(time.Now(), node.isRegistered(), node.leaseOutdated(), delay); wait > 0 {
+			sleep(ctx, wait)
 			continue
 		}
 		if err := node.renewOrRegister(ctx); err != nil {
@@ -49,7 +48,8 @@
 			pause = min(2*pause, maxRegisterBackoff)
 			continue
 		}
-		pause, nextRenewal, readBackDeadline = minRegisterBackoff, time.Now().Add(renewInterval), time.Now().Add(readBackTimeout)
+		pause = minRegisterBackoff
+		schedule.succeeded(time.Now())
 		sleep(ctx, registrationCheckInterval)
 	}
 }
@@ -63,9 +63,8 @@
 // renewOrRegister extends the lease, or registers the instance if it has no
 // lease or its record has been deleted.
 func (node *Node) renewOrRegister(ctx context.Context) error {
-	lease := kv.LeaseID(node.lease.Load())
-	if lease != 0 && node.isRegistered() {
-		err := node.options.Store.RenewLease(ctx, lease)
+	if held := node.lease.Load(); held != nil && node.isRegistered() && !node.leaseOutdated() {
+		err := node.options.Store.RenewLease(ctx, *held)
 		if !errors.Is(err, kv.ErrNotFound) {
 			return err
 		}
@@ -81,19 +80,19 @@
 	if err := node.options.Store.Put(ctx, node.options.Platform.InstanceKey(node.self.Name), value, lease); err != nil {
 		return err
 	}
-	node.lease.Store(uint64(lease))
-	node.events.Emit(events.InstanceRegistered, log.Fields{"lease": uint64(lease)})
+	node.lease.Store(&lease)
+	node.events.Emit(events.InstanceRegistered, log.Fields{"lease": lease.Number})
 	return nil
 }
 
 // unregister ends the registration. If the store doesn't respond, the lease
 // expires.
 func (node *Node) unregister(ctx context.Context) {
-	lease := kv.LeaseID(node.lease.Load())
-	if lease == 0 {
+	lease := node.lease.Load()
+	if lease == nil {
 		return
 	}
-	if err := node.options.Store.RevokeLease(ctx, lease); err != nil {
+	if err := node.options.Store.RevokeLease(ctx, *lease); err != nil {
 		node.events.Emit(events.InstanceNotRegistered, log.Fields{"error": err.Error()})
 	}
 }
--- a/node/snapshots.go
+++ b/node/snapshots.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/mirror"
 )
 
@@ -33,6 +34,7 @@
 // snapshotRequest asks for the changes after a revision.
 type snapshotRequest struct {
 	After uint64
+	Era   uint64 // Of After.
 }
 
 // compressedEncoding compresses long messages: a snapshot may hold a large
@@ -96,7 +98,7 @@
 type snapshotService struct{ mirror *mirror.Mirror }
 
 func (s *snapshotService) Snapshot(_ context.Context, r *snapshotRequest) (*mirror.Snapshot, error) {
-	changes := s.mirror.ChangesSince(r.After)
+	changes := s.mirror.ChangesSince(kv.Revision{Era: r.Era, Number: r.After})
 	return &changes, nil
 }
 
@@ -121,13 +123,13 @@
 }
 
 // fetchSnapshot fetches the changes at a peer after a revision.
-func fetchSnapshot(ctx context.Context, p mirror.Peer, after uint64) (mirror.Snapshot, error) {
+func fetchSnapshot(ctx context.Context, p mirror.Peer, after kv.Revision) (mirror.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	return requestSnapshot(ctx, p, after)
 }
 
-func requestSnapshot(ctx context.Context, p mirror.Peer, after uint64) (mirror.Snapshot, error) {
+func requestSnapshot(ctx context.Context, p mirror.Peer, after kv.Revision) (mirror.Snapshot, error) {
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.Address)
 	if err != nil {
 		return mirror.Snapshot{}, err
@@ -136,6 +138,6 @@
 	conn := drpcconn.NewWithOptions(raw, options)
 	defer func() { _ = conn.Close() }()
 	var s mirror.Snapshot
-	err = conn.Invoke(ctx, rpcSnapshot, compressedEncoding{}, &snapshotRequest{After: after}, &s)
+	err = conn.Invoke(ctx, rpcSnapshot, compressedEncoding{}, &snapshotRequest{After: after.Number, Era: after.Era}, &s)
 	return s, err
 }
--- a/node/snapshots_cut_test.go
+++ b/node/snapshots_cut_test.go
@@ -24,11 +24,11 @@
 	items []kv.Item
 }
 
-func (s *fixedStore) Range(context.Context, string) ([]kv.Item, uint64, error) {
-	return s.items, uint64(len(s.items)), nil
+func (s *fixedStore) Range(context.Context, string) ([]kv.Item, kv.Revision, error) {
+	return s.items, kv.Revision{Number: uint64(len(s.items))}, nil
 }
 
-func (s *fixedStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]kv.Item, uint64, error) {
+func (s *fixedStore) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) ([]kv.Item, kv.Revision, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
@@ -87,7 +87,7 @@
 			cuts := 0
 			for n := int64(0); ; n++ {
 				address := cutConnections(t, listener.Addr().String(), n, n%2 == 1)
-				s, err := fetchSnapshot(ctx, mirror.Peer{Address: address}, 0)
+				s, err := fetchSnapshot(ctx, mirror.Peer{Address: address}, kv.Revision{})
 				if err == nil {
 					assert.Len(t, s.Items, count)
 					assert.Equal(t, uint64(count), s.Revision)
--- a/node/snapshots_test.go
+++ b/node/snapshots_test.go
@@ -71,7 +71,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	go func() { _ = serveSnapshots(ctx, listener, m) }()
-	s, err := requestSnapshot(ctx, mirror.Peer{Address: listener.Addr().String()}, 0)
+	s, err := requestSnapshot(ctx, mirror.Peer{Address: listener.Addr().String()}, kv.Revision{})
 	require.NoError(t, err)
 	assert.Equal(t, store.items, s.Items)
 }
--- a/steering/crashes.go
+++ b/steering/crashes.go
@@ -30,6 +30,7 @@
 // outlives the instances.
 type CrashTable struct {
 	Revision uint64               // Store revision; 0 if there is no table yet.
+	Era      uint64               // Era of the revision.
 	Requests map[uint64]Suspicion // By short fingerprint; the ages are those at the time of the write.
 }
 
--- a/steering/homes.go
+++ b/steering/homes.go
@@ -5,6 +5,7 @@
 // hash selects.
 type HomeTable struct {
 	Revision uint64            // Store revision; 0 if there is no table yet.
+	Era      uint64            // Era of the revision.
 	Objects  map[uint32]uint32 // Short hash of the target ID by short hash of service and object.
 }
 
