Play a store that is restored: stand-in, soak and tests

The soak has the fault store-restore: operators and targets write again within 2 s, and no instance may go back to an older version of the configuration in its log.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -95,6 +95,7 @@
 // found during the run.
 func (deployment *Deployment) checkGuarantees(result *Result) {
 	deployment.checkStatements()
+	deployment.checkConfigVersions()
 	records := deployment.requestRecords()
 	sent := map[string]bool{}
 	for _, outcome := range deployment.recorder.all() {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -80,6 +80,7 @@
 	{"signals", (*Deployment).sendSignals},
 	{"stop-signals", (*Deployment).stopWithFurtherSignals},
 	{"idle-timeout", (*Deployment).changeIdleTimeout},
+	{"store-restore", (*Deployment).restoreStore},
 }
 
 func (deployment *Deployment) instanceAt(selector int) *instance {
@@ -368,6 +369,8 @@
 			targets = append(targets, target)
 		}
 	}
+	deployment.evacuatedDomain.Store(domain)
+	defer deployment.evacuatedDomain.Store("")
 	start := time.Now()
 	deployment.store.Put(wiresite.EvacuationKey(domain), []byte("{}"))
 	deployment.checkNoNewRequests("no new work for evacuated domains", targets, start)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -68,9 +68,12 @@
 	recorder        outcomeRecorder
 	lag             lagMeter
 	configVersion   atomic.Int64
-	evacuating      atomic.Bool // Whether a failure domain is being evacuated.
-	drainingTargets sync.Map    // Set of the indexes of draining targets.
-	closers         []func()    // Close the proxies and the servers of stand-ins.
+	evacuating      atomic.Bool  // Whether a failure domain is being evacuated.
+	evacuatedDomain atomic.Value // Name of the domain that is being evacuated, or "".
+	restoring       atomic.Bool  // Whether the store is being restored.
+	configMu        sync.Mutex   // Guards writes of the configuration.
+	drainingTargets sync.Map     // Set of the indexes of draining targets.
+	closers         []func()     // Close the proxies and the servers of stand-ins.
 
 	idleTimeout atomic.Int64   // Idle time-out of the latest published configuration, in nanoseconds.
 	restarts    sync.WaitGroup // Of instances that ended by themselves.
@@ -167,6 +170,7 @@
 	go func() { _ = storeServer.Run() }()
 	deployment.closers = append(deployment.closers, func() { _ = storeServer.Close() })
 	deployment.idleTimeout.Store(int64(wiresite.DefaultIdleTimeout))
+	deployment.store.SetEra(deployment.options.Seed % 2) // Half of the runs begin with a store that states no era.
 	deployment.publishConfig()
 	for i := range deployment.options.Targets {
 		if err := deployment.addTarget(i); err != nil {
@@ -184,7 +188,16 @@
 // publishConfig publishes the next version of the configuration. Every version
 // has the routes that the callers use.
 func (deployment *Deployment) publishConfig() {
-	version := deployment.configVersion.Add(1)
+	deployment.configMu.Lock()
+	defer deployment.configMu.Unlock()
+	deployment.configVersion.Add(1)
+	deployment.writeConfig()
+}
+
+// writeConfig writes the latest version of the configuration. The caller must hold
+// configMu.
+func (deployment *Deployment) writeConfig() {
+	version := deployment.configVersion.Load()
 	route := func(name string, idempotent bool) wiresite.Route {
 		return wiresite.Route{Segment: name, Idempotent: idempotent, Timeout: routeTimeout}
 	}
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -42,7 +42,7 @@
 		snapshot.Unconfirmed = append(snapshot.Unconfirmed, *mirror.configInForce)
 	}
 	if age := time.Since(mirror.eraStarted); !mirror.eraStarted.IsZero() && age < rewriteGrace {
-		snapshot.EraAgeMs = age.Milliseconds() + 1
+		snapshot.EraAgeMs = max(0, age.Milliseconds()) + 1
 	}
 	return snapshot
 }
--- a/standin/metastore/server.go
+++ b/standin/metastore/server.go
@@ -78,6 +78,9 @@
 		faults := store.currentFaults()
 		clientIP, _, _ := net.SplitHostPort(c.RemoteAddr().String())
 		allowed := store.allowCall(kind)
+		store.mu.Lock()
+		stateEra(c, store.era)
+		store.mu.Unlock()
 		time.Sleep(faults.Delay)
 		switch {
 		case faults.Silent:
@@ -96,6 +99,7 @@
 func (store *Store) handleGet(_ context.Context, c *app.RequestContext) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
+	stateEra(c, store.era)
 	item, ok := store.items[c.Query("key")]
 	if !ok {
 		c.SetStatusCode(404)
@@ -110,6 +114,7 @@
 func (store *Store) handleRange(_ context.Context, c *app.RequestContext) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
+	stateEra(c, store.era)
 	items, size, hasMore := []Item{}, 0, false
 	for _, key := range store.keysWithPrefix(c.Query("prefix")) {
 		if key <= c.Query("after") {
@@ -137,6 +142,7 @@
 	for {
 		store.mu.Lock()
 		store.expireLeases(time.Now())
+		stateEra(c, store.era)
 		events, ok := store.eventsSince(c.Query("prefix"), after)
 		changed, revision, down := store.changeSignal, store.revision, store.faults.Down
 		store.mu.Unlock()
@@ -185,19 +191,26 @@
 		_ = c.GetConn().Close()
 		return
 	}
-	status, body := store.commit(txn)
+	status, body, era := store.commit(txn)
 	if store.takeLostResponse() {
 		_ = c.GetConn().Close()
 		return
 	}
+	stateEra(c, era)
 	c.JSON(status, body)
 }
 
-// commit applies a conditional write atomically and returns the status and body
+// commit applies a conditional write atomically and returns the status, body and era
 // of the response.
-func (store *Store) commit(txn transaction) (int, any) {
+func (store *Store) commit(txn transaction) (status int, body any, era uint64) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
+	status, body = store.apply(txn)
+	return status, body, store.era
+}
+
+// apply is commit for a caller that holds the lock.
+func (store *Store) apply(txn transaction) (int, any) {
 	store.expireLeases(time.Now())
 	var current []Item
 	conflict := false
@@ -261,13 +274,17 @@
 	}
 	store.mu.Lock()
 	defer store.mu.Unlock()
+	stateEra(c, store.era)
+	store.recordRevision()
 	store.revision++
+	store.recordLease(store.revision)
 	store.leases[store.revision] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
 	c.JSON(200, map[string]any{"lease": store.revision, "ttl_time": body.TTL})
 }
 
 func (store *Store) handleRenewLease(_ context.Context, c *app.RequestContext) {
-	store.withLease(c, func(_ uint64, l *lease) {
+	store.withLease(c, func(id uint64, l *lease) {
+		store.recordLease(id)
 		l.expires = time.Now().Add(l.ttl)
 		c.JSON(200, map[string]any{"ttl_time": strconv.FormatInt(l.ttl.Milliseconds(), 10) + "ms"})
 	})
@@ -286,6 +303,7 @@
 	id, err := strconv.ParseUint(c.Param("id"), 10, 64)
 	store.mu.Lock()
 	defer store.mu.Unlock()
+	stateEra(c, store.era)
 	found := store.leases[id]
 	if err != nil || found == nil {
 		c.SetStatusCode(404)
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -32,6 +32,8 @@
 	readLimiter       *rate.Limiter
 	writeLimiter      *rate.Limiter
 	calls             Calls
+	era               uint64 // Sent in all responses unless 0.
+	journal           []undoEntry
 }
 
 type lease struct {
@@ -110,11 +112,13 @@
 }
 
 func (store *Store) put(key string, value []byte, lease uint64) uint64 {
+	store.recordRevision()
 	store.revision++
 	item := Item{Key: key, Value: value, Revision: store.revision, Created: store.revision, Lease: lease}
 	if old, ok := store.items[key]; ok {
 		item.Created = old.Created
 	}
+	store.recordItem(key)
 	store.items[key] = item
 	store.events = append(store.events, item)
 	store.notifyWatches()
@@ -125,6 +129,8 @@
 	if _, ok := store.items[key]; !ok {
 		return store.revision
 	}
+	store.recordRevision()
+	store.recordItem(key)
 	store.revision++
 	delete(store.items, key)
 	store.events = append(store.events, Item{Key: key, Revision: store.revision, Deleted: true})
@@ -150,6 +156,7 @@
 
 // revokeLease removes a lease and all keys attached to it.
 func (store *Store) revokeLease(id uint64) {
+	store.recordLease(id)
 	delete(store.leases, id)
 	for _, key := range store.keysWithPrefix("") {
 		if store.items[key].Lease == id {
@@ -159,9 +166,10 @@
 }
 
 // eventsSince returns the events for a prefix after a revision. ok is false when
-// part of that history has been compacted.
+// part of that history has been compacted, or when a restored store does not have
+// the revision.
 func (store *Store) eventsSince(prefix string, after uint64) (events []Item, ok bool) {
-	if after < store.compactedRevision {
+	if after < store.compactedRevision || store.era > 0 && after > store.revision {
 		return nil, false
 	}
 	for _, event := range store.events {
