--- a/mirror/era_test.go
+++ b/mirror/era_test.go
@@ -123,10 +123,15 @@
 	m.options.NewerPeer = func(kv.Revision) (Peer, bool) { return Peer{Name: "p"}, true }
 	assert.Equal(t, fetchFailed, m.fetchFromPeer(context.Background()))
 	assert.Empty(t, peer.ChangesSince(m.Position()).Items)
+	m.options.Fetch = func(context.Context, Peer, kv.Revision) (Snapshot, error) {
+		return peer.ChangesSince(kv.Revision{}), nil
+	}
+	assert.Equal(t, fetchFailed, m.fetchFromPeer(context.Background()))
 	before := m.State()
 	m.replaceAll(peer.ChangesSince(kv.Revision{}).Items, peer.Position(), now, "peer")
-	m.apply(ofEra(1, put("t:9", "x", 95)), in(1, 95), now, "store")
-	m.apply(ofEra(1, put("t:9", "x", 95)), in(2, 95), now, "peer")
+	for _, revision := range []kv.Revision{in(1, 95), in(2, 95)} { // Target 3 is unconfirmed.
+		m.apply(ofEra(1, put("t:3", "stale", 95), put("t:9", "x", 95)), revision, now, "peer")
+	}
 	assert.Equal(t, before.Targets, m.State().Targets)
 	assert.True(t, m.ChangesSince(in(1, 9)).Whole, "an older era is no part of the history")
 	assert.False(t, m.ChangesSince(in(2, 5)).Whole)
