Keep the soak runs of earlier seeds as they were

The new kind of fault shifted the draws of the runs with all kinds.

Runs with all kinds include a kind from a seed on that the kind names, so that earlier runs stay the same; store-restore begins with seed 40000. The tests of restores name it. TestSeededRunHasNoViolations and TestRestoredStoreHasNoViolations pass with the race detector.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -25,7 +25,7 @@
 	var running sync.WaitGroup
 	var kinds []faultKind
 	for _, kind := range faultKinds {
-		if len(deployment.options.Kinds) == 0 || slices.Contains(deployment.options.Kinds, kind.name) {
+		if deployment.plays(kind) {
 			kinds = append(kinds, kind)
 		}
 	}
@@ -51,36 +51,47 @@
 type faultKind struct {
 	name   string
 	inject func(deployment *Deployment, selector int, duration time.Duration)
+	// fromSeed is the first seed of which runs with all kinds include this one. Runs
+	// of lower seeds stay the same when a kind is added.
+	fromSeed uint64
+}
+
+// plays reports whether the run includes a kind of fault.
+func (deployment *Deployment) plays(kind faultKind) bool {
+	if len(deployment.options.Kinds) == 0 {
+		return deployment.options.Seed >= kind.fromSeed
+	}
+	return slices.Contains(deployment.options.Kinds, kind.name)
 }
 
 // faultKinds are the kinds of faults. Each fault runs in a goroutine of its own.
 // The selector is a random number that determines the affected instance, target,
 // domain or variant of the fault.
 var faultKinds = []faultKind{
-	{"kill", (*Deployment).killInstance},
-	{"kill-all", (*Deployment).killAllInstances},
-	{"pause", (*Deployment).pauseInstance},
-	{"stop", (*Deployment).shutDownGracefully},
-	{"hup", (*Deployment).sendHangup},
-	{"store-link", (*Deployment).injectStoreLinkFault},
-	{"target-link", (*Deployment).injectTargetLinkFault},
-	{"store-down", (*Deployment).injectStoreOutage},
-	{"store-slow", (*Deployment).injectSlowStore},
-	{"compact", func(deployment *Deployment, _ int, _ time.Duration) { deployment.store.Compact() }},
-	{"configure", func(deployment *Deployment, _ int, _ time.Duration) { deployment.publishConfig() }},
-	{"drain", (*Deployment).drainTarget},
-	{"evacuate", (*Deployment).evacuateDomain},
-	{"limit", (*Deployment).limitTarget},
-	{"leave", (*Deployment).leaveTarget},
-	{"ask-for-pause", (*Deployment).pauseTarget},
-	{"replace-target", (*Deployment).replaceTarget},
-	{"freeze-target", (*Deployment).freezeTarget},
-	{"noisy-target", (*Deployment).makeTargetNoisy},
-	{"busy", (*Deployment).occupyProcessors},
-	{"signals", (*Deployment).sendSignals},
-	{"stop-signals", (*Deployment).stopWithFurtherSignals},
-	{"idle-timeout", (*Deployment).changeIdleTimeout},
-	{"store-restore", (*Deployment).restoreStore},
+	{name: "kill", inject: (*Deployment).killInstance},
+	{name: "kill-all", inject: (*Deployment).killAllInstances},
+	{name: "pause", inject: (*Deployment).pauseInstance},
+	{name: "stop", inject: (*Deployment).shutDownGracefully},
+	{name: "hup", inject: (*Deployment).sendHangup},
+	{name: "store-link", inject: (*Deployment).injectStoreLinkFault},
+	{name: "target-link", inject: (*Deployment).injectTargetLinkFault},
+	{name: "store-down", inject: (*Deployment).injectStoreOutage},
+	{name: "store-slow", inject: (*Deployment).injectSlowStore},
+	{name: "compact", inject: func(deployment *Deployment, _ int, _ time.Duration) { deployment.store.Compact() }},
+	{name: "configure", inject: func(deployment *Deployment, _ int, _ time.Duration) { deployment.publishConfig() }},
+	{name: "drain", inject: (*Deployment).drainTarget},
+	{name: "evacuate", inject: (*Deployment).evacuateDomain},
+	{name: "limit", inject: (*Deployment).limitTarget},
+	{name: "leave", inject: (*Deployment).leaveTarget},
+	{name: "ask-for-pause", inject: (*Deployment).pauseTarget},
+	{name: "replace-target", inject: (*Deployment).replaceTarget},
+	{name: "freeze-target", inject: (*Deployment).freezeTarget},
+	{name: "noisy-target", inject: (*Deployment).makeTargetNoisy},
+	{name: "busy", inject: (*Deployment).occupyProcessors},
+	{name: "signals", inject: (*Deployment).sendSignals},
+	{name: "stop-signals", inject: (*Deployment).stopWithFurtherSignals},
+	{name: "idle-timeout", inject: (*Deployment).changeIdleTimeout},
+	{name: restoreKind, inject: (*Deployment).restoreStore, fromSeed: 40000},
 }
 
 func (deployment *Deployment) instanceAt(selector int) *instance {
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -14,6 +14,9 @@
 	"github.com/jacinthstall/jacinthstall/standin/wiresite"
 )
 
+// restoreKind is the name of the kind of fault in which the store is restored.
+const restoreKind = "store-restore"
+
 const (
 	minCopyAge = time.Second
 	maxCopyAge = 8 * time.Second
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -170,7 +171,9 @@
 	go func() { _ = storeServer.Run() }()
 	deployment.closers = append(deployment.closers, func() { _ = storeServer.Close() })
 	deployment.idleTimeout.Store(int64(wiresite.DefaultIdleTimeout))
-	deployment.store.SetEra(deployment.options.Seed % 2) // Half of the runs begin with a store that states no era.
+	if slices.ContainsFunc(faultKinds, func(kind faultKind) bool { return kind.name == restoreKind && deployment.plays(kind) }) {
+		deployment.store.SetEra(deployment.options.Seed % 2) // Half of the runs begin with a store that states no era.
+	}
 	deployment.publishConfig()
 	for i := range deployment.options.Targets {
 		if err := deployment.addTarget(i); err != nil {
