--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -11,10 +11,12 @@
 	"github.com/apex/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/events"
 	"github.com/jacinthstall/jacinthstall/internal/loopback"
+	"github.com/jacinthstall/jacinthstall/kv"
 	"github.com/jacinthstall/jacinthstall/quarantine"
 	"github.com/jacinthstall/jacinthstall/steering"
 )
@@ -28,6 +30,7 @@
 	leaving        atomic.Bool
 	storeReachable atomic.Bool
 	revision       atomic.Uint64
+	era            atomic.Uint64
 	advanced       atomic.Int64
 	cancel         context.CancelFunc
 }
@@ -50,12 +53,16 @@
 	return fleet
 }
 
+func (instance *testInstance) position() kv.Revision {
+	return kv.Revision{Era: instance.era.Load(), Number: instance.revision.Load()}
+}
+
 func startInstance(t *testing.T, in steering.Instance, known map[string]steering.Instance) *testInstance {
 	t.Helper()
 	instance := &testInstance{balancer: balance.New(balance.Options{Name: in.Name, Domain: in.Domain, Region: in.Region, Regions: regions}, time.Now())}
 	instance.storeReachable.Store(true)
 	exchange, err := Listen(Options{Self: in, Regions: regions, Events: events.New(&log.Logger{Handler: events.NewDroppingHandler(io.Discard)}),
-		Balancer: instance.balancer, Suspects: balance.NewSuspects(), Revision: instance.revision.Load, Ready: func() bool { return true }, Leaving: instance.leaving.Load,
+		Balancer: instance.balancer, Suspects: balance.NewSuspects(), Revision: instance.position, Ready: func() bool { return true }, Leaving: instance.leaving.Load,
 		StoreReachable: instance.storeReachable.Load, OnLiveChanged: func(live []steering.Instance) { instance.balancer.SetInstances(time.Now(), live, 0) }, OnPeerAdvanced: func() { instance.advanced.Add(1) }})
 	require.NoError(t, err)
 	instance.Exchange = exchange
@@ -160,11 +167,11 @@
 	fleet[0].revision.Store(9)
 	fleet[0].Announce()
 	require.Eventually(t, func() bool { return fleet[2].advanced.Load() > 0 }, time.Second, time.Millisecond)
-	in, revision, ok := fleet[2].NewerPeer(3)
+	in, revision, ok := fleet[2].NewerPeer(kv.Revision{Number: 3})
 	require.True(t, ok)
 	assert.Equal(t, "a1-0", in.Name)
-	assert.Equal(t, uint64(9), revision)
-	_, _, ok = fleet[2].NewerPeer(9)
+	assert.Equal(t, kv.Revision{Number: 9}, revision)
+	_, _, ok = fleet[2].NewerPeer(kv.Revision{Number: 9})
 	assert.False(t, ok)
 }
 
@@ -266,3 +273,33 @@
 		assert.True(t, refuses(instance), instance.options.Self.Name)
 	}
 }
+
+// Guards against a peer that has not noticed that the store was restored, and that is
+// taken for newer because its revision has the higher number.
+func TestPeerOfAnOlderEraIsNotNewer(t *testing.T) {
+	fleet := startFleet(t, "a1", "a1", "b1")
+	waitLive(t, fleet[0], "a1-0", "a1-1", "b1-2")
+	fleet[0].era.Store(2)
+	fleet[0].revision.Store(5)
+	for _, peer := range []int{1, 2} {
+		fleet[peer].era.Store(1)
+		fleet[peer].revision.Store(90)
+		fleet[peer].Announce()
+	}
+	require.Eventually(t, func() bool { _, _, ok := fleet[0].NewerPeer(kv.Revision{Era: 1, Number: 89}); return ok }, 2*time.Second, time.Millisecond)
+	_, _, ok := fleet[0].NewerPeer(fleet[0].position())
+	assert.False(t, ok)
+	for _, peer := range []int{1, 2} {
+		require.Eventually(t, func() bool {
+			in, revision, ok := fleet[peer].NewerPeer(fleet[peer].position())
+			return ok && in.Name == "a1-0" && revision == kv.Revision{Era: 2, Number: 5}
+		}, 5*time.Second, time.Millisecond)
+	}
+	assert.NotContains(t, string((&Message{Name: "n"}).Append(nil)), string(protowire.AppendTag(nil, fieldEra, protowire.VarintType)), "no field in era 0")
+	assert.True(t, fleet[1].StoreServes())
+	for _, instance := range fleet[:2] {
+		instance.storeReachable.Store(false)
+		instance.Announce()
+	}
+	require.Eventually(t, func() bool { return !fleet[1].StoreServes() }, 2*time.Second, time.Millisecond)
+}
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -92,7 +92,7 @@
 	if changed {
 		exchange.updateLive(now)
 	}
-	if m.Revision > exchange.options.Revision() {
+	if m.position().After(exchange.options.Revision()) {
 		exchange.options.OnPeerAdvanced()
 	}
 }
@@ -129,7 +129,7 @@
 	if changed {
 		exchange.updateLive(now)
 	}
-	if m.Revision > exchange.options.Revision() {
+	if m.position().After(exchange.options.Revision()) {
 		exchange.options.OnPeerAdvanced()
 	}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -23,6 +23,7 @@
 	gauge("targets_paused", int64(paused))
 	gauge("accounts_limited", int64(node.quotas.OverLimit()))
 	gauge("store_revision", int64(node.mirror.Revision()))
+	gauge("store_era", int64(node.mirror.Position().Era))
 	if config := node.mirror.State().Config; config != nil {
 		gauge("config_version", int64(config.Version))
 		gauge("accounts", int64(len(config.Accounts)))
