Read each figure of the load header on its own, and the fourth one

A load header without exactly three valid figures was ignored, so a target that states a fourth figure (its current execution time, 100 means as usual) had no load at all, and one invalid count hid the others.

Headers.Load returns balance.TargetLoad and the names of the invalid figures. Figures after the fourth are ignored. If only the number of executing requests is missing and requests wait, all slots count as used. The load in a response with status 421 is no longer used: it is that of another target.

The former tests of invalid headers stated that one invalid figure drops all. Their values are in the table of the new test, with what each must yield now.

go test -race ./platform ./balance and the affected tests of ./gateway pass.

--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -146,3 +146,22 @@
 	assert.True(t, finishWith(b, start, second, balance.ConnectTimedOut).Lost)
 	assert.False(t, finishWith(b, start, third, balance.Unreachable).Lost, "a refused connection is a response")
 }
+
+// Guards against a load that is taken for zero because one of its counts is missing.
+func TestLoadWithMissingCounts(t *testing.T) {
+	target := newTarget("a", "d1", 4)
+	for _, c := range []struct {
+		load               balance.TargetLoad
+		executing, waiting int
+		reported           bool
+	}{
+		{balance.TargetLoad{Executing: 3, Waiting: 1, Slots: 4, Slowdown: 2}, 3, 1, true},
+		{balance.TargetLoad{Executing: 3, Waiting: balance.UnknownCount, Slots: 4}, 3, 0, true},
+		{balance.TargetLoad{Executing: balance.UnknownCount, Waiting: 2, Slots: balance.UnknownCount, Slowdown: 2}, 4, 2, true},
+		{balance.TargetLoad{Executing: balance.UnknownCount, Waiting: 0, Slots: 4, Slowdown: 2}, 0, 0, false},
+	} {
+		var o balance.Observation
+		o.SetLoad(c.load, target)
+		assert.Equal(t, balance.Observation{Executing: c.executing, Waiting: c.waiting, LoadReported: c.reported, Slowdown: c.load.Slowdown}, o)
+	}
+}
--- a/balance/result.go
+++ b/balance/result.go
@@ -44,6 +44,32 @@
 	LoadReported       bool
 	ColdFor            time.Duration // How long the target stays cold, as it reported.
 	AskedForPause      bool          // The target rejected the request and asked for a pause.
+	// Slowdown is the current execution time at the target divided by the usual
+	// one, as the target reported; 0 if it did not.
+	Slowdown float64
+}
+
+// UnknownCount is the value of a count that a target has not stated.
+const UnknownCount = -1
+
+// TargetLoad is the load that a target states in a response. Each count may be
+// UnknownCount.
+type TargetLoad struct {
+	Executing, Waiting, Slots int
+	Slowdown                  float64 // Current execution time divided by the usual one; 0 if not stated.
+}
+
+// SetLoad sets the load that the target stated. If the number of executing requests
+// is unknown and requests wait, all slots are in use. Without a number of waiting
+// requests, none wait.
+func (o *Observation) SetLoad(load TargetLoad, t *steering.Target) {
+	o.Slowdown = load.Slowdown
+	if load.Executing == UnknownCount && load.Waiting > 0 {
+		load.Executing = t.Slots
+	}
+	if load.Executing != UnknownCount {
+		o.Executing, o.Waiting, o.LoadReported = load.Executing, max(0, load.Waiting), true
+	}
 }
 
 // AvoidedTarget is a target that gets no requests for some time.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -222,7 +222,9 @@
 func (g *Gateway) responseReceived(ctx context.Context, request *routedRequest, grant balance.Grant, started time.Time, received *forward.Response, distinct bool) attemptOutcome {
 	request.reachedAttempts++
 	observation := balance.Observation{ColdFor: g.Headers.ColdStart(received.Header)}
-	observation.Executing, observation.Waiting, observation.LoadReported = g.Headers.Load(received.Header)
+	if received.Status != http.StatusMisdirectedRequest { // That response states the load of another target.
+		observation.SetLoad(g.readLoad(grant.Target, received.Header), grant.Target)
+	}
 	stated, certain := g.notExecuted(received, request.id)
 	if certain {
 		_ = received.Body.Close()
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -94,6 +94,15 @@
 	}
 }
 
+// readLoad returns the load that a response states, and logs its invalid figures.
+func (g *Gateway) readLoad(target *steering.Target, header http.Header) balance.TargetLoad {
+	load, invalid := g.Headers.Load(header)
+	for _, figure := range invalid {
+		g.logInvalidStatement("load: "+figure, target)
+	}
+	return load
+}
+
 // logInvalidStatement logs that a target has made a statement that cannot be
 // believed, once for each kind of statement and target.
 func (g *Gateway) logInvalidStatement(statement string, target *steering.Target) {
--- a/gateway/observe_test.go
+++ b/gateway/observe_test.go
@@ -13,6 +13,8 @@
 	"github.com/apex/log/handlers/memory"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthstall/jacinthstall/balance"
 )
 
 // entriesNamed returns the log entries of an event.
@@ -55,3 +57,24 @@
 		assert.Equal(t, "X-Mood", unknown[0].Fields["header"])
 	}
 }
+
+// Guards against an invalid figure in the load header that leaves no trace in the
+// log, and against one that hides the other figures.
+func TestInvalidLoadFiguresAreLoggedAndOthersUsed(t *testing.T) {
+	logs := &statementLog{}
+	var load atomic.Value
+	s := startSite(t, siteOptions{logs: logs, scripts: []script{func(_ int, r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, stampedHead(200, r)+fmt.Sprintf("X-Jacinthstall-Server-Load: %s\r\nContent-Length: 4\r\n\r\nbody", load.Load()))
+		return err == nil
+	}}})
+	var sent time.Time
+	for i, text := range []string{"0,0,8,100", "0,0,8,x", "0,0,8,y,1", "7,0,8", "3,-1,8,250"} {
+		load.Store(text)
+		sent = time.Now()
+		assert.Equal(t, 200, s.request("GET", "/safe/x", fmt.Sprint("r", i), "").StatusCode)
+	}
+	assert.Equal(t, "load: slowdown, load: waiting", logs.all())
+	grant, refusal := s.gateway.Balancer.Pick(sent, balance.Request{Service: "s", Objective: time.Second, Remaining: time.Second})
+	require.Nil(t, refusal)
+	assert.Equal(t, 3, grant.Load)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -65,8 +65,9 @@
 	NotExecuted(status int, h http.Header) bool
 	// HasStamp reports whether a response has the signature of a target.
 	HasStamp(http.Header) bool
-	// Load returns the requests that are executing and waiting at the target.
-	Load(http.Header) (executing, waiting int, ok bool)
+	// Load returns the load that the target states, and the names of the invalid
+	// figures, which count as missing.
+	Load(http.Header) (load balance.TargetLoad, invalid []string)
 	// ColdStart returns how long the target will stay cold.
 	ColdStart(http.Header) time.Duration
 	// RateLimit returns the requests per second that the target takes from all
