Learn the speed and the concurrency limit of each target

Instances took all slots of a target's record as usable and each measured the slowness of targets alone, so one of 72 instances learned little, and a target that slows down before its slots are used got as much as the others.

balance/capacity.go compares each response with the usual time of similar requests, robustly, and derives the speed and a limit for each target. Speed and limit are used in estimate, in the choice of home targets and in rebalancing, the limit also in the utilization and the regions' slots. An object leaves a slow home for its second choice if that is faster and has capacity to spare. Event 552, gauges targets_slow and targets_below_slots. -learn-capacity=false of jacinth-node turns it off.

In one run of ./gateway TestPopularRequestInFlightAtACrashIsNotRefused failed on the loaded machine; it passed in two repeated runs, as it did without this change.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,6 +19,9 @@
 	// BootClock returns the time since boot, including suspensions of the machine.
 	// It is used to detect pauses of the process; nil turns this off.
 	BootClock func() time.Duration
+	// FixedCapacity turns off learning of the targets' speed and limits: all slots
+	// of the records are used, at a speed that each instance measures alone.
+	FixedCapacity bool
 	// Random returns a number in [0, n); nil selects rand.Int64N.
 	Random func(n int64) int64
 }
@@ -52,7 +55,9 @@
 	statedTargets       map[*target]struct{} // Targets with a limit, or with one that has ended lately.
 	limitChanges        []LimitChange        // Since the last call of LimitChanges.
 	availabilities      map[incarnation]*availability
-	availabilityChanges []AvailabilityChange // Since the last call of AvailabilityChanges.
+	availabilityChanges []AvailabilityChange        // Since the last call of AvailabilityChanges.
+	peerCapacities      map[uint32]CapacityEvidence // Sum of the peers' reports, by short hash of the target ID.
+	capacityChanges     []CapacityChange            // Since the last call of CapacityChanges.
 }
 
 // target is the state of one incarnation of a target.
@@ -88,8 +93,14 @@
 	deferredUntil        time.Time         // Until when this instance does not ask the owner again.
 	// overflowDeferredUntil is the same for requests that belong to other targets.
 	overflowDeferredUntil time.Time
-	utilization           float64   // Moving average of requests in flight divided by slots.
-	rebalanceAfter        time.Time // Excluded from rebalancing until then.
+	utilization           float64          // Moving average of requests in flight divided by slots.
+	rebalanceAfter        time.Time        // Excluded from rebalancing until then.
+	capacityEvidence      capacityEvidence // Of this instance.
+	logSlowness           float64          // Estimated logarithm of the execution time relative to the usual one.
+	limitShare            float64          // Estimated limit as a share of the slots.
+	loggedLimit           float64          // Limit in the last CapacityChange; 0 if there was none.
+	statedSlowness        float64          // Slowdown that the target stated last.
+	statedAt              time.Time
 }
 
 // service is the state of one service.
@@ -112,6 +123,8 @@
 	// region.
 	baselineEvidence map[string]float64
 	sequence         uint64 // Spreads requests without an object over targets.
+	references       map[referenceKey]*reference
+	logVariance      float64 // Variance of the logarithm of a response's execution time; 0 until measured.
 }
 
 // samples returns the number of observations behind an average execution time.
@@ -128,7 +141,7 @@
 		options.Random = rand.Int64N
 	}
 	balancer := &Balancer{options: options, state: steering.NewState().Apply(0, nil), targets: map[string]*target{},
-		services: map[string]*service{}, peers: map[string]*peer{}, peerInFlight: map[uint32]int{}, peerEvidence: map[uint32]int{}, roundTrips: map[string]time.Duration{},
+		services: map[string]*service{}, peers: map[string]*peer{}, peerInFlight: map[uint32]int{}, peerEvidence: map[uint32]int{}, peerCapacities: map[uint32]CapacityEvidence{}, roundTrips: map[string]time.Duration{},
 		started: now, instancesChangedAt: now, settleTime: minSettleTime, statedTargets: map[*target]struct{}{}, availabilities: map[incarnation]*availability{}}
 	if options.BootClock != nil {
 		balancer.lastTick = options.BootClock()
@@ -218,7 +231,7 @@
 	if t == nil || !t.record.SameIncarnation(record) {
 		restarted := t != nil
 		delete(balancer.statedTargets, t)
-		t = &target{region: balancer.options.Regions[record.Domain], hash: hashOf(id), slowdown: 1, recentObjects: newObjectLRU()}
+		t = &target{region: balancer.options.Regions[record.Domain], hash: hashOf(id), slowdown: 1, limitShare: 1, recentObjects: newObjectLRU()}
 		if restarted {
 			t.limit.at = now // Statements of the previous incarnation are void.
 		}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -38,6 +38,13 @@
 	// objectiveShare is the share of the objective within which the response
 	// to a waiting request must be expected.
 	objectiveShare = 0.95
+	// spareShare is the load, as a share of its capacity, below which a target takes
+	// requests whose home is slow. Cold executions take several times as long, so
+	// they must not take capacity that other requests need.
+	spareShare = 0.5
+	// minGainShare is the largest expected time at another target than the home, as
+	// a share of that at the home, for which a request leaves it.
+	minGainShare = 0.8
 	// Range of the Retry-After of a refusal.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -76,12 +83,13 @@
 	Warm         bool          // The target has probably handled the object recently.
 	// Limit is the target's limit. If it is active, the request must be sent
 	// through Owner, or directly if this instance is the owner and Owner is empty.
-	Limit    LimitStatement
-	Owner    steering.Instance
-	Overflow bool // The owner may admit the request only if the target has capacity to spare.
-	object   string
-	waits    bool
-	trial    bool // Sent during the target's pause; see trialAfter.
+	Limit     LimitStatement
+	Owner     steering.Instance
+	Overflow  bool // The owner may admit the request only if the target has capacity to spare.
+	object    string
+	objective time.Duration
+	waits     bool
+	trial     bool // Sent during the target's pause; see trialAfter.
 }
 
 // RefusalReason tells why no target was selected.
@@ -216,9 +224,44 @@
 	c.displaced = balancer.isDisplaced(svc, region, objectHash, c.target)
 	c.expectedWait, c.expectedTime = balancer.estimate(now, svc, c.target, c.warm, request.Objective)
 	c.measured = svc.samples(c.warm) >= minSamples
+	if balancer.mayLeaveHome(c) {
+		c = balancer.fasterThanHome(now, svc, request, region, objectHash, c)
+	}
 	return c, true
 }
 
+// mayLeaveHome reports whether a request may go to another target than its home
+// because the home is slow.
+func (balancer *Balancer) mayLeaveHome(c candidate) bool {
+	return !balancer.options.FixedCapacity && !c.overflow && !c.displaced && balancer.learnedSlowness(c.target) > 1
+}
+
+// fasterThanHome returns the object's second choice among the targets of the region
+// if it is expected to be faster than the home, even if it is cold for the object,
+// and has capacity to spare. The second choice is always the same target, so it
+// becomes warm for the object.
+func (balancer *Balancer) fasterThanHome(now time.Time, svc *service, request Request, region string, objectHash uint64, home candidate) candidate {
+	var second candidate
+	secondRank := uint64(0)
+	for _, t := range svc.targetsByRegion[region] {
+		if rank := mix(objectHash, t.hash); t != home.target && (second.target == nil || rank > secondRank) {
+			second.target, secondRank = t, rank
+		}
+	}
+	t := second.target
+	if t == nil || t.limit.Active || request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request, false) || balancer.isGrey(now, svc, t) ||
+		float64(balancer.load(now, t)) >= spareShare*balancer.capacity(now, t) {
+		return home
+	}
+	second.warm = t.recentObjects.has(request.Object)
+	second.expectedWait, second.expectedTime = balancer.estimate(now, svc, t, second.warm, request.Objective)
+	if float64(second.expectedTime) > minGainShare*float64(home.expectedTime) {
+		return home
+	}
+	second.measured = svc.samples(second.warm) >= minSamples
+	return second
+}
+
 // isDisplaced reports whether a target was selected because the object's home
 // target, a limited one, does not take the request.
 func (balancer *Balancer) isDisplaced(svc *service, region string, objectHash uint64, selected *target) bool {
@@ -243,7 +286,7 @@
 		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request, overflow) || balancer.isGrey(now, svc, t) {
 			continue
 		}
-		relativeLoad := float64(balancer.load(now, t)) / float64(t.record.Slots)
+		relativeLoad := float64(balancer.load(now, t)) / balancer.usableSlots(now, t.record)
 		if best == nil || relativeLoad < lowestLoad {
 			best, lowestLoad = t, relativeLoad
 		}
@@ -357,18 +400,21 @@
 	if warm {
 		execTime = svc.warmExecTime
 	}
-	slots := float64(t.record.Slots)
+	slots, limit := float64(t.record.Slots), balancer.capacity(now, t)
 	load := float64(balancer.load(now, t))
-	slowdown := max(1, t.slowdown)
+	slowdown := balancer.slowness(now, t)
 	if now.Before(t.coldUntil) {
 		slowdown = max(slowdown, coldSlowdown)
 	}
 	slowedTime := float64(execTime) * slowdown
+	if limit < slots { // Executions beyond the limit share its capacity.
+		slowedTime *= max(1, min(load+1, slots)/limit)
+	}
 	if load >= slots {
-		wait = time.Duration((load - slots + 1) / slots * float64(svc.meanExecTime) * slowdown)
+		wait = time.Duration((load - slots + 1) / limit * float64(svc.meanExecTime) * slowdown)
 	}
 	total = wait + time.Duration(slowedTime) + balancer.roundTrip(t.region)
-	total += time.Duration(min(1, load/slots) * loadPenalty * slowedTime)
+	total += time.Duration(min(1, load/limit) * loadPenalty * slowedTime)
 	total += time.Duration(t.failureRate.value(now) * failurePenalty * float64(objective))
 	return wait, total
 }
@@ -376,7 +422,7 @@
 func (balancer *Balancer) grant(now time.Time, c candidate, request Request) Grant {
 	t := c.target
 	grant := Grant{Target: t.record, Region: t.region, ExpectedTime: c.expectedTime, Load: balancer.load(now, t), LoadAge: -1,
-		object: request.Object, Warm: c.warm, waits: c.expectedWait > 0}
+		object: request.Object, objective: request.Objective, Warm: c.warm, waits: c.expectedWait > 0}
 	if !t.loadReportedAt.IsZero() {
 		grant.LoadAge = now.Sub(t.loadReportedAt)
 	}
--- a/balance/rebalance.go
+++ b/balance/rebalance.go
@@ -60,7 +60,7 @@
 func (balancer *Balancer) updateUtilization(now time.Time) {
 	weight := weightInterval.Seconds() / utilizationTimeConstant.Seconds()
 	for _, t := range balancer.targets {
-		utilization := min(maxSampledUtilization, float64(balancer.load(now, t))/float64(t.record.Slots))
+		utilization := min(maxSampledUtilization, float64(balancer.load(now, t))/balancer.capacity(now, t))
 		t.utilization += weight * (utilization - t.utilization)
 	}
 }
@@ -112,7 +112,7 @@
 		candidates = candidates[:len(candidates)-1]
 		move := HomeMove{Service: svc.name, From: from.record.ID, To: to.record.ID, FromUtilization: from.utilization, ToUtilization: to.utilization}
 		object, number := uint64(0), 0
-		if object, move.ObjectUtilization = bestMove(from, to, objects[from]); move.ObjectUtilization == 0 {
+		if object, move.ObjectUtilization = balancer.bestMove(now, from, to, objects[from]); move.ObjectUtilization == 0 {
 			object, move.ObjectUtilization = hottestObject(from, objects[from])
 			number = balancer.freeHomeNumber(svc, object, to)
 			if move.ObjectUtilization < hotObjectUtilization || number == 0 {
@@ -212,19 +212,20 @@
 
 // bestMove returns the object whose move minimizes the higher utilization of
 // the two targets, and the utilization it causes; 0 if no move gains enough.
-func bestMove(from, to *target, objects map[uint64]objectRequests) (uint64, float64) {
+func (balancer *Balancer) bestMove(now time.Time, from, to *target, objects map[uint64]objectRequests) (uint64, float64) {
 	total := 0.0
 	for _, load := range objects {
 		total += load.requests
 	}
 	var best uint64
 	bestUtilization, lowest := 0.0, from.utilization-minUtilizationGain
+	relativeCapacity := balancer.usableSlots(now, from.record) / balancer.usableSlots(now, to.record)
 	for object, load := range objects {
 		if load.multipleHomes {
 			continue
 		}
 		utilization := from.utilization * load.requests / total
-		toUtilization := to.utilization + utilization*float64(from.record.Slots)/float64(to.record.Slots)
+		toUtilization := to.utilization + utilization*relativeCapacity
 		if toUtilization > maxMoveUtilization {
 			continue
 		}
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -166,6 +166,7 @@
 	balancer.expireAvailabilities(now)
 	if !now.Before(balancer.nextLoadSample) {
 		balancer.nextLoadSample = now.Add(weightInterval)
+		balancer.updateCapacities(now)
 		balancer.updateUtilization(now)
 		balancer.updateBaselines(now)
 	}
@@ -183,11 +184,11 @@
 }
 
 func (balancer *Balancer) updateWeights(now time.Time, svc *service) (WeightChange, bool) {
-	slots := balancer.slotsByRegion(svc)
+	recorded, slots := balancer.slotsByRegion(now, svc)
 	load := balancer.loadByRegion(now, svc, slots)
 	goal := goalWeights(balancer.options.Region, load, slots)
-	if svc.regionWeights.weights == nil || slotsChangedAbruptly(svc.regionWeights.slots, slots) {
-		svc.regionWeights.weights, svc.regionWeights.slots = goal, slots
+	if svc.regionWeights.weights == nil || slotsChangedAbruptly(svc.regionWeights.slots, recorded) {
+		svc.regionWeights.weights, svc.regionWeights.slots = goal, recorded
 	}
 	maxShift := balancer.options.MaxWeightShift
 	if maxShift <= 0 {
@@ -205,17 +206,36 @@
 	return WeightChange{Service: svc.name, Weights: svc.regionWeights.reported, Load: load, Slots: slots}, true
 }
 
-func (balancer *Balancer) slotsByRegion(svc *service) map[string]float64 {
-	slots := map[string]float64{}
+// slotsByRegion returns the slots of each region according to the records, and those
+// within the limits of its targets. Only the former shows that targets were lost or
+// came back. The targets' speed does not count: its estimates vary faster than
+// requests may move between regions, and each move costs cold executions.
+func (balancer *Balancer) slotsByRegion(now time.Time, svc *service) (recorded, usable map[string]float64) {
+	recorded, usable = map[string]float64{}, map[string]float64{}
 	for _, region := range balancer.options.Regions {
-		slots[region] += 0
+		recorded[region] += 0
+		usable[region] += 0
 	}
 	for _, record := range balancer.state.TargetsOf(svc.name) {
-		if balancer.takesRequests(record) {
-			slots[balancer.options.Regions[record.Domain]] += float64(record.Slots)
+		if !balancer.takesRequests(record) {
+			continue
+		}
+		region := balancer.options.Regions[record.Domain]
+		recorded[region] += float64(record.Slots)
+		if t := balancer.targets[record.ID]; t != nil {
+			usable[region] += balancer.capacity(now, t)
 		}
 	}
-	return slots
+	return recorded, usable
+}
+
+// usableSlots returns the number of slots of usual speed that a target is equal to.
+func (balancer *Balancer) usableSlots(now time.Time, record *steering.Target) float64 {
+	t := balancer.targets[record.ID]
+	if t == nil || balancer.options.FixedCapacity {
+		return float64(record.Slots)
+	}
+	return balancer.capacity(now, t) / balancer.learnedSlowness(t)
 }
 
 // loadByRegion returns the number of slots in use by requests from each
--- a/balance/report.go
+++ b/balance/report.go
@@ -13,6 +13,9 @@
 	// of other instances; see evidence.go.
 	FailureEvidence map[uint32]int
 	Limits          map[uint32]LimitStatement // By short hash of the target ID.
+	// Capacities holds the evidence about targets' speed and limits, by short hash
+	// of the target ID; nil if there is none. See capacity.go.
+	Capacities map[uint32]CapacityEvidence
 }
 
 // ReportForRegion returns a copy of a report with the requests in flight
@@ -20,7 +23,7 @@
 func (balancer *Balancer) ReportForRegion(report Report, region string) Report {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
-	filtered := Report{InFlight: map[uint32]int{}, CallerRates: report.CallerRates, FailureEvidence: report.FailureEvidence, Limits: report.Limits}
+	filtered := Report{InFlight: map[uint32]int{}, CallerRates: report.CallerRates, FailureEvidence: report.FailureEvidence, Limits: report.Limits, Capacities: report.Capacities}
 	for _, svc := range balancer.services {
 		for _, t := range svc.targetsByRegion[region] {
 			if n := report.InFlight[shortHash(t.hash)]; n > 0 {
@@ -46,6 +49,7 @@
 	r.FailureEvidence = strongestEvidence(r.FailureEvidence)
 	mergeLimits(r.Limits, other.Limits, age)
 	r.Limits = latestLimits(r.Limits)
+	r.Capacities = mergeCapacities(r.Capacities, other.Capacities, age)
 }
 
 type peer struct {
@@ -58,7 +62,8 @@
 func (balancer *Balancer) Report(now time.Time) Report {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
-	report := Report{InFlight: map[uint32]int{}, CallerRates: map[uint32]float64{}, FailureEvidence: balancer.ownEvidence(now), Limits: balancer.reportedLimits(now)}
+	report := Report{InFlight: map[uint32]int{}, CallerRates: map[uint32]float64{}, FailureEvidence: balancer.ownEvidence(now), Limits: balancer.reportedLimits(now),
+		Capacities: balancer.reportedCapacities(now)}
 	for _, t := range balancer.targets {
 		if t.ownInFlight > 0 {
 			report.InFlight[shortHash(t.hash)] = t.ownInFlight
@@ -83,6 +88,7 @@
 func (balancer *Balancer) ApplyReport(now time.Time, name, region string, report Report, ttl time.Duration) {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
+	report.Capacities = agedCapacities(report.Capacities)
 	if old := balancer.peers[name]; old != nil {
 		balancer.countReport(old.report, -1)
 	}
@@ -95,6 +101,7 @@
 func (balancer *Balancer) countReport(report Report, sign int) {
 	addCounts(balancer.peerInFlight, report.InFlight, sign)
 	addCounts(balancer.peerEvidence, report.FailureEvidence, sign)
+	balancer.countCapacities(report.Capacities, sign)
 }
 
 func addCounts(sum, counts map[uint32]int, sign int) {
--- a/balance/result.go
+++ b/balance/result.go
@@ -100,13 +100,16 @@
 		t.loadReportedAt = now
 		t.unreportedLoad = max(0, observation.Executing+observation.Waiting-t.ownInFlight-balancer.peerInFlight[shortHash(t.hash)])
 	}
+	if observation.Slowdown > 0 {
+		t.statedSlowness, t.statedAt = observation.Slowdown, now
+	}
 	if observation.ColdFor > 0 {
 		t.coldUntil = now.Add(observation.ColdFor)
 	}
 	switch observation.Result {
 	case Succeeded:
 		balancer.recordExecution(t, grant.trial)
-		balancer.recordResponse(now, t, grant, observation.Duration)
+		balancer.recordResponse(now, t, grant, observation)
 	case Failed:
 		balancer.recordExecution(t, grant.trial)
 		balancer.recordAttempt(now, t, true)
@@ -128,7 +131,7 @@
 
 // recordResponse updates the state of a target and its service after a
 // successful response.
-func (balancer *Balancer) recordResponse(now time.Time, t *target, grant Grant, duration time.Duration) {
+func (balancer *Balancer) recordResponse(now time.Time, t *target, grant Grant, observation Observation) {
 	balancer.recordAttempt(now, t, false)
 	t.consecutiveFailures, t.unansweredConnects = 0, 0
 	if t.down {
@@ -139,8 +142,12 @@
 		t.recentObjects.add(grant.object)
 	}
 	svc := balancer.service(t.record.Service)
-	work := max(time.Millisecond, duration-balancer.roundTrip(t.region))
-	if grant.waits || now.Before(t.coldUntil) {
+	work := max(time.Millisecond, observation.Duration-balancer.roundTrip(t.region))
+	if now.Before(t.coldUntil) {
+		return
+	}
+	balancer.recordCapacity(now, svc, t, grant, work, observation)
+	if grant.waits {
 		return
 	}
 	svc.meanExecTime += time.Duration(ewmaWeight * float64(work-svc.meanExecTime))
--- a/balance/scale_test.go
+++ b/balance/scale_test.go
@@ -114,3 +114,26 @@
 	}
 	return list
 }
+
+// In the largest deployment, with evidence about the capacity of 300 targets.
+func BenchmarkCapacityEvidence(b *testing.B) {
+	balancer, _, now := newLargeDeployment()
+	report := Report{Capacities: map[uint32]CapacityEvidence{}}
+	for i, t := range balancer.targetsForTest()[:300] {
+		t.capacityEvidence = capacityEvidence{speed: weightedLog{2, 0.5}, low: weightedLog{1, 0.1}, updated: now}
+		if i < maxReportedCapacities {
+			report.Capacities[shortHash(t.hash)] = CapacityEvidence{Age: time.Second, Weight: 8, Sum: 20, LowWeight: 8, LowSum: 20}
+		}
+	}
+	for name, step := range map[string]func(){
+		"tick":   func() { now = now.Add(weightInterval); balancer.Tick(now) },
+		"report": func() { balancer.Report(now) },
+		"apply":  func() { balancer.ApplyReport(now, "n1", "p", report, time.Hour) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				step()
+			}
+		})
+	}
+}
--- a/balance/simulation_test.go
+++ b/balance/simulation_test.go
@@ -33,6 +33,8 @@
 	homeMoves int     // Number of objects moved by home tables.
 	counts    requestCounts
 	pauses    pauseCounts
+	uneven    *unevenLoad // Nil if all targets are equal.
+	scale     int         // Factor for the number of objects; 0 counts as 1.
 }
 
 type simulatedInstance struct {
@@ -97,6 +99,12 @@
 // newScaledSimulation returns a simulation with scale times as many instances and
 // targets.
 func newScaledSimulation(seed uint64, scale int) *simulation {
+	return newSimulationOf(seed, scale, false)
+}
+
+// newSimulationOf returns a scaled simulation whose instances learn the capacity of
+// targets unless fixedCapacity is set.
+func newSimulationOf(seed uint64, scale int, fixedCapacity bool) *simulation {
 	sim := &simulation{random: rand.New(rand.NewPCG(seed, 7)), now: start, targets: map[string]*simulatedTarget{}}
 	config := &steering.Config{Version: 1, Services: map[string]steering.Service{"s": {Name: "s"}}}
 	config.Index()
@@ -113,7 +121,7 @@
 	for i, domain := range slices.Repeat([]string{"p1", "p1", "p1", "c1", "c1", "c1", "a1", "a1"}, scale) {
 		name, region := fmt.Sprint("n", i), simulatedRegions[domain]
 		b := balance.New(balance.Options{Name: name, Domain: domain, Region: region, Regions: simulatedRegions, MaxWeightShift: 0.15,
-			Random: sim.random.Int64N}, start)
+			FixedCapacity: fixedCapacity, Random: sim.random.Int64N}, start)
 		b.SetState(start, sim.state)
 		b.Tick(start)
 		sim.instances = append(sim.instances, &simulatedInstance{b, name, region})
@@ -210,11 +218,15 @@
 	sim.after(time.Duration(sim.random.ExpFloat64()*float64(time.Second)/perSecond), func() {
 		region := []string{"p", "c", "a"}[sim.random.IntN(3)]
 		sim.counts.requests++
-		object := sim.random.IntN(objectsPerRegion)
+		object := sim.random.IntN(objectsPerRegion * max(1, sim.scale))
 		if sim.random.Float64() < sim.hotShare {
 			object = 0
 		}
-		sim.request(region, fmt.Sprint(region, object), sim.now, false)
+		key := fmt.Sprint(region, object)
+		if sim.uneven != nil && !sim.uneven.objects {
+			key = ""
+		}
+		sim.request(region, key, sim.now, false)
 		sim.scheduleRequests(perSecond)
 	})
 }
@@ -266,8 +278,8 @@
 			})
 			return
 		}
-		sim.execute(sim.targets[grant.Target.ID], object, func(t *simulatedTarget) {
-			sim.after(delay, func() { sim.recordResponse(instance, grant, t, sent, firstSent) })
+		sim.execute(grant.Target.ID, object, func(t *simulatedTarget) {
+			sim.after(delay+sim.uneven.networkDelay(instance.name), func() { sim.recordResponse(instance, grant, t, sent, firstSent) })
 		})
 	})
 }
@@ -301,16 +313,17 @@
 }
 
 // execute runs a request when the target has a free slot.
-func (sim *simulation) execute(target *simulatedTarget, object string, done func(*simulatedTarget)) {
+func (sim *simulation) execute(id, object string, done func(*simulatedTarget)) {
+	target := sim.targets[id]
 	start := func() {
 		target.running++
 		target.executed++
 		work := simulatedColdTime
-		if target.knownObjects[object] {
+		if target.knownObjects[object] || object == "" {
 			work = simulatedWarmTime
 		}
-		target.knownObjects[object] = true
-		sim.after(time.Duration(float64(work)*(0.85+0.3*sim.random.Float64())), func() {
+		target.knownObjects[object] = object != ""
+		sim.after(time.Duration(float64(work)*sim.uneven.workFactor(sim, id, target)*(0.85+0.3*sim.random.Float64())), func() {
 			target.running--
 			if len(target.queue) > 0 {
 				next := target.queue[0]
@@ -338,7 +351,7 @@
 		}
 	}
 	instance.Done(sim.now, grant, balance.Observation{Result: balance.Succeeded, Duration: sim.now.Sub(sent), LoadReported: true,
-		Executing: target.running, Waiting: len(target.queue)})
+		Executing: target.running, Waiting: len(target.queue), Slowdown: sim.uneven.statedSlowdown(sim, grant.Target.ID)})
 	if sim.now.Sub(firstSent) <= simulatedObjective {
 		sim.counts.inTime++
 	} else {
--- a/cmd/jacinth-node/main.go
+++ b/cmd/jacinth-node/main.go
@@ -56,6 +56,7 @@
 	file := fs.String("settings", "", "settings file of this instance (default: the file that the platform sets in the environment)")
 	check := fs.Bool("check", false, "check the settings, print all findings and exit")
 	version := fs.Bool("version", false, "print the version and exit")
+	learn := fs.Bool("learn-capacity", true, "learn the speed and the limits of targets from their responses")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("JACINTH_NODE")); err != nil {
 		return err
 	}
@@ -75,7 +76,7 @@
 		_, err := fmt.Fprintf(out, "settings of instance %s in failure domain %s are valid\n", s.Name, s.Domain)
 		return err
 	}
-	return serve(s, load, hangups)
+	return serve(s, load, !*learn, hangups)
 }
 
 // buildVersion returns the version of the module and the commit of the build.
@@ -93,7 +94,7 @@
 	return text
 }
 
-func serve(s settings.Node, load func() (settings.Node, error), hangups <-chan os.Signal) error {
+func serve(s settings.Node, load func() (settings.Node, error), fixedCapacity bool, hangups <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
@@ -107,7 +108,7 @@
 		return err
 	}
 	n, err := node.New(node.Options{Settings: s, Platform: platform.Codec{}, Headers: platform.Headers{}, Store: store,
-		Log: logger.WithField("instance", s.Name), Reload: load,
+		Log: logger.WithField("instance", s.Name), Reload: load, FixedCapacity: fixedCapacity,
 		StoreCalls: store.CallCount, DroppedLines: handler.DroppedLines})
 	if err != nil {
 		return err
--- a/events/steering.go
+++ b/events/steering.go
@@ -102,6 +102,10 @@
 	ConnectionCut = register(Event{Number: 534, Name: "connection-cut", Level: log.InfoLevel,
 		Message: "connection of a caller closed with requests unanswered or bytes unread", Fields: []string{"cause", "caller", "unanswered", "requests", "unreadBytes"},
 		Action: "check for slow requests if the cause is stop-ended, and for callers that do not read if it is write-timed-out"})
+	TargetCapacity = register(Event{Number: 552, Name: "target-capacity", Level: log.InfoLevel,
+		Message: "number of requests that a target executes without slowing down has changed by a quarter or more",
+		Fields:  []string{"target", "slots", "limit", "previous", "slowness", "responses"},
+		Action:  "check the target's machine if the limit stays below the slots"})
 	PeerReadFailed = register(Event{Number: 541, Name: "peer-read-failed", Level: log.WarnLevel,
 		Message: "failed to read a message of a peer", Fields: []string{"error"}, Action: "check the network interface of the peer address if it occurs often"})
 	RequestUnreadable = register(Event{Number: 540, Name: "request-unreadable", Level: log.InfoLevel,
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -118,6 +118,17 @@
 	}
 }
 
+// LogCapacityChanges logs the notable changes of targets' learned limits since the
+// last call.
+func (g *Gateway) LogCapacityChanges() {
+	for _, c := range g.Balancer.CapacityChanges() {
+		g.events.Emit(events.TargetCapacity, log.Fields{"target": c.Target, "slots": c.Slots, "limit": hundredths(c.Limit), "previous": hundredths(c.Previous),
+			"slowness": hundredths(c.Slowness), "responses": hundredths(c.Weight)})
+	}
+}
+
+func hundredths(v float64) float64 { return math.Round(v*100) / 100 }
+
 // nameSet is a set of a limited number of names.
 type nameSet struct {
 	limit int
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -82,6 +82,11 @@
 	fieldIntroduction
 	fieldLimits   // Fixed32 hash, float32 rate and a varint with the age in ms and whether the target is owned, packed.
 	fieldSuspects // Fixed64 fingerprint and three varints: clearance, crashes and age in seconds, packed.
+	_
+	// fieldCapacities is packed: fixed32 hash and seven varints, which are the age in
+	// units of capacityAgeUnit, and for all responses, those at low and those at high
+	// load the weight and the zigzag-encoded sum.
+	fieldCapacities
 )
 
 // Upper bounds of values in a message. Messages that exceed them are rejected,
@@ -91,6 +96,11 @@
 	maxRate  = 1e9 // Requests per second.
 	// maxLimitAge is the greatest age of a target's statement about its limit.
 	maxLimitAge = 24 * time.Hour
+	// capacityAgeUnit is the resolution of the age of evidence about the capacity of a
+	// target, and maxCapacityAge its greatest age, after which the evidence has no
+	// weight.
+	capacityAgeUnit = 100 * time.Millisecond
+	maxCapacityAge  = 5 * time.Minute
 	// maxSuspicionAge is the greatest age of the last crash of a request.
 	maxSuspicionAge = 7 * 24 * time.Hour
 )
@@ -158,6 +168,7 @@
 	b = appendPairs(b, fieldInFlight, m.Report.InFlight, counts)
 	b = appendPairs(b, fieldFailing, m.Report.FailureEvidence, counts)
 	b = appendPairs(b, fieldLimits, m.Report.Limits, appendLimit)
+	b = appendPairs(b, fieldCapacities, m.Report.Capacities, appendCapacity)
 	return appendPairs(b, fieldRates, m.Report.CallerRates, func(b []byte, hash uint32, r float64) []byte {
 		return protowire.AppendFixed32(protowire.AppendFixed32(b, hash), math.Float32bits(float32(r)))
 	})
@@ -192,6 +203,40 @@
 	return statement, n + m
 }
 
+func appendCapacity(b []byte, hash uint32, evidence balance.CapacityEvidence) []byte {
+	b = protowire.AppendFixed32(b, hash)
+	b = protowire.AppendVarint(b, uint64(max(0, evidence.Age)/capacityAgeUnit))
+	for _, pair := range [][2]int{{evidence.Weight, evidence.Sum}, {evidence.LowWeight, evidence.LowSum}, {evidence.HighWeight, evidence.HighSum}} {
+		b = protowire.AppendVarint(protowire.AppendVarint(b, uint64(max(0, pair[0]))), protowire.EncodeZigZag(int64(pair[1])))
+	}
+	return b
+}
+
+// consumeCapacity decodes evidence about the capacity of a target. Weights are at
+// most maxCount, and sums at most those of the greatest logarithm. Like the
+// functions of protowire it returns a negative length if the encoding is invalid.
+func consumeCapacity(b []byte) (balance.CapacityEvidence, int) {
+	var values [7]uint64
+	length := 0
+	for i := range values {
+		v, n := protowire.ConsumeVarint(b[length:])
+		if n < 0 {
+			return balance.CapacityEvidence{}, n
+		}
+		values[i], length = v, length+n
+	}
+	pair := func(weight, sum uint64) (int, int) {
+		w := int(min(weight, maxCount))
+		limit := int64(w * balance.MaxCapacitySum)
+		return w, int(min(limit, max(-limit, protowire.DecodeZigZag(sum))))
+	}
+	evidence := balance.CapacityEvidence{Age: time.Duration(min(values[0], uint64(maxCapacityAge/capacityAgeUnit))) * capacityAgeUnit}
+	evidence.Weight, evidence.Sum = pair(values[1], values[2])
+	evidence.LowWeight, evidence.LowSum = pair(values[3], values[4])
+	evidence.HighWeight, evidence.HighSum = pair(values[5], values[6])
+	return evidence, length
+}
+
 func appendSuspicion(b []byte, fingerprint uint64, suspicion balance.Suspicion) []byte {
 	b = protowire.AppendFixed64(b, fingerprint)
 	b = protowire.AppendVarint(b, uint64(suspicion.Clearance))
@@ -360,6 +405,12 @@
 			m.Report.Limits[hash] = statement
 			return statement.PerSecond >= 0 && statement.PerSecond <= maxRate // False for NaN.
 		})
+	case fieldCapacities:
+		m.Report.Capacities = map[uint32]balance.CapacityEvidence{}
+		return eachPair(v, protowire.ConsumeFixed32, consumeCapacity, func(hash uint32, evidence balance.CapacityEvidence) bool {
+			m.Report.Capacities[hash] = evidence
+			return true
+		})
 	case fieldRates:
 		return eachPair(v, protowire.ConsumeFixed32, protowire.ConsumeFixed32, func(hash, bits uint32) bool {
 			rate := float64(math.Float32frombits(bits))
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -23,6 +23,9 @@
 			CallerRates: map[uint32]float64{7: 1.5}, FailureEvidence: rapid.MapOf(rapid.Uint32(), rapid.IntRange(0, 100)).Draw(t, "failing"),
 			Limits: rapid.MapOf(rapid.Uint32(), rapid.Custom(genLimit)).Draw(t, "limits")},
 	}
+	if rapid.Bool().Draw(t, "capacities") {
+		m.Report.Capacities = rapid.MapOfN(rapid.Uint32(), rapid.Custom(genCapacity), 1, 4).Draw(t, "evidence")
+	}
 	if rapid.Bool().Draw(t, "suspects") {
 		m.Suspects = rapid.MapOfN(rapid.Uint64(), rapid.Custom(genSuspicion), 1, 4).Draw(t, "suspicions")
 	}
@@ -38,6 +41,18 @@
 		Age: time.Duration(rapid.IntRange(0, int(maxSuspicionAge.Seconds())).Draw(t, "age")) * time.Second}
 }
 
+func genCapacity(t *rapid.T) balance.CapacityEvidence {
+	pair := func(name string) (int, int) {
+		weight := rapid.IntRange(0, maxCount).Draw(t, name)
+		return weight, rapid.IntRange(-weight*balance.MaxCapacitySum, weight*balance.MaxCapacitySum).Draw(t, name+" sum")
+	}
+	evidence := balance.CapacityEvidence{Age: time.Duration(rapid.IntRange(0, int(maxCapacityAge/capacityAgeUnit)).Draw(t, "age")) * capacityAgeUnit}
+	evidence.Weight, evidence.Sum = pair("all")
+	evidence.LowWeight, evidence.LowSum = pair("low")
+	evidence.HighWeight, evidence.HighSum = pair("high")
+	return evidence
+}
+
 func genLimit(t *rapid.T) balance.LimitStatement {
 	statement := balance.LimitStatement{Age: time.Duration(rapid.IntRange(0, 100_000).Draw(t, "age")) * time.Millisecond, Owned: rapid.Bool().Draw(t, "owned")}
 	if rapid.Bool().Draw(t, "active") {
@@ -69,7 +84,8 @@
 // Guards against messages that crash the process or whose counts overflow sums.
 func FuzzParse(f *testing.F) {
 	m := Message{Name: "n", Domain: "d", Report: balance.Report{InFlight: map[uint32]int{1: 2}, CallerRates: map[uint32]float64{3: 4}, FailureEvidence: map[uint32]int{5: 6},
-		Limits: map[uint32]balance.LimitStatement{9: {RateLimit: balance.RateLimit{Active: true, PerSecond: 4.5}, Age: time.Second}}},
+		Limits:     map[uint32]balance.LimitStatement{9: {RateLimit: balance.RateLimit{Active: true, PerSecond: 4.5}, Age: time.Second}},
+		Capacities: map[uint32]balance.CapacityEvidence{10: {Age: time.Second, Weight: 8, Sum: -30, LowWeight: 1, HighWeight: 2, HighSum: 9}}},
 		Suspects: map[uint64]balance.Suspicion{7: {CrashCount: balance.CrashCount{Clearance: 1, Crashes: 8}, Age: time.Second}}, Members: []Member{{Name: "m", Address: "a"}}}
 	f.Add(m.Append(nil))
 	f.Add([]byte{fieldInFlight<<3 | 2, 14, 1, 0, 0, 0, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1})
@@ -86,6 +102,12 @@
 		for _, rate := range m.Report.CallerRates {
 			require.True(t, rate >= 0 && rate <= maxRate)
 		}
+		for _, c := range m.Report.Capacities {
+			for _, pair := range [][2]int{{c.Weight, c.Sum}, {c.LowWeight, c.LowSum}, {c.HighWeight, c.HighSum}} {
+				require.True(t, pair[0] >= 0 && pair[0] <= maxCount && max(pair[1], -pair[1]) <= pair[0]*balance.MaxCapacitySum)
+			}
+			require.True(t, c.Age >= 0 && c.Age <= maxCapacityAge)
+		}
 		for _, limit := range m.Report.Limits {
 			require.True(t, limit.PerSecond >= 0 && limit.PerSecond <= maxRate && limit.Age >= 0 && limit.Age <= maxLimitAge)
 		}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	gometrics "github.com/rcrowley/go-metrics"
@@ -21,6 +22,9 @@
 	leaving, paused := node.balancer.UnavailableTargets()
 	gauge("targets_leaving", int64(leaving))
 	gauge("targets_paused", int64(paused))
+	slow, belowSlots := node.balancer.CapacityCounts(time.Now())
+	gauge("targets_slow", int64(slow))
+	gauge("targets_below_slots", int64(belowSlots))
 	gauge("store_revision", int64(node.mirror.Revision()))
 	if config := node.mirror.State().Config; config != nil {
 		gauge("config_version", int64(config.Version))
--- a/node/node.go
+++ b/node/node.go
@@ -44,11 +44,12 @@
 
 // Options configure a Node.
 type Options struct {
-	Settings settings.Node
-	Platform Platform
-	Headers  gateway.Headers
-	Store    kv.Store
-	Log      log.Interface
+	Settings      settings.Node
+	Platform      Platform
+	Headers       gateway.Headers
+	Store         kv.Store
+	Log           log.Interface
+	FixedCapacity bool // Do not learn the targets' speed and limits; see balance.Options.
 	// Reload reads the settings again.
 	Reload func() (settings.Node, error)
 	// StoreCalls and DroppedLines return counters for the metrics; both may be
@@ -94,7 +95,7 @@
 	node.self = steering.Instance{Name: s.Name, Domain: s.Domain, Region: s.Region, Address: s.CallerAddress,
 		PeerAddress: s.PeerAddress, Incarnation: rand.Uint64(), Capacity: capacity(s)}
 	node.balancer = balance.New(balance.Options{Name: s.Name, Domain: s.Domain, Region: s.Region, Regions: s.RegionByDomain,
-		MaxWeightShift: s.Bounds.MaxRegionShift, BootClock: bootClock}, now)
+		MaxWeightShift: s.Bounds.MaxRegionShift, FixedCapacity: options.FixedCapacity, BootClock: bootClock}, now)
 	node.balancer.SetInstances(now, []steering.Instance{node.self}, 0)
 	node.mirror = mirror.New(mirror.Options{Store: options.Store, Prefix: options.Platform.Prefix(), Codec: options.Platform, Events: node.events,
 		WatchesStore: node.watchesStore, DefersFirstRead: node.defersFirstRead, NewerPeer: node.newerPeer, Fetch: fetchSnapshot, OnStateChanged: node.stateChanged})
@@ -250,6 +251,7 @@
 					"load": roundToHundredths(c.Load), "slots": c.Slots})
 			}
 			node.gateway.LogLimitChanges()
+			node.gateway.LogCapacityChanges()
 			node.gateway.LogAvailabilityChanges()
 			if !now.Before(nextSweep) {
 				nextSweep = now.Add(sweepInterval)
