--- a/balance/priority.go
+++ b/balance/priority.go
@@ -165,7 +165,7 @@
 		own.count(now, request.Objective)
 	}
 	plan := balancer.rankPlan(now, svc, request.Rank)
-	slots, execTime := float64(c.target.record.Slots), max(svc.meanExecTime.Seconds(), time.Millisecond.Seconds())
+	slots, execTime := balancer.capacity(now, c.target), max(svc.meanExecTime.Seconds(), time.Millisecond.Seconds())
 	excess := 0.0
 	admission := rankAdmission{admitted: without.admitted}
 	if returned && without.feasible && c.expectedWait <= time.Duration(returnedWait*float64(request.Objective)) {
@@ -247,7 +247,7 @@
 	slots := 0.0
 	for _, targets := range svc.targetsByRegion {
 		for _, t := range targets {
-			slots += float64(t.record.Slots)
+			slots += balancer.capacity(now, t)
 		}
 	}
 	svc.ranks.plans = planRanks(demands, max(1, slots))
--- a/balance/priority_simulation_test.go
+++ b/balance/priority_simulation_test.go
@@ -241,7 +241,7 @@
 		delay = 20 * time.Millisecond
 	}
 	sim.after(delay, func() {
-		sim.executeFor(sim.targets[grant.Target.ID], caller.object, warmTime(kind), kind.execTime, func(t *simulatedTarget) {
+		sim.executeFor(grant.Target.ID, caller.object, warmTime(kind), kind.execTime, func(t *simulatedTarget) {
 			sim.after(delay, func() {
 				instance.Done(sim.now, grant, balance.Observation{Result: balance.Succeeded, Duration: sim.now.Sub(sent), LoadReported: true, Executing: t.running, Waiting: len(t.queue)})
 				sim.end(caller)
--- a/balance/result.go
+++ b/balance/result.go
@@ -44,6 +44,32 @@
 	LoadReported       bool
 	ColdFor            time.Duration // How long the target stays cold, as it reported.
 	AskedForPause      bool          // The target rejected the request and asked for a pause.
+	// Slowdown is the current execution time at the target divided by the usual
+	// one, as the target reported; 0 if it did not.
+	Slowdown float64
+}
+
+// UnknownCount is the value of a count that a target has not stated.
+const UnknownCount = -1
+
+// TargetLoad is the load that a target states in a response. Each count may be
+// UnknownCount.
+type TargetLoad struct {
+	Executing, Waiting, Slots int
+	Slowdown                  float64 // Current execution time divided by the usual one; 0 if not stated.
+}
+
+// SetLoad sets the load that the target stated. If the number of executing requests
+// is unknown and requests wait, all slots are in use. Without a number of waiting
+// requests, none wait.
+func (o *Observation) SetLoad(load TargetLoad, t *steering.Target) {
+	o.Slowdown = load.Slowdown
+	if load.Executing == UnknownCount && load.Waiting > 0 {
+		load.Executing = t.Slots
+	}
+	if load.Executing != UnknownCount {
+		o.Executing, o.Waiting, o.LoadReported = load.Executing, max(0, load.Waiting), true
+	}
 }
 
 // AvoidedTarget is a target that gets no requests for some time.
@@ -74,13 +100,16 @@
 		t.loadReportedAt = now
 		t.unreportedLoad = max(0, observation.Executing+observation.Waiting-t.ownInFlight-balancer.peerInFlight[shortHash(t.hash)])
 	}
+	if observation.Slowdown > 0 {
+		t.statedSlowness, t.statedAt = observation.Slowdown, now
+	}
 	if observation.ColdFor > 0 {
 		t.coldUntil = now.Add(observation.ColdFor)
 	}
 	switch observation.Result {
 	case Succeeded:
 		balancer.recordExecution(t, grant.trial)
-		balancer.recordResponse(now, t, grant, observation.Duration)
+		balancer.recordResponse(now, t, grant, observation)
 	case Failed:
 		balancer.recordExecution(t, grant.trial)
 		balancer.recordAttempt(now, t, true)
@@ -102,7 +131,7 @@
 
 // recordResponse updates the state of a target and its service after a
 // successful response.
-func (balancer *Balancer) recordResponse(now time.Time, t *target, grant Grant, duration time.Duration) {
+func (balancer *Balancer) recordResponse(now time.Time, t *target, grant Grant, observation Observation) {
 	balancer.recordAttempt(now, t, false)
 	t.consecutiveFailures, t.unansweredConnects = 0, 0
 	if t.down {
@@ -113,8 +142,12 @@
 		t.recentObjects.add(grant.object)
 	}
 	svc := balancer.service(t.record.Service)
-	work := max(time.Millisecond, duration-balancer.roundTrip(t.region))
-	if grant.waits || now.Before(t.coldUntil) {
+	work := max(time.Millisecond, observation.Duration-balancer.roundTrip(t.region))
+	if now.Before(t.coldUntil) {
+		return
+	}
+	balancer.recordCapacity(now, svc, t, grant, work, observation)
+	if grant.waits {
 		return
 	}
 	svc.ranks.recordExecTime(grant.rank, work)
--- a/events/steering.go
+++ b/events/steering.go
@@ -113,6 +113,10 @@
 		Action: "none; raise the account's limit if the demand is justified"})
 	QuotaRestored = register(Event{Number: 551, Name: "quota-restored", Level: log.InfoLevel,
 		Message: "requests of an account are no longer refused", Fields: []string{"account", "refused", "overMs"}, Action: "none"})
+	TargetCapacity = register(Event{Number: 552, Name: "target-capacity", Level: log.InfoLevel,
+		Message: "number of requests that a target executes without slowing down has changed by a quarter or more",
+		Fields:  []string{"target", "slots", "limit", "previous", "slowness", "responses"},
+		Action:  "check the target's machine if the limit stays below the slots"})
 	PeerReadFailed = register(Event{Number: 541, Name: "peer-read-failed", Level: log.WarnLevel,
 		Message: "failed to read a message of a peer", Fields: []string{"error"}, Action: "check the network interface of the peer address if it occurs often"})
 	AccountRefused = register(Event{Number: 555, Name: "account-refused", Level: log.InfoLevel,
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -94,6 +94,15 @@
 	}
 }
 
+// readLoad returns the load that a response states, and logs its invalid figures.
+func (g *Gateway) readLoad(target *steering.Target, header http.Header) balance.TargetLoad {
+	load, invalid := g.Headers.Load(header)
+	for _, figure := range invalid {
+		g.logInvalidStatement("load: "+figure, target)
+	}
+	return load
+}
+
 // logInvalidStatement logs that a target has made a statement that cannot be
 // believed, once for each kind of statement and target.
 func (g *Gateway) logInvalidStatement(statement string, target *steering.Target) {
@@ -109,6 +118,17 @@
 	}
 }
 
+// LogCapacityChanges logs the notable changes of targets' learned limits since the
+// last call.
+func (g *Gateway) LogCapacityChanges() {
+	for _, c := range g.Balancer.CapacityChanges() {
+		g.events.Emit(events.TargetCapacity, log.Fields{"target": c.Target, "slots": c.Slots, "limit": hundredths(c.Limit), "previous": hundredths(c.Previous),
+			"slowness": hundredths(c.Slowness), "responses": hundredths(c.Weight)})
+	}
+}
+
+func hundredths(v float64) float64 { return math.Round(v*100) / 100 }
+
 // nameSet is a set of a limited number of names.
 type nameSet struct {
 	limit int
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -28,6 +28,9 @@
 	if rapid.Bool().Draw(t, "ranks") {
 		m.Report.RankDemand = rapid.MapOfN(rapid.Custom(genRankKey), rapid.Custom(genRankDemand), 1, 4).Draw(t, "rankDemand")
 	}
+	if rapid.Bool().Draw(t, "capacities") {
+		m.Report.Capacities = rapid.MapOfN(rapid.Uint32(), rapid.Custom(genCapacity), 1, 4).Draw(t, "evidence")
+	}
 	if rapid.Bool().Draw(t, "suspects") {
 		m.Suspects = rapid.MapOfN(rapid.Uint64(), rapid.Custom(genSuspicion), 1, 4).Draw(t, "suspicions")
 	}
@@ -64,6 +67,18 @@
 		Served: float64(rapid.IntRange(0, 100).Draw(t, "served")) / 100}
 }
 
+func genCapacity(t *rapid.T) balance.CapacityEvidence {
+	pair := func(name string) (int, int) {
+		weight := rapid.IntRange(0, maxCount).Draw(t, name)
+		return weight, rapid.IntRange(-weight*balance.MaxCapacitySum, weight*balance.MaxCapacitySum).Draw(t, name+" sum")
+	}
+	evidence := balance.CapacityEvidence{Age: time.Duration(rapid.IntRange(0, int(maxCapacityAge/capacityAgeUnit)).Draw(t, "age")) * capacityAgeUnit}
+	evidence.Weight, evidence.Sum = pair("all")
+	evidence.LowWeight, evidence.LowSum = pair("low")
+	evidence.HighWeight, evidence.HighSum = pair("high")
+	return evidence
+}
+
 func genLimit(t *rapid.T) balance.LimitStatement {
 	statement := balance.LimitStatement{Age: time.Duration(rapid.IntRange(0, 100_000).Draw(t, "age")) * time.Millisecond, Owned: rapid.Bool().Draw(t, "owned")}
 	if rapid.Bool().Draw(t, "active") {
@@ -96,7 +111,8 @@
 func FuzzParse(f *testing.F) {
 	m := Message{Name: "n", Domain: "d", Report: balance.Report{InFlight: map[uint32]int{1: 2}, CallerRates: map[uint32]float64{3: 4}, FailureEvidence: map[uint32]int{5: 6},
 		Limits:     map[uint32]balance.LimitStatement{9: {RateLimit: balance.RateLimit{Active: true, PerSecond: 4.5}, Age: time.Second}},
-		RankDemand: map[balance.RankKey]balance.RankDemand{{Service: 8, Rank: steering.Rank{Account: 1, Route: 2}}: {PerSecond: 3, Objective: time.Second}}},
+		RankDemand: map[balance.RankKey]balance.RankDemand{{Service: 8, Rank: steering.Rank{Account: 1, Route: 2}}: {PerSecond: 3, Objective: time.Second}},
+		Capacities: map[uint32]balance.CapacityEvidence{10: {Age: time.Second, Weight: 8, Sum: -30, LowWeight: 1, HighWeight: 2, HighSum: 9}}},
 		Suspects: map[uint64]balance.Suspicion{7: {CrashCount: balance.CrashCount{Clearance: 1, Crashes: 8}, Age: time.Second}}, Members: []Member{{Name: "m", Address: "a"}}}
 	f.Add(m.Append(nil))
 	m.Quotas = quota.Report{3: {Demand: 4.5, Admitted: 1.25}}
@@ -121,6 +137,12 @@
 		for _, demand := range m.Report.RankDemand {
 			assert.True(t, demand.PerSecond >= 0 && demand.PerSecond <= maxRate && demand.ExecTime >= 0 && demand.Served <= 1, demand)
 		}
+		for _, c := range m.Report.Capacities {
+			for _, pair := range [][2]int{{c.Weight, c.Sum}, {c.LowWeight, c.LowSum}, {c.HighWeight, c.HighSum}} {
+				require.True(t, pair[0] >= 0 && pair[0] <= maxCount && max(pair[1], -pair[1]) <= pair[0]*balance.MaxCapacitySum)
+			}
+			require.True(t, c.Age >= 0 && c.Age <= maxCapacityAge)
+		}
 		for _, limit := range m.Report.Limits {
 			require.True(t, limit.PerSecond >= 0 && limit.PerSecond <= maxRate && limit.Age >= 0 && limit.Age <= maxLimitAge)
 		}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	gometrics "github.com/rcrowley/go-metrics"
@@ -22,6 +23,9 @@
 	gauge("targets_leaving", int64(leaving))
 	gauge("targets_paused", int64(paused))
 	gauge("accounts_limited", int64(node.quotas.OverLimit()))
+	slow, belowSlots := node.balancer.CapacityCounts(time.Now())
+	gauge("targets_slow", int64(slow))
+	gauge("targets_below_slots", int64(belowSlots))
 	gauge("store_revision", int64(node.mirror.Revision()))
 	gauge("store_era", int64(node.mirror.Position().Era))
 	if config := node.mirror.State().Config; config != nil {
