Explain placements and quota decisions without changing state

Operators cannot see why a request is sent to a target or refused, other than from log lines of past requests. Balancer.Explain makes the decision with Pick itself on a copy of the service's state, so it cannot differ from Pick or change later decisions, and describes each target with the reasons for and against it. Limiter.Explain does the same on a copy of the account.

In 2,000 random requests with failures, limits, pauses, cold targets and two ranks, all decisions with and without a preceding explanation are equal, and all explained decisions that do not depend on chance are the ones made.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,7 +27,7 @@
 type Balancer struct {
 	options Options
 
-	mu            sync.Mutex
+	mu            *sync.Mutex // A pointer, so that Explain can copy the fields.
 	state         *steering.State
 	targets       map[string]*target
 	services      map[string]*service
@@ -129,7 +129,7 @@
 	if options.Random == nil {
 		options.Random = rand.Int64N
 	}
-	balancer := &Balancer{options: options, state: steering.NewState().Apply(0, nil), targets: map[string]*target{},
+	balancer := &Balancer{options: options, mu: &sync.Mutex{}, state: steering.NewState().Apply(0, nil), targets: map[string]*target{},
 		services: map[string]*service{}, peers: map[string]*peer{}, peerInFlight: map[uint32]int{}, peerEvidence: map[uint32]int{}, roundTrips: map[string]time.Duration{},
 		started: now, instancesChangedAt: now, settleTime: minSettleTime, statedTargets: map[*target]struct{}{}, availabilities: map[incarnation]*availability{}}
 	if options.BootClock != nil {
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -130,11 +130,7 @@
 	if !request.Retry {
 		svc.callerRate.add(now)
 	}
-	objectHash := hashOf(request.Object)
-	if request.Object == "" {
-		svc.sequence++
-		objectHash = mix(svc.sequence, balancer.ownHash())
-	}
+	objectHash := balancer.requestHash(svc, request)
 	for i, region := range balancer.regionOrder(svc, request, objectHash) {
 		if c, ok := balancer.regionCandidate(now, svc, request, region, objectHash, i > 0); ok {
 			if region == balancer.options.Region && request.Object != "" && !request.Retry {
@@ -146,6 +142,16 @@
 	return Grant{}, balancer.refuseWithoutTarget(now, svc, request)
 }
 
+// requestHash returns the hash by which a request is placed: that of its object, or one
+// of its own if it has none.
+func (balancer *Balancer) requestHash(svc *service, request Request) uint64 {
+	if request.Object != "" {
+		return hashOf(request.Object)
+	}
+	svc.sequence++
+	return mix(svc.sequence, balancer.ownHash())
+}
+
 // refuseWithoutTarget returns the refusal of a request for which no target is
 // usable.
 func (balancer *Balancer) refuseWithoutTarget(now time.Time, svc *service, request Request) *Refusal {
@@ -353,13 +359,24 @@
 // usable reports whether a request may be sent to a target now. overflow is set if
 // the request belongs to other targets.
 func (balancer *Balancer) usable(now time.Time, t *target, request Request, overflow bool) bool {
-	if now.Before(t.avoidUntil) {
-		return false
-	}
-	if t.down && t.ownInFlight > 0 {
-		return false
+	return balancer.obstacle(now, t, request, overflow) == ""
+}
+
+// obstacle returns why a request must not be sent to a target now, or "".
+func (balancer *Balancer) obstacle(now time.Time, t *target, request Request, overflow bool) TargetReason {
+	switch {
+	case now.Before(t.avoidUntil):
+		return TargetAvoided
+	case t.down && t.ownInFlight > 0:
+		return TargetDown
+	case balancer.pauseWait(now, t) != 0:
+		return TargetPaused
+	case !balancer.coldRequestAllowed(now, t):
+		return TargetCold
+	case balancer.limitWait(now, t, request, overflow) != 0:
+		return TargetLimited
 	}
-	return balancer.pauseWait(now, t) == 0 && balancer.coldRequestAllowed(now, t) && balancer.limitWait(now, t, request, overflow) == 0
+	return ""
 }
 
 // estimate returns the expected wait for a slot and the total expected time. A
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -232,11 +232,15 @@
 // detectPause treats the process as restarted if Tick is overdue. The first
 // request after a pause may precede the first Tick.
 func (limiter *Limiter) detectPause(now time.Time) {
-	if !limiter.lastTick.IsZero() && now.Sub(limiter.lastTick) > maxTickGap {
+	if limiter.tickOverdue(now) {
 		limiter.restart(now)
 	}
 }
 
+func (limiter *Limiter) tickOverdue(now time.Time) bool {
+	return !limiter.lastTick.IsZero() && now.Sub(limiter.lastTick) > maxTickGap
+}
+
 // Restarted discards the levels after a pause of the process.
 func (limiter *Limiter) Restarted(now time.Time) {
 	limiter.mu.Lock()
