Test that explanations are no demand and start no trial of a pause

The test of unchanged decisions did not notice an explanation that shares the counts of objects or a target's availability with the balancer.

--- a/balance/explain_test.go
+++ b/balance/explain_test.go
@@ -25,11 +25,11 @@
 	var decisions []string
 	var grants []balance.Grant
 	for i := range 2000 {
-		clock += 10 * time.Millisecond
+		clock += 25 * time.Millisecond
 		if i == 1500 {
 			clock += 2 * time.Second // The process was paused.
 		}
-		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		now := start.Add(time.Duration(i) * 25 * time.Millisecond)
 		request := newRequest([]string{"", fmt.Sprint("o", random.IntN(40))}[random.IntN(2)])
 		request.Rank.Route = 2 * random.IntN(2)
 		check := explain(b, now, request)
@@ -43,13 +43,14 @@
 			decision.ReservedFor = nil // An address.
 			decisions = append(decisions, fmt.Sprintf("%+v %v", decision, refusal.ReservedFor != nil))
 		}
-		for len(grants) > 0 && random.IntN(4) == 0 {
+		for len(grants) > 0 && random.IntN(2) == 0 {
 			randomEnd(b, now, random, grants[0])
 			grants = grants[1:]
 		}
 		if i%25 == 0 {
 			b.Tick(now)
-			decisions = append(decisions, fmt.Sprint(b.Report(now).RankDemand, b.Report(now).CallerRates, b.AvailabilityChanges(), b.LimitChanges()))
+			table, moves := b.Rebalance(now)
+			decisions = append(decisions, fmt.Sprint(table.Objects, moves, b.Report(now).RankDemand, b.Report(now).CallerRates, b.AvailabilityChanges(), b.LimitChanges()))
 		}
 	}
 	return decisions
@@ -66,7 +67,7 @@
 	case 2:
 		observation.ColdFor = time.Second
 	case 3:
-		b.ObservePause(now, grant.Target, time.Second, balance.StatementFromResponse)
+		b.ObservePause(now, grant.Target, []time.Duration{time.Second, time.Second, 32 * time.Second}[random.IntN(3)], balance.StatementFromResponse)
 	case 4:
 		b.ObserveRateLimit(now, grant.Target, now, 4, balance.LimitFromResponse)
 	case 5:
@@ -151,3 +152,24 @@
 	assert.Empty(t, b.Explain(start, balance.Request{Service: "unknown"}).Targets)
 	assert.Empty(t, b.Report(start).CallerRates)
 }
+
+// Guards against explanations that count as demand for an object, and would move it to
+// another target.
+func TestExplainIsNoDemandForObject(t *testing.T) {
+	objects := objectsWithSameHome(t, 4)
+	moves := func(explanations int) []balance.HomeMove {
+		b, now := newBalancer("n1", "a1"), start
+		b.SetState(start, newState(2, 4))
+		for _, o := range objects {
+			mustPick(t, b, start, newRequest(o))
+		}
+		for range explanations {
+			b.Explain(start, newRequest(objects[0]))
+		}
+		holdRequests(t, b, &now, nil)
+		_, moves := b.Rebalance(now)
+		return moves
+	}
+	require.Len(t, moves(0), 1)
+	assert.InDelta(t, moves(0)[0].ObjectUtilization, moves(50)[0].ObjectUtilization, 1e-9)
+}
