Forget the expired reports of stopped instances

The use of instances whose reports expire is deducted from what a partition takes from the level. It was kept until the next change of the share. Expired reports now count for a second, within which the share changes.

--- a/quota/account.go
+++ b/quota/account.go
@@ -52,7 +52,7 @@
 	highest          float64 // Highest level of all instances together.
 	demand, admitted meanRate
 	peers            Rates   // Sum of the reports.
-	lostUse          float64 // Requests deducted for sources that expired since the last change of share.
+	lostUse          float64 // Requests deducted for sources that expired since Limiter.lost.
 	level            float64 // Requests that all instances known here may admit beyond the rate; negative for a debt.
 	updated          time.Time
 	share            float64 // Part of the limit for the instances known here.
@@ -106,7 +106,7 @@
 	} else if a.level < 0 {
 		a.level *= min(kept, maxDebtGrowth)
 	}
-	a.share, a.lostUse = share, 0
+	a.share = share
 	a.bound()
 }
 
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -12,6 +12,11 @@
 // as paused. Reports of that time have been missed.
 const maxTickGap = time.Second
 
+// maxShareDelay is how long after the expiry of a report the share may change
+// because of it. Reports of instances that have shut down expire without a change
+// of the share, and must not reduce what is deducted in a later partition.
+const maxShareDelay = time.Second
+
 // Options configure a Limiter.
 type Options struct {
 	Window time.Duration  // Window in which requests are counted against a limit.
@@ -45,7 +50,8 @@
 	byHash   map[uint32][]*account
 	sources  map[string]*source
 	share    float64
-	silence  time.Duration // Longest silence of the sources that expired since the last change of share.
+	silence  time.Duration // Longest silence of the sources that expired since lost.
+	lost     time.Time     // When the first source expired since the last change of share; zero if none did.
 	lastTick time.Time
 }
 
@@ -95,6 +101,9 @@
 func (limiter *Limiter) SetShare(now time.Time, share float64) {
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
+	if !limiter.lost.IsZero() && now.Sub(limiter.lost) > maxShareDelay {
+		limiter.forgetLost()
+	}
 	limiter.expire(now)
 	if share == limiter.share || !(share > 0) {
 		return
@@ -102,7 +111,16 @@
 	for _, a := range limiter.accounts {
 		a.setShare(now, share, limiter.silence)
 	}
-	limiter.share, limiter.silence = share, 0
+	limiter.share = share
+	limiter.forgetLost()
+}
+
+// forgetLost forgets the sources that have expired.
+func (limiter *Limiter) forgetLost() {
+	limiter.silence, limiter.lost = 0, time.Time{}
+	for _, a := range limiter.accounts {
+		a.lostUse = 0
+	}
 }
 
 // Admit decides whether a request of a caller is admitted. Requests of accounts
@@ -205,6 +223,9 @@
 		if now.Before(s.expires) {
 			continue
 		}
+		if limiter.lost.IsZero() {
+			limiter.lost = now
+		}
 		silence := now.Sub(s.received)
 		limiter.silence = max(limiter.silence, silence)
 		for hash, rates := range s.report {
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -231,3 +231,29 @@
 	assert.Empty(t, limiter.Tick(later))
 	assert.Zero(t, limiter.OverLimit())
 }
+
+// Guards against instances that have shut down, whose reports expire while the share
+// stays the same: their use must not reduce what a partition deducts from the level.
+func TestReportsOfStoppedInstancesDoNotChangeALaterPartition(t *testing.T) {
+	levelInPartition := func(stopped int) float64 {
+		limiter, now := newLimiter(steering.Account{RequestsPerSecond: 100, Burst: 100}, 0.5), start
+		report := quota.Report{quota.Hash("a"): {Demand: 50, Admitted: 50}}
+		for i := range stopped {
+			limiter.ApplyReport(now, fmt.Sprint("stopped", i), report, 500*time.Millisecond)
+			now = now.Add(600 * time.Millisecond)
+			limiter.SetShare(now, 1)
+		}
+		now = now.Add(10 * time.Second)
+		limiter.SetShare(now, 1)
+		limiter.ApplyReport(now, "heard", report, time.Minute)
+		limiter.ApplyReport(now, "cut off", quota.Report{quota.Hash("a"): {Demand: 1, Admitted: 1}}, 500*time.Millisecond)
+		now = now.Add(500 * time.Millisecond)
+		limiter.SetShare(now, 0.5)
+		for {
+			if decision := limiter.Admit(now, "a"); !decision.Admitted {
+				return decision.Level
+			}
+		}
+	}
+	assert.InDelta(t, levelInPartition(0), levelInPartition(60), 0.01)
+}
