Keep the demand of an account from falling below zero

A returned token takes its request back from the average of the demand, which has decayed when targets that do not respond return it seconds later. The average then fell below zero, and the instance admitted everything that arrived next: 187 instead of 159 of 1,000 requests in a second at a limit of 100/s.

--- a/quota/account.go
+++ b/quota/account.go
@@ -153,13 +153,15 @@
 }
 
 // restore takes back an admitted request, and the part of the demand for which it
-// stands.
+// stands. The average may have decayed meanwhile; a demand below zero would hide
+// that of later requests.
 func (a *account) restore(now time.Time) {
 	a.advance(now)
 	a.level++
 	a.bound()
 	a.admitted.add(now, -1)
 	a.demand.add(now, -1/max(minAdmissionShare, a.admissionShare))
+	a.demand.perSecond = max(0, a.demand.perSecond)
 }
 
 // retryAfter returns the time after which a refused request may be sent again:
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -257,3 +257,31 @@
 	}
 	assert.InDelta(t, levelInPartition(0), levelInPartition(60), 0.01)
 }
+
+// Targets that do not respond return the tokens of requests when their averages have
+// decayed. Guards against a demand below zero, with which everything that then
+// arrives is admitted.
+func TestLateReturnsDoNotHideDemand(t *testing.T) {
+	admittedInSurge := func(late bool) int {
+		limiter, now := newLimiter(steering.Account{RequestsPerSecond: 100}, 0.5), start
+		for range 200 {
+			now = now.Add(20 * time.Millisecond)
+			assert.True(t, limiter.Admit(now, "a").Admitted)
+		}
+		now = now.Add(5 * time.Second)
+		if late {
+			for range 200 {
+				limiter.Return(now, "a")
+			}
+		}
+		admitted := 0
+		for range 1000 {
+			now = now.Add(time.Millisecond)
+			if limiter.Admit(now, "a").Admitted {
+				admitted++
+			}
+		}
+		return admitted
+	}
+	assert.InDelta(t, admittedInSurge(false), admittedInSurge(true), 5)
+}
