Forget the refusals of accounts that lose their limits

An account that was removed, or whose limit was removed, while requests were refused kept its state for log lines until the process ended, and event 551 (quota-restored) never followed. The change of the configuration now ends the excess. The log line of a refusal is written after the lock is released, so that a slow log does not hold up all other refusals.

--- a/node/quotas.go
+++ b/node/quotas.go
@@ -61,6 +61,15 @@
 }
 
 func (quotas *accountQuotas) logRefusal(now time.Time, account string, decision quota.Decision) {
+	if refused, write := quotas.recordRefusal(now, account); write {
+		quotas.events.Emit(events.QuotaExceeded, log.Fields{"account": account, "demand": toHundredths(decision.Demand), "limit": toHundredths(decision.Limit),
+			"level": toHundredths(decision.Level), "refused": refused, "retryAfterMs": decision.RetryAfter.Milliseconds()})
+	}
+}
+
+// recordRefusal reports whether to write a log line about an account, and the number
+// of refusals since the last one.
+func (quotas *accountQuotas) recordRefusal(now time.Time, account string) (refused int, write bool) {
 	quotas.mu.Lock()
 	defer quotas.mu.Unlock()
 	entry := quotas.logged[account]
@@ -70,18 +79,17 @@
 	}
 	entry.unlogged++
 	if now.Sub(entry.at) < quotaLogInterval {
-		return
+		return 0, false
 	}
-	quotas.events.Emit(events.QuotaExceeded, log.Fields{"account": account, "demand": toHundredths(decision.Demand), "limit": toHundredths(decision.Limit),
-		"level": toHundredths(decision.Level), "refused": entry.unlogged, "retryAfterMs": decision.RetryAfter.Milliseconds()})
-	entry.at, entry.unlogged = now, 0
+	refused, entry.unlogged, entry.at = entry.unlogged, 0, now
+	return refused, true
 }
 
 func (quotas *accountQuotas) logRestored(restored []quota.Restored) {
-	quotas.mu.Lock()
-	defer quotas.mu.Unlock()
 	for _, r := range restored {
+		quotas.mu.Lock()
 		delete(quotas.logged, r.Account)
+		quotas.mu.Unlock()
 		quotas.events.Emit(events.QuotaRestored, log.Fields{"account": r.Account, "refused": r.Refused, "overMs": r.Over.Milliseconds()})
 	}
 }
@@ -91,7 +99,7 @@
 // configChanged takes over the limits of a new configuration.
 func (quotas *accountQuotas) configChanged(now time.Time, before, after *steering.Config) {
 	if after != nil && after != before {
-		quotas.SetAccounts(now, after.Accounts)
+		quotas.logRestored(quotas.SetAccounts(now, after.Accounts))
 	}
 }
 
--- a/quota/account.go
+++ b/quota/account.go
@@ -164,6 +164,10 @@
 	a.demand.perSecond = max(0, a.demand.perSecond)
 }
 
+func (a *account) restored() Restored {
+	return Restored{a.name, a.refused, a.refusedAt.Sub(a.refusedSince)}
+}
+
 // retryAfter returns the time after which a refused request may be sent again:
 // when the debt and a second's excess are made good at the limit, multiplied by a
 // factor between 0.75 and 1.25 so that callers don't return together.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -64,8 +64,9 @@
 }
 
 // SetAccounts replaces the accounts. Those without a limit are ignored. Accounts
-// that remain keep their level.
-func (limiter *Limiter) SetAccounts(now time.Time, accounts map[string]*steering.Account) {
+// that remain keep their level. It returns the accounts that had refused requests
+// and have no limit any more.
+func (limiter *Limiter) SetAccounts(now time.Time, accounts map[string]*steering.Account) []Restored {
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	before := limiter.accounts
@@ -85,6 +86,13 @@
 	if len(limiter.accounts) == 0 {
 		limiter.lastTick = time.Time{}
 	}
+	var restored []Restored
+	for name, a := range before {
+		if limiter.accounts[name] == nil && !a.refusedSince.IsZero() {
+			restored = append(restored, a.restored())
+		}
+	}
+	return restored
 }
 
 func (limiter *Limiter) newAccount(now time.Time, name string) *account {
@@ -208,9 +216,9 @@
 	}
 	limiter.expire(now)
 	var restored []Restored
-	for name, a := range limiter.accounts {
+	for _, a := range limiter.accounts {
 		if !a.refusedSince.IsZero() && now.Sub(a.refusedAt) > overLimitTime {
-			restored = append(restored, Restored{name, a.refused, a.refusedAt.Sub(a.refusedSince)})
+			restored = append(restored, a.restored())
 			a.refusedSince = time.Time{}
 		}
 	}
