Divide accounts' limits among unregistered instances too

Where the store rejects instances until their registrations lapse, both sides of a partition divided the limits by the registered instances only: with 42 of 72 registered and halves of 36, each side used 36/42 of a limit, 1.7 times the limit together.

--- a/gossip/quotas.go
+++ b/gossip/quotas.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jacinthstall/jacinthstall/quota"
+	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 // Reports on quotas count for a shorter time than a silent sender counts as live:
@@ -49,6 +50,33 @@
 	return heard
 }
 
+// KnownInstances returns the number of instances among which the accounts' limits are
+// divided: the registered ones, and others that were heard recently and have not
+// announced their end. The store may reject instances that serve, until their
+// registrations lapse; both sides of a partition would otherwise leave them out of
+// what they divide by and exceed the limits together.
+func (exchange *Exchange) KnownInstances(now time.Time, registered map[string]steering.Instance) int {
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	known := len(registered)
+	count := func(name string, heard time.Time, leaving bool) {
+		if _, ok := registered[name]; !ok && !leaving && now.Sub(heard) < unregisteredPeerTTL {
+			known++
+		}
+	}
+	count(exchange.options.Self.Name, now, false)
+	for name, peer := range exchange.peers {
+		count(name, peer.lastHeard, peer.lastMessage.Leaving)
+	}
+	for _, remote := range exchange.remoteDomains {
+		for i := range remote.lastDigest.Members {
+			member := &remote.lastDigest.Members[i]
+			count(member.Name, remote.lastHeard, member.Leaving)
+		}
+	}
+	return known
+}
+
 // quotaReport is the report of this instance, nil if there is nothing to report.
 func (exchange *Exchange) quotaReport(now time.Time) quota.Report {
 	if exchange.options.Quotas == nil {
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -104,17 +104,17 @@
 }
 
 // quotaShare is the part of each limit that the instances heard here may use.
-// Registered instances that are not heard may be cut off and use the rest.
-func quotaShare(heard, registered, domains int, joining bool) float64 {
+// Known instances that are not heard may be cut off and use the rest.
+func quotaShare(heard, known, domains int, joining bool) float64 {
 	if joining { // All instances may be starting, each without the others' registrations.
-		registered = max(registered, domains)
+		known = max(known, domains)
 	}
-	return float64(heard) / float64(max(heard, registered))
+	return float64(heard) / float64(max(heard, known))
 }
 
 func (node *Node) updateQuotaShare(now time.Time, state *steering.State) {
 	joining := now.Sub(node.quotas.started) < joinTime
-	node.quotas.SetShare(now, quotaShare(node.exchange.HeardInstances(now), len(state.Instances), len(node.settings.RegionByDomain), joining))
+	node.quotas.SetShare(now, quotaShare(node.exchange.HeardInstances(now), node.exchange.KnownInstances(now, state.Instances), len(node.settings.RegionByDomain), joining))
 }
 
 // runQuotas updates the share of the limits until ctx ends.
