Send the rates of accounts in responses to new peers

The response to the first message of a peer, or to the first one after a timeout, carried no rates. The peer takes rates from every message, so it counted this instance as idle until the next one, up to 0.15 s later.

--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -81,6 +81,7 @@
 	if isNew { // A peer that joins waits for messages of its domain.
 		reply := exchange.newMessage(now)
 		exchange.addIdentity(&reply)
+		reply.Quotas = exchange.quotaReport(now) // It replaces the last report at the peer.
 		reply.Suspects = exchange.options.Suspects.ReportAll(now)
 		exchange.sendTo(m.PeerAddress, reply.Append(nil))
 	}
