Leave the share of accounts' limits alone at changes of the state

Each change of the store's records updated the share at once. Only the first configuration updates the share now; runQuotas does so 0.1 s later and skips one update after a stall.

--- a/node/node.go
+++ b/node/node.go
@@ -237,7 +237,10 @@
 
 func (node *Node) stateChanged(before, after *steering.State) {
 	node.applyCrashTable(before.CrashTable, after.CrashTable)
-	node.updateQuotaShare(time.Now(), after)
+	if before.Config == nil {
+		// Later, runQuotas does so: after a stall it waits for messages to be read.
+		node.updateQuotaShare(time.Now(), after)
+	}
 	node.quotas.configChanged(time.Now(), before.Config, after.Config)
 	node.balancer.SetState(time.Now(), after)
 	node.exchange.SetRegistered(after.Instances)
