--- a/steering/account.go
+++ b/steering/account.go
@@ -7,7 +7,7 @@
 	Name              string
 	Priority          int     // 0 is the highest.
 	RequestsPerSecond float64 // Over all instances; 0 means no limit.
-	Burst             float64 // Requests above RequestsPerSecond; 0 if there are none.
+	Burst             float64 // Requests above RequestsPerSecond; applies only where that is above 0.
 	HomeRegions       HomeRegions
 	// KeyHashes identify the account's API keys. The keys themselves are not kept,
 	// so that no output of the configuration can contain one.
