--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -118,7 +118,8 @@
 			}
 			Timestamp time.Time
 		}
-		for scanner := bufio.NewScanner(file); scanner.Scan(); {
+		scanner := bufio.NewScanner(file)
+		for scanner.Scan() {
 			line := last
 			if json.Unmarshal(scanner.Bytes(), &line) != nil || line.Fields.Event != events.SteeringConfigInForce.Number {
 				continue // The end of the process may have cut off a line.
@@ -128,6 +129,9 @@
 			}
 			last = line
 		}
+		if err := scanner.Err(); err != nil { // Lines after it were not checked.
+			deployment.addViolation("configuration versions never go back", "%s: %s", inst.name, err)
+		}
 		_ = file.Close()
 	}
 }
