--- a/quota/account.go
+++ b/quota/account.go
@@ -40,6 +40,16 @@
 	minDemand = 1e-6
 	// minAdmissionShare limits how much demand one returned token takes back.
 	minAdmissionShare = 0.1
+	// maxReturnAge is the age of an admission up to which its token is returned.
+	// When targets that have failed requests late execute them again, the tokens
+	// under way come on top of the limit: of an account at three times its limit,
+	// returns after 0.3 s would make a window 1.08 of the rule's bound, returns
+	// after 2 s 1.63.
+	maxReturnAge = 200 * time.Millisecond
+	// maxDemandReturnAge is the same for the demand. Without the demand of the
+	// failed requests, all that follow are admitted until it has been measured
+	// again: with returns after 0.1 s, a window was 1.02 of the bound.
+	maxDemandReturnAge = 15 * time.Millisecond
 	// overLimitTime is how long an account counts as over its limit after its
 	// last refusal.
 	overLimitTime = 2 * time.Second
@@ -52,7 +62,7 @@
 	highest          float64 // Highest level of all instances together.
 	demand, admitted meanRate
 	peers            Rates   // Sum of the reports.
-	lostUse          float64 // Requests deducted for sources that expired since the last change of share.
+	lostUse          float64 // Requests deducted for sources that expired since Limiter.lost.
 	level            float64 // Requests that all instances known here may admit beyond the rate; negative for a debt.
 	updated          time.Time
 	share            float64 // Part of the limit for the instances known here.
@@ -106,7 +116,7 @@
 	} else if a.level < 0 {
 		a.level *= min(kept, maxDebtGrowth)
 	}
-	a.share, a.lostUse = share, 0
+	a.share = share
 	a.bound()
 }
 
@@ -152,14 +162,25 @@
 	return false
 }
 
-// restore takes back an admitted request, and the part of the demand for which it
-// stands.
-func (a *account) restore(now time.Time) {
+// restore takes back a request that was admitted some time ago and, if this is a
+// short time, the part of the demand for which it stands. The average of the demand
+// has decayed otherwise, and below zero it would hide later requests.
+func (a *account) restore(now time.Time, age time.Duration) {
+	if age > maxReturnAge {
+		return
+	}
 	a.advance(now)
 	a.level++
 	a.bound()
 	a.admitted.add(now, -1)
-	a.demand.add(now, -1/max(minAdmissionShare, a.admissionShare))
+	if age <= maxDemandReturnAge {
+		a.demand.add(now, -1/max(minAdmissionShare, a.admissionShare))
+		a.demand.perSecond = max(0, a.demand.perSecond)
+	}
+}
+
+func (a *account) restored() Restored {
+	return Restored{a.name, a.refused, a.refusedAt.Sub(a.refusedSince)}
 }
 
 // retryAfter returns the time after which a refused request may be sent again:
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -12,6 +12,11 @@
 // as paused. Reports of that time have been missed.
 const maxTickGap = time.Second
 
+// maxShareDelay is how long after the expiry of a report the share may change
+// because of it. Reports of instances that have shut down expire without a change
+// of the share, and must not reduce what is deducted in a later partition.
+const maxShareDelay = time.Second
+
 // Options configure a Limiter.
 type Options struct {
 	Window time.Duration  // Window in which requests are counted against a limit.
@@ -45,7 +50,8 @@
 	byHash   map[uint32][]*account
 	sources  map[string]*source
 	share    float64
-	silence  time.Duration // Longest silence of the sources that expired since the last change of share.
+	silence  time.Duration // Longest silence of the sources that expired since lost.
+	lost     time.Time     // When the first source expired since the last change of share; zero if none did.
 	lastTick time.Time
 }
 
@@ -58,8 +64,9 @@
 }
 
 // SetAccounts replaces the accounts. Those without a limit are ignored. Accounts
-// that remain keep their level.
-func (limiter *Limiter) SetAccounts(now time.Time, accounts map[string]*steering.Account) {
+// that remain keep their level. It returns the accounts that had refused requests
+// and have no limit any more.
+func (limiter *Limiter) SetAccounts(now time.Time, accounts map[string]*steering.Account) []Restored {
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	before := limiter.accounts
@@ -79,6 +86,13 @@
 	if len(limiter.accounts) == 0 {
 		limiter.lastTick = time.Time{}
 	}
+	var restored []Restored
+	for name, a := range before {
+		if limiter.accounts[name] == nil && !a.refusedSince.IsZero() {
+			restored = append(restored, a.restored())
+		}
+	}
+	return restored
 }
 
 func (limiter *Limiter) newAccount(now time.Time, name string) *account {
@@ -95,6 +109,9 @@
 func (limiter *Limiter) SetShare(now time.Time, share float64) {
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
+	if !limiter.lost.IsZero() && now.Sub(limiter.lost) > maxShareDelay {
+		limiter.forgetLost()
+	}
 	limiter.expire(now)
 	if share == limiter.share || !(share > 0) {
 		return
@@ -102,7 +119,16 @@
 	for _, a := range limiter.accounts {
 		a.setShare(now, share, limiter.silence)
 	}
-	limiter.share, limiter.silence = share, 0
+	limiter.share = share
+	limiter.forgetLost()
+}
+
+// forgetLost forgets the sources that have expired.
+func (limiter *Limiter) forgetLost() {
+	limiter.silence, limiter.lost = 0, time.Time{}
+	for _, a := range limiter.accounts {
+		a.lostUse = 0
+	}
 }
 
 // Admit decides whether a request of a caller is admitted. Requests of accounts
@@ -122,13 +148,13 @@
 	return Decision{RetryAfter: a.retryAfter(now, limiter.options.Random()), Demand: a.totalDemand(now), Limit: a.limit * a.share, Level: a.level}
 }
 
-// Return takes back an admitted request that was refused later without having
-// been executed.
-func (limiter *Limiter) Return(now time.Time, name string) {
+// Return takes back a request that was admitted at the given time and refused later
+// without having been executed.
+func (limiter *Limiter) Return(now time.Time, name string, admitted time.Time) {
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	if a := limiter.accounts[name]; a != nil {
-		a.restore(now)
+		a.restore(now, now.Sub(admitted))
 	}
 }
 
@@ -190,9 +216,9 @@
 	}
 	limiter.expire(now)
 	var restored []Restored
-	for name, a := range limiter.accounts {
+	for _, a := range limiter.accounts {
 		if !a.refusedSince.IsZero() && now.Sub(a.refusedAt) > overLimitTime {
-			restored = append(restored, Restored{name, a.refused, a.refusedAt.Sub(a.refusedSince)})
+			restored = append(restored, a.restored())
 			a.refusedSince = time.Time{}
 		}
 	}
@@ -205,6 +231,9 @@
 		if now.Before(s.expires) {
 			continue
 		}
+		if limiter.lost.IsZero() {
+			limiter.lost = now
+		}
 		silence := now.Sub(s.received)
 		limiter.silence = max(limiter.silence, silence)
 		for hash, rates := range s.report {
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -195,7 +195,7 @@
 	for range 1000 { // Ten times the limit, of which one in twenty is executed.
 		now = now.Add(10 * time.Millisecond)
 		if limiter.Admit(now, "a").Admitted && now.UnixMilli()%200 != 0 {
-			limiter.Return(now, "a")
+			limiter.Return(now, "a", now)
 		}
 		limiter.Tick(now)
 	}
@@ -231,3 +231,53 @@
 	assert.Empty(t, limiter.Tick(later))
 	assert.Zero(t, limiter.OverLimit())
 }
+
+// Guards against instances that have shut down, whose reports expire while the share
+// stays the same: their use must not reduce what a partition deducts from the level.
+func TestReportsOfStoppedInstancesDoNotChangeALaterPartition(t *testing.T) {
+	levelInPartition := func(stopped int) float64 {
+		limiter, now := newLimiter(steering.Account{RequestsPerSecond: 100, Burst: 100}, 0.5), start
+		report := quota.Report{quota.Hash("a"): {Demand: 50, Admitted: 50}}
+		for i := range stopped {
+			limiter.ApplyReport(now, fmt.Sprint("stopped", i), report, 500*time.Millisecond)
+			now = now.Add(600 * time.Millisecond)
+			limiter.SetShare(now, 1)
+		}
+		now = now.Add(10 * time.Second)
+		limiter.SetShare(now, 1)
+		limiter.ApplyReport(now, "heard", report, time.Minute)
+		limiter.ApplyReport(now, "cut off", quota.Report{quota.Hash("a"): {Demand: 1, Admitted: 1}}, 500*time.Millisecond)
+		now = now.Add(500 * time.Millisecond)
+		limiter.SetShare(now, 0.5)
+		for {
+			if decision := limiter.Admit(now, "a"); !decision.Admitted {
+				return decision.Level
+			}
+		}
+	}
+	assert.InDelta(t, levelInPartition(0), levelInPartition(60), 0.01)
+}
+
+// Targets fail all requests of a surge from 6 s to 12 s and then execute them again.
+// Guards against tokens and demand that are returned late and let more requests pass
+// than the rule permits.
+func TestRuleHoldsAfterRequestsThatFailedLate(t *testing.T) {
+	for _, lag := range []time.Duration{0, 100 * time.Millisecond, 200 * time.Millisecond, 2 * time.Second} {
+		f := newFleet(1, 8, 300)
+		f.demand = constant(5 * f.account.RequestsPerSecond / 1.6)
+		f.admit = func(now time.Time, in *instance) bool {
+			admitted := in.Admit(now, "a").Admitted
+			at := now.Sub(start)
+			if !admitted || at < 6*time.Second || at >= 12*time.Second {
+				return admitted
+			}
+			due := now.Add(max(lag, tick))
+			f.pending[due] = append(f.pending[due], func() { in.Return(f.now, "a", now) })
+			return false
+		}
+		f.run(20 * time.Second)
+		t.Logf("%s: largest window %.3f of the bound", lag, float64(f.largestWindow(0))/f.bound())
+		assert.LessOrEqual(t, float64(f.largestWindow(0)), f.bound(), "returned after %s", lag)
+		assert.GreaterOrEqual(t, f.use(13*time.Second, 20*time.Second), 0.9, "returned after %s", lag)
+	}
+}
