Let requests leave a full home where machines are shared with other load

The rule for slow homes now also applies to full ones, for services whose targets state a slowdown in the load header. Other services are decided as before.

--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -81,6 +81,9 @@
 	statedSlownessTime = 600 * time.Millisecond
 	// maxStatedSlowness limits the effect of a stated slowdown, which may be false.
 	maxStatedSlowness = 3
+	// minInterference is the stated slowdown from which the machines of a service
+	// count as shared with other load.
+	minInterference = 1.2
 	// loggedLimitChange is the relative change of a limit that is logged.
 	loggedLimitChange = 0.25
 	// maxPendingCapacityChanges limits the changes kept for CapacityChanges.
--- a/balance/capacity_test.go
+++ b/balance/capacity_test.go
@@ -180,3 +180,31 @@
 	later := mustPick(t, b, start.Add(700*time.Millisecond), request)
 	assert.InDelta(t, before.ExpectedTime.Seconds(), later.ExpectedTime.Seconds(), 0.02)
 }
+
+// Guards against requests that queue at a full home while other targets are idle,
+// where machines are shared with other load, and against requests that leave their
+// home, and meet a target without the object, where machines are not shared.
+func TestRequestLeavesFullHomeWhereMachinesAreShared(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		stated float64 // Slowdown that one target states.
+		leaves bool
+	}{{"stated slowdown", 2.5, true}, {"usual", 1, false}, {"nothing stated", 0, false}} {
+		b := newBalancer("n1", "a1")
+		b.SetState(start, newState(2, 4))
+		request := newRequest("x")
+		request.HomeRegions, request.Remaining = steering.HomeRegions{"a"}, time.Minute
+		home := mustPick(t, b, start, request)
+		b.Done(start, home, balance.Observation{Result: balance.Succeeded, Duration: 200 * time.Millisecond, Slowdown: c.stated})
+		now := start.Add(10 * time.Second) // The stated slowdown itself has no effect any more.
+		for range home.Target.Slots {
+			assert.Equal(t, home.Target.ID, mustPick(t, b, now, request).Target.ID, c.name)
+		}
+		leaves := false
+		for range 3 * home.Target.Slots { // The longer the queue, the more a cold target gains.
+			grant, refusal := b.Pick(now, request)
+			leaves = leaves || refusal == nil && grant.Target.ID != home.Target.ID
+		}
+		assert.Equal(t, c.leaves, leaves, c.name)
+	}
+}
--- a/balance/result.go
+++ b/balance/result.go
@@ -102,6 +102,9 @@
 	}
 	if observation.Slowdown > 0 {
 		t.statedSlowness, t.statedAt = observation.Slowdown, now
+		if svc := balancer.service(t.record.Service); observation.Slowdown > minInterference {
+			svc.interference = true
+		}
 	}
 	if observation.ColdFor > 0 {
 		t.coldUntil = now.Add(observation.ColdFor)
