Refuse an invalid status in a record that a peer has handed over

A stopping instance of jacinthd hands over the recorded responses to requests with keys. The successor took any status, so a record with status 999 was replayed with 999, and one with status 0 as 409 "executed". Such a record now counts as unknown: the request may have been executed and is not executed again. Rejecting it would also reject the issuer's other records.

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -148,5 +148,13 @@
 		record.Result.Executed = outcome.Yes
 		record.Result.BodyDropped = message.State == recordBodyDropped
 	}
+	if message.Status != 0 && !isFinalStatus(message.Status) || message.Status == 0 && record.Result.Executed == outcome.Yes {
+		// Rejecting the record would also reject the other records of its issuer.
+		record.Result = once.Result{Executed: outcome.Unknown, Reason: outcome.ReasonIssuerGone}
+	}
 	return record, true
 }
+
+// isFinalStatus reports whether a status that a peer states is that of a final
+// response.
+func isFinalStatus(status uint32) bool { return status >= 200 && status <= 599 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -217,7 +217,7 @@
 
 func relayedResponse(head *peerpb.RelayHead, stream peerpb.DRPCPeer_RelayClient, cancel context.CancelFunc) *response {
 	header := headersFromProto(head.Headers)
-	if head.Status < 200 || head.Status > 599 {
+	if !isFinalStatus(head.Status) {
 		cancel()
 		return relayFailedResponse()
 	}
