Decide about a request before its body is read and limit what is held

The gateway now decides when the head has been read: route, key, home regions, memory, quota, and whether any target can take the request (balance.Check, which grants nothing). The memory of the settings limits the requests at a time (one for each 192 KB) and the bytes of request and response bodies that are held (a quarter). Beyond that, requests get 503 with Retry-After and are not executed; relays refuse, and the peer uses another way. Responses for which there is no memory are passed on while they arrive. Events 553 and 554, counters and gauges are added. Without memoryMb nothing is limited.

go test -race of the new tests passes.

--- a/events/steering.go
+++ b/events/steering.go
@@ -107,6 +107,12 @@
 	AccountRefused = register(Event{Number: 555, Name: "account-refused", Level: log.InfoLevel,
 		Message: "requests refused because of their account", Fields: []string{"reason", "request", "route", "account", "refused", "version"},
 		Action: "check the caller's key and the accounts of the configuration"})
+	MemoryShort = register(Event{Number: 553, Name: "memory-short", Level: log.WarnLevel,
+		Message: "requests refused before their body was read for lack of memory", Fields: []string{"reason", "request", "refused", "requests", "bytes", "retryAfterMs"},
+		Action: "look for slow callers or targets, or for a load above the capacity of the instance"})
+	MemoryAvailable = register(Event{Number: 554, Name: "memory-available", Level: log.InfoLevel,
+		Message: "memory for requests is available again", Fields: []string{"shortMs", "requests", "bytes"},
+		Action: "none"})
 	RequestUnreadable = register(Event{Number: 540, Name: "request-unreadable", Level: log.InfoLevel,
 		Message: "request refused while it was read", Fields: []string{"reason", "status", "caller"},
 		Action: "check the caller if it occurs often, and the limits if the reason is too-large or too-slow"})
--- a/forward/head.go
+++ b/forward/head.go
@@ -11,6 +11,10 @@
 	minStatus    = 100
 	maxStatus    = 599
 	http10Prefix = "HTTP/1.0"
+	// maxOddStatusLine is the longest status line in bytes that is parsed although its
+	// start is not as RFC 9112 prescribes. The errors of net/http quote the whole line:
+	// one of 60 KB took up to a megabyte, for each target that sent one.
+	maxOddStatusLine = 1 << 10
 )
 
 // parseHead reads a response head. It refuses heads that net/http accepts although
@@ -22,6 +26,9 @@
 	if version, err := reader.Peek(len(http10Prefix)); err == nil && string(version) == http10Prefix && hasField(peekHead(reader), "transfer-encoding") {
 		return nil, errAmbiguousHead
 	}
+	if !hasRegularStart(reader) && !peekLine(reader, maxOddStatusLine) {
+		return nil, errAmbiguousHead
+	}
 	response, err := http.ReadResponse(reader, &http.Request{Method: method})
 	if err != nil {
 		return nil, err
@@ -32,6 +39,39 @@
 	return response, nil
 }
 
+// regularStart matches the start of a status line: d stands for a digit.
+const regularStart = "HTTP/1.d ddd"
+
+// hasRegularStart reports whether a head starts with the version and a status of three
+// digits.
+func hasRegularStart(reader *bufio.Reader) bool {
+	start, _ := reader.Peek(len(regularStart))
+	if len(start) < len(regularStart) {
+		return false
+	}
+	for i, c := range []byte(regularStart) {
+		isDigit := start[i] >= '0' && start[i] <= '9'
+		if c == 'd' && !isDigit || c != 'd' && start[i] != c {
+			return false
+		}
+	}
+	return true
+}
+
+// peekLine reports whether the next line has at most the given length, or is cut off by
+// the end of the connection.
+func peekLine(reader *bufio.Reader, limit int) bool {
+	for n := 1; ; n = reader.Buffered() + 1 {
+		buffered, err := reader.Peek(min(limit, max(n, reader.Buffered())))
+		if bytes.IndexByte(buffered, '\n') >= 0 || err != nil {
+			return true
+		}
+		if len(buffered) >= limit {
+			return false
+		}
+	}
+}
+
 // IsAmbiguousRequest reports whether a request that net/http has accepted is one
 // that other parsers may read with another body, or that is not one of HTTP/1.
 // received is its head as received; it may be followed by further bytes.
--- a/forward/status_test.go
+++ b/forward/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -93,3 +94,37 @@
 		})
 	}
 }
+
+// Guards against errors that hold several times the text of a long status line, and
+// against refusing a short line that net/http accepts.
+func TestOddStatusLineIsLimited(t *testing.T) {
+	for line, valid := range map[string]bool{
+		"HTTP/1.1  200 OK": true,
+		"HTTP/1.1 200 " + strings.Repeat("x", 10<<10):    true,
+		"HTTP/1.1  200 " + strings.Repeat("x", 2<<10):    false,
+		"HTTP/1.1 " + strings.Repeat("\x01", 60<<10):     false,
+		"HTTP/1.1 200" + strings.Repeat("\x01", 1<<10):   false,
+		strings.Repeat("\x01\xff", 30<<10):               false,
+		"HTTP/1.1 " + strings.Repeat("\x01", 8) + " 200": false,
+	} {
+		target := newScriptedTarget(t, func(_ int, c *scriptedConn) {
+			if c.readRequest() != nil {
+				c.send(line + "\r\nContent-Length: 5\r\n\r\nwhole")
+				c.waitUntilClosed()
+			}
+		})
+		f := New()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		response, err := f.Do(ctx, target.destination(), getRequest("/"))
+		assert.Equal(t, valid, err == nil, "%.20q: %v", line, err)
+		var failure *Error
+		if errors.As(err, &failure) {
+			assert.NotErrorIs(t, err, context.DeadlineExceeded)
+			assert.Less(t, len(failure.Err.Error()), 8<<10)
+		} else {
+			_ = response.Body.Close()
+		}
+		cancel()
+		f.Close()
+	}
+}
--- a/gateway/accounts.go
+++ b/gateway/accounts.go
@@ -96,12 +96,14 @@
 	if !admitted {
 		return g.refuseAccount(request, retryAfterResponse(http.StatusTooManyRequests, reasonOverQuota, retryAfter))
 	}
+	request.quotaTaken = true
 	return nil
 }
 
 // returnUnusedQuota returns the token of a request that no target can have executed.
 func (g *Gateway) returnUnusedQuota(request *routedRequest) {
-	if g.Quotas != nil && request.account != nil && !request.mayHaveExecuted {
+	if request.quotaTaken && !request.mayHaveExecuted {
+		request.quotaTaken = false
 		g.Quotas.Return(time.Now(), request.account.Name)
 	}
 }
@@ -109,7 +111,7 @@
 // refuseAccount records the refusal of a request.
 func (g *Gateway) refuseAccount(request *routedRequest, resp *response) *response {
 	g.counters.recordRefusal(resp.reason)
-	if refused, write := g.accountRefusals.record(time.Now(), resp.reason); write {
+	if refused, write := g.refusalLog.record(time.Now(), resp.reason); write {
 		g.events.Emit(events.AccountRefused, log.Fields{"reason": resp.reason, "request": request.id, "route": request.route.Name,
 			"account": request.accountName(), "refused": refused, "version": uint64(request.version)})
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -103,6 +103,9 @@
 		targetAtFault = !g.recordRelayResult(attemptCtx, relay, started, err)
 		if err == nil {
 			response, distinct, err = unwrapRelayResponse(grant, response)
+			if errors.Is(err, errRelayBusy) { // Another one may have memory, and so may this instance.
+				targetAtFault = !g.relays.recordFailure(time.Now(), relay, started, false)
+			}
 		}
 	}
 	if err != nil {
@@ -133,7 +136,7 @@
 // newForwardRequest builds the request that is sent to a target.
 func (g *Gateway) newForwardRequest(request *routedRequest, grant balance.Grant, now time.Time) *forward.Request {
 	header := request.httpRequest.Header.Clone()
-	for _, name := range []string{headerRelayTarget, headerRelayNonIdempotent, headerRelayLimit, headerRelayOverflow, headerRelayDistinct, headerRelayLeaving, headerRelayPause} {
+	for _, name := range []string{headerRelayTarget, headerRelayNonIdempotent, headerRelayLimit, headerRelayOverflow, headerRelayDistinct, headerRelayLeaving, headerRelayPause, headerRelayBusy} {
 		header.Del(name)
 	}
 	g.Headers.SetTarget(header, grant.Target.ID, request.deadline.Sub(now))
@@ -307,7 +310,8 @@
 
 // readResponseBody reads a body of up to maxBufferedResponseBytes completely. A
 // longer one is streamed if conn.beginStream allows it; if not, up to
-// maxPipelinedResponseBytes are read completely.
+// maxPipelinedResponseBytes are read completely. A body for which there is no memory
+// is streamed.
 func (g *Gateway) readResponseBody(resp *response, received *forward.Response, request *incomingRequest) error {
 	limit := maxBufferedResponseBytes
 	if received.Length > maxBufferedResponseBytes {
@@ -317,19 +321,16 @@
 		}
 		limit = maxPipelinedResponseBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(received.Body, int64(limit)))
-	if err == nil && len(body) == maxBufferedResponseBytes && received.Length < 0 && !request.beginStream() && g.heldResponses.acquire(request) {
-		limit = maxPipelinedResponseBytes
-		var rest []byte
-		rest, err = io.ReadAll(io.LimitReader(received.Body, int64(limit-len(body))))
-		body = append(body, rest...)
+	body, complete, err := request.readHeld(nil, received.Body, received.Length, limit)
+	if err == nil && !complete && len(body) > limit && received.Length < 0 && !request.beginStream() && g.heldResponses.acquire(request) {
+		body, complete, err = request.readHeld(body, received.Body, received.Length, maxPipelinedResponseBytes)
 	}
 	if err != nil {
 		_ = received.Body.Close()
 		return err
 	}
-	if len(body) == limit && received.Length != int64(limit) {
-		resp.length = -1
+	if !complete {
+		request.beginStream() // Requests behind wait for it if none has been passed on.
 		resp.stream = &partlyReadBody{Reader: io.MultiReader(bytes.NewReader(body), received.Body), Closer: received.Body}
 		return nil
 	}
@@ -337,6 +338,39 @@
 	return received.Body.Close()
 }
 
+// readHeld appends a response body to what was read of it before, until its end, until
+// it is longer than limit, or until there is no memory for more. length is its whole
+// length, or -1.
+func (request *incomingRequest) readHeld(body []byte, source io.Reader, length int64, limit int) (_ []byte, complete bool, err error) {
+	reserved := int64(0)
+	for len(body) <= limit {
+		if len(body) == cap(body) {
+			size := int64(min(max(unreservedResponseBytes, 2*cap(body)), limit+1))
+			if length >= 0 {
+				size = length + 1 // The end is noticed when it is read.
+			}
+			added := size - max(int64(cap(body)), unreservedResponseBytes+1)
+			if added > 0 && !request.held.reserve(added) {
+				return body, false, nil
+			}
+			reserved += max(added, 0)
+			grown := make([]byte, len(body), size)
+			copy(grown, body)
+			body = grown
+		}
+		n, err := source.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, true, nil
+		}
+		if err != nil {
+			request.held.release(reserved)
+			return nil, false, err
+		}
+	}
+	return body, false, nil
+}
+
 // partlyReadBody is a response body whose first part was already read into
 // memory.
 type partlyReadBody struct {
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -118,8 +118,21 @@
 			c.setCause(causeInputEnded) // Unless readErrorResponse has set another one.
 			return true
 		}
-		ex := &exchange{number: number, request: request, ready: make(chan struct{}), ended: make(chan struct{})}
 		c.server.inFlight.Add(1)
+		if request != nil && errorResponse != nil {
+			if c.isLastRequest() {
+				request.close = true
+			}
+			if request.close {
+				c.setClosing()
+			}
+			c.exchanges <- c.refusedExchange(number, request, errorResponse)
+			if request.close {
+				return false
+			}
+			continue
+		}
+		ex := &exchange{number: number, request: request, ready: make(chan struct{}), ended: make(chan struct{})}
 		if errorResponse != nil {
 			c.setClosing()
 			ex.response = errorResponse
@@ -136,6 +149,7 @@
 		go func() {
 			defer close(ex.ready)
 			if !c.passOn(ex) {
+				c.server.gateway.abandon(request)
 				ex.response = systemResponse(statusCallerLeft, reasonCallerLeft)
 				return
 			}
@@ -315,6 +329,14 @@
 	return c.closeAfterRequest
 }
 
+// isPipelined reports whether the request that is being read is behind others without a
+// response.
+func (c *conn) isPipelined() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending > 1
+}
+
 func (c *conn) setClosing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -18,8 +18,8 @@
 	bySystem       gometrics.Counter                        // Responses that this system generated.
 	attemptResults [balance.Abandoned + 1]gometrics.Counter // Indexed by balance.Result.
 	latency        gometrics.Histogram
-	// refusals counts the requests that are refused because of their account, by
-	// reason.
+	// refusals counts the requests that are refused because of their account or for
+	// lack of memory, by reason.
 	refusals map[string]gometrics.Counter
 }
 
@@ -38,7 +38,7 @@
 			gometrics.NewUniformSample(metrics.SampleSize)),
 	}
 	c.refusals = map[string]gometrics.Counter{}
-	for _, reason := range []string{reasonNoKey, reasonUnknownKey, reasonAccountsUnknown, reasonNoHomeRegion} {
+	for _, reason := range []string{reasonNoKey, reasonUnknownKey, reasonAccountsUnknown, reasonNoHomeRegion, reasonRequestsFull, reasonMemoryFull} {
 		c.refusals[reason] = gometrics.NewRegisteredCounter("requests_refused_"+strings.ReplaceAll(reason, "-", "_")+"_total", r)
 	}
 	for i, name := range attemptResultNames {
@@ -56,7 +56,8 @@
 	}
 }
 
-// recordRefusal counts a request that is refused because of its account.
+// recordRefusal counts a request that is refused because of its account or for lack of
+// memory.
 func (c *Counters) recordRefusal(reason string) {
 	if counter := c.refusals[reason]; counter != nil {
 		counter.Inc(1)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -52,6 +52,7 @@
 	attempts int         // Attempts of each route; 0 means 2.
 	logs     log.Handler // Receives the log of the gateway; nil discards it.
 	quotas   gateway.Quotas
+	memory   int64 // Memory limit; 0 means none.
 }
 
 type script func(number int, r *http.Request, c net.Conn) bool
@@ -211,7 +212,7 @@
 	gw := gateway.New(gateway.Options{State: s.state.Load, Balancer: balancer, Suspects: balance.NewSuspects(),
 		Budget:    balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}, time.Now().Add(-10*time.Second)),
 		Forwarder: forward.New(), RelayForwarder: forward.New(), Headers: platform.Headers{}, LiveInstances: func() int { return 1 },
-		Events: events.New(&log.Logger{Handler: o.logs}), Quotas: o.quotas})
+		Events: events.New(&log.Logger{Handler: o.logs}), Quotas: o.quotas, MemoryBytes: o.memory})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
 	s.address, s.gateway = listener.Addr().String(), gw
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -31,12 +31,16 @@
 	httpRequest *http.Request
 	uri         string // Path and query as the caller sent them.
 	path        string
-	arrived     time.Time     // When the head, or all of a buffered body, was read.
-	body        []byte        // The buffered body; nil when it is streamed or empty.
-	stream      *streamedBody // The streamed body; nil when it is buffered or empty.
-	prefixHash  uint64        // Hash of the start of a streamed body.
-	close       bool          // The caller wants the connection closed after the response.
-	beginStream func() bool   // See conn.beginStream.
+	arrived     time.Time      // When the head, or all of a buffered body, was read.
+	body        []byte         // The buffered body; nil when it is streamed or empty.
+	stream      *streamedBody  // The streamed body; nil when it is buffered or empty.
+	prefixHash  uint64         // Hash of the start of a streamed body.
+	close       bool           // The caller wants the connection closed after the response.
+	beginStream func() bool    // See conn.beginStream.
+	pipelined   bool           // Behind another request on its connection.
+	bodyArrived bool           // The whole body had arrived with the head.
+	routed      *routedRequest // Set when the request of a caller is accepted.
+	held        heldMemory     // The memory that is reserved until the response has been written.
 	// heldResponses is the number of slots of Gateway.heldResponses that are used for
 	// this request until its response has been written.
 	heldResponses int32
@@ -166,34 +170,51 @@
 
 // readRequest reads a request whose first byte has arrived. It returns an error
 // response for an invalid request, and neither a request nor a response when the
-// caller has disconnected.
+// caller has disconnected. If it returns both, the request is refused, and the next
+// one can be read.
 func (c *conn) readRequest() (*incomingRequest, *response) {
-	request, refusal := c.readRequestUnlogged()
-	if refusal != nil {
+	request, refusal, unreadable := c.readRequestUnlogged()
+	if unreadable {
 		c.server.gateway.events.Emit(events.RequestUnreadable, log.Fields{"reason": refusal.reason, "status": refusal.status, "caller": c.Conn.RemoteAddr().String()})
 	}
 	return request, refusal
 }
 
-func (c *conn) readRequestUnlogged() (*incomingRequest, *response) {
+func (c *conn) readRequestUnlogged() (_ *incomingRequest, refusal *response, unreadable bool) {
 	limits := c.server.gateway.limits()
 	httpRequest, err := c.parseHead()
 	if err != nil {
-		return nil, c.readErrorResponse(err)
+		refusal = c.readErrorResponse(err)
+		return nil, refusal, refusal != nil
 	}
 	r := &incomingRequest{httpRequest: httpRequest, arrived: time.Now(), close: httpRequest.Close || !httpRequest.ProtoAtLeast(1, 1)}
 	r.uri = pathAndQuery(httpRequest)
 	r.path, _, _ = strings.Cut(r.uri, "?")
 	if limits.MaxBodyBytes > 0 && httpRequest.ContentLength > limits.MaxBodyBytes {
-		return nil, systemResponse(http.StatusRequestEntityTooLarge, "body-too-large")
+		return nil, systemResponse(http.StatusRequestEntityTooLarge, "body-too-large"), true
+	}
+	r.pipelined, r.bodyArrived = c.isPipelined(), c.bodyArrived(httpRequest)
+	if refusal := c.server.accept(r); refusal != nil {
+		if !c.discardRefusedBody(httpRequest) {
+			return nil, refusal, false
+		}
+		return r, refusal, false
 	}
 	if err := c.readBody(r, limits.MaxBodyBytes); err != nil {
+		c.server.gateway.abandon(r)
 		if isTimeout(err) {
-			return nil, systemResponse(http.StatusRequestTimeout, "body-too-slow")
+			return nil, systemResponse(http.StatusRequestTimeout, "body-too-slow"), true
 		}
-		return nil, c.readErrorResponse(err)
+		refusal = c.readErrorResponse(err)
+		return nil, refusal, refusal != nil
 	}
-	return r, nil
+	return r, nil, false
+}
+
+// bodyArrived reports whether the whole body of the request that was just read has
+// arrived.
+func (c *conn) bodyArrived(request *http.Request) bool {
+	return request.ContentLength >= 0 && request.ContentLength <= int64(c.reader.Buffered())
 }
 
 // pathAndQuery returns the path and query of a request as the caller sent them.
@@ -225,7 +246,7 @@
 		_ = c.Conn.SetReadDeadline(time.Time{})
 		return nil
 	}
-	if strings.EqualFold(request.httpRequest.Header.Get("Expect"), "100-continue") {
+	if expectsContinue(request.httpRequest) {
 		// Earlier responses may not be complete. An error ends the connection.
 		c.exchanges <- &exchange{interim: true}
 	}
@@ -241,17 +262,21 @@
 		reader = &limitedBody{source: body, remaining: maxBytes}
 	}
 	buffered := bufio.NewReaderSize(reader, bodyReaderBytes)
-	prefix, err := io.ReadAll(io.LimitReader(buffered, maxBufferedBodyBytes+1))
-	if err != nil {
+	var prefix bytes.Buffer
+	if length := request.httpRequest.ContentLength; length >= 0 { // Avoids copies while the buffer grows.
+		prefix.Grow(int(min(length, maxBufferedBodyBytes)) + bytes.MinRead)
+	}
+	if _, err := prefix.ReadFrom(io.LimitReader(buffered, maxBufferedBodyBytes+1)); err != nil {
 		return err
 	}
-	if len(prefix) <= maxBufferedBodyBytes {
-		request.body = prefix
+	if prefix.Len() <= maxBufferedBodyBytes {
+		request.body = prefix.Bytes()
+		request.held.release(request.held.bytes - int64(prefix.Len()))
 		request.arrived = time.Now()
 		return nil
 	}
-	request.prefixHash = xxhash.Sum64(prefix)
-	request.stream = &streamedBody{Reader: io.MultiReader(bytes.NewReader(prefix), buffered), finished: make(chan struct{}), conn: c.Conn}
+	request.prefixHash = xxhash.Sum64(prefix.Bytes())
+	request.stream = &streamedBody{Reader: io.MultiReader(&prefix, buffered), finished: make(chan struct{}), conn: c.Conn}
 	return nil
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -48,6 +48,9 @@
 	// has asked it for a pause. It holds the start time of that incarnation and the
 	// rest of the pause in milliseconds, separated by a semicolon.
 	headerRelayPause = "Jacinth-Relay-Pause"
+	// headerRelayBusy is set when the relay refuses a request for lack of memory, before
+	// it has read the body.
+	headerRelayBusy = "Jacinth-Relay-Busy"
 	// relayHeadBytes is added to the limit for a caller's request head to make
 	// room for these headers.
 	relayHeadBytes = 1 << 10
@@ -107,7 +110,10 @@
 	return failure
 }
 
-var errRelayRefused = errors.New("relay refused to use the target")
+var (
+	errRelayRefused = errors.New("relay refused to use the target")
+	errRelayBusy    = errors.New("relay has no memory for a further request")
+)
 
 // relayResultOf returns the relay result for an error of forward.Forwarder.Do.
 func relayResultOf(err error) relayResult {
@@ -202,6 +208,9 @@
 	if refusal := readLimitRefusal(received.Header); refusal != nil {
 		failure.Err = refusal
 	}
+	if received.Header.Get(headerRelayBusy) != "" {
+		failure.Err = errRelayBusy
+	}
 	if refusal := readAvailabilityRefusal(received.Header); refusal != nil && refusal.startedMs == grant.Target.StartedMs {
 		failure.Err = refusal
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -102,6 +102,7 @@
 	Headers        Headers
 	Events         *events.Log
 	LiveInstances  func() int // Number of instances that share limits and budgets, including this one.
+	MemoryBytes    int64      // Memory limit of the process; 0 if there is none.
 	Quotas         Quotas     // Limits the requests of accounts; nil if there are no limits.
 }
 
@@ -120,14 +121,15 @@
 	// as invalid.
 	invalidStatements nameSet
 	heldResponses     responseSlots
-	accountRefusals   refusalLog
+	memory            *memoryBudget
+	refusalLog        refusalLog
 	crashChecks       crashChecks
 	stop              stopTimes
 }
 
 func New(o Options) *Gateway {
 	return &Gateway{Options: o, events: o.Events, splitter: serviceSplitter{credits: map[string][]float64{}},
-		deadlines: deadlineHistory{routes: map[string]*majorityDeadline{}}, counters: newCounters(),
+		deadlines: deadlineHistory{routes: map[string]*majorityDeadline{}}, counters: newCounters(), memory: newMemoryBudget(o.MemoryBytes),
 		unknownHeaders: nameSet{limit: maxUnknownHeaders}, invalidStatements: nameSet{limit: maxInvalidStatements}}
 }
 
@@ -158,6 +160,7 @@
 	mayHaveExecuted   bool                    // A target may have executed the request.
 	failedResponse    *response               // A target's error response, delivered if no retry gets a better one.
 	targetFull        bool                    // A target had no capacity.
+	quotaTaken        bool                    // A token of the account's quota is to be returned if no target executes the request.
 	overflowRefused   bool                    // See balance.Request.
 	crashesWhenSent   balance.CrashCount      // That were known when the last attempt was sent.
 	uncheckedWhenSent *possibleCrash          // One that was not checked yet; nil if there was none.
@@ -185,11 +188,14 @@
 	return *request.cachedFingerprint
 }
 
-// serve returns the response to a caller's request and records it.
+// serve returns the response to a caller's request that was accepted, and records it.
 func (g *Gateway) serve(ctx context.Context, incoming *incomingRequest) *response {
 	g.counters.Requests.Inc(1)
-	request := &routedRequest{incomingRequest: incoming, id: g.Headers.RequestID(incoming.httpRequest.Header), excludedTargets: map[string]bool{}}
-	resp := g.handle(ctx, request)
+	return g.finish(incoming.routed, g.handle(ctx, incoming.routed))
+}
+
+// finish records the response to a request.
+func (g *Gateway) finish(request *routedRequest, resp *response) *response {
 	if resp.reason != "" {
 		g.Headers.EchoRequestID(resp.header, request.id)
 	}
@@ -213,41 +219,32 @@
 		events.Int("attempts", int64(request.reachedAttempts)), events.Int("tookMs", took.Milliseconds()), events.Uint("version", uint64(request.version)), events.String("account", request.accountName()))
 }
 
-// handle determines the route, service and deadline of a request and sends it.
-func (g *Gateway) handle(ctx context.Context, request *routedRequest) *response {
-	config := g.State().Config
-	if config == nil {
-		return retryAfterResponse(http.StatusServiceUnavailable, "no-configuration", noConfigRetryAfter)
-	}
-	request.config, request.version = config, config.Version
-	if request.route = config.Match(request.httpRequest.Host, request.path); request.route == nil {
-		return systemResponse(http.StatusNotFound, "no-route")
-	}
-	if refusal := g.authenticate(request); refusal != nil {
-		return refusal
-	}
-	request.service = g.splitter.choose(request.route)
-	if request.route.Sticky {
-		request.objectKey = g.Headers.ObjectKey(request.httpRequest.Header)
-	}
-	timeout := request.route.Timeout
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
-	request.deadline, request.firstSent = request.arrived.Add(timeout), request.arrived
+// setDeadline sets the deadline of a request.
+func (g *Gateway) setDeadline(request *routedRequest) {
+	request.deadline, request.firstSent = request.arrived.Add(routeTimeout(request.route)), request.arrived
 	if timeLeft, ok := g.Headers.Deadline(request.httpRequest.Header); ok {
 		request.firstSent = request.arrived.Add(-g.deadlines.sinceFirstRequest(request.route.Name, timeLeft))
 		if callerDeadline := request.arrived.Add(timeLeft - responseMargin); callerDeadline.Before(request.deadline) || request.route.Timeout == 0 {
 			request.deadline = callerDeadline
 		}
 	}
+}
+
+// routeTimeout returns the time limit of the requests of a route.
+func routeTimeout(route *steering.Route) time.Duration {
+	if route.Timeout == 0 {
+		return defaultTimeout
+	}
+	return route.Timeout
+}
+
+// handle determines the deadline of an accepted request and sends it.
+func (g *Gateway) handle(ctx context.Context, request *routedRequest) *response {
+	defer g.returnUnusedQuota(request)
+	g.setDeadline(request)
 	// The caller's Connection header must not name headers that attempts add.
 	forward.CleanRequestHeaders(request.httpRequest.Header)
 	request.setAccountHeader(g.Headers)
-	if refusal := g.admitByQuota(request); refusal != nil {
-		return refusal
-	}
-	defer g.returnUnusedQuota(request)
 	ctx, cancel := context.WithDeadline(ctx, request.deadline)
 	if request.stream != nil {
 		context.AfterFunc(ctx, func() {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -38,6 +38,7 @@
 // a relay.
 type Server struct {
 	gateway          *Gateway
+	accept           func(*incomingRequest) *response // Decides before the body is read; returns the response to a request that is refused.
 	handler          func(context.Context, *incomingRequest) *response
 	extraHeadBytes   int           // Added to the configured limit for request heads.
 	idleTimeout      time.Duration // 0 means the configured idle time.
@@ -55,13 +56,13 @@
 
 // NewServer returns a server for the requests of callers.
 func NewServer(g *Gateway, l net.Listener) *Server {
-	return &Server{gateway: g, handler: g.serve, firstRequestTime: firstRequestTime, listener: l, acceptDone: make(chan struct{}), conns: map[*conn]struct{}{}}
+	return &Server{gateway: g, accept: g.accept, handler: g.serve, firstRequestTime: firstRequestTime, listener: l, acceptDone: make(chan struct{}), conns: map[*conn]struct{}{}}
 }
 
 // NewRelayServer returns a server for the requests that peers send through this
 // instance to targets near it.
 func NewRelayServer(g *Gateway, l net.Listener) *Server {
-	return &Server{gateway: g, handler: g.serveRelayed, firstRequestTime: firstRequestTime, extraHeadBytes: relayHeadBytes, idleTimeout: relayServerIdleTimeout, listener: l, acceptDone: make(chan struct{}), conns: map[*conn]struct{}{}}
+	return &Server{gateway: g, accept: g.acceptRelayed, handler: g.serveRelayed, firstRequestTime: firstRequestTime, extraHeadBytes: relayHeadBytes, idleTimeout: relayServerIdleTimeout, listener: l, acceptDone: make(chan struct{}), conns: map[*conn]struct{}{}}
 }
 
 // Run accepts connections until the listener is closed.
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -68,6 +68,7 @@
 		c.responseWritten()
 		if ex.request != nil {
 			c.server.gateway.heldResponses.release(ex.request.heldResponses)
+			ex.request.held.end(time.Now())
 		}
 		c.endStream(ex)
 		close(ex.ended)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -15,6 +15,11 @@
 	registry := node.gateway.Counters().Registry
 	gauge := func(name string, value int64) { gometrics.GetOrRegisterGauge(name, registry).Update(value) }
 	gauge("requests_in_flight", node.callerServer.InFlight())
+	requests, held, maxRequests, maxHeld := node.gateway.MemoryUse()
+	gauge("requests_accepted", int64(requests))
+	gauge("requests_accepted_max", int64(maxRequests))
+	gauge("body_bytes_held", held)
+	gauge("body_bytes_held_max", maxHeld)
 	gauge("caller_connections", int64(node.callerServer.Connections()))
 	gauge("instances_live", int64(len(node.exchange.Live())))
 	gauge("targets_limited", int64(node.balancer.LimitedTargets()))
--- a/node/node.go
+++ b/node/node.go
@@ -110,7 +110,8 @@
 		return nil, fmt.Errorf("listen for gossip messages: %w", err)
 	}
 	node.gateway = gateway.New(gateway.Options{State: node.mirror.State, Balancer: node.balancer, Suspects: node.suspects, Budget: balance.NewRetryBudget(s.Bounds, now),
-		Forwarder: node.forwarder, RelayForwarder: node.relayForwarder, Headers: options.Headers, Events: node.events, LiveInstances: node.instanceCount})
+		Forwarder: node.forwarder, RelayForwarder: node.relayForwarder, Headers: options.Headers, Events: node.events, LiveInstances: node.instanceCount,
+		MemoryBytes: s.MemoryBytes})
 	listener, err := net.Listen("tcp", s.CallerAddress)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
