--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -54,6 +54,7 @@
 	quotas   gateway.Quotas
 	// unsafePriority is the priority of the route "unsafe"; that of the other is 0.
 	unsafePriority int
+	memory         int64 // Memory limit; 0 means none.
 }
 
 type script func(number int, r *http.Request, c net.Conn) bool
@@ -213,7 +214,7 @@
 	gw := gateway.New(gateway.Options{State: s.state.Load, Balancer: balancer, Suspects: balance.NewSuspects(),
 		Budget:    balance.NewRetryBudget(settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}, time.Now().Add(-10*time.Second)),
 		Forwarder: forward.New(), RelayForwarder: forward.New(), Headers: platform.Headers{}, LiveInstances: func() int { return 1 },
-		Events: events.New(&log.Logger{Handler: o.logs}), Quotas: o.quotas})
+		Events: events.New(&log.Logger{Handler: o.logs}), Quotas: o.quotas, MemoryBytes: o.memory})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
 	s.address, s.gateway = listener.Addr().String(), gw
--- a/node/node.go
+++ b/node/node.go
@@ -124,7 +124,8 @@
 		return nil, fmt.Errorf("listen for gossip messages: %w", err)
 	}
 	node.gateway = gateway.New(gateway.Options{State: node.mirror.State, Balancer: node.balancer, Suspects: node.suspects, Budget: balance.NewRetryBudget(s.Bounds, now),
-		Forwarder: node.forwarder, RelayForwarder: node.relayForwarder, Headers: options.Headers, Events: node.events, LiveInstances: node.instanceCount, Quotas: node.quotas, ExplainQuota: node.quotas.Explain})
+		Forwarder: node.forwarder, RelayForwarder: node.relayForwarder, Headers: options.Headers, Events: node.events, LiveInstances: node.instanceCount, Quotas: node.quotas, ExplainQuota: node.quotas.Explain,
+		MemoryBytes: s.MemoryBytes})
 	node.quotas.refused = gometrics.GetOrRegisterCounter("requests_over_quota_total", node.gateway.Counters().Registry)
 	listener, err := net.Listen("tcp", s.CallerAddress)
 	if err != nil {
