Leave refused requests out of the time that requests are held

The Retry-After of a request that is refused for lack of memory follows from the average time that accepted requests are held. Requests refused for memory, quota or capacity after they had been accepted counted in it with next to no time, 2 in 100 each: after about 100 refusals the Retry-After was at its minimum of 50 ms, however long the requests in progress took. They are left out now.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -22,6 +22,7 @@
 	refusal := g.decideBeforeBody(request)
 	if refusal != nil {
 		g.counters.Requests.Inc(1)
+		incoming.held.cancel()
 		g.abandon(incoming)
 		g.finish(request, refusal)
 	}
--- a/gateway/accept_test.go
+++ b/gateway/accept_test.go
@@ -136,3 +136,22 @@
 		assert.Equal(t, 1, f.executed(id))
 	}
 }
+
+// Guards against a Retry-After that becomes shorter with each refused request, although
+// the requests in progress take as long as before.
+func TestRefusalsDoNotShortenRetryAfter(t *testing.T) {
+	s := startSite(t, siteOptions{memory: memoryFor(2)})
+	for i := range 60 {
+		for _, length := range []int{100, 1 << 20} { // Without a target, and without memory.
+			c := s.dial()
+			_, err := io.WriteString(c, uploadHead(fmt.Sprintf("r%d-%d", i, length), length, ""))
+			require.NoError(t, err)
+			resp := c.receive("POST")
+			require.NoError(t, c.Close())
+			require.Equal(t, 503, resp.StatusCode)
+			after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			require.NoError(t, err)
+			require.GreaterOrEqual(t, after, 0.25, "half of the time that a request is assumed to take")
+		}
+	}
+}
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -93,6 +93,15 @@
 	return true, 0
 }
 
+// cancelRequest ends an accepted request that is refused. It does not count in holdTime:
+// a refusal takes next to no time, and many of them would make the Retry-After shorter
+// than the requests in progress take.
+func (budget *memoryBudget) cancelRequest() {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	budget.requests--
+}
+
 // endRequest ends an accepted request that was in progress for some time.
 func (budget *memoryBudget) endRequest(held time.Duration) {
 	budget.mu.Lock()
@@ -180,6 +189,16 @@
 	*held = heldMemory{}
 }
 
+// cancel is end for a request that is refused.
+func (held *heldMemory) cancel() {
+	if held.budget == nil {
+		return
+	}
+	held.budget.release(held.bytes)
+	held.budget.cancelRequest()
+	*held = heldMemory{}
+}
+
 // acceptMemory accepts a request and reserves the memory for its body, which has not
 // been read. It returns the response to a request that is refused.
 func (g *Gateway) acceptMemory(incoming *incomingRequest) *response {
@@ -213,7 +232,7 @@
 // refuseForMemory records a request that is refused for lack of memory, and returns the
 // response to it.
 func (g *Gateway) refuseForMemory(now time.Time, incoming *incomingRequest, reason string) *response {
-	incoming.held.end(now)
+	incoming.held.cancel()
 	retryAfter := g.memory.refuse(now, rand.Float64())
 	g.counters.recordRefusal(reason)
 	if refused, write := g.refusalLog.record(now, reason); write {
