Keep nothing of the heads of refused requests

A connection may have 64 refused requests whose responses are not yet written, which no limit on memory counts. Each kept its method, a part of the string of its whole request line: 3.6 MB for 64 request lines of 50 KB, and so 570 MB for 160 callers. Only the method HEAD is kept now, as a constant. The request ID is kept for the response; a refused request with one of more than 1 KB is the last of its connection.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -122,10 +122,19 @@
 	return strings.EqualFold(request.Header.Get("Expect"), "100-continue")
 }
 
+// maxKeptRequestID is the longest request ID in bytes that is kept for each of the
+// refused requests of a connection. A head may contain one as long as itself.
+const maxKeptRequestID = 1 << 10
+
 // refusedExchange returns the exchange of a request that is refused. It keeps only what
-// writing the response needs: a connection may have many of them.
+// writing the response needs: a connection may have many of them. The method is that of
+// a response without a body or empty, because a method from the head keeps the whole
+// request line in memory.
 func (c *conn) refusedExchange(number int, request *incomingRequest, refusal *response) *exchange {
-	httpRequest := &http.Request{Method: request.httpRequest.Method, Header: http.Header{}}
+	httpRequest := &http.Request{Header: http.Header{}}
+	if request.httpRequest.Method == http.MethodHead {
+		httpRequest.Method = http.MethodHead
+	}
 	c.server.gateway.Headers.EchoRequestID(httpRequest.Header, c.server.gateway.Headers.RequestID(request.httpRequest.Header))
 	ex := &exchange{number: number, request: &incomingRequest{httpRequest: httpRequest, close: request.close}, response: refusal, ready: make(chan struct{}), ended: make(chan struct{})}
 	close(ex.ready)
--- a/gateway/accept_test.go
+++ b/gateway/accept_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -155,3 +156,18 @@
 		}
 	}
 }
+
+// Guards against many refused requests on a connection whose long IDs are kept until
+// their responses are written.
+func TestRefusedRequestWithLongIDIsTheLastOne(t *testing.T) {
+	s := startSite(t, siteOptions{})
+	for _, length := range []int{100, 20 << 10} {
+		c := s.dial()
+		id := strings.Repeat("i", length)
+		c.send("GET", "/unknown/x", id, "")
+		resp := c.receive("GET")
+		assert.Equal(t, 404, resp.StatusCode)
+		assert.Equal(t, id, resp.Header.Get(platform.HeaderRequestID))
+		assert.Equal(t, length > 1<<10, resp.Close)
+	}
+}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -120,7 +120,7 @@
 		}
 		c.server.inFlight.Add(1)
 		if request != nil && errorResponse != nil {
-			if c.isLastRequest() {
+			if c.isLastRequest() || len(c.server.gateway.Headers.RequestID(request.httpRequest.Header)) > maxKeptRequestID {
 				request.close = true
 			}
 			if request.close {
