Let three tests open connections however busy the machine is

TestEarlyResponseIsNotHeldByAStalledUpload, TestResponseCutAtRelayIsVisibleToCaller and TestLongResponseCutAtTargetIsVisibleToCaller failed now and then with 503 on a busy machine. Cause: an attempt to connect fails after 150 ms (baseDialTimeout), also if only the goroutine that opens the connection has not run meanwhile. The only target is then avoided, and the request refused as not executed, which is correct.

The tests are about responses and need a connection, so their gateways now have a dial timeout of 10 s. What they check is unchanged. The limit of the product is the same; it is a field of the gateway so that a test can set it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -81,7 +81,7 @@
 	out := g.newForwardRequest(request, grant, started)
 	extraTime := timeoutRoundTrips * g.Balancer.RoundTrip(grant.Region)
 	destination := forward.Target{Address: grant.Target.Address, MaxConnections: g.connectionShare(request.config, grant.Target.Service),
-		DialTimeout: baseDialTimeout + extraTime, AckTimeout: baseAckTimeout + extraTime}
+		DialTimeout: g.dialTimeout + extraTime, AckTimeout: baseAckTimeout + extraTime}
 	if !request.route.Idempotent {
 		destination.MaxIdleTime = nonIdempotentMaxIdle
 	}
--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -207,9 +207,12 @@
 				for i, n := range []int{1, 4 << 10, 128<<10 - 1, 128 << 10, 128<<10 + 1, 200 << 10, size - 1} {
 					var s *site
 					if path == "relayed" {
-						s = startFarSite(t, nil, handle).site
+						f := startFarSite(t, nil, handle)
+						f.setDialTimeout(longDialTimeout)
+						s = f.site
 					} else {
 						s = startSite(t, siteOptions{scripts: []script{handle}})
+						s.gateway.SetDialTimeout(longDialTimeout)
 					}
 					c := s.dial()
 					c.send("GET", fmt.Sprint("/unsafe/", n), fmt.Sprint("r", i), "")
@@ -282,6 +285,7 @@
 			complete := 0
 			for n := int64(1); n < 400 && complete < 3; n++ {
 				f := startFarSite(t, nil, respond) // A target that failed before would not be used.
+				f.setDialTimeout(longDialTimeout)
 				address := cuttingProxy(t, f.relayAddress, n)
 				f.gateway.UpdateRelays(steering.Instance{Name: "asked", Domain: "near", Region: "r1"},
 					[]steering.Instance{{Name: "beside", Domain: "d", Region: "r2"}}, func(steering.Instance) string { return address })
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -28,6 +28,11 @@
 
 const host = "shop.example"
 
+// longDialTimeout is for tests in which no connection attempt is to fail. On a busy
+// machine, baseDialTimeout can pass before the goroutine that opens a connection runs:
+// the only target is then avoided, and the request refused.
+const longDialTimeout = 10 * time.Second
+
 // site is a gateway with stand-in targets on loopback.
 type site struct {
 	t       *testing.T
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -252,7 +252,7 @@
 		return resp, result
 	}
 	request := &routedRequest{incomingRequest: incoming, id: id, service: record.Service, deadline: incoming.arrived.Add(timeLeft)}
-	destination := forward.Target{Address: record.Address, MaxConnections: g.connectionShare(state.Config, record.Service), DialTimeout: baseDialTimeout, AckTimeout: baseAckTimeout}
+	destination := forward.Target{Address: record.Address, MaxConnections: g.connectionShare(state.Config, record.Service), DialTimeout: g.dialTimeout, AckTimeout: baseAckTimeout}
 	if header.Get(headerRelayNonIdempotent) != "" {
 		destination.MaxIdleTime = nonIdempotentMaxIdle
 	}
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -88,6 +88,13 @@
 	return f
 }
 
+// setDialTimeout changes the dial timeout of both instances. It must be called before
+// the first request.
+func (f *farSite) setDialTimeout(d time.Duration) {
+	f.gateway.SetDialTimeout(d)
+	f.relayGateway.SetDialTimeout(d)
+}
+
 // useRelay makes the instance use the relay at an address.
 func (f *farSite) useRelay(address string) {
 	f.gateway.UpdateRelays(steering.Instance{Name: "asked", Domain: "near", Region: "r1"},
--- a/gateway/relayset.go
+++ b/gateway/relayset.go
@@ -135,7 +135,7 @@
 			continue
 		}
 		go func() {
-			destination := forward.Target{Address: r.address, DialTimeout: baseDialTimeout + timeoutRoundTrips*roundTrip, AckTimeout: baseAckTimeout + timeoutRoundTrips*roundTrip}
+			destination := forward.Target{Address: r.address, DialTimeout: g.dialTimeout + timeoutRoundTrips*roundTrip, AckTimeout: baseAckTimeout + timeoutRoundTrips*roundTrip}
 			if err := g.RelayForwarder.Preconnect(ctx, destination); err != nil && ctx.Err() == nil {
 				g.relays.recordFailure(time.Now(), r.address, time.Now(), false)
 				g.events.Emit(events.RelayUnreachable, log.Fields{"relay": r.address, "error": err.Error()})
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -131,11 +131,12 @@
 	refusalLog        refusalLog
 	crashChecks       crashChecks
 	stop              stopTimes
+	dialTimeout       time.Duration // baseDialTimeout, except in tests.
 }
 
 func New(o Options) *Gateway {
 	return &Gateway{Options: o, events: o.Events, splitter: serviceSplitter{credits: map[string][]float64{}},
-		deadlines: deadlineHistory{routes: map[string]*majorityDeadline{}}, counters: newCounters(), memory: newMemoryBudget(o.MemoryBytes),
+		deadlines: deadlineHistory{routes: map[string]*majorityDeadline{}}, counters: newCounters(), memory: newMemoryBudget(o.MemoryBytes), dialTimeout: baseDialTimeout,
 		unknownHeaders: nameSet{limit: maxUnknownHeaders}, invalidStatements: nameSet{limit: maxInvalidStatements}}
 }
 
--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -170,6 +170,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		return false
 	}}})
+	s.gateway.SetDialTimeout(longDialTimeout)
 	c := s.dial()
 	_, err := io.WriteString(c, fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: %s\r\n%s: r1\r\nContent-Length: %d\r\n\r\n", host, platform.HeaderRequestID, 1<<20)+countingText(100<<10))
 	require.NoError(t, err)
