Let a stated slowdown count as shared machines for 30 s only

One statement of a slowdown above 1.2 in the load header, which may be false, let the requests of a service leave full homes until the instance was restarted, although equal targets are to be treated as before. Statements now count for 30 s. On shared machines they follow each other within seconds.

The test case of an old statement fails without the change.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -124,7 +124,7 @@
 	// region.
 	baselineEvidence map[string]float64
 	sequence         uint64        // Spreads requests without an object over targets.
-	interference     bool          // A target has stated that other load on its machine slows it down.
+	interferedAt     time.Time     // When a target last stated that other load on its machine slows it down.
 	ranks            *serviceRanks // Nil if all requests have one rank.
 	references       map[referenceKey]*reference
 	logVariance      float64 // Variance of the logarithm of a response's execution time; 0 until measured.
--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -84,6 +84,10 @@
 	// minInterference is the stated slowdown from which the machines of a service
 	// count as shared with other load.
 	minInterference = 1.2
+	// interferenceTime is how long they count as such after a statement. Slow periods
+	// of some targets follow each other within seconds, and a false statement must not
+	// change the placement of requests for good.
+	interferenceTime = 30 * time.Second
 	// loggedLimitChange is the relative change of a limit that is logged.
 	loggedLimitChange = 0.25
 	// maxPendingCapacityChanges limits the changes kept for CapacityChanges.
@@ -419,6 +423,12 @@
 	return slowness
 }
 
+// hasInterference reports whether the machines of a service's targets are shared with
+// other load.
+func (svc *service) hasInterference(now time.Time) bool {
+	return !svc.interferedAt.IsZero() && now.Sub(svc.interferedAt) < interferenceTime
+}
+
 // learnedSlowness is slowness without what the target states for the moment.
 func (balancer *Balancer) learnedSlowness(t *target) float64 {
 	if math.Abs(t.logSlowness) <= slownessDeadBand {
--- a/balance/capacity_test.go
+++ b/balance/capacity_test.go
@@ -183,20 +183,22 @@
 
 // Guards against requests that queue at a full home while other targets are idle,
 // where machines are shared with other load, and against requests that leave their
-// home, and meet a target without the object, where machines are not shared.
+// home, and meet a target without the object, where machines are not shared, or where
+// a statement, which may be false, was the only one for a long time.
 func TestRequestLeavesFullHomeWhereMachinesAreShared(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		stated float64 // Slowdown that one target states.
+		age    time.Duration
 		leaves bool
-	}{{"stated slowdown", 2.5, true}, {"usual", 1, false}, {"nothing stated", 0, false}} {
+	}{{"stated slowdown", 2.5, 10 * time.Second, true}, {"stated long ago", 2.5, time.Minute, false}, {"usual", 1, 10 * time.Second, false}, {"nothing stated", 0, 10 * time.Second, false}} {
 		b := newBalancer("n1", "a1")
 		b.SetState(start, newState(2, 4))
 		request := newRequest("x")
 		request.HomeRegions, request.Remaining = steering.HomeRegions{"a"}, time.Minute
 		home := mustPick(t, b, start, request)
 		b.Done(start, home, balance.Observation{Result: balance.Succeeded, Duration: 200 * time.Millisecond, Slowdown: c.stated})
-		now := start.Add(10 * time.Second) // The stated slowdown itself has no effect any more.
+		now := start.Add(c.age) // The stated slowdown itself has no effect any more.
 		for range home.Target.Slots {
 			assert.Equal(t, home.Target.ID, mustPick(t, b, now, request).Target.ID, c.name)
 		}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -236,7 +236,7 @@
 	c.displaced = balancer.isDisplaced(svc, region, objectHash, c.target)
 	c.expectedWait, c.expectedTime = balancer.estimate(now, svc, c.target, c.warm, request.Objective)
 	c.measured = svc.samples(c.warm) >= minSamples
-	if balancer.mayLeaveHome(svc, c) {
+	if balancer.mayLeaveHome(now, svc, c) {
 		c = balancer.fasterThanHome(now, svc, request, region, objectHash, c)
 	}
 	return c, true
@@ -244,9 +244,9 @@
 
 // mayLeaveHome reports whether a request may go to another target than its home
 // because the home is slow, or full while machines are shared with other load.
-func (balancer *Balancer) mayLeaveHome(svc *service, c candidate) bool {
+func (balancer *Balancer) mayLeaveHome(now time.Time, svc *service, c candidate) bool {
 	return !balancer.options.FixedCapacity && !c.overflow && !c.displaced &&
-		(balancer.learnedSlowness(c.target) > 1 || svc.interference && c.expectedWait > 0)
+		(balancer.learnedSlowness(c.target) > 1 || svc.hasInterference(now) && c.expectedWait > 0)
 }
 
 // fasterThanHome returns the object's second choice among the targets of the region
--- a/balance/result.go
+++ b/balance/result.go
@@ -103,7 +103,7 @@
 	if observation.Slowdown > 0 {
 		t.statedSlowness, t.statedAt = observation.Slowdown, now
 		if svc := balancer.service(t.record.Service); observation.Slowdown > minInterference {
-			svc.interference = true
+			svc.interferedAt = now
 		}
 	}
 	if observation.ColdFor > 0 {
