Refuse long status lines whose status goes on after three digits

A status line that does not start as prescribed is refused beyond 1 KB, because errors of net/http quote it whole. The check ended with the three digits of the status, so a line like 'HTTP/1.1 200' followed by 60 KB of control characters passed it and gave an error of 245 KB. The status must now be followed by a space or the end of the line.

The two new test cases fail without the change (245,792 and 245,794 bytes). Package forward passes with the race detector.

--- a/forward/head.go
+++ b/forward/head.go
@@ -39,8 +39,9 @@
 	return response, nil
 }
 
-// regularStart matches the start of a status line: d stands for a digit.
-const regularStart = "HTTP/1.d ddd"
+// regularStart matches the start of a status line: d stands for a digit, and $ for a
+// space or the end of the line.
+const regularStart = "HTTP/1.d ddd$"
 
 // hasRegularStart reports whether a head starts with the version and a status of three
 // digits.
@@ -50,8 +51,14 @@
 		return false
 	}
 	for i, c := range []byte(regularStart) {
-		isDigit := start[i] >= '0' && start[i] <= '9'
-		if c == 'd' && !isDigit || c != 'd' && start[i] != c {
+		matches := start[i] == c
+		switch c {
+		case 'd':
+			matches = start[i] >= '0' && start[i] <= '9'
+		case '$':
+			matches = start[i] == ' ' || start[i] == '\r' || start[i] == '\n'
+		}
+		if !matches {
 			return false
 		}
 	}
--- a/forward/status_test.go
+++ b/forward/status_test.go
@@ -100,12 +100,14 @@
 func TestOddStatusLineIsLimited(t *testing.T) {
 	for line, valid := range map[string]bool{
 		"HTTP/1.1  200 OK": true,
-		"HTTP/1.1 200 " + strings.Repeat("x", 10<<10):    true,
-		"HTTP/1.1  200 " + strings.Repeat("x", 2<<10):    false,
-		"HTTP/1.1 " + strings.Repeat("\x01", 60<<10):     false,
-		"HTTP/1.1 200" + strings.Repeat("\x01", 1<<10):   false,
-		strings.Repeat("\x01\xff", 30<<10):               false,
-		"HTTP/1.1 " + strings.Repeat("\x01", 8) + " 200": false,
+		"HTTP/1.1 200 " + strings.Repeat("x", 10<<10):     true,
+		"HTTP/1.1  200 " + strings.Repeat("x", 2<<10):     false,
+		"HTTP/1.1 " + strings.Repeat("\x01", 60<<10):      false,
+		"HTTP/1.1 200" + strings.Repeat("\x01", 1<<10):    false,
+		"HTTP/1.1 200" + strings.Repeat("\x01", 60<<10):   false,
+		"HTTP/1.1 200\t" + strings.Repeat("\x01", 60<<10): false,
+		strings.Repeat("\x01\xff", 30<<10):                false,
+		"HTTP/1.1 " + strings.Repeat("\x01", 8) + " 200":  false,
 	} {
 		target := newScriptedTarget(t, func(_ int, c *scriptedConn) {
 			if c.readRequest() != nil {
