Take a request after a response for one of its own, not for a pipelined one

Requests behind others on their connection are refused from three quarters of the accepted requests on. A request counted as one until the writer had recorded the response before it as written. A caller that sends one request at a time may have received the response and sent the next one before that, mostly on an instance that is short of processor time, which is when it matters. Responses of which a part is written do not count any more.

The new test fails without the change and passes with it, also with the race detector.

--- a/gateway/accept_internal_test.go
+++ b/gateway/accept_internal_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 // Guards against refused requests that keep their request lines in memory until their
@@ -39,3 +40,17 @@
 	assert.Less(t, int64(heap())-int64(before), int64(requests*lineBytes/4))
 	runtime.KeepAlive(exchanges)
 }
+
+// Guards against refusing the request of a caller that sends one at a time as one that
+// is behind another: its caller may be faster than the writer of the response before.
+func TestRequestAfterAResponseIsNotPipelined(t *testing.T) {
+	here, there := net.Pipe()
+	defer func() { _, _ = here.Close(), there.Close() }()
+	c := newConn(context.Background(), NewServer(New(Options{State: steering.NewState}), nil), here)
+	c.inputAwaited(nil)
+	assert.False(t, c.isPipelined())
+	c.inputAwaited(nil)
+	assert.True(t, c.isPipelined())
+	c.closesAfterResponse(nil)
+	assert.False(t, c.isPipelined())
+}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -329,12 +329,13 @@
 	return c.closeAfterRequest
 }
 
-// isPipelined reports whether the request that is being read is behind others without a
-// response.
+// isPipelined reports whether the request that is being read is behind others of whose
+// responses no byte is written. A caller may have received a whole response and sent
+// the next request before the writer counts the response as written.
 func (c *conn) isPipelined() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending > 1
+	return c.undecided > 1
 }
 
 func (c *conn) setClosing() {
