Count requests that are refused before their bodies as demand of their rank

Check refuses a request with a body that is still to arrive if the wait for a slot is longer than its deadline. Pick, which is then not called, counts such requests in the demand and the served share of their rank; Check did not, so the capacity kept for the rank was too small, and its share of served callers too high, while the shortage was worst. The time since the caller's first attempt is now estimated for Check as for Pick, and a caller's deadline beyond 30 s counts where the route has no timeout, so that Check refuses nothing that Pick would take.

The new test fails without the change and passes with it, also with the race detector.

--- a/balance/check.go
+++ b/balance/check.go
@@ -10,8 +10,11 @@
 	defer balancer.mu.Unlock()
 	svc := balancer.service(request.Service)
 	refusal := balancer.check(now, svc, request)
-	if refusal != nil && !request.Retry {
-		svc.callerRate.add(now) // Pick will not count it.
+	if refusal != nil && !request.Retry { // Pick will not count it.
+		svc.callerRate.add(now)
+		if refusal.Reason == Overloaded {
+			balancer.countRefused(now, svc, request)
+		}
 	}
 	return refusal
 }
--- a/balance/check_test.go
+++ b/balance/check_test.go
@@ -40,3 +40,26 @@
 	empty.SetState(start, steering.NewState())
 	assert.Equal(t, balance.NoTarget, empty.Check(start, newRequest("o")).Reason)
 }
+
+// Guards against demand of a rank that is not measured, and for which no capacity is
+// kept, because its requests are refused before their bodies.
+func TestRequestsRefusedByCheckAreDemandOfTheirRank(t *testing.T) {
+	b := newBalancer("n1", "a1")
+	b.SetState(start, routesState(0, 2))
+	request := newRequest("x")
+	request.Rank, request.Remaining = lowRank, time.Hour
+	for b.Check(start, request) == nil {
+		if _, refusal := b.Pick(start, request); refusal != nil {
+			break // The queue is as long as it gets.
+		}
+	}
+	request.Rank, request.Remaining = highRank, time.Millisecond
+	for range 10 {
+		assert.NotNil(t, b.Check(start, request))
+	}
+	measured := false
+	for key, demand := range b.Report(start).RankDemand {
+		measured = measured || key.Rank == highRank && demand.PerSecond > 1 && demand.Served == 0
+	}
+	assert.True(t, measured)
+}
--- a/balance/priority.go
+++ b/balance/priority.go
@@ -192,6 +192,24 @@
 	return admission
 }
 
+// countRefused counts a request that no target can serve like admitByRank, so that it is
+// part of the demand of its rank.
+func (balancer *Balancer) countRefused(now time.Time, svc *service, request Request) {
+	first := request.Elapsed < returnedAfter
+	balancer.callers.count(first, false)
+	if svc.ranks == nil {
+		return
+	}
+	own := svc.ranks.ownRank(request.Rank)
+	if own == nil {
+		return
+	}
+	own.callers.count(first, false)
+	if first || own.observesRetryAfter(request.Elapsed) {
+		own.count(now, request.Objective)
+	}
+}
+
 // chance reports true with a probability.
 func (balancer *Balancer) chance(probability float64) bool {
 	const steps = 1 << 16
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -67,10 +67,14 @@
 // sends slowly would otherwise occupy the target meanwhile.
 func (g *Gateway) checkCapacity(request *routedRequest) *response {
 	deadline := request.arrived.Add(routeTimeout(request.route))
-	if timeLeft, ok := g.Headers.Deadline(request.httpRequest.Header); ok && request.arrived.Add(timeLeft).Before(deadline) {
-		deadline = request.arrived.Add(timeLeft)
+	request.firstSent = request.arrived
+	if timeLeft, ok := g.Headers.Deadline(request.httpRequest.Header); ok {
+		request.firstSent = request.arrived.Add(-g.deadlines.estimate(request.route.Name, timeLeft))
+		if callerDeadline := request.arrived.Add(timeLeft); callerDeadline.Before(deadline) || request.route.Timeout == 0 {
+			deadline = callerDeadline
+		}
 	}
-	request.firstSent, request.deadline = request.arrived, deadline // Until setDeadline.
+	request.deadline = deadline // Until setDeadline.
 	criteria := request.pickCriteria(time.Now())
 	criteria.Unrelayable = request.httpRequest.ContentLength > maxBufferedBodyBytes
 	if refusal := g.Balancer.Check(time.Now(), criteria); refusal != nil {
