Do not prefer a fast target that has become slow

A target that is known to be faster than the others was taken at that speed until the estimate had followed, whatever its own latest responses told. With a target at 0.4 times the usual time that changes to 3 times, the expected time was 85 to 229 ms for 2.25 s, where executions took 600 ms; without the learned speed it was 423 ms after 0.25 s. Such a target attracts most requests without an object. The learned speed counts now only while the recent responses at this instance are not slower than usual.

The new test fails without the change.

--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -413,7 +413,7 @@
 	switch learned := balancer.learnedSlowness(t); {
 	case learned > 1:
 		slowness = max(slowness, learned)
-	case learned < 1:
+	case learned < 1 && t.slowdown <= 1: // Else it has become slow, and the estimate is behind.
 		slowness = learned
 	}
 	if age := now.Sub(t.statedAt); t.statedSlowness > 1 && age < statedSlownessTime {
--- a/balance/capacity_test.go
+++ b/balance/capacity_test.go
@@ -210,3 +210,16 @@
 		assert.Equal(t, c.leaves, leaves, c.name)
 	}
 }
+
+// Guards against preference for a target that was faster than the others and has become
+// slower, for seconds until the estimate of its speed has followed.
+func TestFastTargetThatBecomesSlowIsNotPreferred(t *testing.T) {
+	b := newBalancer("n1", "a1")
+	b.SetState(start, newState(2, 4))
+	now := responses(t, b, start, 30*time.Second, 1, slowAt("a1-1", 0.4))
+	request := newRequest("")
+	request.HomeRegions, request.Remaining = steering.HomeRegions{"a"}, time.Minute
+	assert.Equal(t, "a1-1", mustPick(t, b, now, request).Target.ID, "it is the fastest")
+	now = responses(t, b, now, time.Second, 1, slowAt("a1-1", 3))
+	assert.NotEqual(t, "a1-1", mustPick(t, b, now, request).Target.ID)
+}
