--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -22,6 +22,7 @@
 	refusal := g.decideBeforeBody(request)
 	if refusal != nil {
 		g.counters.Requests.Inc(1)
+		incoming.held.cancel()
 		g.abandon(incoming)
 		g.finish(request, refusal)
 	}
@@ -66,10 +67,14 @@
 // sends slowly would otherwise occupy the target meanwhile.
 func (g *Gateway) checkCapacity(request *routedRequest) *response {
 	deadline := request.arrived.Add(routeTimeout(request.route))
-	if timeLeft, ok := g.Headers.Deadline(request.httpRequest.Header); ok && request.arrived.Add(timeLeft).Before(deadline) {
-		deadline = request.arrived.Add(timeLeft)
+	request.firstSent = request.arrived
+	if timeLeft, ok := g.Headers.Deadline(request.httpRequest.Header); ok {
+		request.firstSent = request.arrived.Add(-g.deadlines.estimate(request.route.Name, timeLeft))
+		if callerDeadline := request.arrived.Add(timeLeft); callerDeadline.Before(deadline) || request.route.Timeout == 0 {
+			deadline = callerDeadline
+		}
 	}
-	request.firstSent, request.deadline = request.arrived, deadline // Until setDeadline.
+	request.deadline = deadline // Until setDeadline.
 	criteria := request.pickCriteria(time.Now())
 	criteria.Unrelayable = request.httpRequest.ContentLength > maxBufferedBodyBytes
 	if refusal := g.Balancer.Check(time.Now(), criteria); refusal != nil {
@@ -121,10 +126,19 @@
 	return strings.EqualFold(request.Header.Get("Expect"), "100-continue")
 }
 
+// maxKeptRequestID is the longest request ID in bytes that is kept for each of the
+// refused requests of a connection. A head may contain one as long as itself.
+const maxKeptRequestID = 1 << 10
+
 // refusedExchange returns the exchange of a request that is refused. It keeps only what
-// writing the response needs: a connection may have many of them.
+// writing the response needs: a connection may have many of them. The method is that of
+// a response without a body or empty, because a method from the head keeps the whole
+// request line in memory.
 func (c *conn) refusedExchange(number int, request *incomingRequest, refusal *response) *exchange {
-	httpRequest := &http.Request{Method: request.httpRequest.Method, Header: http.Header{}}
+	httpRequest := &http.Request{Header: http.Header{}}
+	if request.httpRequest.Method == http.MethodHead {
+		httpRequest.Method = http.MethodHead
+	}
 	c.server.gateway.Headers.EchoRequestID(httpRequest.Header, c.server.gateway.Headers.RequestID(request.httpRequest.Header))
 	ex := &exchange{number: number, request: &incomingRequest{httpRequest: httpRequest, close: request.close}, response: refusal, ready: make(chan struct{}), ended: make(chan struct{})}
 	close(ex.ready)
