Learn capacity where targets state their load; refuse lower ranks less

Learning is now limited by default to services whose targets state how loaded their machines are (-learn-capacity), and above the limit of its rank a request is refused with the probability that a request of a higher rank arrives while it is in the queue.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,6 +22,10 @@
 	// FixedCapacity turns off learning of the targets' speed and limits: all slots
 	// of the records are used, at a speed that each instance measures alone.
 	FixedCapacity bool
+	// LearnWhereStated limits learning to services whose targets state how loaded
+	// their machines are. Where targets are equal there is nothing to learn, and the
+	// evidence costs messages.
+	LearnWhereStated bool
 	// Random returns a number in [0, n); nil selects rand.Int64N.
 	Random func(n int64) int64
 }
@@ -125,6 +129,7 @@
 	baselineEvidence map[string]float64
 	sequence         uint64        // Spreads requests without an object over targets.
 	interferedAt     time.Time     // When a target last stated that other load on its machine slows it down.
+	slownessStatedAt time.Time     // When a target last stated how loaded its machine is.
 	ranks            *serviceRanks // Nil if all requests have one rank.
 	references       map[referenceKey]*reference
 	logVariance      float64 // Variance of the logarithm of a response's execution time; 0 until measured.
--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -249,7 +249,7 @@
 	}
 	capacities := map[uint32]CapacityEvidence{}
 	for _, t := range balancer.targets {
-		if t.capacityEvidence.updated.IsZero() {
+		if t.capacityEvidence.updated.IsZero() || !balancer.learnsCapacity(now, t.record.Service) {
 			continue
 		}
 		evidence := t.capacityEvidence.reported(now)
@@ -307,7 +307,7 @@
 // A request that may have waited in the target's queue is compared with the
 // expected time including the wait, and only a clear excess counts as slowness.
 func (balancer *Balancer) recordCapacity(now time.Time, svc *service, t *target, grant Grant, work time.Duration, observation Observation) {
-	if balancer.options.FixedCapacity {
+	if !balancer.learnsCapacity(now, svc.name) {
 		return
 	}
 	load, slots := grant.Load, t.record.Slots
@@ -396,9 +396,9 @@
 
 // capacity returns the number of requests that a target executes at its usual
 // speed: its limit, or the record's slots.
-func (balancer *Balancer) capacity(_ time.Time, t *target) float64 {
+func (balancer *Balancer) capacity(now time.Time, t *target) float64 {
 	slots := float64(t.record.Slots)
-	if balancer.options.FixedCapacity || t.limitShare > 1-limitTolerance {
+	if t.limitShare > 1-limitTolerance || !balancer.learnsCapacity(now, t.record.Service) {
 		return slots
 	}
 	return max(1, t.limitShare*slots)
@@ -407,7 +407,7 @@
 // slowness returns the execution time at a target relative to the usual one.
 func (balancer *Balancer) slowness(now time.Time, t *target) float64 {
 	slowness := max(1, t.slowdown)
-	if balancer.options.FixedCapacity {
+	if !balancer.learnsCapacity(now, t.record.Service) {
 		return slowness
 	}
 	switch learned := balancer.learnedSlowness(t); {
@@ -423,6 +423,19 @@
 	return slowness
 }
 
+// learnsCapacity reports whether the speed and the limits of a service's targets are
+// learned.
+func (balancer *Balancer) learnsCapacity(now time.Time, service string) bool {
+	switch {
+	case balancer.options.FixedCapacity:
+		return false
+	case !balancer.options.LearnWhereStated:
+		return true
+	}
+	svc := balancer.services[service]
+	return svc != nil && !svc.slownessStatedAt.IsZero() && now.Sub(svc.slownessStatedAt) < interferenceTime
+}
+
 // hasInterference reports whether the machines of a service's targets are shared with
 // other load.
 func (svc *service) hasInterference(now time.Time) bool {
@@ -478,6 +491,9 @@
 		return 0, 0
 	}
 	for _, t := range balancer.targets {
+		if !balancer.learnsCapacity(now, t.record.Service) {
+			continue
+		}
 		if t.logSlowness > slownessDeadBand {
 			slow++
 		}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -245,7 +245,7 @@
 // mayLeaveHome reports whether a request may go to another target than its home
 // because the home is slow, or full while machines are shared with other load.
 func (balancer *Balancer) mayLeaveHome(now time.Time, svc *service, c candidate) bool {
-	return !balancer.options.FixedCapacity && !c.overflow && !c.displaced &&
+	return balancer.learnsCapacity(now, svc.name) && !c.overflow && !c.displaced &&
 		(balancer.learnedSlowness(c.target) > 1 || svc.hasInterference(now) && c.expectedWait > 0)
 }
 
--- a/balance/priority.go
+++ b/balance/priority.go
@@ -137,6 +137,14 @@
 	return load + 1 - limit
 }
 
+// displaced returns the probability that a request of a higher rank arrives at a target
+// while a number of requests are in its queue. Requests of lower ranks are refused no
+// more often than they would delay one: refusing all of them above the limit cost 3.8
+// requests in time for each one of a higher rank that was in time instead.
+func (plan *rankPlan) displaced(queued, execTime float64) float64 {
+	return min(1, plan.higherRate*queued*execTime)
+}
+
 // rankOptions is the decision on a request without regard to ranks.
 type rankOptions struct {
 	admitted bool
@@ -173,7 +181,9 @@
 	}
 	if plan.reservedFor != nil && !plan.unrestricted {
 		excess = plan.excess(float64(balancer.load(now, c.target)), slots, execTime, returned)
-		if admission.admitted && excess > 0 && !balancer.chance(1-excess) {
+		queued := max(0, float64(balancer.load(now, c.target))-slots) + 1
+		refused := min(1, excess) * plan.displaced(queued, execTime)
+		if admission.admitted && excess > 0 && !balancer.chance(1-refused) {
 			admission.admitted, admission.reservedFor = false, plan.reservedFor
 		}
 	}
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -233,7 +233,7 @@
 // usableSlots returns the number of slots of usual speed that a target is equal to.
 func (balancer *Balancer) usableSlots(now time.Time, record *steering.Target) float64 {
 	t := balancer.targets[record.ID]
-	if t == nil || balancer.options.FixedCapacity {
+	if t == nil || !balancer.learnsCapacity(now, record.Service) {
 		return float64(record.Slots)
 	}
 	return balancer.capacity(now, t) / balancer.learnedSlowness(t)
--- a/balance/result.go
+++ b/balance/result.go
@@ -102,7 +102,9 @@
 	}
 	if observation.Slowdown > 0 {
 		t.statedSlowness, t.statedAt = observation.Slowdown, now
-		if svc := balancer.service(t.record.Service); observation.Slowdown > minInterference {
+		svc := balancer.service(t.record.Service)
+		svc.slownessStatedAt = now
+		if observation.Slowdown > minInterference {
 			svc.interferedAt = now
 		}
 	}
--- a/cmd/jacinth-node/main.go
+++ b/cmd/jacinth-node/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -37,6 +38,13 @@
 	logCloseTimeout = 200 * time.Millisecond
 )
 
+// Values of the flag -learn-capacity.
+const (
+	learnAlways      = "always"
+	learnNever       = "never"
+	learnWhereStated = "stated"
+)
+
 func main() {
 	// SIGHUP may arrive during the start, see hangup_cgo.go.
 	hangups := make(chan os.Signal, 1)
@@ -67,7 +75,7 @@
 	file := fs.String("settings", "", "settings file of this instance (default: the file that the platform sets in the environment)")
 	check := fs.Bool("check", false, "check the settings, print all findings and exit")
 	version := fs.Bool("version", false, "print the version and exit")
-	learn := fs.Bool("learn-capacity", true, "learn the speed and the limits of targets from their responses")
+	learn := fs.String("learn-capacity", learnWhereStated, "learn the speed and the limits of targets from their responses: always, never, or stated (for services whose targets state how loaded their machines are)")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("JACINTH_NODE")); err != nil {
 		return err
 	}
@@ -87,7 +95,10 @@
 		_, err := fmt.Fprintf(out, "settings of instance %s in failure domain %s are valid\n", s.Name, s.Domain)
 		return err
 	}
-	return serve(s, load, !*learn, hangups)
+	if !slices.Contains([]string{learnAlways, learnNever, learnWhereStated}, *learn) {
+		return fmt.Errorf("-learn-capacity is %q, want always, never or stated", *learn)
+	}
+	return serve(s, load, *learn, hangups)
 }
 
 // buildVersion returns the version of the module and the commit of the build.
@@ -105,7 +116,7 @@
 	return text
 }
 
-func serve(s settings.Node, load func() (settings.Node, error), fixedCapacity bool, hangups <-chan os.Signal) error {
+func serve(s settings.Node, load func() (settings.Node, error), learn string, hangups <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
@@ -119,7 +130,7 @@
 		return err
 	}
 	n, err := node.New(node.Options{Settings: s, Platform: platform.Codec{}, Headers: platform.Headers{}, Store: store,
-		Log: logger.WithField("instance", s.Name), Reload: load, FixedCapacity: fixedCapacity,
+		Log: logger.WithField("instance", s.Name), Reload: load, FixedCapacity: learn == learnNever, LearnWhereStated: learn == learnWhereStated,
 		StoreCalls: store.CallCount, DroppedLines: handler.DroppedLines, OnInvalidEra: store.OnInvalidEra})
 	if err != nil {
 		return err
--- a/node/node.go
+++ b/node/node.go
@@ -46,12 +46,14 @@
 
 // Options configure a Node.
 type Options struct {
-	Settings      settings.Node
-	Platform      Platform
-	Headers       gateway.Headers
-	Store         kv.Store
-	Log           log.Interface
-	FixedCapacity bool // Do not learn the targets' speed and limits; see balance.Options.
+	Settings settings.Node
+	Platform Platform
+	Headers  gateway.Headers
+	Store    kv.Store
+	Log      log.Interface
+	// FixedCapacity and LearnWhereStated limit learning of the targets' speed and
+	// limits; see balance.Options.
+	FixedCapacity, LearnWhereStated bool
 	// Reload reads the settings again.
 	Reload func() (settings.Node, error)
 	// StoreCalls and DroppedLines return counters for the metrics; both may be
@@ -103,7 +105,7 @@
 	node.self = steering.Instance{Name: s.Name, Domain: s.Domain, Region: s.Region, Address: s.CallerAddress,
 		PeerAddress: s.PeerAddress, Incarnation: rand.Uint64(), Capacity: capacity(s)}
 	node.balancer = balance.New(balance.Options{Name: s.Name, Domain: s.Domain, Region: s.Region, Regions: s.RegionByDomain,
-		MaxWeightShift: s.Bounds.MaxRegionShift, FixedCapacity: options.FixedCapacity, BootClock: bootClock}, now)
+		MaxWeightShift: s.Bounds.MaxRegionShift, FixedCapacity: options.FixedCapacity, LearnWhereStated: options.LearnWhereStated, BootClock: bootClock}, now)
 	node.balancer.SetInstances(now, []steering.Instance{node.self}, 0)
 	node.quotas = newAccountQuotas(s.Bounds, node.events, now)
 	node.mirror = mirror.New(mirror.Options{Store: options.Store, Prefix: options.Platform.Prefix(), Codec: options.Platform, Events: node.events,
