--- a/balance/explain_test.go
+++ b/balance/explain_test.go
@@ -1,8 +1,10 @@
 package balance_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,7 +52,9 @@
 		if i%25 == 0 {
 			b.Tick(now)
 			table, moves := b.Rebalance(now)
-			decisions = append(decisions, fmt.Sprint(table.Objects, moves, b.Report(now).RankDemand, b.Report(now).CallerRates, b.AvailabilityChanges(), b.LimitChanges()))
+			changes := b.AvailabilityChanges() // Those of one Tick have no defined order.
+			slices.SortFunc(changes, func(a, c balance.AvailabilityChange) int { return cmp.Compare(a.Target, c.Target) })
+			decisions = append(decisions, fmt.Sprint(table.Objects, moves, b.Report(now).RankDemand, b.Report(now).CallerRates, changes, b.LimitChanges()))
 		}
 	}
 	return decisions
