Decode lists of varints in one place

Suspicions, evidence of capacity, rates of accounts and demand by rank each read their varints with a loop of their own, beside consumeVarints. It takes the values to fill now, and all use it. Encodings and limits are unchanged; the property and fuzz tests of messages pass.

--- a/gossip/message.go
+++ b/gossip/message.go
@@ -228,13 +228,9 @@
 // functions of protowire it returns a negative length if the encoding is invalid.
 func consumeCapacity(b []byte) (balance.CapacityEvidence, int) {
 	var values [7]uint64
-	length := 0
-	for i := range values {
-		v, n := protowire.ConsumeVarint(b[length:])
-		if n < 0 {
-			return balance.CapacityEvidence{}, n
-		}
-		values[i], length = v, length+n
+	length := consumeVarints(b, values[:])
+	if length < 0 {
+		return balance.CapacityEvidence{}, length
 	}
 	pair := func(weight, sum uint64) (int, int) {
 		w := int(min(weight, maxCount))
@@ -259,13 +255,9 @@
 // negative length if the encoding is invalid.
 func consumeSuspicion(b []byte) (balance.Suspicion, int) {
 	var values [3]uint64
-	length := 0
-	for i := range values {
-		v, n := protowire.ConsumeVarint(b[length:])
-		if n < 0 {
-			return balance.Suspicion{}, n
-		}
-		values[i], length = v, length+n
+	length := consumeVarints(b, values[:])
+	if length < 0 {
+		return balance.Suspicion{}, length
 	}
 	return balance.Suspicion{
 		CrashCount: balance.CrashCount{Clearance: uint32(min(values[0], math.MaxUint32)), Crashes: int(min(values[1], maxCount))},
@@ -289,15 +281,27 @@
 // consumeQuota decodes the rates of an account. Like the functions of protowire it
 // returns a negative length if the encoding is invalid.
 func consumeQuota(b []byte) (quota.Rates, int) {
-	demand, n := protowire.ConsumeVarint(b)
-	if n < 0 {
-		return quota.Rates{}, n
+	var values [2]uint64
+	length := consumeVarints(b, values[:])
+	if length < 0 {
+		return quota.Rates{}, length
 	}
-	refused, m := protowire.ConsumeVarint(b[n:])
-	if m < 0 {
-		return quota.Rates{}, m
+	demand, refused := float64(values[0]), float64(values[1])
+	return quota.Rates{Demand: demand / quotaScale, Admitted: (demand - refused) / quotaScale}, length
+}
+
+// consumeVarints decodes as many varints as there are values. It returns their length,
+// which is negative if the encoding is invalid.
+func consumeVarints(b []byte, values []uint64) int {
+	length := 0
+	for i := range values {
+		v, n := protowire.ConsumeVarint(b[length:])
+		if n < 0 {
+			return n
+		}
+		values[i], length = v, length+n
 	}
-	return quota.Rates{Demand: float64(demand) / quotaScale, Admitted: (float64(demand) - float64(refused)) / quotaScale}, n + m
+	return length
 }
 
 // appendPairs packs the entries of a map into one field. An empty map is
--- a/gossip/rankdemand.go
+++ b/gossip/rankdemand.go
@@ -34,12 +34,13 @@
 	if length < 0 {
 		return balance.RankKey{}, length
 	}
-	var values [2]int
-	n := consumeVarints(b[length:], func(i int, v uint64) { values[i] = int(protowire.DecodeZigZag(v)) }, len(values))
+	var values [2]uint64
+	n := consumeVarints(b[length:], values[:])
 	if n < 0 {
 		return balance.RankKey{}, n
 	}
-	return balance.RankKey{Service: service, Rank: steering.Rank{Account: values[0], Route: values[1]}}, length + n
+	rank := steering.Rank{Account: int(protowire.DecodeZigZag(values[0])), Route: int(protowire.DecodeZigZag(values[1]))}
+	return balance.RankKey{Service: service, Rank: rank}, length + n
 }
 
 // consumeRankDemand decodes the demand of a rank. Like the functions of protowire it
@@ -50,7 +51,7 @@
 		return balance.RankDemand{}, length
 	}
 	var values [3]uint64
-	n := consumeVarints(b[length:], func(i int, v uint64) { values[i] = v }, len(values))
+	n := consumeVarints(b[length:], values[:])
 	if n < 0 {
 		return balance.RankDemand{}, n
 	}
@@ -60,18 +61,3 @@
 	return balance.RankDemand{PerSecond: float64(math.Float32frombits(bits)), Objective: milliseconds(values[0]), ExecTime: milliseconds(values[1]),
 		Served: float64(min(values[2], 100)) / 100}, length + n
 }
-
-// consumeVarints decodes count varints and returns their length, which is negative if
-// the encoding is invalid.
-func consumeVarints(b []byte, set func(i int, v uint64), count int) int {
-	length := 0
-	for i := range count {
-		v, n := protowire.ConsumeVarint(b[length:])
-		if n < 0 {
-			return n
-		}
-		set(i, v)
-		length += n
-	}
-	return length
-}
