Use one rule for the deadline and one text of a rank

The deadline of a request followed from its route and the caller's time in three places: when it is sent, when its capacity is checked before the body, and in an explanation. routedRequest.setDeadline is that rule now; the margin and the estimate of the first attempt are arguments, as they differ. The text of a rank in log lines and explanations is steering.Rank.String instead of a function in each package.

--- a/balance/explain.go
+++ b/balance/explain.go
@@ -2,13 +2,10 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 // Explain decides on a request as Pick does, but on copies of the balancer's state.
@@ -145,13 +142,11 @@
 	decision := ExplainedDecision{Region: refusal.Region, Reason: refusal.Reason, WaitMs: refusal.ExpectedWait.Milliseconds(),
 		ExpectedMs: refusal.ExpectedTime.Milliseconds(), Load: refusal.Load, MinRetryAfterMs: retryAfterMs, MaxRetryAfterMs: retryAfterMs}
 	if refusal.ReservedFor != nil {
-		decision.ReservedFor = explainRank(*refusal.ReservedFor)
+		decision.ReservedFor = refusal.ReservedFor.String()
 	}
 	return decision
 }
 
-func explainRank(rank steering.Rank) string { return fmt.Sprintf("%d/%d", rank.Account, rank.Route) }
-
 // scratchCopy returns a copy of the balancer for one request to a service. Everything
 // that Pick changes is copied; the rest is shared, so balancer.mu must be held while
 // the copy is used.
@@ -272,7 +267,7 @@
 func explainReserve(plan *rankPlan) *ExplainedReserve {
 	reserve := &ExplainedReserve{ToleratedMs: plan.tolerance.Milliseconds(), HigherWork: plan.higherWork, Unrestricted: plan.unrestricted}
 	if plan.reservedFor != nil {
-		reserve.For = explainRank(*plan.reservedFor)
+		reserve.For = plan.reservedFor.String()
 	}
 	return reserve
 }
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -15,7 +15,8 @@
 
 // accept decides whether a request of a caller may be served, before its body is read:
 // by its route, its key, the memory, the quota of its account and, if its body has not
-// arrived with the head, the capacity of targets. It returns the response to a request that is refused.
+// arrived with the head, the capacity of targets. It returns the response to a request
+// that is refused.
 func (g *Gateway) accept(incoming *incomingRequest) *response {
 	request := &routedRequest{incomingRequest: incoming, id: g.Headers.RequestID(incoming.httpRequest.Header), excludedTargets: map[string]bool{}}
 	incoming.routed = request
@@ -66,18 +67,12 @@
 // is chosen after the body, or the first part of a long one, has arrived: a caller that
 // sends slowly would otherwise occupy the target meanwhile.
 func (g *Gateway) checkCapacity(request *routedRequest) *response {
-	deadline := request.arrived.Add(routeTimeout(request.route))
-	request.firstSent = request.arrived
-	if timeLeft, ok := g.Headers.Deadline(request.httpRequest.Header); ok {
-		request.firstSent = request.arrived.Add(-g.deadlines.estimate(request.route.Name, timeLeft))
-		if callerDeadline := request.arrived.Add(timeLeft); callerDeadline.Before(deadline) || request.route.Timeout == 0 {
-			deadline = callerDeadline
-		}
-	}
-	request.deadline = deadline // Until setDeadline.
-	criteria := request.pickCriteria(time.Now())
+	timeLeft, stated := g.Headers.Deadline(request.httpRequest.Header)
+	request.setDeadline(timeLeft, stated, 0, g.deadlines.sinceFirstRequestUncounted) // Until handle sets it again.
+	now := time.Now()
+	criteria := request.pickCriteria(now)
 	criteria.Unrelayable = request.httpRequest.ContentLength > maxBufferedBodyBytes
-	if refusal := g.Balancer.Check(time.Now(), criteria); refusal != nil {
+	if refusal := g.Balancer.Check(now, criteria); refusal != nil {
 		return g.refusalResponse(request, refusal)
 	}
 	return nil
--- a/gateway/deadlines.go
+++ b/gateway/deadlines.go
@@ -45,8 +45,8 @@
 	return max(0, majority.deadline-deadline)
 }
 
-// estimate returns what sinceFirstRequest would, without counting a vote.
-func (history *deadlineHistory) estimate(route string, deadline time.Duration) time.Duration {
+// sinceFirstRequestUncounted is sinceFirstRequest without counting a vote.
+func (history *deadlineHistory) sinceFirstRequestUncounted(route string, deadline time.Duration) time.Duration {
 	history.mu.Lock()
 	defer history.mu.Unlock()
 	majority := history.routes[route]
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -142,12 +142,13 @@
 	if e.request.account != nil {
 		e.Account = e.explainAccount(e.request.account)
 	}
-	e.Rank = rankText(config.RankOf(e.request.account, e.request.route))
+	e.Rank = config.RankOf(e.request.account, e.request.route).String()
 	e.Regions = e.request.homeRegions
 	if err := e.chooseService(); err != nil {
 		return err
 	}
-	e.setDeadline()
+	e.setObject()
+	e.request.setDeadline(e.query.Deadline, e.query.Deadline > 0, responseMargin, e.gateway.deadlines.sinceFirstRequestUncounted)
 	if !e.admitByQuota() {
 		return nil
 	}
@@ -238,26 +239,12 @@
 	return nil
 }
 
-// setDeadline sets the object and the deadline as Gateway.handle does.
-func (e *explanation) setDeadline() {
-	request := e.request
-	if request.route.Sticky {
-		request.objectKey = e.query.Object
+func (e *explanation) setObject() {
+	if e.request.route.Sticky {
+		e.request.objectKey = e.query.Object
 	} else if e.query.Object != "" {
 		e.note("the object is ignored: the route is not sticky")
 	}
-	timeout := request.route.Timeout
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
-	request.deadline, request.firstSent = e.now.Add(timeout), e.now
-	if e.query.Deadline <= 0 {
-		return
-	}
-	request.firstSent = e.now.Add(-e.gateway.deadlines.estimate(request.route.Name, e.query.Deadline))
-	if deadline := e.now.Add(e.query.Deadline - responseMargin); deadline.Before(request.deadline) || request.route.Timeout == 0 {
-		request.deadline = deadline
-	}
 }
 
 // place explains the selection of a target.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
-	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -227,14 +226,17 @@
 		events.Int("attempts", int64(request.reachedAttempts)), events.Int("tookMs", took.Milliseconds()), events.Uint("version", uint64(request.version)), events.String("account", request.accountName()))
 }
 
-// setDeadline sets the deadline of a request.
-func (g *Gateway) setDeadline(request *routedRequest) {
+// setDeadline sets the deadline of a request, which ends margin before the time that the
+// caller states, and when the caller first sent it according to sinceFirst. stated is
+// false if the caller states no time.
+func (request *routedRequest) setDeadline(timeLeft time.Duration, stated bool, margin time.Duration, sinceFirst func(route string, deadline time.Duration) time.Duration) {
 	request.deadline, request.firstSent = request.arrived.Add(routeTimeout(request.route)), request.arrived
-	if timeLeft, ok := g.Headers.Deadline(request.httpRequest.Header); ok {
-		request.firstSent = request.arrived.Add(-g.deadlines.sinceFirstRequest(request.route.Name, timeLeft))
-		if callerDeadline := request.arrived.Add(timeLeft - responseMargin); callerDeadline.Before(request.deadline) || request.route.Timeout == 0 {
-			request.deadline = callerDeadline
-		}
+	if !stated {
+		return
+	}
+	request.firstSent = request.arrived.Add(-sinceFirst(request.route.Name, timeLeft))
+	if callerDeadline := request.arrived.Add(timeLeft - margin); callerDeadline.Before(request.deadline) || request.route.Timeout == 0 {
+		request.deadline = callerDeadline
 	}
 }
 
@@ -249,7 +251,8 @@
 // handle determines the deadline of an accepted request and sends it.
 func (g *Gateway) handle(ctx context.Context, request *routedRequest) *response {
 	defer g.returnUnusedQuota(request)
-	g.setDeadline(request)
+	timeLeft, stated := g.Headers.Deadline(request.httpRequest.Header)
+	request.setDeadline(timeLeft, stated, responseMargin, g.deadlines.sinceFirstRequest)
 	// The caller's Connection header must not name headers that attempts add.
 	forward.CleanRequestHeaders(request.httpRequest.Header)
 	request.setAccountHeader(g.Headers)
@@ -342,22 +345,16 @@
 	now := time.Now()
 	rank, reservedFor := request.config.RankOf(request.account, request.route), ""
 	if refusal.ReservedFor != nil {
-		reservedFor = rankText(*refusal.ReservedFor)
+		reservedFor = refusal.ReservedFor.String()
 	}
 	g.counters.recordNotPlaced(rank)
-	g.events.Emit(events.RequestNotPlaced, log.Fields{"rank": rankText(rank), "reservedFor": reservedFor, "request": request.id, "route": request.route.Name, "service": request.service,
+	g.events.Emit(events.RequestNotPlaced, log.Fields{"rank": rank.String(), "reservedFor": reservedFor, "request": request.id, "route": request.route.Name, "service": request.service,
 		"reason": refusal.Reason, "region": refusal.Region, "load": refusal.Load, "waitMs": refusal.ExpectedWait.Milliseconds(),
 		"expectedMs": refusal.ExpectedTime.Milliseconds(), "sinceFirstMs": now.Sub(request.firstSent).Milliseconds(),
 		"leftMs": request.deadline.Sub(now).Milliseconds(), "retryAfterMs": refusal.RetryAfter.Milliseconds(), "version": uint64(request.version)})
 	return request.unsentResponse("attempt-failed", string(refusal.Reason), refusal.RetryAfter)
 }
 
-// rankText returns a rank as it appears in log lines: those of the account and the
-// route.
-func rankText(rank steering.Rank) string {
-	return strconv.Itoa(rank.Account) + "/" + strconv.Itoa(rank.Route)
-}
-
 // unsentResponse returns the response to a request that is not sent again: a target's
 // error response that is kept, 502 with the reason failed if an earlier attempt may
 // have been executed, or else 503 with the reason refused.
--- a/steering/account.go
+++ b/steering/account.go
@@ -1,6 +1,9 @@
 package steering
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"strconv"
+)
 
 // Account is a client account. Its name is sent to targets, its keys are not.
 type Account struct {
@@ -33,6 +36,10 @@
 	return rank.Route < other.Route
 }
 
+// String returns the rank as it appears in log lines: the priorities of the account
+// and the route.
+func (rank Rank) String() string { return strconv.Itoa(rank.Account) + "/" + strconv.Itoa(rank.Route) }
+
 // RankOf returns the rank of the requests of an account on a route. The account
 // is nil for requests without one.
 func (config *Config) RankOf(account *Account, route *Route) Rank {
