Limit repeated log lines in one place

The gateway and the quotas of accounts each had the same limit of one line a second with a count of what it leaves out. events.RepeatLimit is that limit, with the accounts forgotten as before. The test that accounts are forgotten asks for the number of keys; its assertion is the same.

--- a/gateway/accounts.go
+++ b/gateway/accounts.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -112,7 +111,7 @@
 // refuseAccount records the refusal of a request.
 func (g *Gateway) refuseAccount(request *routedRequest, resp *response) *response {
 	g.counters.recordRefusal(resp.reason)
-	if refused, write := g.refusalLog.record(time.Now(), resp.reason); write {
+	if refused, write := g.refusalLog.Record(time.Now(), resp.reason); write {
 		g.events.Emit(events.AccountRefused, log.Fields{"reason": resp.reason, "request": request.id, "route": request.route.Name,
 			"account": request.accountName(), "refused": refused, "version": uint64(request.version)})
 	}
@@ -122,36 +121,3 @@
 // refusalLogInterval is the shortest time between two log lines of one reason. Callers
 // with a wrong key may send any number of requests.
 const refusalLogInterval = time.Second
-
-// refusalLog limits the log lines of refused requests.
-type refusalLog struct {
-	mu      sync.Mutex
-	reasons map[string]*loggedRefusals
-}
-
-// loggedRefusals are the refusals of one reason.
-type loggedRefusals struct {
-	next     time.Time // Earliest time of the next log line.
-	unlogged int       // Since the last log line.
-}
-
-// record records a refusal. It reports whether to write a log line, and the number of
-// refusals since the last one.
-func (refusals *refusalLog) record(now time.Time, reason string) (refused int, write bool) {
-	refusals.mu.Lock()
-	defer refusals.mu.Unlock()
-	logged := refusals.reasons[reason]
-	if logged == nil {
-		if refusals.reasons == nil {
-			refusals.reasons = map[string]*loggedRefusals{}
-		}
-		logged = &loggedRefusals{}
-		refusals.reasons[reason] = logged
-	}
-	logged.unlogged++
-	if now.Before(logged.next) {
-		return 0, false
-	}
-	refused, logged.unlogged, logged.next = logged.unlogged, 0, now.Add(refusalLogInterval)
-	return refused, true
-}
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -235,7 +235,7 @@
 	incoming.held.cancel()
 	retryAfter := g.memory.refuse(now, rand.Float64())
 	g.counters.recordRefusal(reason)
-	if refused, write := g.refusalLog.record(now, reason); write {
+	if refused, write := g.refusalLog.Record(now, reason); write {
 		requests, bytes := g.memory.used()
 		g.events.Emit(events.MemoryShort, log.Fields{"reason": reason, "request": g.Headers.RequestID(incoming.httpRequest.Header), "refused": refused,
 			"requests": requests, "bytes": bytes, "retryAfterMs": retryAfter.Milliseconds()})
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -127,7 +127,7 @@
 	invalidStatements nameSet
 	heldResponses     responseSlots
 	memory            *memoryBudget
-	refusalLog        refusalLog
+	refusalLog        *events.RepeatLimit // By reason.
 	crashChecks       crashChecks
 	stop              stopTimes
 	dialTimeout       time.Duration // baseDialTimeout, except in tests.
@@ -135,7 +135,7 @@
 
 func New(o Options) *Gateway {
 	return &Gateway{Options: o, events: o.Events, splitter: serviceSplitter{credits: map[string][]float64{}},
-		deadlines: deadlineHistory{routes: map[string]*majorityDeadline{}}, counters: newCounters(), memory: newMemoryBudget(o.MemoryBytes), dialTimeout: baseDialTimeout,
+		deadlines: deadlineHistory{routes: map[string]*majorityDeadline{}}, counters: newCounters(), memory: newMemoryBudget(o.MemoryBytes), dialTimeout: baseDialTimeout, refusalLog: events.NewRepeatLimit(refusalLogInterval),
 		unknownHeaders: nameSet{limit: maxUnknownHeaders}, invalidStatements: nameSet{limit: maxInvalidStatements}}
 }
 
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -35,19 +34,14 @@
 	events  *events.Log
 	started time.Time
 	refused gometrics.Counter // Nil until the gateway exists.
-
-	mu     sync.Mutex
-	logged map[string]*loggedRefusals // By account; removed when its requests are no longer refused.
-}
-
-type loggedRefusals struct {
-	at       time.Time
-	unlogged int // Refusals since then.
+	// logged limits the lines about refused requests, by account. An account is
+	// forgotten when its requests are no longer refused.
+	logged *events.RepeatLimit
 }
 
 func newAccountQuotas(bounds settings.Bounds, log *events.Log, now time.Time) *accountQuotas {
 	return &accountQuotas{Limiter: quota.New(quota.Options{Window: bounds.QuotaWindow, Over: bounds.QuotaOver, Slack: bounds.QuotaSlack}),
-		events: log, started: now, logged: map[string]*loggedRefusals{}}
+		events: log, started: now, logged: events.NewRepeatLimit(quotaLogInterval)}
 }
 
 // Admit decides whether a request of an account is admitted.
@@ -61,35 +55,15 @@
 }
 
 func (quotas *accountQuotas) logRefusal(now time.Time, account string, decision quota.Decision) {
-	if refused, write := quotas.recordRefusal(now, account); write {
+	if refused, write := quotas.logged.Record(now, account); write {
 		quotas.events.Emit(events.QuotaExceeded, log.Fields{"account": account, "demand": toHundredths(decision.Demand), "limit": toHundredths(decision.Limit),
 			"level": toHundredths(decision.Level), "refused": refused, "retryAfterMs": decision.RetryAfter.Milliseconds()})
 	}
 }
 
-// recordRefusal reports whether to write a log line about an account, and the number
-// of refusals since the last one.
-func (quotas *accountQuotas) recordRefusal(now time.Time, account string) (refused int, write bool) {
-	quotas.mu.Lock()
-	defer quotas.mu.Unlock()
-	entry := quotas.logged[account]
-	if entry == nil {
-		entry = &loggedRefusals{}
-		quotas.logged[account] = entry
-	}
-	entry.unlogged++
-	if now.Sub(entry.at) < quotaLogInterval {
-		return 0, false
-	}
-	refused, entry.unlogged, entry.at = entry.unlogged, 0, now
-	return refused, true
-}
-
 func (quotas *accountQuotas) logRestored(restored []quota.Restored) {
 	for _, r := range restored {
-		quotas.mu.Lock()
-		delete(quotas.logged, r.Account)
-		quotas.mu.Unlock()
+		quotas.logged.Forget(r.Account)
 		quotas.events.Emit(events.QuotaRestored, log.Fields{"account": r.Account, "refused": r.Refused, "overMs": r.Over.Milliseconds()})
 	}
 }
--- a/node/quotas_internal_test.go
+++ b/node/quotas_internal_test.go
@@ -39,7 +39,7 @@
 		before = config
 	}
 	quotas.configChanged(now, before, &steering.Config{})
-	assert.Empty(t, quotas.logged)
+	assert.Zero(t, quotas.logged.Len())
 	restored := 0
 	for _, entry := range handler.Entries {
 		if entry.Fields["event"] == events.QuotaRestored.Number {
