--- a/balance/priority.go
+++ b/balance/priority.go
@@ -180,11 +180,14 @@
 		admission.admitted = true
 	}
 	if plan.reservedFor != nil && !plan.unrestricted {
-		excess = plan.excess(float64(balancer.load(now, c.target)), slots, execTime, returned)
-		queued := max(0, float64(balancer.load(now, c.target))-slots) + 1
-		refused := min(1, excess) * plan.displaced(queued, execTime)
-		if admission.admitted && excess > 0 && !balancer.chance(1-refused) {
-			admission.admitted, admission.reservedFor = false, plan.reservedFor
+		load := float64(balancer.load(now, c.target))
+		excess = plan.excess(load, slots, execTime, returned)
+		if admission.admitted && excess > 0 {
+			queued := max(0, load-slots) + 1
+			refused := min(1, excess) * plan.displaced(queued, execTime)
+			if !balancer.chance(1 - refused) {
+				admission.admitted, admission.reservedFor = false, plan.reservedFor
+			}
 		}
 	}
 	balancer.callers.count(first, admission.admitted && !request.Retry)
--- a/kv/store.go
+++ b/kv/store.go
@@ -55,8 +55,9 @@
 
 // Store is a key-value service with a single revision counter for all keys.
 //
-// A revision or lease of an older era is never sent to the store. Errors are of type *Error with one of the kinds of this package. A write that
-// fails with ErrUncertain may still take effect, even seconds later.
+// A revision or lease of an older era is never sent to the store. Errors are of type
+// *Error with one of the kinds of this package. A write that fails with ErrUncertain
+// may still take effect, even seconds later.
 type Store interface {
 	// Range returns the items with a key prefix, sorted by key, and the revision
 	// from which to watch for further changes. Items may be newer than it.
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -13,8 +13,8 @@
 type history struct {
 	items []kv.Item      // In order of arrival; a later change of the key leaves an empty item behind.
 	index map[string]int // Index of the latest change of a key.
-	// completeAfter is the number of the revision, in the era of the mirror, after which all changes are held; 0 means
-	// that no such revision is known.
+	// completeAfter is the number of the revision, in the era of the mirror, after
+	// which all changes are held; 0 means that no such revision is known.
 	completeAfter uint64
 }
 
