--- a/review/testdata/kit2/caller.go
+++ b/review/testdata/kit2/caller.go
@@ -12,8 +12,14 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/standin/wiresite"
 )
 
+// objectCookie is the name of the cookie with the object of a request.
+var objectCookie = strings.Replace(platform.HeaderRequestID, "Request-Id", "Affinity-Key", 1)
+
 // caller sends one request at a time on a kept connection.
 type caller struct {
 	w        *world
@@ -49,7 +55,7 @@
 		if n.zone != c.zone {
 			continue
 		}
-		resp, err := client.Get("http://" + net.JoinHostPort(n.host, directoryPort) + "/-/resolve?name=" + hostName + "&region=" + regions[c.zone] + "&zone=" + c.zone)
+		resp, err := client.Get("http://" + net.JoinHostPort(n.host, directoryPort) + platform.Codec{}.ResolvePath() + "?name=" + wiresite.Host + "&region=" + regions[c.zone] + "&zone=" + c.zone)
 		if err != nil {
 			continue
 		}
@@ -89,9 +95,9 @@
 	a.machine, a.sent = c.address, time.Now()
 	_ = c.conn.SetDeadline(a.sent.Add(deadline))
 	var head strings.Builder
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, path, hostName, headerID, a.id, headerDeadline, deadline.Milliseconds())
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, path, wiresite.Host, platform.HeaderRequestID, a.id, platform.HeaderDeadline, deadline.Milliseconds())
 	if object != "" {
-		fmt.Fprintf(&head, "Cookie: X-Jacinthstall-Affinity-Key=%s\r\n", object)
+		fmt.Fprintf(&head, "Cookie: %s=%s\r\n", objectCookie, object)
 	}
 	if method != http.MethodGet {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
--- a/review/testdata/kit2/cases.go
+++ b/review/testdata/kit2/cases.go
@@ -8,6 +8,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/standin/wiresite"
 )
 
 const (
@@ -54,7 +57,7 @@
 			}
 		}
 	}
-	w.store.Put("op/config", config(3, route{"publish", "unsafe", 2, false, services},
+	w.store.Put(wiresite.ConfigKey, config(3, route{"publish", "unsafe", 2, false, services},
 		route{"archivio", "safe", 2, false, services[:1]}, route{"indice", "safe", 2, false, services[1:2]}, route{"titolarita", "safe", 2, false, services[2:]}))
 	if err := w.startNodes(); err != nil {
 		return false, err
@@ -137,7 +140,7 @@
 		}
 	}
 	content := config(3, route{"corsi", "safe", 2, true, []string{"catalogue"}})
-	w.store.Put("op/config", content)
+	w.store.Put(wiresite.ConfigKey, content)
 	if err := w.startNodes(); err != nil {
 		return false, err
 	}
@@ -159,7 +162,7 @@
 						passedOn[a.machine] = time.Now()
 					}
 					statements = append(statements, a.id)
-					w.record.write("machine %s passes on the answer to %s, with %s: 1, %s", a.machine, a.id, headerLeaving, a.header.Get(headerStamp))
+					w.record.write("machine %s passes on the answer to %s, with %s: 1, %s", a.machine, a.id, headerLeaving, a.header.Get(platform.HeaderServerStamp))
 				}
 			})
 		}
@@ -238,7 +241,7 @@
 			return false, err
 		}
 	}
-	w.store.Put("op/config", config(3, route{"corsi", "safe", maxAttempts, false, []string{"catalogue"}}))
+	w.store.Put(wiresite.ConfigKey, config(3, route{"corsi", "safe", maxAttempts, false, []string{"catalogue"}}))
 	if err := w.startNodes(); err != nil {
 		return false, err
 	}
--- a/review/testdata/kit2/target.go
+++ b/review/testdata/kit2/target.go
@@ -2,28 +2,23 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/jacinthstall/jacinthstall/internal/loopback"
+	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/standin/wiresite"
 )
 
-const (
-	headerID          = "X-Jacinthstall-Request-Id"
-	headerDeadline    = "X-Jacinthstall-Deadline-Ms"
-	headerStamp       = "X-Jacinthstall-Server-Stamp"
-	headerExpect      = "X-Jacinthstall-Expect-Instance"
-	headerNotExecuted = "X-Jacinthstall-Not-Executed"
-	headerLoad        = "X-Jacinthstall-Server-Load"
-	headerLeaving     = "Server-Leaving"
-)
+// headerLeaving is the name on the page of news.
+const headerLeaving = "Server-Leaving"
 
 // target is a target. It serves one request at a time on a connection.
 type target struct {
@@ -98,7 +93,7 @@
 	return nil
 }
 
-func (t *target) key() string { return "servers/" + t.id }
+func (t *target) key() string { return wiresite.TargetKey(t.id) }
 
 // beat writes the target's entry.
 func (t *target) beat() {
@@ -109,12 +104,8 @@
 	}
 	t.sequence++
 	coldLeft := max(0, 3*time.Second-time.Since(time.UnixMilli(t.born)))
-	record, err := json.Marshal(map[string]any{"address": t.address, "born": t.born,
-		"details": map[string]any{"service": t.service, "zone": t.zone, "concurrency": t.slots, "version": "v1"},
-		"status":  map[string]any{"state": "ready", "sequence": t.sequence, "coldLeft": fmt.Sprintf("%dms", coldLeft.Milliseconds())}})
-	if err != nil {
-		panic(err) // Unreachable: all values can be encoded.
-	}
+	record := render("entry", map[string]any{"Address": t.address, "Born": t.born, "Service": t.service, "Zone": t.zone, "Slots": t.slots,
+		"Sequence": t.sequence, "ColdMs": coldLeft.Milliseconds()})
 	t.w.put(t.key(), record)
 }
 
@@ -153,22 +144,22 @@
 
 func (t *target) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	header := rw.Header()
-	id := r.Header.Get(headerID)
+	id := r.Header.Get(platform.HeaderRequestID)
 	t.mu.Lock()
 	self, free := t.id, t.free
 	t.mu.Unlock()
 	if r.URL.Path == "/health" {
-		header.Set("X-Jacinthstall-Instance-Id", self)
+		header.Set(strings.Replace(platform.HeaderRequestID, "Request-Id", "Instance-Id", 1), self)
 		t.state(header)
 		return
 	}
-	header.Set(headerID, id)
+	header.Set(platform.HeaderRequestID, id)
 	reject := func(status int) {
-		header.Set(headerNotExecuted, "1")
+		header.Set(platform.HeaderNotExecuted, "1")
 		t.state(header)
 		rw.WriteHeader(status)
 	}
-	switch expected := r.Header.Get(headerExpect); {
+	switch expected := r.Header.Get(platform.HeaderExpectTarget); {
 	case expected != "" && expected != self:
 		reject(http.StatusMisdirectedRequest)
 		return
@@ -180,7 +171,7 @@
 		t.onArrival(t, id, r.URL.Path)
 	}
 	ctx := r.Context()
-	if ms, err := strconv.Atoi(r.Header.Get(headerDeadline)); err == nil {
+	if ms, err := strconv.Atoi(r.Header.Get(platform.HeaderDeadline)); err == nil {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 		defer cancel()
@@ -219,7 +210,7 @@
 		return
 	}
 	t.state(header)
-	header.Set(headerStamp, "st."+self)
+	header.Set(platform.HeaderServerStamp, "st."+self)
 	_, _ = fmt.Fprintf(rw, "%s by %s", id, self)
 }
 
@@ -227,7 +218,7 @@
 func (t *target) state(header http.Header) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	header.Set(headerLoad, fmt.Sprintf("%d,%d,%d", t.running, t.waiting, t.slots))
+	header.Set(platform.HeaderServerLoad, fmt.Sprintf("%d,%d,%d", t.running, t.waiting, t.slots))
 	if t.leaving {
 		header.Set(headerLeaving, "1")
 	}
--- a/review/testdata/kit2/world.go
+++ b/review/testdata/kit2/world.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -21,6 +20,7 @@
 
 	"github.com/jacinthstall/jacinthstall/internal/loopback"
 	"github.com/jacinthstall/jacinthstall/standin/metastore"
+	"github.com/jacinthstall/jacinthstall/standin/wiresite"
 )
 
 const (
@@ -31,13 +31,11 @@
 	// drain and stability are the bounds of the settings.
 	drain     = 2500 * time.Millisecond
 	stability = 3 * time.Second
-	// reads and writes are the rates of the store.
+	// Rates of the store.
 	readsPerS, writesPerS = 2000, 400
 
-	frontPort, readyPort, directoryPort = "8001", "8002", "8003"
-	firstInternalPort, lastInternalPort = 8010, 8025
-	targetPort, storePort               = "8200", "8500"
-	hostName                            = "jepu9.example"
+	controlPort, directoryPort = "8004", "8003" // The others are those of wiresite.
+	targetPort, storePort      = "8200", "8500"
 )
 
 // regions maps the failure domains to their regions.
@@ -135,7 +133,7 @@
 	w.down = false
 	w.mu.Unlock()
 	w.store.SetFaults(metastore.Faults{})
-	w.store.Put("op/config", config) // The operator writes it again.
+	w.store.Put(wiresite.ConfigKey, config) // The operator writes it again.
 	w.record.write("store back in era %d, from a copy that is %d ms old; entries %v", w.store.Era(), time.Since(copied).Milliseconds(), w.store.Keys("servers/"))
 	w.mu.Lock()
 	for _, t := range w.targets {
@@ -150,7 +148,7 @@
 		n := &node{name: "front-" + zone + "-1", zone: zone, host: loopback.Host()}
 		w.nodes = append(w.nodes, n)
 		if len(seeds) < 3 {
-			seeds = append(seeds, net.JoinHostPort(n.host, "8004"))
+			seeds = append(seeds, net.JoinHostPort(n.host, controlPort))
 		}
 	}
 	for _, n := range w.nodes {
@@ -179,44 +177,27 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
-	settings := map[string]any{
-		"node": n.name, "role": "entry", "class": "front", "serves": []string{"front", "control", "directory"}, "bindIp": n.host,
-		"zone": n.zone, "region": regions[n.zone], "zones": regions,
-		"listen": map[string]string{"front": n.front(), "ready": net.JoinHostPort(n.host, readyPort),
-			"control": net.JoinHostPort(n.host, "8004"), "directory": net.JoinHostPort(n.host, directoryPort)},
-		"internalPorts": []int{firstInternalPort, lastInternalPort}, "seedNodes": seeds, "bootstrap": true, "lossCounts": false,
-		"limits":  map[string]any{"cpuShare": 0.32, "cpuCores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
-		"dataDir": nil, "discovery": "platform", "entry": "directory", "heartbeat": "1500ms",
-		"contracts":      []string{"base", "drain", "config", "cost", "retry", "recover", "places", "platform"},
-		"faultTolerance": map[string]int{"machines": 2, "zones": 1, "regions": 1},
-		"bounds": map[string]any{"seedLag": "3s", "reuseAfter": "2s", "stability": "3000ms", "ack": "4000ms", "catchUp": "4s", "drain": "2500ms",
-			"grace": "6s", "lossSlack": "200ms", "config": "2500ms", "rollbackSlack": "250ms", "maxStretch": "5000ms", "retryRatio": 0.2,
-			"retryWindow": "10s", "retrySlack": 56, "coldOver": 1.5, "coldSlack": 5, "evac": "5000ms", "recover": "15s", "ttl_max": "5s", "shiftMost": 0.15},
-		"platform": map[string]any{"address": w.addr, "form": "kv", "writesPerS": writesPerS, "readsPerS": readsPerS, "history": "20s", "valueBytes": 1 << 20, "ttlMin": "1000ms"},
-	}
-	content, err := json.Marshal(settings)
-	if err != nil {
-		return err
-	}
+	content := render("settings", map[string]any{"Name": n.name, "Host": n.host, "Zone": n.zone, "Region": regions[n.zone],
+		"Zones": encode(regions), "Seeds": encode(seeds), "Store": w.addr})
 	file := filepath.Join(dir, "local.json")
 	if err := os.WriteFile(file, content, 0o600); err != nil {
 		return err
 	}
-	if n.log, err = os.Create(filepath.Join(dir, "log")); err != nil {
+	log, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
 		return err
 	}
+	n.log = log
 	n.cmd = exec.Command("target/jacinth-node")
-	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "JACINTHSTALL_NODE_FILE=" + file}
+	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), wiresite.SettingsVariable + "=" + file}
 	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return n.cmd.Start()
 }
 
-func (n *node) front() string { return net.JoinHostPort(n.host, frontPort) }
-
 func (n *node) ready() bool {
 	client := http.Client{Timeout: 500 * time.Millisecond}
-	resp, err := client.Get("http://" + net.JoinHostPort(n.host, readyPort) + "/-/ready")
+	resp, err := client.Get(wiresite.ReadyURL(n.host))
 	if err != nil {
 		return false
 	}
@@ -234,40 +215,6 @@
 	}
 }
 
-// route is a route of the configuration.
-type route struct {
-	name, kind string
-	attempts   int
-	sticky     bool
-	services   []string // With equal weights.
-}
-
-// config returns a configuration.
-func config(version int, routes ...route) []byte {
-	routesByName, services := map[string]any{}, map[string]any{}
-	for _, r := range routes {
-		record := map[string]any{"host": hostName, "prefix": "/" + r.name + "/", "routeKind": r.kind, "timeout": "2500ms", "goal": "400ms",
-			"priority": 1, "attempts": r.attempts, "sticky": r.sticky, "homeRegions": []string{}}
-		var split []any
-		for _, s := range r.services {
-			services[s] = map[string]any{"healthPath": "/health", "maxConns": 330, "protocol": "h1", "tls": false, "coldStart": "3s", "coldPerS": 7.1}
-			split = append(split, map[string]any{"service": s, "weight": 1})
-		}
-		if len(r.services) == 1 {
-			record["service"] = r.services[0]
-		} else {
-			record["split"] = split
-		}
-		routesByName["r-"+r.name] = record
-	}
-	content, err := json.Marshal(map[string]any{"version": fmt.Sprintf("r%d", version), "routes": routesByName, "services": services,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 64 << 20, "headerTimeout": "3000ms", "idleTimeout": "15000ms"}})
-	if err != nil {
-		panic(err) // Unreachable: all values can be encoded.
-	}
-	return content
-}
-
 // recorder writes record.txt.
 type recorder struct {
 	mu      sync.Mutex
