--- a/review/testdata/kit2/cases.go
+++ b/review/testdata/kit2/cases.go
@@ -104,33 +104,31 @@
 	return late <= allowed, nil
 }
 
-// leaving: a target that leaves without reporting it says so in its answers; then the
-// store comes back from a copy that still holds the target's entry.
+// leaving: targets that leave without reporting it say so in their answers; then the
+// store comes back from a copy that still holds their entries.
 func leaving(w *world, trouble bool) (bool, error) {
 	const (
+		leavers = 2               // Of twelve.
 		copyAge = 4 * time.Second // At the store's return.
 		away    = 500 * time.Millisecond
 		after   = 3 * time.Second // From the start of the leaving to the drill.
 	)
 	var mu sync.Mutex
-	machineOf := map[string]answerKey{} // Requests by ID.
-	type arrival struct {
-		at time.Time
-		id string
-	}
+	sent := map[string]answerKey{} // Requests by ID.
+	type arrival struct{ target, id string }
 	var arrivals []arrival
-	var first *target
+	var leave []*target
 	for i, zone := range append(append([]string{}, zones...), zones...) {
 		t := &target{service: "catalogue", zone: zone, slots: slots, queue: queue, work: 250 * time.Millisecond, downFor: time.Hour}
-		if i == 0 {
-			first = t
+		if i%len(zones) == 0 && len(leave) < leavers {
+			leave = append(leave, t)
 			t.onArrival = func(t *target, id, _ string) {
 				t.mu.Lock()
 				leaving := t.leaving
 				t.mu.Unlock()
 				if leaving {
 					mu.Lock()
-					arrivals = append(arrivals, arrival{time.Now(), id})
+					arrivals = append(arrivals, arrival{t.id, id})
 					mu.Unlock()
 				}
 			}
@@ -146,31 +144,31 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	passedOn := map[string]time.Time{} // First answer with the statement, by machine.
-	var statements []string
+	passedOn := map[[2]string]time.Time{} // First answer with the statement, by machine and stamp.
 	for _, zone := range zones {
-		for range 8 {
+		for range 10 {
 			go w.load(ctx, zone, 3, func() (string, string) {
 				object := fmt.Sprint(rand.IntN(36))
 				return "/corsi/" + object, object
 			}, func(a answer) {
 				mu.Lock()
 				defer mu.Unlock()
-				machineOf[a.id] = answerKey{a.machine, a.sent}
-				if a.status == 200 && a.header.Get(headerLeaving) == "1" {
-					if _, ok := passedOn[a.machine]; !ok {
-						passedOn[a.machine] = time.Now()
+				sent[a.id] = answerKey{a.machine, a.sent}
+				if a.status == http.StatusOK && a.header.Get(headerLeaving) == "1" {
+					key := [2]string{a.machine, a.header.Get(platform.HeaderServerStamp)}
+					if _, ok := passedOn[key]; !ok {
+						passedOn[key] = time.Now()
 					}
-					statements = append(statements, a.id)
-					w.record.write("machine %s passes on the answer to %s, with %s: 1, %s", a.machine, a.id, headerLeaving, a.header.Get(platform.HeaderServerStamp))
+					w.record.write("machine %s passes on the answer to %s, with %s: 1, %s", a.machine, a.id, headerLeaving, key[1])
 				}
 			})
 		}
 	}
 	time.Sleep(8 * time.Second)
-	first.beat()
-	first.leave()
-	left := time.Now()
+	for _, t := range leave {
+		t.beat()
+		t.leave()
+	}
 	time.Sleep(after)
 	if trouble {
 		w.restore(time.Now().Add(away-copyAge), away, content)
@@ -187,18 +185,18 @@
 	}
 	late := 0
 	for _, a := range arrivals {
-		request, ok := machineOf[a.id]
+		request, ok := sent[a.id]
 		if !ok {
 			continue
 		}
-		stated, ok := passedOn[request.machine]
+		stated, ok := passedOn[[2]string{request.machine, stampOf(a.target)}]
 		if ok && request.sent.After(stated.Add(drain)) {
 			late++
-			w.record.write("request %s, sent %d ms after machine %s had passed on the statement, reached the target from there", a.id, request.sent.Sub(stated).Milliseconds(), request.machine)
+			w.record.write("request %s, sent %d ms after machine %s had passed on the statement of %s, reached it from there", a.id, request.sent.Sub(stated).Milliseconds(), request.machine, a.target)
 		}
 	}
-	w.record.write("%d answers with the statement from %d machines; %d requests arrived at the target since it left (%s), %d of them sent later than %v after the machine had passed on a statement",
-		len(statements), len(passedOn), len(arrivals), left.Format(time.TimeOnly), late, drain)
+	w.record.write("statements were passed on by %d pairs of a machine and a target; %d requests arrived at targets since they left, %d of them sent later than %v after the machine had passed on the statement",
+		len(passedOn), len(arrivals), late, drain)
 	return late == 0, nil
 }
 
@@ -214,8 +212,8 @@
 		lostShare   = 0.4 // Of the requests that a target of lossyShare runs.
 		lossyShare  = 0.6
 		duration    = 4 * time.Second
-		rounds      = 5
-		pause       = 5 * time.Second
+		rounds      = 9
+		pause       = 4 * time.Second
 		allowed     = 3
 	)
 	var mu sync.Mutex
--- a/review/testdata/kit2/target.go
+++ b/review/testdata/kit2/target.go
@@ -210,10 +210,13 @@
 		return
 	}
 	t.state(header)
-	header.Set(platform.HeaderServerStamp, "st."+self)
+	header.Set(platform.HeaderServerStamp, stampOf(self))
 	_, _ = fmt.Fprintf(rw, "%s by %s", id, self)
 }
 
+// stampOf returns the signature of a target.
+func stampOf(id string) string { return "st." + id }
+
 // state adds to an answer what the target states in all answers.
 func (t *target) state(header http.Header) {
 	t.mu.Lock()
