--- a/review/testdata/kit2/cases.go
+++ b/review/testdata/kit2/cases.go
@@ -220,8 +220,8 @@
 	runs := map[string]map[string]bool{} // Targets by request ID.
 	lossy := false
 	for i, zone := range append(append([]string{}, zones...), zones...) {
-		faulty := i%10 < int(lossyShare*10)
-		t := &target{service: "catalogue", zone: zone, slots: slots, queue: queue, work: 110 * time.Millisecond, downFor: time.Hour,
+		faulty := i < int(lossyShare*float64(2*len(zones)))
+		t := &target{service: "catalogue", zone: zone, slots: slots, queue: queue, work: 144 * time.Millisecond, spread: 0.15, downFor: time.Hour,
 			losesAnswer: func() bool {
 				mu.Lock()
 				defer mu.Unlock()
@@ -247,7 +247,7 @@
 	defer cancel()
 	answers := map[int]int{}
 	for _, zone := range zones {
-		for range 8 {
+		for range 12 {
 			go w.load(ctx, zone, 3, func() (string, string) { return fmt.Sprintf("/corsi/%d", rand.IntN(36)), "" }, func(a answer) {
 				mu.Lock()
 				defer mu.Unlock()
--- a/review/testdata/kit2/target.go
+++ b/review/testdata/kit2/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -27,6 +28,7 @@
 	address       string
 	slots, queue  int
 	work          time.Duration
+	spread        float64                  // Of work, as a standard deviation of its logarithm.
 	crashes       func(*http.Request) bool // The request crashes the target.
 	losesAnswer   func() bool              // The connection is reset after the execution.
 	onArrival     func(t *target, id, path string)
@@ -49,9 +51,6 @@
 func (w *world) addTarget(t *target) error {
 	t.w = w
 	t.address = net.JoinHostPort(loopback.Host(), targetPort)
-	w.mu.Lock()
-	w.targets = append(w.targets, t)
-	w.mu.Unlock()
 	if err := t.start(); err != nil {
 		return err
 	}
@@ -59,6 +58,7 @@
 		for {
 			time.Sleep(heartbeat)
 			t.beat()
+			t.removeAgain()
 		}
 	}()
 	return nil
@@ -119,6 +119,16 @@
 	t.w.record.write("target %s removes its entry and is leaving", t.id)
 }
 
+// removeAgain removes the entry of a target that is leaving if it is there again: after
+// a drill the targets write again what they had written.
+func (t *target) removeAgain() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leaving && t.w.removeIfPresent(t.key()) {
+		t.w.record.write("target %s removes its entry again", t.id)
+	}
+}
+
 // crash ends the process of the target and starts it again after downFor.
 func (t *target) crash() {
 	t.mu.Lock()
@@ -195,7 +205,7 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	select {
-	case <-time.After(t.work):
+	case <-time.After(t.workTime()):
 	case <-ctx.Done():
 		t.state(header)
 		rw.WriteHeader(http.StatusGatewayTimeout)
@@ -217,6 +227,11 @@
 // stampOf returns the signature of a target.
 func stampOf(id string) string { return "st." + id }
 
+// workTime returns the time of one run, with the spread of the site's classes.
+func (t *target) workTime() time.Duration {
+	return time.Duration(float64(t.work) * math.Exp(t.spread*rand.NormFloat64()))
+}
+
 // state adds to an answer what the target states in all answers.
 func (t *target) state(header http.Header) {
 	t.mu.Lock()
--- a/review/testdata/kit2/world.go
+++ b/review/testdata/kit2/world.go
@@ -52,10 +52,9 @@
 	addr   string // Of the store.
 	nodes  []*node
 
-	mu      sync.Mutex
-	down    bool                 // The store is away.
-	beats   map[string]time.Time // Last write of each target's entry.
-	targets []*target
+	mu    sync.Mutex
+	down  bool                 // The store is away.
+	beats map[string]time.Time // Last write of each target's entry.
 }
 
 type node struct {
@@ -116,6 +115,19 @@
 	delete(w.beats, key)
 }
 
+// removeIfPresent removes an entry. It reports whether there was one; while the store is
+// away, nothing can be removed.
+func (w *world) removeIfPresent(key string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, present := w.beats[key]; w.down || !present {
+		return false
+	}
+	w.store.Delete(key)
+	delete(w.beats, key)
+	return true
+}
+
 // restore takes the store away for a time and brings it back from a copy.
 func (w *world) restore(copied time.Time, away time.Duration, config []byte) {
 	w.mu.Lock()
@@ -135,11 +147,7 @@
 	w.store.SetFaults(metastore.Faults{})
 	w.store.Put(wiresite.ConfigKey, config) // The operator writes it again.
 	w.record.write("store back in era %d, from a copy that is %d ms old; entries %v", w.store.Era(), time.Since(copied).Milliseconds(), w.store.Keys("servers/"))
-	w.mu.Lock()
-	for _, t := range w.targets {
-		go t.beat() // The targets write again what they wrote.
-	}
-	w.mu.Unlock()
+	// The targets write with their next heartbeat.
 }
 
 func (w *world) startNodes() error {
