Count targets, not only attempts, when the connection to a target was stale

Cause: a target that resets a kept connection within 150 ms of the request is taken for one that had closed the idle connection. Such an attempt is not counted against the route's attempts, and the retry may go to any target.

Change: a request remembers the targets that a part of it may have reached. Once they are as many as the route allows, a retry goes to one of these or is not made; the balancer selects among them (Request.OnlyTargets). A retry on a new connection to a target whose idle connection was stale stays possible.

Seen to fail before: TestLostResponsesDoNotExceedTargetsOfRoute in all four cases (attempts 1 to 3, and through a relay: 2, 3, 4 and 3 targets). The test of the balancer needs the new field.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -91,6 +91,27 @@
 	assert.NotEqual(t, home.ID, mustPick(t, b, start, request).Target.ID, "excluded after an earlier attempt")
 }
 
+// Guards against sending a request to a target that its earlier attempts leave no room
+// for: to another one than those given, in whatever region, or to an excluded one.
+func TestRequestIsOnlySentToGivenTargets(t *testing.T) {
+	for _, object := range []string{"", "x"} {
+		b := newBalancer("n1", "a1")
+		b.SetState(start, newState(3, 4))
+		for domain := range testRegions {
+			for i := range 3 {
+				id := fmt.Sprintf("%s-%d", domain, i)
+				request := newRequest(object)
+				request.OnlyTargets = map[string]bool{id: true}
+				assert.Equal(t, id, mustPick(t, b, start, request).Target.ID)
+				request.ExcludedTargets = map[string]bool{id: true}
+				_, refusal := b.Pick(start, request)
+				require.NotNil(t, refusal)
+				assert.Equal(t, balance.NoTarget, refusal.Reason)
+			}
+		}
+	}
+}
+
 // Guards against sending all requests without an object to one of several
 // equivalent targets.
 func TestRequestsWithoutObjectAreSpreadOverTargets(t *testing.T) {
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -60,11 +60,14 @@
 	HomeRegions     steering.HomeRegions // That the route and the account both allow.
 	Account         string               // Empty if the request has no account.
 	Rank            steering.Rank
-	Objective       time.Duration // Latency within which a response has its full value.
-	Elapsed         time.Duration // Since the caller's first attempt.
-	Remaining       time.Duration // Until the deadline.
-	ExcludedTargets map[string]bool
-	Retry           bool // The request has been counted already.
+	Objective       time.Duration   // Latency within which a response has its full value.
+	Elapsed         time.Duration   // Since the caller's first attempt.
+	Remaining       time.Duration   // Until the deadline.
+	ExcludedTargets map[string]bool // IDs of targets that must not be selected.
+	// OnlyTargets holds the IDs of the only targets that may be selected; nil if the
+	// request may use any.
+	OnlyTargets map[string]bool
+	Retry       bool // The request has been counted already.
 	// HasFallback is set if an earlier response can be delivered. Another
 	// attempt must then be expected to complete within the remaining time.
 	HasFallback bool
@@ -75,6 +78,11 @@
 	OverflowRefused bool
 }
 
+// mayUse reports whether the request's earlier attempts permit another one at the target.
+func (request *Request) mayUse(t *target) bool {
+	return !request.ExcludedTargets[t.record.ID] && (request.OnlyTargets == nil || request.OnlyTargets[t.record.ID])
+}
+
 // Grant is the selection of a target. It counts as in flight until Done.
 type Grant struct {
 	Target       *steering.Target
@@ -226,7 +234,7 @@
 		return balancer.fastestTarget(now, svc, request, region, objectHash, overflow)
 	}
 	c := candidate{target: balancer.leastLoadedHome(now, svc, request, region, objectHash, overflow), warm: true, overflow: overflow}
-	if c.target == nil || request.ExcludedTargets[c.target.record.ID] || !balancer.usable(now, c.target, request, overflow) || balancer.isGrey(now, svc, c.target) {
+	if c.target == nil || !request.mayUse(c.target) || !balancer.usable(now, c.target, request, overflow) || balancer.isGrey(now, svc, c.target) {
 		c = balancer.hashHome(now, svc, request, region, objectHash, overflow)
 	}
 	if c.target == nil {
@@ -262,7 +270,7 @@
 		}
 	}
 	t := second.target
-	if t == nil || t.limit.Active || request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request, false) || balancer.isGrey(now, svc, t) ||
+	if t == nil || t.limit.Active || !request.mayUse(t) || !balancer.usable(now, t, request, false) || balancer.isGrey(now, svc, t) ||
 		float64(balancer.load(now, t)) >= spareShare*balancer.capacity(now, t) {
 		return home
 	}
@@ -296,7 +304,7 @@
 	var best *target
 	lowestLoad := 0.0
 	for _, t := range balancer.homeTargets(svc, region, objectHash) {
-		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request, overflow) || balancer.isGrey(now, svc, t) {
+		if !request.mayUse(t) || !balancer.usable(now, t, request, overflow) || balancer.isGrey(now, svc, t) {
 			continue
 		}
 		relativeLoad := float64(balancer.load(now, t)) / balancer.usableSlots(now, t.record)
@@ -329,7 +337,7 @@
 		if t.limit.Active && !t.recentObjects.has(request.Object) {
 			c.overflow = overflow || rendezvousTarget(svc.targetsByRegion[region], objectHash) != t
 		}
-		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request, c.overflow) {
+		if !request.mayUse(t) || !balancer.usable(now, t, request, c.overflow) {
 			continue
 		}
 		preference := preferred
@@ -353,7 +361,7 @@
 	var best candidate
 	var rank uint64
 	for _, t := range svc.targetsByRegion[region] {
-		if request.ExcludedTargets[t.record.ID] || !balancer.usable(now, t, request, overflow) {
+		if !request.mayUse(t) || !balancer.usable(now, t, request, overflow) {
 			continue
 		}
 		c, r := candidate{target: t, overflow: overflow}, mix(requestHash, t.hash)
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -18,7 +18,7 @@
 // arrived with the head, the capacity of targets. It returns the response to a request
 // that is refused.
 func (g *Gateway) accept(incoming *incomingRequest) *response {
-	request := &routedRequest{incomingRequest: incoming, id: g.Headers.RequestID(incoming.httpRequest.Header), excludedTargets: map[string]bool{}}
+	request := &routedRequest{incomingRequest: incoming, id: g.Headers.RequestID(incoming.httpRequest.Header), excludedTargets: map[string]bool{}, reachedTargets: map[string]bool{}}
 	incoming.routed = request
 	refusal := g.decideBeforeBody(request)
 	if refusal != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,7 +43,8 @@
 	// maxStaleAttempts is the number of attempts on stale connections that are not
 	// counted against the route's attempts. One is enough: the other idle
 	// connections to the target are closed after it, so that the next attempt uses
-	// a new connection.
+	// a new connection. The target is one of reachedTargets all the same: it may have
+	// executed the request and lost the response.
 	maxStaleAttempts = 1
 )
 
@@ -205,15 +206,16 @@
 	if targetAtFault && failure != nil && failure.TargetClosed {
 		g.suspectCrash(request, grant.Target, crashBeforeHead)
 	}
-	switch {
-	case stage == forward.StageConnect:
+	if stage == forward.StageConnect {
 		request.unreachedAttempts++
-	case outcome.staleConnection && request.staleAttempts < maxStaleAttempts:
-		request.staleAttempts++
-		request.mayHaveExecuted = true
-	default:
-		request.reachedAttempts++
+	} else {
+		request.reachedTargets[grant.Target.ID] = true
 		request.mayHaveExecuted = true
+		if outcome.staleConnection && request.staleAttempts < maxStaleAttempts {
+			request.staleAttempts++
+		} else {
+			request.reachedAttempts++
+		}
 	}
 	g.recordAttempt(request, grant, started, balance.Observation{Result: result}, outcome, err.Error())
 	return outcome
@@ -224,6 +226,7 @@
 // at the target on the same way would use another connection to the target.
 func (g *Gateway) responseReceived(ctx context.Context, request *routedRequest, grant balance.Grant, started time.Time, received *forward.Response, distinct bool) attemptOutcome {
 	request.reachedAttempts++
+	request.reachedTargets[grant.Target.ID] = true
 	observation := balance.Observation{ColdFor: g.Headers.ColdStart(received.Header)}
 	if received.Status != http.StatusMisdirectedRequest { // That response states the load of another target.
 		observation.SetLoad(g.readLoad(grant.Target, received.Header), grant.Target)
--- a/gateway/failures_test.go
+++ b/gateway/failures_test.go
@@ -48,6 +48,80 @@
 	assert.Positive(t, n, "no request reached the flapping target")
 }
 
+// losingTarget is a target that executes requests and, while losing is set, resets the
+// connection in place of the response, sooner than a stale connection is told from it.
+type losingTarget struct {
+	name    string
+	losing  *atomic.Bool
+	mu      *sync.Mutex
+	targets map[string][]string // Names of the targets that executed a request, by its ID.
+}
+
+func (target losingTarget) handle(_ int, r *http.Request, c net.Conn) bool {
+	id := r.Header.Get(platform.HeaderRequestID)
+	target.mu.Lock()
+	target.targets[id] = append(target.targets[id], target.name)
+	target.mu.Unlock()
+	if target.losing.Load() {
+		time.Sleep(5 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	_, err := io.WriteString(c, stampedHead(200, r)+"Content-Length: 1\r\n\r\nx")
+	return err == nil
+}
+
+// Load pattern: targets reset kept connections in place of responses. Guards against
+// executing an idempotent request at more targets than its route allows.
+func TestLostResponsesDoNotExceedTargetsOfRoute(t *testing.T) {
+	for _, c := range []struct {
+		attempts int
+		relayed  bool
+	}{{1, false}, {2, false}, {3, false}, {2, true}} {
+		t.Run(fmt.Sprintf("attempts %d relayed %v", c.attempts, c.relayed), func(t *testing.T) {
+			t.Parallel()
+			var losing atomic.Bool
+			var mu sync.Mutex
+			executed := map[string][]string{}
+			var scripts []script
+			for i := range 6 {
+				scripts = append(scripts, losingTarget{fmt.Sprint(i), &losing, &mu, executed}.handle)
+			}
+			var s *site
+			if c.relayed {
+				s = startFarSite(t, nil, scripts...).site
+			} else {
+				s = startSite(t, siteOptions{scripts: scripts, attempts: c.attempts})
+			}
+			mostTargets, repeated := 0, 0
+			for round := range 4 {
+				losing.Store(false)
+				for i := range 30 { // Opens connections to the targets.
+					s.request("GET", "/safe/x", fmt.Sprint("sound", round, "-", i), "")
+				}
+				losing.Store(true)
+				for i := range 2 {
+					id := fmt.Sprint("lost", round, "-", i)
+					assert.Equal(t, 502, s.request("GET", "/safe/x", id, "").StatusCode)
+					mu.Lock()
+					ran := executed[id]
+					mu.Unlock()
+					distinct := map[string]bool{}
+					for _, name := range ran {
+						distinct[name] = true
+					}
+					mostTargets = max(mostTargets, len(distinct))
+					repeated += len(ran) - len(distinct)
+					assert.LessOrEqual(t, len(distinct), c.attempts, "request %s was executed by targets %v", id, ran)
+					assert.LessOrEqual(t, len(ran), c.attempts+1, "one attempt on a stale connection is not counted")
+				}
+			}
+			assert.Equal(t, c.attempts, mostTargets, "attempts are not used")
+			assert.Positive(t, repeated, "no request was sent to the same target again")
+		})
+	}
+}
+
 // Guards against discarding a target's error response although the retry that was
 // to replace it gets no response before the deadline.
 func TestFailureResponseIsDeliveredWhenRetryGetsNone(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -164,6 +164,7 @@
 	reachedAttempts   int                     // Attempts that reached a target.
 	unreachedAttempts int                     // Attempts that reached no target.
 	staleAttempts     int                     // Attempts on stale connections, not included in reachedAttempts.
+	reachedTargets    map[string]bool         // IDs of the targets that a part of the request may have reached.
 	mayHaveExecuted   bool                    // A target may have executed the request.
 	failedResponse    *response               // A target's error response, delivered if no retry gets a better one.
 	targetFull        bool                    // A target had no capacity.
@@ -320,14 +321,37 @@
 }
 
 func (request *routedRequest) pickCriteria(now time.Time) balance.Request {
-	return balance.Request{Service: request.service, Object: request.objectKey, HomeRegions: request.homeRegions,
+	criteria := balance.Request{Service: request.service, Object: request.objectKey, HomeRegions: request.homeRegions,
 		Account: request.accountName(), Rank: request.config.RankOf(request.account, request.route), Objective: request.route.Objective,
 		Elapsed: now.Sub(request.firstSent), Remaining: request.deadline.Sub(now), ExcludedTargets: request.excludedTargets, Retry: request.attempts() > 0, HasFallback: request.failedResponse != nil, Unrelayable: request.stream != nil, OverflowRefused: request.overflowRefused}
+	if request.targetsUsedUp() {
+		criteria.OnlyTargets = request.reachedTargets
+	}
+	return criteria
+}
+
+// targetsUsedUp reports whether the request was sent to as many targets as its route
+// allows. Further attempts must go to one of these.
+func (request *routedRequest) targetsUsedUp() bool {
+	return len(request.reachedTargets) >= request.route.MaxAttempts
+}
+
+// targetLeft reports whether there may be a target for a further attempt.
+func (request *routedRequest) targetLeft() bool {
+	if !request.targetsUsedUp() {
+		return true
+	}
+	for id := range request.reachedTargets {
+		if !request.excludedTargets[id] {
+			return true
+		}
+	}
+	return false
 }
 
 // shouldRetry reports whether the request is sent again after an attempt.
 func (g *Gateway) shouldRetry(request *routedRequest, outcome attemptOutcome) bool {
-	if !outcome.retryable || request.stream != nil {
+	if !outcome.retryable || request.stream != nil || !request.targetLeft() {
 		return false
 	}
 	if time.Until(request.deadline) < time.Duration(minRetryTimeFraction*float64(request.route.Objective)) {
--- a/steering/config.go
+++ b/steering/config.go
@@ -41,7 +41,7 @@
 	Timeout     time.Duration
 	Objective   time.Duration // Latency within which a response has its full value.
 	Priority    int           // 0 is the highest.
-	MaxAttempts int           // Maximum number of attempts per request that reach a target.
+	MaxAttempts int           // Maximum number of targets that a request is sent to.
 	Sticky      bool          // A target that has handled the same object recently is faster.
 	Split       []WeightedService
 	HomeRegions HomeRegions
