Count the crashes of a request over all services

Cause: the fingerprint by which the request is recognized covered the service that the split had chosen, so each service had a count of its own.

Change: the fingerprint covers the host that the caller names, not the service. jacinthd's callers name the service, so nothing changes there.

Seen to fail before: TestCrashesOfSeveralServicesAreCountedTogether, four cases, 9 to 12 executions and 0 to 3 refusals of 9 (now 4 at most, and 5 or more).

--- a/entry/incomingrequest.go
+++ b/entry/incomingrequest.go
@@ -106,7 +106,7 @@
 }
 
 func (request *incomingRequest) fingerprint() quarantine.Fingerprint {
-	content := quarantine.Request{Service: request.service.Name, Method: request.method, URI: request.uri,
+	content := quarantine.Request{Destination: request.service.Name, Method: request.method, URI: request.uri,
 		Body: request.bodyPrefix, BodyLength: request.bodyLength}
 	return content.Fingerprint()
 }
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -21,6 +21,7 @@
 	"github.com/jacinthstall/jacinthstall/gateway"
 	"github.com/jacinthstall/jacinthstall/platform"
 	"github.com/jacinthstall/jacinthstall/quarantine"
+	"github.com/jacinthstall/jacinthstall/steering"
 )
 
 // crashingTarget is a target that is crashed by requests whose path ends with
@@ -113,6 +114,42 @@
 	}
 }
 
+// Guards against counting the crashes of a request apart for each service: of a split
+// route, and of one that a new configuration moves.
+func TestCrashesOfSeveralServicesAreCountedTogether(t *testing.T) {
+	services := []string{"a", "b", "c"}
+	for _, way := range []string{"split", "moved"} {
+		for _, route := range []string{"safe", "unsafe"} {
+			t.Run(fmt.Sprint(way, " ", route), func(t *testing.T) {
+				t.Parallel()
+				target := &crashingTarget{bytes: 2000, sent: -1}
+				var scripts []script
+				for range 4 * len(services) {
+					scripts = append(scripts, target.handle)
+				}
+				options := siteOptions{scripts: scripts, services: services, split: []steering.WeightedService{{Service: "a", Weight: 1}}}
+				if way == "split" {
+					options.split = append(options.split, steering.WeightedService{Service: "b", Weight: 1}, steering.WeightedService{Service: "c", Weight: 1})
+				}
+				s := startSite(t, options)
+				refused := 0
+				for i := range 9 {
+					if way == "moved" {
+						s.moveRoutes(services[i%len(services)])
+					}
+					if s.request("POST", "/"+route+"/poison", fmt.Sprint("r", i), "b").StatusCode == http.StatusServiceUnavailable {
+						refused++
+					}
+					awaitCrashChecks()
+				}
+				assert.LessOrEqual(t, target.executed.Load(), int32(4), "executions")
+				assert.GreaterOrEqual(t, refused, 5)
+				assert.Equal(t, 200, s.request("POST", "/"+route+"/sound", "sound", "b").StatusCode)
+			})
+		}
+	}
+}
+
 // Guards against taking a truncated response of a relay, which has ended itself, for
 // a crash of the target.
 func TestEndOfRelayIsNotACrashOfTheTarget(t *testing.T) {
@@ -204,7 +241,7 @@
 // Guards against replacing a failure response of a target by one of this instance,
 // because the request is refused before its second attempt.
 func TestFailureResponseIsDeliveredWhenTheRetryIsRefused(t *testing.T) {
-	fingerprint := quarantine.Request{Service: "s", Method: "GET", URI: "/safe/x"}.Fingerprint()
+	fingerprint := quarantine.Request{Destination: host, Method: "GET", URI: "/safe/x"}.Fingerprint()
 	crashed := map[uint64]balance.Suspicion{binary.BigEndian.Uint64(fingerprint[:8]): {CrashCount: balance.CrashCount{Clearance: 7, Crashes: 3}}}
 	var s *site
 	logs := log.HandlerFunc(func(entry *log.Entry) error {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,7 @@
 	// called for each request with the number of the request on its connection,
 	// and returns whether to keep the connection open.
 	scripts  []script
+	services []string    // Services to which the scripts belong in turn; nil means "s".
 	attempts int         // Attempts of each route; 0 means 2.
 	logs     log.Handler // Receives the log of the gateway; nil discards it.
 	quotas   gateway.Quotas
@@ -74,6 +76,9 @@
 		o.attempts = 2
 	}
 	config := &steering.Config{Version: 1, Limits: o.limits, Services: map[string]steering.Service{"s": {Name: "s"}}}
+	for _, name := range o.services {
+		config.Services[name] = steering.Service{Name: name}
+	}
 	split := []steering.WeightedService{{Service: "s", Weight: 1}}
 	if o.split != nil {
 		split = o.split
@@ -89,6 +94,9 @@
 	}
 	for i, script := range o.scripts {
 		record := &steering.Target{ID: fmt.Sprint("script", i), Service: "s", Address: s.startScript(script), Domain: "d", Slots: 4}
+		if o.services != nil {
+			record.Service = o.services[i%len(o.services)]
+		}
 		updates = append(updates, steering.TargetUpdate{Target: record})
 	}
 	if o.logs == nil {
@@ -231,9 +239,24 @@
 
 // setLimits puts a configuration with other limits into force.
 func (s *site) setLimits(limits steering.Limits) {
+	s.changeConfig(func(config *steering.Config) { config.Limits = limits })
+}
+
+// moveRoutes puts a configuration into force that sends all requests to one service.
+func (s *site) moveRoutes(service string) {
+	s.changeConfig(func(config *steering.Config) {
+		config.Routes = slices.Clone(config.Routes)
+		for i := range config.Routes {
+			config.Routes[i].Split = []steering.WeightedService{{Service: service, Weight: 1}}
+		}
+	})
+}
+
+// changeConfig puts a changed copy of the configuration into force.
+func (s *site) changeConfig(change func(*steering.Config)) {
 	config := *s.state.Load().Config
 	config.Version++
-	config.Limits = limits
+	change(&config)
 	config.Index()
 	s.state.Store(s.state.Load().Apply(2, []steering.Update{steering.ConfigUpdate{Config: &config}}))
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -181,15 +181,16 @@
 }
 
 // fingerprint returns the fingerprint by which identical requests are recognized.
-// It hashes the whole request, of a streamed body the start, and is therefore
-// computed only when a target has crashed.
+// It does not cover the service: a split, or a later configuration, sends the same
+// request to another one. It hashes the whole request, of a streamed body the start,
+// and is therefore computed only when a target has crashed.
 func (request *routedRequest) fingerprint() quarantine.Fingerprint {
 	if request.cachedFingerprint == nil {
 		body := request.body
 		if request.stream != nil {
 			body = binary.BigEndian.AppendUint64(nil, request.prefixHash)
 		}
-		f := quarantine.Request{Service: request.service, Method: request.httpRequest.Method, URI: request.uri, Body: body,
+		f := quarantine.Request{Destination: steering.NormalizeHost(request.httpRequest.Host), Method: request.httpRequest.Method, URI: request.uri, Body: body,
 			BodyLength: request.httpRequest.ContentLength}.Fingerprint()
 		request.cachedFingerprint = &f
 	}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -18,11 +18,11 @@
 
 // Request holds the parts of a request that its fingerprint covers.
 type Request struct {
-	Service    string
-	Method     string
-	URI        string // Path and query.
-	Body       []byte // Bytes after the first MaxFingerprintBodyBytes are ignored.
-	BodyLength int64  // Length of the whole body; -1 when unknown.
+	Destination string // Service or host, as the caller names it.
+	Method      string
+	URI         string // Path and query.
+	Body        []byte // Bytes after the first MaxFingerprintBodyBytes are ignored.
+	BodyLength  int64  // Length of the whole body; -1 when unknown.
 }
 
 // Fingerprint returns the fingerprint of the request. Requests with bodies of the
@@ -35,7 +35,7 @@
 		hash.Write(number[:])
 		hash.Write(b)
 	}
-	writeField([]byte(request.Service))
+	writeField([]byte(request.Destination))
 	writeField([]byte(request.Method))
 	writeField([]byte(request.URI))
 	binary.BigEndian.PutUint64(number[:], uint64(request.BodyLength))
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -44,7 +44,7 @@
 // different requests with the same fingerprint because the ends of their fields
 // are not marked.
 func TestFingerprint(t *testing.T) {
-	base := Request{Service: "s", Method: "POST", URI: "/a?b=c", Body: []byte("body"), BodyLength: 4}
+	base := Request{Destination: "s", Method: "POST", URI: "/a?b=c", Body: []byte("body"), BodyLength: 4}
 	changed := func(change func(*Request)) Fingerprint {
 		r := base
 		change(&r)
@@ -52,12 +52,12 @@
 	}
 	assert.Equal(t, base.Fingerprint(), changed(func(*Request) {}))
 	for name, change := range map[string]func(*Request){
-		"service":        func(r *Request) { r.Service = "t" },
+		"destination":    func(r *Request) { r.Destination = "t" },
 		"method":         func(r *Request) { r.Method = "PUT" },
 		"query":          func(r *Request) { r.URI = "/a?b=d" },
 		"body":           func(r *Request) { r.Body = []byte("bodx") },
 		"length":         func(r *Request) { r.BodyLength = -1 },
-		"field boundary": func(r *Request) { r.Service, r.Method = "sP", "OST" },
+		"field boundary": func(r *Request) { r.Destination, r.Method = "sP", "OST" },
 	} {
 		assert.NotEqual(t, base.Fingerprint(), changed(change), name)
 	}
--- a/steering/config.go
+++ b/steering/config.go
@@ -89,7 +89,7 @@
 // Match returns the route of the host with the longest prefix of the path, or
 // nil.
 func (config *Config) Match(host, path string) *Route {
-	prefixes := config.routesByHost[normalizeHost(host)]
+	prefixes := config.routesByHost[NormalizeHost(host)]
 	if prefixes == nil {
 		return nil
 	}
@@ -101,9 +101,9 @@
 	return nil
 }
 
-// normalizeHost removes the port from a Host header and converts it to lower
+// NormalizeHost removes the port from a Host header and converts it to lower
 // case.
-func normalizeHost(host string) string {
+func NormalizeHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
