Reset the connection of an attempt that is given up

Cause: the connection of an abandoned exchange was closed, and a close first delivers what was written before it, however long the network takes.

Change: a connection to a target or a relay is opened with a linger time of zero, so that closing it, also by the end of the process, resets it and discards what was not delivered. It is closed gracefully only after a complete response. A connection carries one request at a time, so no other is cut.

Seen to fail before: TestAbandonedRequestIsNotDeliveredLater in its six cases; the target received the whole request. TestIdleConnectionIsClosedGracefully guards what held.

--- a/forward/body.go
+++ b/forward/body.go
@@ -43,7 +43,11 @@
 
 func (body *responseBody) complete() {
 	body.err = io.EOF
-	body.finish(!body.closeAfter && !body.closeDelimited && body.exchange.requestSent())
+	end := completed
+	if !body.closeAfter && !body.closeDelimited && body.exchange.requestSent() {
+		end = reusable
+	}
+	body.finish(end)
 }
 
 // connectionEnded ends a close-delimited body at the end of the connection. The
@@ -63,15 +67,15 @@
 		failure.Err = cause
 	}
 	body.err = failure
-	body.finish(false)
+	body.finish(abandoned)
 }
 
-func (body *responseBody) finish(reuse bool) {
+func (body *responseBody) finish(end exchangeEnd) {
 	if body.finished {
 		return
 	}
 	body.finished = true
-	body.exchange.finish(reuse)
+	body.exchange.finish(end)
 }
 
 var errBodyClosed = errors.New("read on closed response body")
@@ -82,6 +86,6 @@
 	if body.err == nil {
 		body.err = errBodyClosed
 	}
-	body.finish(false)
+	body.finish(abandoned)
 	return nil
 }
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -72,6 +72,13 @@
 	return c
 }
 
+// closeGracefully closes a connection whose last exchange is complete. All that was
+// written is still delivered.
+func (c *conn) closeGracefully() {
+	_ = c.SetLinger(-1)
+	_ = c.Close()
+}
+
 // addRequestID records the ID of a request that is about to be sent.
 func (c *conn) addRequestID(id string) {
 	if id != "" {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -225,7 +225,7 @@
 // fail ends an exchange without a response and returns its *Error.
 func (ex *exchange) fail(err error) error {
 	bodyFailed := ex.bodyFailed.Load() // Before finish, which may interrupt the body.
-	ex.finish(false)
+	ex.finish(abandoned)
 	if bodyFailed {
 		err = ex.writeErr
 	}
@@ -245,13 +245,24 @@
 	return failure
 }
 
-// finish returns the connection to the pool or closes it.
-func (ex *exchange) finish(reuse bool) {
-	if !ex.stopWatchingContext() {
-		reuse = false
-	}
-	if !reuse {
+// exchangeEnd is how an exchange has ended.
+type exchangeEnd int
+
+const (
+	abandoned exchangeEnd = iota // Without a complete response.
+	completed                    // With a complete response, after which the connection must be closed.
+	reusable                     // With a complete response.
+)
+
+// finish returns the connection to the pool or closes it. The connection of an
+// abandoned exchange is reset: the target must not receive the request later.
+func (ex *exchange) finish(end exchangeEnd) {
+	reuse := ex.stopWatchingContext() && end == reusable
+	switch {
+	case end == abandoned:
 		_ = ex.conn.Close()
+	case !reuse:
+		ex.conn.closeGracefully()
 	}
 	ex.awaitRequestDone()
 	// A target that wrote a response too many may write another one.
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -94,6 +94,12 @@
 		return nil, err
 	}
 	c := raw.(*net.TCPConn)
+	// Close resets the connection. What the network or the target's host has not
+	// taken of a request is then discarded, not delivered later. See closeGracefully.
+	if err := c.SetLinger(0); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
 	if target.AckTimeout > 0 {
 		if err := setUserTimeout(c, target.AckTimeout); err != nil {
 			_ = c.Close()
@@ -259,9 +265,10 @@
 	p.discard(address, c)
 }
 
-// discard closes a connection that is not in the pool's idle list.
+// discard closes a connection that is not in the pool's idle list. It is graceful
+// unless the connection was closed before.
 func (p *pool) discard(address string, c *conn) {
-	_ = c.Close()
+	c.closeGracefully()
 	p.unreserve(address)
 }
 
