Soak: requests that crash targets, targets that leave before a restore, held links

- poison: a request crashes each target that executes it, and its route moves to another service each time.
- leave-and-restore: targets remove their records, then state that they are leaving, and the store is restored to a copy with the records.
- hold: a proxy holds what is sent to a target and delivers it later.
A connection that is closed without a reset while a request on it is held is a violation.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -70,6 +70,7 @@
 	status        int // 0 if the connection ended without a complete response.
 	body          string
 	signature     string // Signature of the target; empty if the response has none.
+	targetLeaving bool   // The target states that it is leaving.
 	retryAfter    time.Duration
 	configVersion int    // Latest published configuration when the request was sent.
 	kept          bool   // The connection had carried a request before.
@@ -383,6 +384,7 @@
 		return err
 	}
 	outcome.status, outcome.body, outcome.signature = response.StatusCode, strings.TrimRight(string(body), " "), response.Header.Get(platform.HeaderServerStamp)
+	outcome.targetLeaving, _ = platform.Headers{}.Leaving(response.Header)
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		outcome.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -96,6 +96,7 @@
 func (deployment *Deployment) checkGuarantees(result *Result) {
 	deployment.checkStatements()
 	deployment.checkConfigVersions()
+	deployment.checkPoison()
 	records := deployment.requestRecords()
 	sent := map[string]bool{}
 	for _, outcome := range deployment.recorder.all() {
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -2,9 +2,9 @@
 // load, injects faults from outside, and checks the guarantees of the system
 // from what callers and targets observe. The injected faults are signals to the
 // processes, a share of the processor time, faults of the store, targets that end,
-// freeze, reject or send responses too many, and proxies that delay, discard or
-// reset traffic in one or both directions. The store and the targets are stand-ins
-// that run in the process of the soak test.
+// freeze, leave, reject or send responses too many, requests that crash targets, and
+// proxies that delay, hold, discard or reset traffic in one or both directions. The
+// store and the targets are stand-ins that run in the process of the soak test.
 //
 // Callers retry, pipeline, send long and slow bodies, leave early and use idle
 // connections again. Each request that ends without a response gets a cause; those
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -92,6 +92,9 @@
 	{name: "stop-signals", inject: (*Deployment).stopWithFurtherSignals},
 	{name: "idle-timeout", inject: (*Deployment).changeIdleTimeout},
 	{name: restoreKind, inject: (*Deployment).restoreStore, fromSeed: 40000},
+	{name: leaveAndRestoreKind, inject: (*Deployment).leaveAndRestore, fromSeed: 50000},
+	{name: "hold", inject: (*Deployment).holdTargetLink, fromSeed: 50000},
+	{name: poisonKind, inject: (*Deployment).sendPoison, fromSeed: 50000},
 }
 
 func (deployment *Deployment) instanceAt(selector int) *instance {
@@ -296,6 +299,23 @@
 	})
 }
 
+// holdTargetLink holds what the instances send to a target and delivers it after that,
+// like the network after a short cut. It checks that no request is delivered whose
+// instance has given it up.
+func (deployment *Deployment) holdTargetLink(selector int, duration time.Duration) {
+	index := selector % min(maxProxiedTargets, len(deployment.seats))
+	proxy := deployment.seats[index].proxy
+	before := proxy.heldRequestCount()
+	deployment.recordFault(faultTarget, nil, func() {
+		proxy.setMode(modeHold)
+		time.Sleep(2 * duration)
+		proxy.setMode(modePass)
+	})
+	if delivered := proxy.heldRequestCount() - before; delivered > 0 {
+		deployment.addViolation("requests that were given up are not delivered", "%d to target %d after its link was held for %s", delivered, index, 2*duration)
+	}
+}
+
 func (deployment *Deployment) injectStoreFault(faults metastore.Faults, duration time.Duration) {
 	deployment.recordFault(faultStore, nil, func() {
 		deployment.store.SetFaults(faults)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,8 +1,12 @@
 package soak
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"net"
+	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,13 +21,16 @@
 	modeOneWay              // Data to the server passes, data from the server is discarded.
 	modeRefuse              // Open and new connections are reset.
 	modeResetIdle           // Connections are reset when they are used after idling for idleResetAfter.
+	modeHold                // Data to the server is delivered when the mode ends, unless its sender has reset the connection.
 )
 
-var proxyModeNames = [...]string{"pass", "delay", "silence", "one-way", "refuse", "forget"}
+var proxyModeNames = [...]string{"pass", "delay", "silence", "one-way", "refuse", "forget", "hold"}
 
 const (
 	proxyDelay     = 80 * time.Millisecond
 	idleResetAfter = 250 * time.Millisecond
+	// holdPollInterval is how often the end of modeHold is checked.
+	holdPollInterval = 10 * time.Millisecond
 	// discardedConnLife is how long a connection whose data is discarded stays open
 	// after one side has ended.
 	discardedConnLife = 5 * time.Second
@@ -37,6 +44,9 @@
 	upstream string
 	mode     proxyMode
 	conns    map[*proxiedConn]struct{}
+	// heldRequests counts the connections that were closed without a reset while a
+	// request on them was held.
+	heldRequests int
 }
 
 // proxiedConn is a client connection and its connection to the server.
@@ -153,10 +163,17 @@
 			break
 		}
 		if n > 0 && !proxy.discards(conn, toServer) {
-			if proxy.currentMode() == modeDelay {
+			data := buffer[:n]
+			switch mode := proxy.currentMode(); {
+			case mode == modeDelay:
 				time.Sleep(proxyDelay)
+			case mode == modeHold && toServer && err == nil:
+				data, err = proxy.hold(data, from)
 			}
-			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+			if err != nil && err != io.EOF {
+				break
+			}
+			if _, writeErr := to.Write(data); writeErr != nil {
 				break
 			}
 		}
@@ -180,6 +197,43 @@
 	proxy.remove(conn)
 }
 
+// hold returns the data and all that follows it when modeHold has ended, and the error
+// that ended the connection meanwhile, if any.
+func (proxy *proxy) hold(data []byte, from net.Conn) ([]byte, error) {
+	held, buffer := slices.Clone(data), make([]byte, 16<<10)
+	var ended error
+	for proxy.currentMode() == modeHold {
+		if ended == io.EOF {
+			time.Sleep(holdPollInterval)
+			continue
+		}
+		_ = from.SetReadDeadline(time.Now().Add(holdPollInterval))
+		n, err := from.Read(buffer)
+		held = append(held, buffer[:n]...)
+		switch {
+		case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+		case err == io.EOF:
+			ended = err
+			if bytes.Contains(held, []byte(" HTTP/1.1\r\n")) {
+				proxy.mu.Lock()
+				proxy.heldRequests++
+				proxy.mu.Unlock()
+			}
+		default:
+			return nil, err
+		}
+	}
+	_ = from.SetReadDeadline(time.Time{})
+	return held, ended
+}
+
+// heldRequestCount returns heldRequests.
+func (proxy *proxy) heldRequestCount() int {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	return proxy.heldRequests
+}
+
 // directionEnded records the end of the data in one direction and reports whether
 // both have ended.
 func (proxy *proxy) directionEnded(conn *proxiedConn) bool {
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -14,8 +14,16 @@
 	"github.com/jacinthstall/jacinthstall/standin/wiresite"
 )
 
-// restoreKind is the name of the kind of fault in which the store is restored.
-const restoreKind = "store-restore"
+// Names of the kinds of faults in which the store is restored.
+const (
+	restoreKind         = "store-restore"
+	leaveAndRestoreKind = "leave-and-restore"
+)
+
+// restores reports whether the store is restored in faults of the kind.
+func (kind faultKind) restores() bool {
+	return kind.name == restoreKind || kind.name == leaveAndRestoreKind
+}
 
 const (
 	minCopyAge = time.Second
@@ -36,7 +44,11 @@
 		return
 	}
 	defer deployment.restoring.Store(false)
-	age := minCopyAge + time.Duration(selector)*time.Millisecond%(maxCopyAge-minCopyAge)
+	deployment.restoreCopy(minCopyAge+time.Duration(selector)*time.Millisecond%(maxCopyAge-minCopyAge), selector, duration)
+}
+
+// restoreCopy restores a copy of an age. The caller must have set restoring.
+func (deployment *Deployment) restoreCopy(age time.Duration, selector int, duration time.Duration) {
 	outage := min(duration, maxRestoreOutage)
 	random := rand.New(rand.NewPCG(uint64(selector), 3))
 	deployment.recordFault(faultStore, nil, func() {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -74,7 +74,11 @@
 	restoring       atomic.Bool  // Whether the store is being restored.
 	configMu        sync.Mutex   // Guards writes of the configuration.
 	drainingTargets sync.Map     // Set of the indexes of draining targets.
-	closers         []func()     // Close the proxies and the servers of stand-ins.
+	closed          atomic.Bool  // Whether close was called.
+	playsPoison     bool         // Whether the run includes requests that crash targets.
+	poison          poisonRecorder
+	poisonSenders   sync.Map // Instances to which such requests were sent, by ID.
+	closers         []func() // Close the proxies and the servers of stand-ins.
 
 	idleTimeout atomic.Int64   // Idle time-out of the latest published configuration, in nanoseconds.
 	restarts    sync.WaitGroup // Of instances that ended by themselves.
@@ -105,7 +109,8 @@
 // Run starts a deployment, injects faults under load and checks the guarantees of
 // the system.
 func Run(ctx context.Context, options Options) (Result, error) {
-	deployment := &Deployment{options: options, random: rand.New(rand.NewPCG(options.Seed, 1)), store: metastore.New()}
+	deployment := &Deployment{options: options, random: rand.New(rand.NewPCG(options.Seed, 1)), store: metastore.New(),
+		poison: poisonRecorder{crashes: map[string][]poisonCrash{}}}
 	defer deployment.close()
 	if err := deployment.start(); err != nil {
 		return Result{}, err
@@ -151,6 +156,7 @@
 
 // close kills the instances and closes the proxies and stand-ins.
 func (deployment *Deployment) close() {
+	deployment.closed.Store(true)
 	for _, inst := range deployment.instances {
 		inst.signal(9)
 		inst.waitExit(killTimeout)
@@ -171,10 +177,16 @@
 	go func() { _ = storeServer.Run() }()
 	deployment.closers = append(deployment.closers, func() { _ = storeServer.Close() })
 	deployment.idleTimeout.Store(int64(wiresite.DefaultIdleTimeout))
-	if slices.ContainsFunc(faultKinds, func(kind faultKind) bool { return kind.name == restoreKind && deployment.plays(kind) }) {
+	deployment.playsPoison = slices.ContainsFunc(faultKinds, func(kind faultKind) bool { return kind.name == poisonKind && deployment.plays(kind) })
+	if slices.ContainsFunc(faultKinds, func(kind faultKind) bool { return kind.restores() && deployment.plays(kind) }) {
 		deployment.store.SetEra(deployment.options.Seed % 2) // Half of the runs begin with a store that states no era.
 	}
 	deployment.publishConfig()
+	if deployment.playsPoison {
+		if err := deployment.startPoisonTargets(); err != nil {
+			return err
+		}
+	}
 	for i := range deployment.options.Targets {
 		if err := deployment.addTarget(i); err != nil {
 			return err
@@ -204,9 +216,13 @@
 	route := func(name string, idempotent bool) wiresite.Route {
 		return wiresite.Route{Segment: name, Idempotent: idempotent, Timeout: routeTimeout}
 	}
-	deployment.store.Put(wiresite.ConfigKey, wiresite.ConfigWithIdleTimeout(version, serviceName,
-		time.Duration(deployment.idleTimeout.Load()), route("safe", true), route("unsafe", false),
-		route(fmt.Sprint("extra", version), true)))
+	routes := []wiresite.Route{route("safe", true), route("unsafe", false), route(fmt.Sprint("extra", version), true)}
+	if deployment.playsPoison {
+		poison := route(poisonRoute, false)
+		poison.Service = poisonService(version)
+		routes = append(routes, poison)
+	}
+	deployment.store.Put(wiresite.ConfigKey, wiresite.ConfigWithIdleTimeout(version, serviceName, time.Duration(deployment.idleTimeout.Load()), routes...))
 }
 
 func (deployment *Deployment) addInstance(index int, storeAddress string) error {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -42,6 +42,12 @@
 		soak.Options{Seed: 27302, Instances: 2, Targets: 4, Callers: 60, Faults: 12, Kinds: []string{"noisy-target"}, TargetFaults: 0.3}},
 	{"instances did not read that targets leave or ask for a pause",
 		soak.Options{Seed: 30001, Instances: 4, Targets: 6, Callers: 40, Faults: 14, Kinds: []string{"leave", "ask-for-pause", "stop", "pause", "store-down"}}},
+	{"the bytes of requests that were given up reached their target when its link was held for a moment",
+		soak.Options{Seed: 50002, Instances: 4, Targets: 6, Callers: 60, Faults: 8, Kinds: []string{"hold"}}},
+	{"a target stated that it is leaving after its record was removed, and the store was restored with the record",
+		soak.Options{Seed: 50003, Instances: 4, Targets: 6, Callers: 80, Faults: 10, Kinds: []string{"leave-and-restore"}}},
+	{"the crashes of a request were counted apart for each service to which its route moved",
+		soak.Options{Seed: 50002, Instances: 4, Targets: 6, Callers: 8, Faults: 2, Kinds: []string{"poison"}}},
 	{"SIGHUP before the process handles signals",
 		soak.Options{Seed: 26001, Instances: 4, Targets: 6, Callers: 16, Faults: 8, Kinds: []string{"signals"}}},
 }
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -50,6 +50,7 @@
 	target   *wiretarget.Target
 	listener *killableListener
 	busy     bool // A fault has reserved the seat.
+	noRecord bool // The target has removed its record.
 }
 
 // killableListener keeps the accepted connections, to reset them with the target.
@@ -136,6 +137,7 @@
 	} else {
 		seat.address = listenAddress
 	}
+	seat.noRecord = false
 	seat.starts++
 	seat.id = fmt.Sprintf("t%d.%d", seat.index, seat.starts)
 	queue := targetQueue
@@ -164,15 +166,27 @@
 }
 
 // writeTargetRecord writes the state of a target to the store, unless the target
-// has been replaced.
+// has been replaced. If the target has removed its record, it does so again.
 func (deployment *Deployment) writeTargetRecord(seat *targetSeat, id, state string) {
 	seat.mu.Lock()
 	defer seat.mu.Unlock()
-	if seat.id == id {
+	switch {
+	case seat.id != id:
+	case seat.noRecord:
+		deployment.store.Delete(wiresite.TargetKey(id))
+	default:
 		deployment.store.Put(wiresite.TargetKey(id), seat.record(state))
 	}
 }
 
+// removeTargetRecord removes the record of the seat's target for good.
+func (deployment *Deployment) removeTargetRecord(seat *targetSeat) {
+	seat.mu.Lock()
+	defer seat.mu.Unlock()
+	seat.noRecord = true
+	deployment.store.Delete(wiresite.TargetKey(seat.id))
+}
+
 // current returns the target in the seat and its ID.
 func (seat *targetSeat) current() (*wiretarget.Target, string) {
 	seat.mu.Lock()
