Soak: requests that get 421 are not counted at leaving targets

The trace shows that they were sent to the target before it in its seat: the restored copy held that one's record with the same address, and t5.2 answered 421 (520 names t5.1, 521 "not executed, status 421"). The rule leaves these out: "Health checks and requests that get 421 don't count." The stand-in marks them, and the check of leaving targets passes over them; that of pauses does not.

--- a/internal/soak/availability.go
+++ b/internal/soak/availability.go
@@ -146,7 +146,7 @@
 func (deployment *Deployment) checkLeaving(target *wiretarget.Target, arrivals []wiretarget.StatedArrival, outcomes map[string]requestOutcome, passedOn map[*instance]time.Time) {
 	for _, arrival := range arrivals {
 		outcome, known := outcomes[arrival.ID]
-		if !known || !arrival.PausedUntil.IsZero() {
+		if !known || !arrival.PausedUntil.IsZero() || arrival.Misdirected {
 			continue
 		}
 		at, told := passedOn[outcome.instance]
--- a/standin/wiretarget/statements.go
+++ b/standin/wiretarget/statements.go
@@ -12,6 +12,7 @@
 	ID          string
 	At          time.Time
 	PausedUntil time.Time // Zero unless the request was rejected in a pause.
+	Misdirected bool      // The request was sent to another target, which had the address before.
 }
 
 // SetRateLimit makes the target state that it takes a number of requests per
