Test: targets that go down listen on a host of their own

Cause: a target that simulates a crash frees its port of 127.0.0.1 for 50 ms or more, and a listener of another process, or of another package's tests, may take it and answer its requests.

Change: the targets of the test get a host of their own, as those of other tests. The assertions are the same.

--- a/entry/reportedoutcomes_test.go
+++ b/entry/reportedoutcomes_test.go
@@ -14,13 +14,15 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthstall/jacinthstall/internal/loopback"
 	"github.com/jacinthstall/jacinthstall/outcome"
 	"github.com/jacinthstall/jacinthstall/standin/targetd"
 )
 
 func startTarget(t *testing.T, o targetd.Options) (*targetd.Target, string) {
 	t.Helper()
-	l, err := targetd.Listen("127.0.0.1:0", 0)
+	// Another process may take a port of 127.0.0.1 while the target is down.
+	l, err := targetd.Listen(loopback.Host()+":0", 0)
 	require.NoError(t, err)
 	target, h := targetd.NewServer(o, l)
 	go func() { _ = h.Run() }()
