Test: outcomes do not depend on when a target's close arrives

Cause: the scripted target closes each connection after its response without announcing it. The instance keeps the connection, and if the read is sent before the close has arrived, its outcome is unknown; there is no other target to try. jacinthd reports that as intended, so the test's expectation was wrong for this order of events.

Change: the test sends the next request after the target has closed the connection; the expected outcomes are the same. The order that the test met by chance has a test of its own, TestOutcomeOnAConnectionThatTheTargetCloses: a write is not sent again, a read goes to another target, and without another target its outcome is unknown.

--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -225,16 +225,22 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var runs atomic.Int64
+			closed := make(chan struct{}, maxAttempts)
 			target := startScriptedTarget(t, func(_ *http.Request, _ []byte, conn net.Conn) bool {
 				if c.runs > 0 {
 					runs.Add(1)
 				}
 				write(conn, c.script)
+				_ = conn.Close()
+				closed <- struct{}{}
 				return false
 			})
 			inst := startInstance(t, "a-1", target)
 			assert.Equal(t, c.write, call(t, inst, "POST", "/writes/x", "", strings.NewReader("body")).String())
 			assert.EqualValues(t, c.runs, runs.Load())
+			// The next request must not meet the end of this connection; see
+			// TestOutcomeOnAConnectionThatTheTargetCloses.
+			<-closed
 			assert.Equal(t, c.read, call(t, inst, "GET", "/reads/x", "", nil).String())
 		})
 	}
@@ -247,6 +253,50 @@
 	assert.Equal(t, "503 no-configuration no", call(t, none, "GET", "/reads/x", "", nil).String())
 }
 
+// A target that closes a kept connection as a request arrives on it may have
+// executed that request: a write must not be sent again, and a read must be sent to
+// another target.
+func TestOutcomeOnAConnectionThatTheTargetCloses(t *testing.T) {
+	for _, c := range []struct {
+		name, method, path string
+		targets            int
+		want               string
+		runs               int64 // Executions of the request.
+	}{
+		{"write", "POST", "/writes/second", 2, "502 target-failed unknown", 1},
+		{"read with another target", "GET", "/reads/second", 2, "200 answered yes", 2},
+		{"read without another target", "GET", "/reads/second", 1, "502 target-failed unknown", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int64
+			var kept sync.Map // Connections that carried a request before.
+			var closedOne atomic.Bool
+			respond := func(r *http.Request, _ []byte, conn net.Conn) bool {
+				if strings.HasSuffix(r.URL.Path, "/second") {
+					runs.Add(1)
+					if closedOne.CompareAndSwap(false, true) {
+						_, reused := kept.Load(conn)
+						assert.True(t, reused, "the request arrived on a new connection")
+						return false
+					}
+				}
+				kept.Store(conn, true)
+				return write(conn, httpResponse("200 OK", "", "x"))
+			}
+			var targets []string
+			for range c.targets {
+				targets = append(targets, startScriptedTarget(t, respond))
+			}
+			inst := startInstance(t, "a-1", targets...)
+			for i := range 8 * c.targets { // Until each target has a kept connection.
+				require.Equal(t, "200 answered yes", call(t, inst, "GET", fmt.Sprintf("/reads/%d", i), "", nil).String())
+			}
+			assert.Equal(t, c.want, call(t, inst, c.method, c.path, "", nil).String())
+			assert.Equal(t, c.runs, runs.Load())
+		})
+	}
+}
+
 // A request that may have been executed must not be retried, and one that was
 // not executed must be retried.
 func TestRetries(t *testing.T) {
