Route by the state that the balancer knows

Requests that arrived in the first milliseconds after an instance was ready got 503 (no-target), and so would the first requests for a service that a new configuration and new records bring.

Cause: the mirror makes a state visible before it tells the balancer of it. Readiness and the gateway looked at the mirror.

Change: both look at the state that the node has passed to the balancer.

--- a/node/node.go
+++ b/node/node.go
@@ -84,8 +84,11 @@
 	stateMachine   *lifecycle.Machine
 	explaining     sync.Mutex // Held by handleExplain.
 	leaving        atomic.Bool
-	lease          atomic.Pointer[kv.LeaseID]    // Nil before the first registration.
-	lostHomeTable  atomic.Pointer[lostHomeTable] // Nil if there is nothing to write again.
+	// routing is the state by which requests are routed. It follows the state of the
+	// mirror as soon as the balancer knows the targets.
+	routing       atomic.Pointer[steering.State]
+	lease         atomic.Pointer[kv.LeaseID]    // Nil before the first registration.
+	lostHomeTable atomic.Pointer[lostHomeTable] // Nil if there is nothing to write again.
 }
 
 // maintenanceInterval is the interval between calls of Balancer.Tick, which
@@ -111,6 +114,7 @@
 	node.mirror = mirror.New(mirror.Options{Store: options.Store, Prefix: options.Platform.Prefix(), Codec: options.Platform, Events: node.events,
 		WatchesStore: node.watchesStore, DefersFirstRead: node.defersFirstRead, NewerPeer: node.newerPeer, Fetch: fetchSnapshot, OnStateChanged: node.stateChanged,
 		StoreServes: node.storeServes, OnEraChanged: node.eraChanged})
+	node.routing.Store(node.mirror.State())
 	if options.OnInvalidEra != nil {
 		options.OnInvalidEra(node.invalidEra)
 	}
@@ -125,7 +129,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for gossip messages: %w", err)
 	}
-	node.gateway = gateway.New(gateway.Options{State: node.mirror.State, Balancer: node.balancer, Suspects: node.suspects, Budget: balance.NewRetryBudget(s.Bounds, now),
+	node.gateway = gateway.New(gateway.Options{State: node.routing.Load, Balancer: node.balancer, Suspects: node.suspects, Budget: balance.NewRetryBudget(s.Bounds, now),
 		Forwarder: node.forwarder, RelayForwarder: node.relayForwarder, Headers: options.Headers, Events: node.events, LiveInstances: node.instanceCount, Quotas: node.quotas, ExplainQuota: node.quotas.Explain,
 		MemoryBytes: s.MemoryBytes})
 	node.quotas.refused = gometrics.GetOrRegisterCounter("requests_over_quota_total", node.gateway.Counters().Registry)
@@ -220,7 +224,7 @@
 }
 
 // ready reports whether callers may be sent to this instance.
-func (node *Node) ready() bool { return node.mirror.State().Config != nil && !node.leaving.Load() }
+func (node *Node) ready() bool { return node.routing.Load().Config != nil && !node.leaving.Load() }
 
 // maxStoreResponseAge is how long after its last response the store counts as
 // reachable. A watch returns at least every 2 s.
@@ -249,6 +253,7 @@
 	}
 	node.quotas.configChanged(time.Now(), before.Config, after.Config)
 	node.balancer.SetState(time.Now(), after)
+	node.routing.Store(after)
 	node.exchange.SetRegistered(after.Instances)
 	node.exchange.Announce()
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -197,6 +197,25 @@
 	}
 }
 
+// Guards against an instance that is ready, or that routes to a new service, before
+// its balancer knows the targets: such requests got 503 (no-target).
+func TestRequestsAreServedFromTheFirstReadyResponse(t *testing.T) {
+	d := newDeployment(t)
+	// Reading many records takes long enough for requests to arrive meanwhile.
+	for i := range 3000 {
+		d.store.Put(wiresite.TargetKey(fmt.Sprint("other", i)), wiresite.TargetRecord(fmt.Sprint("other", i%50), "a1", "127.0.0.1:9", "ready", 8))
+	}
+	n := d.startNode("n1", "a1")
+	for deadline := time.Now().Add(10 * time.Second); ; {
+		if n.ready() {
+			break
+		}
+		require.True(t, time.Now().Before(deadline), "the instance is not ready")
+	}
+	status, body := n.request("/app/x")
+	require.Equal(t, 200, status, body)
+}
+
 // Guards against changes that don't take effect on all instances within
 // seconds, or that are reverted.
 func TestChangesReachAllInstances(t *testing.T) {
