Hold only targets whose records may have lapsed

Cause: the mirror took each failed call for an outage of the store, and each record that was gone afterwards for one that may have lapsed, and kept the target for 2.2 s more. It is up to 2.6 s until a silent connection is noticed. It also told its peers that the store had returned, and they did the same.

Change: a record lapses only after two renewals in a row have failed, so targets are held only if the store did not respond for at least two heartbeat intervals. Gaps with less service than that in between count as one. The return of the store at a peer counts only for an instance that the store has not served lately. Event 911 states the decision. After a read that timed out, the other kept connections to the store, which may be silent too, are closed.

Weighed: evidence from records that others wrote during the gap.

--- a/events/steering.go
+++ b/events/steering.go
@@ -9,7 +9,7 @@
 		Message: "store does not respond; the last known state stays in force", Fields: []string{"revision", "op", "error"},
 		Action: "check the store and the network to it; instances continue with the last known state"})
 	StoreRegained = register(Event{Number: 911, Name: "store-regained", Level: log.InfoLevel,
-		Message: "store responds again", Fields: []string{"revision", "lostMs"}, Action: "none"})
+		Message: "store responds again", Fields: []string{"revision", "lostMs", "mayHaveLapsed"}, Action: "none"})
 	StoreRead = register(Event{Number: 912, Name: "store-read", Level: log.InfoLevel,
 		Message: "full state read from the store", Fields: []string{"revision", "items", "reason"}, Action: "none"})
 	RecordRejected = register(Event{Number: 913, Name: "record-rejected", Level: log.WarnLevel,
--- a/kv/cut_test.go
+++ b/kv/cut_test.go
@@ -7,11 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthstall/jacinthstall/kv"
 )
@@ -103,3 +106,51 @@
 		})
 	}
 }
+
+// Guards against a store that seems away for longer than it is, because a read is
+// sent on one kept connection after another that went silent together.
+func TestReadAfterATimeoutUsesANewConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var accepted atomic.Int32
+	var both sync.WaitGroup // The first two connections have a request each.
+	both.Add(2)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			first := accepted.Add(1) <= 2
+			go func() {
+				reader := bufio.NewReader(c)
+				for i := 0; ; i++ {
+					if _, err := http.ReadRequest(reader); err != nil {
+						_ = c.Close()
+						return
+					}
+					if first && i > 0 {
+						continue // Silent after the first response.
+					}
+					if first {
+						both.Done()
+						both.Wait()
+					}
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+				}
+			}()
+		}
+	}()
+	client, err := kv.NewHTTPClient(listener.Addr().String(), map[int]error{200: nil})
+	require.NoError(t, err)
+	read := func() error {
+		return client.Do(context.Background(), kv.Call{Op: "get", Method: "GET", Path: "/", Timeout: 500 * time.Millisecond, MaxTime: time.Second}, nil)
+	}
+	var group errgroup.Group
+	group.Go(read)
+	group.Go(read)
+	require.NoError(t, group.Wait())
+	assert.Error(t, read(), "the connection is silent")
+	assert.NoError(t, read(), "the other silent connection was used")
+}
--- a/kv/httpclient.go
+++ b/kv/httpclient.go
@@ -178,6 +178,9 @@
 	if err != nil && context.Cause(ctx) != nil {
 		err = context.Cause(ctx)
 	}
+	if errors.Is(err, errTimeLimit) {
+		c.reads.CloseIdleConnections() // They may be silent too.
+	}
 	if err != nil && len(body) > 0 {
 		err = &IncompleteError{Received: len(body), Cause: err}
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -87,6 +87,10 @@
 	// StoreServes reports whether the store responds to any instance of the
 	// failure domain. Nil means that only this instance's own calls count.
 	StoreServes func() bool
+	// MinLapseTime is the shortest time without the store in which the record of a
+	// target that renews it can lapse. A target whose record is missing after a
+	// shorter time has been removed. 0 means that any outage may be long enough.
+	MinLapseTime time.Duration
 	// OnEraChanged is called with the last state of an older era and the revision
 	// of the first full read of a newer one, from the mirror's goroutine and before
 	// OnStateChanged.
@@ -132,7 +136,7 @@
 	items         map[string]kv.Item
 	revision      kv.Revision
 	history       history
-	storeReturned time.Time // When the store last became responsive again, here or at a peer.
+	storeReturned time.Time // When the store last became responsive again after an outage in which records may have lapsed, here or at a peer.
 	eraStarted    time.Time // When the store was first read in the current era, here or at a peer; zero if unknown.
 	// configInForce is the record of the configuration in force if the current era
 	// has a lower version, otherwise nil.
@@ -142,7 +146,9 @@
 
 	wake          chan struct{}        // Holds a token when a peer has reported a change.
 	loaded        bool                 // All records have been read from the store or a peer.
-	lostSince     time.Time            // Since when the store hasn't responded; zero when it responds.
+	lostSince     time.Time            // Since when calls to the store fail; zero when it responds.
+	unservedSince time.Time            // Last response of the store before the outage, or before several in quick succession.
+	regained      time.Time            // When the store last responded after a failed call.
 	heldTargets   map[string]time.Time // Until when targets with lapsed records are kept, by key.
 	unconfirmed   map[string]time.Time // Until when records of older eras are kept, by key. They are in items.
 	seekUntil     time.Time            // Until when a peer is asked for records of older eras; zero if none is to be asked.
@@ -226,7 +232,7 @@
 		if ctx.Err() != nil {
 			return // The call ended with the context.
 		}
-		mirror.handleStoreError(err)
+		mirror.handleStoreError(time.Now(), err)
 		mirror.fetchDuringOutage(ctx)
 		sleep(ctx, pause+time.Duration(rand.Int64N(int64(pause/3))))
 		pause = min(2*pause, maxBackoff)
@@ -347,12 +353,17 @@
 	return record.Position(), record.Fault != ""
 }
 
-func (mirror *Mirror) handleStoreError(err error) {
+func (mirror *Mirror) handleStoreError(now time.Time, err error) {
 	mirror.storeFailing.Store(true)
 	if !mirror.lostSince.IsZero() {
 		return
 	}
-	mirror.lostSince = time.Now()
+	mirror.lostSince = now
+	// Between outages in quick succession, writers may not have had time to renew
+	// their records.
+	if at := mirror.lastResponse.Load(); at != nil && (mirror.regained.IsZero() || at.Sub(mirror.regained) >= mirror.options.MinLapseTime) {
+		mirror.unservedSince = *at
+	}
 	op := ""
 	var call *kv.Error
 	if errors.As(err, &call) {
@@ -367,9 +378,19 @@
 	if mirror.lostSince.IsZero() {
 		return
 	}
-	mirror.options.Events.Emit(events.StoreRegained, log.Fields{"revision": revision.Number, "lostMs": now.Sub(mirror.lostSince).Milliseconds()})
-	mirror.lostSince = time.Time{}
-	mirror.setStoreReturned(now)
+	lapsed := mirror.mayHaveLapsed(now)
+	mirror.options.Events.Emit(events.StoreRegained, log.Fields{"revision": revision.Number, "lostMs": now.Sub(mirror.lostSince).Milliseconds(), "mayHaveLapsed": lapsed})
+	mirror.lostSince, mirror.regained = time.Time{}, now
+	if lapsed {
+		mirror.setStoreReturned(now)
+	}
+}
+
+// mayHaveLapsed reports whether records of targets that are alive may have lapsed
+// during an outage that ends now. A failed call or a connection that went silent
+// doesn't last long enough, and the store may have served others meanwhile.
+func (mirror *Mirror) mayHaveLapsed(now time.Time) bool {
+	return mirror.unservedSince.IsZero() || now.Sub(mirror.unservedSince) >= mirror.options.MinLapseTime
 }
 
 // noteProgress records that a response of the store is arriving. A large one
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -478,7 +478,7 @@
 	assert.False(t, m.StoreReachable(now, time.Minute))
 	m.noteProgress()
 	assert.True(t, m.StoreReachable(now, time.Minute))
-	m.handleStoreError(&kv.Error{Op: "watch", Kind: kv.ErrUnavailable})
+	m.handleStoreError(now, &kv.Error{Op: "watch", Kind: kv.ErrUnavailable})
 	m.noteProgress()
 	assert.False(t, m.StoreReachable(now, time.Minute), "the call before failed")
 }
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -126,7 +126,7 @@
 	}
 	mirror.options.Events.Emit(events.PeerStateTaken, log.Fields{"peer": peer.Name, "revision": snapshot.Revision, "items": len(snapshot.Items)})
 	if snapshot.ReturnedMs > 0 {
-		mirror.setStoreReturned(time.Now().Add(-time.Duration(snapshot.ReturnedMs) * time.Millisecond))
+		mirror.noteReturnAtPeer(time.Now().Add(-time.Duration(snapshot.ReturnedMs) * time.Millisecond))
 	}
 	source := "peer " + peer.Name
 	if snapshot.Whole {
@@ -139,3 +139,12 @@
 	mirror.apply(snapshot.Items, snapshot.Position(), time.Now(), source)
 	return fetchTaken
 }
+
+// noteReturnAtPeer records when the store became responsive again to a peer, unless
+// it has served this instance too recently for records to have lapsed.
+func (mirror *Mirror) noteReturnAtPeer(returned time.Time) {
+	if at := mirror.lastResponse.Load(); at != nil && returned.Sub(*at) < mirror.options.MinLapseTime {
+		return
+	}
+	mirror.setStoreReturned(returned)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -96,6 +96,10 @@
 // and between checks for pauses of the process.
 const maintenanceInterval = 250 * time.Millisecond
 
+// renewalsBeforeLapse is the number of renewals in a row that must fail before the
+// record of a target lapses.
+const renewalsBeforeLapse = 2
+
 // sweepInterval is the interval between sweeps of idle connections to targets
 // and relays.
 const sweepInterval = 2 * time.Second
@@ -113,7 +117,7 @@
 	node.quotas = newAccountQuotas(s.Bounds, node.events, now)
 	node.mirror = mirror.New(mirror.Options{Store: options.Store, Prefix: options.Platform.Prefix(), Codec: options.Platform, Events: node.events,
 		WatchesStore: node.watchesStore, DefersFirstRead: node.defersFirstRead, NewerPeer: node.newerPeer, Fetch: fetchSnapshot, OnStateChanged: node.stateChanged,
-		StoreServes: node.storeServes, OnEraChanged: node.eraChanged})
+		StoreServes: node.storeServes, OnEraChanged: node.eraChanged, MinLapseTime: renewalsBeforeLapse * s.HeartbeatInterval})
 	node.routing.Store(node.mirror.State())
 	if options.OnInvalidEra != nil {
 		options.OnInvalidEra(node.invalidEra)
