Count the time of a watch from the last response of the store

Cause: an instance that has just started waits for 0.5 s after a change before its next watch, which then fails after 2.6 s. With the retry, 3.2 s have passed since the last response, more than the 3 s after which records may have lapsed.

Change: a watch waits for 2 s less the time since the last response.

Seen to fail before: TestSilenceInThePauseAfterAChange.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// watchTimeout is how long a watch waits for a change. An unresponsive
-	// connection is detected after it, within the time that a deployment has to
-	// stabilize.
+	// watchTimeout is how long a watch waits for a change, less the time since the last
+	// response of the store. An unresponsive connection is detected after it, within the
+	// time that a deployment has to stabilize and before records can lapse.
 	watchTimeout = 2 * time.Second
 	// lostWatchTimeout is the watch timeout while the store doesn't respond. It
 	// is short so that the store's return and changes reported by peers are
@@ -319,10 +319,13 @@
 	return changePause
 }
 
-// nextWatchTimeout returns the timeout of the next watch. It is short enough
-// that held targets are removed in time.
+// nextWatchTimeout returns the timeout of the next watch. It is short enough that a
+// silent connection is noticed and held targets are removed in time.
 func (mirror *Mirror) nextWatchTimeout(now time.Time) time.Duration {
 	wait := watchTimeout
+	if at := mirror.lastResponse.Load(); at != nil {
+		wait = max(lostWatchTimeout, watchTimeout-now.Sub(*at))
+	}
 	if !mirror.lostSince.IsZero() {
 		wait = lostWatchTimeout
 	}
--- a/mirror/outage_test.go
+++ b/mirror/outage_test.go
@@ -23,9 +23,8 @@
 // lapse after three intervals.
 const heartbeat = 1500 * time.Millisecond
 
-// modelStore is a kv.Store whose connections can go silent and that can be away.
+// modelStore is a store that can be away and whose connections can go silent.
 type modelStore struct {
-	kv.Store
 	mu       sync.Mutex
 	changes  []kv.Item // The change of revision n is at n-1.
 	away     bool      // Calls fail.
@@ -53,39 +52,60 @@
 
 var errModelCall = &kv.Error{Op: "watch", Kind: kv.ErrUnavailable}
 
-func (store *modelStore) Range(context.Context, string) ([]kv.Item, kv.Revision, error) {
-	changes, away, _ := store.status()
-	if away {
-		return nil, kv.Revision{}, errModelCall
-	}
-	latest := map[string]kv.Item{}
-	for _, change := range changes {
-		latest[change.Key] = change
-	}
-	var items []kv.Item
-	for _, item := range latest {
-		if !item.Deleted {
-			items = append(items, item)
-		}
-	}
-	return items, at(uint64(len(changes))), nil
+// modelClient is a kv.Store with one connection, which it replaces after a failure.
+type modelClient struct {
+	kv.Store
+	store      *modelStore
+	connection int // store.silences when it was opened.
 }
 
-func (store *modelStore) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) ([]kv.Item, kv.Revision, error) {
+// await waits for the result of a call, which fails after a time limit on a silent
+// connection, and at once while the store is away.
+func (client *modelClient) await(ctx context.Context, limit time.Duration, done func(changes []kv.Item, waited time.Duration) bool) error {
 	started := time.Now()
-	_, _, connection := store.status()
 	for ctx.Err() == nil {
-		changes, away, silences := store.status()
-		switch waited := time.Since(started); {
-		case silences != connection && waited < wait+600*time.Millisecond:
-		case silences != connection || away:
-			return nil, after, errModelCall
-		case uint64(len(changes)) > after.Number || waited >= wait:
-			return changes[after.Number:], at(uint64(len(changes))), nil
+		changes, away, silences := client.store.status()
+		waited, silent := time.Since(started), silences != client.connection
+		switch {
+		case silent && waited < limit:
+		case silent || away:
+			client.connection = silences
+			return errModelCall
+		case done(changes, waited):
+			return nil
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	return nil, after, ctx.Err()
+	return ctx.Err()
+}
+
+func (client *modelClient) Range(ctx context.Context, _ string) (items []kv.Item, revision kv.Revision, err error) {
+	err = client.await(ctx, 900*time.Millisecond, func(changes []kv.Item, _ time.Duration) bool {
+		latest := map[string]kv.Item{}
+		for _, change := range changes {
+			latest[change.Key] = change
+		}
+		for _, item := range latest {
+			if !item.Deleted {
+				items = append(items, item)
+			}
+		}
+		revision = at(uint64(len(changes)))
+		return true
+	})
+	return items, revision, err
+}
+
+func (client *modelClient) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) (items []kv.Item, revision kv.Revision, err error) {
+	revision = after
+	err = client.await(ctx, wait+600*time.Millisecond, func(changes []kv.Item, waited time.Duration) bool {
+		if uint64(len(changes)) == after.Number && waited < wait {
+			return false
+		}
+		items, revision = changes[after.Number:], at(uint64(len(changes)))
+		return true
+	})
+	return items, revision, err
 }
 
 // modelInstance is a mirror that runs, and can be restarted.
@@ -99,7 +119,8 @@
 
 func (inst *modelInstance) start() {
 	discard := log.HandlerFunc(func(*log.Entry) error { return nil })
-	m := New(Options{Store: inst.store, Codec: fakeCodec{}, Events: events.New(&log.Logger{Handler: discard}), MinLapseTime: 2 * heartbeat,
+	_, _, silences := inst.store.status()
+	m := New(Options{Store: &modelClient{store: inst.store, connection: silences}, Codec: fakeCodec{}, Events: events.New(&log.Logger{Handler: discard}), MinLapseTime: 2 * heartbeat,
 		NewerPeer: func(revision kv.Revision) (Peer, bool) {
 			peer := inst.peer.mirror.Load()
 			return Peer{Name: "peer"}, peer != nil && peer.Position().After(revision)
@@ -130,6 +151,7 @@
 // startModel starts two instances that know four targets.
 func startModel(t *testing.T) (*modelStore, [2]*modelInstance) {
 	store := &modelStore{}
+	store.set("c", false)
 	for i := range 4 {
 		store.set(fmt.Sprint("t:", i+1), false)
 	}
@@ -199,6 +221,32 @@
 	}
 }
 
+// Guards against a silent connection that is noticed too late to tell a removed target
+// from a lapsed one, because it went silent in the pause after a change: a starting
+// instance waits for 0.5 s before the next watch.
+func TestSilenceInThePauseAfterAChange(t *testing.T) {
+	for pause := 10 * time.Millisecond; pause < startupChangePause+100*time.Millisecond; pause += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			store, instances := startModel(t)
+			for _, inst := range instances {
+				inst.end()
+				inst.start()
+			}
+			const change = time.Second
+			run([]step{
+				{change, func() { store.set("t:5", false) }},
+				{change + pause, func() { store.update(func() { store.silences++ }) }},
+				{change + pause, func() { store.set("t:1", true) }},
+				{change + pause + 3*time.Second, func() {
+					for i, inst := range instances {
+						assert.False(t, inst.hasTarget("1"), "instance %d uses a target that was removed, silence after %v", i, pause)
+					}
+				}},
+			})
+		})
+	}
+}
+
 // A target whose record lapses because the store is away must be used until its
 // writer has had time to renew the record, also if connections go silent before, if
 // the store comes back for a moment only, and by the peer of an instance that
