Soak: connections to the store go silent while a record is removed

The target must get no new request later than drain after that, or after the time that instances have to stabilize.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -255,10 +255,11 @@
 type faultType int
 
 const (
-	faultKill   faultType = iota // The process of an instance.
-	faultFreeze                  // The process of an instance, without ending it.
-	faultStore                   // The store or an instance's link to it.
-	faultTarget                  // A target or the links to it.
+	faultKill    faultType = iota // The process of an instance.
+	faultFreeze                   // The process of an instance, without ending it.
+	faultStore                    // The store or an instance's link to it.
+	faultTarget                   // A target or the links to it.
+	faultSilence                  // Connections to the store that are open.
 )
 
 // interval is the time span of a fault. The instance is nil for a fault that
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -95,6 +95,7 @@
 	{name: leaveAndRestoreKind, inject: (*Deployment).leaveAndRestore, fromSeed: 50000},
 	{name: "hold", inject: (*Deployment).holdTargetLink, fromSeed: 50000},
 	{name: poisonKind, inject: (*Deployment).sendPoison, fromSeed: 50000},
+	{name: "silent-store", inject: (*Deployment).silenceStore, fromSeed: 60000},
 }
 
 func (deployment *Deployment) instanceAt(selector int) *instance {
@@ -299,6 +300,43 @@
 	})
 }
 
+// maxRemovalDelay is the longest time from the silence of the connections to the store
+// to the removal of a record.
+const maxRemovalDelay = 500 * time.Millisecond
+
+// silenceStore makes the open connections of all instances to the store silent, while
+// new ones work, and removes the record of a target. It checks that the target gets no
+// new requests after drainBound. At most one runs at a time: an instance whose
+// connections go silent again must take that for an outage.
+func (deployment *Deployment) silenceStore(selector int, downtime time.Duration) {
+	if !deployment.silencing.CompareAndSwap(false, true) {
+		return
+	}
+	defer deployment.silencing.Store(false)
+	seat := deployment.seatAt(selector)
+	if !seat.reserve() {
+		return
+	}
+	defer seat.release()
+	target, id := seat.current()
+	deployment.recordFault(faultSilence, nil, func() {
+		silent := time.Now()
+		for _, proxy := range deployment.storeProxies {
+			proxy.silenceOpen()
+		}
+		time.Sleep(time.Duration(selector) * time.Millisecond % maxRemovalDelay)
+		deployment.removeTargetRecord(seat)
+		// Instances have stabilityTime after the silence.
+		start := time.Now()
+		if earliest := silent.Add(stabilityTime - drainBound); earliest.After(start) {
+			start = earliest
+		}
+		deployment.checkNoNewRequests("no new work for removed targets", []*wiretarget.Target{target}, start, faultSilence)
+	})
+	deployment.endAndReplace(seat, id, selector, downtime)
+	time.Sleep(faultSettleTime) // The next check would be void.
+}
+
 // holdTargetLink holds what the instances send to a target and delivers it after that,
 // like the network after a short cut. It checks that no request is delivered whose
 // instance has given it up.
@@ -409,12 +447,12 @@
 }
 
 // checkNoNewRequests waits until drainBound has passed and checks that the targets
-// began no execution after it. The check is void if a fault was injected meanwhile
-// or shortly before.
-func (deployment *Deployment) checkNoNewRequests(guarantee string, targets []*wiretarget.Target, start time.Time) {
-	time.Sleep(drainBound + 500*time.Millisecond)
+// began no execution after it. The check is void if a fault, other than of the kinds
+// in spite of which it must hold, was injected meanwhile or shortly before.
+func (deployment *Deployment) checkNoNewRequests(guarantee string, targets []*wiretarget.Target, start time.Time, inSpiteOf ...faultType) {
+	time.Sleep(time.Until(start) + drainBound + 500*time.Millisecond)
 	deployment.mu.Lock()
-	faulty := deployment.anyFaultDuring(start.Add(-faultSettleTime), time.Now())
+	faulty := deployment.anyFaultDuring(start.Add(-faultSettleTime), time.Now(), inSpiteOf)
 	deployment.mu.Unlock()
 	for _, target := range targets {
 		lastExecution := target.LastExecutionStart()
@@ -425,10 +463,10 @@
 }
 
 // anyFaultDuring reports whether any injected fault, at any instance, overlaps the
-// time from start to end. The caller must hold mu.
-func (deployment *Deployment) anyFaultDuring(start, end time.Time) bool {
+// time from start to end, except of some kinds. The caller must hold mu.
+func (deployment *Deployment) anyFaultDuring(start, end time.Time, except []faultType) bool {
 	for _, fault := range deployment.faultIntervals {
-		if start.Before(fault.end) && end.After(fault.start) {
+		if start.Before(fault.end) && end.After(fault.start) && !slices.Contains(except, fault.kind) {
 			return true
 		}
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -135,6 +135,16 @@
 	}
 }
 
+// silenceOpen makes the connections that are open silent. The mode and later
+// connections stay as they are.
+func (proxy *proxy) silenceOpen() {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	for conn := range proxy.conns {
+		conn.discarding = true
+	}
+}
+
 // discards reports whether data in a direction is discarded.
 func (proxy *proxy) discards(conn *proxiedConn, toServer bool) bool {
 	proxy.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -72,6 +72,7 @@
 	evacuating      atomic.Bool  // Whether a failure domain is being evacuated.
 	evacuatedDomain atomic.Value // Name of the domain that is being evacuated, or "".
 	restoring       atomic.Bool  // Whether the store is being restored.
+	silencing       atomic.Bool  // Whether connections to the store are being made silent.
 	configMu        sync.Mutex   // Guards writes of the configuration.
 	drainingTargets sync.Map     // Set of the indexes of draining targets.
 	closed          atomic.Bool  // Whether close was called.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,6 +48,8 @@
 		soak.Options{Seed: 50003, Instances: 4, Targets: 6, Callers: 80, Faults: 10, Kinds: []string{"leave-and-restore"}}},
 	{"the crashes of a request were counted apart for each service to which its route moved",
 		soak.Options{Seed: 50002, Instances: 4, Targets: 6, Callers: 8, Faults: 2, Kinds: []string{"poison"}}},
+	{"connections to the store went silent and the record of a target was removed, which was taken for one that lapsed",
+		soak.Options{Seed: 60001, Instances: 4, Targets: 6, Callers: 60, Faults: 12, Kinds: []string{"silent-store"}}},
 	{"SIGHUP before the process handles signals",
 		soak.Options{Seed: 26001, Instances: 4, Targets: 6, Callers: 16, Faults: 8, Kinds: []string{"signals"}}},
 }
