Do not begin a response that may take the responses behind it along

A caller sends two requests on a connection, and both are passed on.

Cause: a response that could not be held was passed on while it arrives although requests behind it had been passed on, and then only the end of the connection can tell the caller that it is incomplete. A response that is to be passed on was not read before its turn, and the end of its time was noticed after its head had been written.

Change: such a response is not begun. The caller gets 502 in its place, after a retry if the request is idempotent and the response declares no length. More is held: 64 responses in place of 8, and a declared length of up to an eighth of the memory for bodies, both within the memory budget. A response that waits for earlier ones is read meanwhile; if it is incomplete when its time ends, the caller gets 504 and the connection stays (event 538).

Cost: a sound response above these limits, with requests behind it that have been passed on, is refused with 502.

--- a/events/steering.go
+++ b/events/steering.go
@@ -87,6 +87,8 @@
 		Action: "check the target's log if the count of a fingerprint grows"})
 	PeerRequestEnded = register(Event{Number: 529, Name: "peer-request-ended", Level: log.InfoLevel,
 		Message: "request of a peer relayed to a target", Fields: []string{"request", "target", "result", "status", "tookMs"}, Action: "none"})
+	ResponseExpired = register(Event{Number: 538, Name: "response-expired", Level: log.InfoLevel,
+		Message: "time of a request ended while its response waited for those before it on the connection; the caller gets 504", Fields: []string{"request", "route", "overdueMs"}, Action: "none"})
 	RelayUnreachable = register(Event{Number: 530, Name: "relay-unreachable", Level: log.InfoLevel,
 		Message: "failed to connect to a relay", Fields: []string{"relay", "error"}, Action: "check the relay instance if this persists"})
 	InstancePaused = register(Event{Number: 531, Name: "instance-paused", Level: log.WarnLevel,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,8 +24,12 @@
 	// can still be retried.
 	maxBufferedResponseBytes = 128 << 10
 	// maxPipelinedResponseBytes is the same for a response with requests behind it
-	// on the caller's connection that have been passed on; see conn.passOn.
+	// on the caller's connection that have been passed on, see conn.passOn, or with
+	// unanswered requests before it.
 	maxPipelinedResponseBytes = 1 << 20
+	// maxHeldShare limits a longer response of a declared length to this part of the
+	// memory for bodies, 1/maxHeldShare, if the process has a memory limit.
+	maxHeldShare = 8
 	// baseDialTimeout is the time limit for opening a connection, in addition to
 	// timeoutRoundTrips.
 	baseDialTimeout = 150 * time.Millisecond
@@ -257,10 +261,15 @@
 	resp, err := g.readResponse(request, received, stated)
 	if err != nil {
 		observation.Result = balance.ConnectionBroken
-		if ctx.Err() != nil {
+		outcome := attemptOutcome{retryable: request.route.Idempotent}
+		switch {
+		case ctx.Err() != nil:
+			observation.Result = balance.Abandoned
+		case errors.Is(err, errResponseNotHeld):
 			observation.Result = balance.Abandoned
+			// A response of a known length is as long from another target.
+			outcome.retryable = outcome.retryable && received.Length < 0
 		}
-		outcome := attemptOutcome{retryable: request.route.Idempotent}
 		g.recordAttempt(request, grant, started, observation, outcome, err.Error())
 		return outcome
 	}
@@ -313,34 +322,51 @@
 	return resp, g.readResponseBody(resp, received, request.incomingRequest)
 }
 
-// readResponseBody reads a body of up to maxBufferedResponseBytes completely. A
-// longer one is streamed if conn.beginStream allows it; if not, up to
-// maxPipelinedResponseBytes are read completely. A body for which there is no memory
-// is streamed.
-func (g *Gateway) readResponseBody(resp *response, received *forward.Response, request *incomingRequest) error {
-	limit := maxBufferedResponseBytes
-	if received.Length > maxBufferedResponseBytes {
-		if request.beginStream() || received.Length > maxPipelinedResponseBytes || !g.heldResponses.acquire(request) {
-			resp.stream = received.Body
-			return nil
+// errResponseNotHeld means that a response neither ended within what is held in memory
+// nor could be passed on while it arrives; see conn.passOn.
+var errResponseNotHeld = errors.New("response does not end within what is held for the requests behind it")
+
+// readResponseBody reads a body of up to maxBufferedResponseBytes completely. A longer
+// one is passed on while it arrives if conn.beginStream allows it. It is read completely
+// up to maxHeldBytes if that is not allowed, and while earlier responses are due, since
+// its time may end before its turn comes.
+func (g *Gateway) readResponseBody(resp *response, received *forward.Response, request *incomingRequest) (err error) {
+	defer func() {
+		if err != nil || resp.stream == nil {
+			_ = received.Body.Close()
+		}
+	}()
+	var body []byte
+	var complete bool
+	if received.Length <= maxBufferedResponseBytes {
+		body, complete, err = request.readHeld(nil, received.Body, received.Length, maxBufferedResponseBytes)
+		if err != nil || complete {
+			resp.body = body
+			return err
 		}
-		limit = maxPipelinedResponseBytes
 	}
-	body, complete, err := request.readHeld(nil, received.Body, received.Length, limit)
-	if err == nil && !complete && len(body) > limit && received.Length < 0 && !request.beginStream() && g.heldResponses.acquire(request) {
-		body, complete, err = request.readHeld(body, received.Body, received.Length, maxPipelinedResponseBytes)
+	mayStream, limit := request.beginStream(), g.maxHeldBytes(received.Length)
+	if (!mayStream || !request.isNext()) && received.Length <= int64(limit) && g.heldResponses.acquire(request) {
+		body, complete, err = request.readHeld(body, received.Body, received.Length, limit)
+		if err != nil || complete {
+			resp.body = body
+			return err
+		}
 	}
-	if err != nil {
-		_ = received.Body.Close()
-		return err
+	if !mayStream {
+		return errResponseNotHeld
 	}
-	if !complete {
-		request.beginStream() // Requests behind wait for it if none has been passed on.
-		resp.stream = &partlyReadBody{Reader: io.MultiReader(bytes.NewReader(body), received.Body), Closer: received.Body}
-		return nil
+	resp.stream = &partlyReadBody{Reader: io.MultiReader(bytes.NewReader(body), received.Body), Closer: received.Body}
+	return nil
+}
+
+// maxHeldBytes returns the largest body to read completely because of other requests on
+// the connection. length is its declared length, or -1.
+func (g *Gateway) maxHeldBytes(length int64) int {
+	if length > 0 && length <= g.memory.maxBytes/maxHeldShare {
+		return max(int(length), maxPipelinedResponseBytes)
 	}
-	resp.body = body
-	return received.Body.Close()
+	return maxPipelinedResponseBytes
 }
 
 // readHeld appends a response body to what was read of it before, until its end, until
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -49,6 +49,7 @@
 	awaiting          bool // The reader waits for a request.
 	ending            connEnding
 	lastPassedOn      int       // Highest number of the exchanges that were passed on; see passOn.
+	lastEnded         int       // Number of the last exchange whose response was written.
 	streamed          *exchange // Its response is passed on while it arrives; nil if there is none.
 }
 
@@ -145,6 +146,7 @@
 			c.setClosing()
 		}
 		request.beginStream = func() bool { return c.beginStream(ex) }
+		request.isNext = func() bool { return c.isNext(ex) }
 		c.exchanges <- ex
 		go func() {
 			defer close(ex.ready)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -54,11 +54,12 @@
 	// scripts are additional targets, one for each function. The function is
 	// called for each request with the number of the request on its connection,
 	// and returns whether to keep the connection open.
-	scripts  []script
-	services []string    // Services to which the scripts belong in turn; nil means "s".
-	attempts int         // Attempts of each route; 0 means 2.
-	logs     log.Handler // Receives the log of the gateway; nil discards it.
-	quotas   gateway.Quotas
+	scripts     []script
+	scriptSlots int         // Slots of each script; 0 means 4.
+	services    []string    // Services to which the scripts belong in turn; nil means "s".
+	attempts    int         // Attempts of each route; 0 means 2.
+	logs        log.Handler // Receives the log of the gateway; nil discards it.
+	quotas      gateway.Quotas
 	// unsafePriority is the priority of the route "unsafe"; that of the other is 0.
 	unsafePriority int
 	memory         int64 // Memory limit; 0 means none.
@@ -75,6 +76,9 @@
 	if o.attempts == 0 {
 		o.attempts = 2
 	}
+	if o.scriptSlots == 0 {
+		o.scriptSlots = 4
+	}
 	config := &steering.Config{Version: 1, Limits: o.limits, Services: map[string]steering.Service{"s": {Name: "s"}}}
 	for _, name := range o.services {
 		config.Services[name] = steering.Service{Name: name}
@@ -93,7 +97,7 @@
 		updates = append(updates, steering.TargetUpdate{Target: s.startTarget(i, options, o.wrongID && i == 0)})
 	}
 	for i, script := range o.scripts {
-		record := &steering.Target{ID: fmt.Sprint("script", i), Service: "s", Address: s.startScript(script), Domain: "d", Slots: 4}
+		record := &steering.Target{ID: fmt.Sprint("script", i), Service: "s", Address: s.startScript(script), Domain: "d", Slots: o.scriptSlots}
 		if o.services != nil {
 			record.Service = o.services[i%len(o.services)]
 		}
@@ -276,11 +280,17 @@
 	return &caller{Conn: conn, t: s.t, reader: bufio.NewReader(conn)}
 }
 
-// send writes a request. Each header is a complete line.
+// send writes a request that has 3 s. Each header is a complete line.
 func (c *caller) send(method, path, id, body string, headers ...string) {
+	c.t.Helper()
+	c.sendWithin(3*time.Second, method, path, id, body, headers...)
+}
+
+// sendWithin is like send for a request that has the given time.
+func (c *caller) sendWithin(limit time.Duration, method, path, id, body string, headers ...string) {
 	c.t.Helper()
 	lines := append([]string{fmt.Sprintf("%s %s HTTP/1.1", method, path), "Host: " + host, platform.HeaderRequestID + ": " + id,
-		platform.HeaderDeadline + ": 3000"}, headers...)
+		fmt.Sprintf("%s: %d", platform.HeaderDeadline, limit.Milliseconds())}, headers...)
 	if body != "" {
 		lines = append(lines, fmt.Sprint("Content-Length: ", len(body)))
 	}
--- a/gateway/pipeline.go
+++ b/gateway/pipeline.go
@@ -6,7 +6,8 @@
 // are complete. When the target of an earlier one breaks off a response of which a
 // part has been written, the connection must end, and so would the requests behind.
 // A response is therefore passed on while it arrives only if no request behind it
-// has been passed on, and none is until it ends.
+// has been passed on, and none is until it ends. Any other response is held until it
+// is complete. If it cannot be held, the caller gets 502 in its place.
 
 // passOn waits while a response to an earlier request is passed on as it arrives. It
 // reports false if the connection has ended by then; otherwise the request of the
@@ -41,19 +42,28 @@
 	return true
 }
 
-// endStream lets later requests be passed on after the response of an exchange has
-// been written.
-func (c *conn) endStream(ex *exchange) {
+// endResponse records that the response of an exchange has been written, and lets later
+// requests be passed on.
+func (c *conn) endResponse(ex *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lastEnded = ex.number
 	if c.streamed == ex {
 		c.streamed = nil
 	}
 }
 
-// maxPipelinedResponses limits the long responses that are held in memory because
-// requests behind them have been passed on, over all connections.
-const maxPipelinedResponses = 8
+// isNext reports whether all responses before that of an exchange have been written.
+func (c *conn) isNext(ex *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastEnded == ex.number-1
+}
+
+// maxPipelinedResponses limits the long responses that are held in memory because of
+// other requests on their connections, over all connections. The memory limit of the
+// process, if there is one, limits their bytes.
+const maxPipelinedResponses = 64
 
 // responseSlots counts the long responses that are held in memory.
 type responseSlots struct{ used atomic.Int32 }
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -37,6 +37,7 @@
 	prefixHash  uint64         // Hash of the start of a streamed body.
 	close       bool           // The caller wants the connection closed after the response.
 	beginStream func() bool    // See conn.beginStream.
+	isNext      func() bool    // See conn.isNext.
 	pipelined   bool           // Behind another request on its connection.
 	bodyArrived bool           // The whole body had arrived with the head.
 	routed      *routedRequest // Set when the request of a caller is accepted.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -271,6 +271,22 @@
 		cancel()
 	} else {
 		resp.stream = &cancelOnClose{ReadCloser: resp.stream, cancel: cancel}
+		resp.expired = func() *response { return g.expiredResponse(ctx, request) }
+	}
+	return resp
+}
+
+// expiredResponse returns the response in place of one that was to be passed on while it
+// arrives, if the time of the request has ended before its turn came. Otherwise it
+// returns nil.
+func (g *Gateway) expiredResponse(ctx context.Context, request *routedRequest) *response {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil
+	}
+	g.events.Emit(events.ResponseExpired, log.Fields{"request": request.id, "route": request.route.Name, "overdueMs": time.Since(request.deadline).Milliseconds()})
+	resp := request.interruptedResponse(ctx)
+	if resp.reason != "" {
+		g.Headers.EchoRequestID(resp.header, request.id)
 	}
 	return resp
 }
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -19,6 +19,9 @@
 	stream io.ReadCloser // The body when it is forwarded while it arrives.
 	length int64         // Bytes of stream; -1 when unknown.
 	reason string        // Why this system generated the response, for the log; empty for a target's response.
+	// expired returns the response to write in place of stream if the request's time has
+	// ended, otherwise nil. It may be nil.
+	expired func() *response
 }
 
 // systemResponse returns a response that this system generates itself.
@@ -70,7 +73,7 @@
 			c.server.gateway.heldResponses.release(ex.request.heldResponses)
 			ex.request.held.end(time.Now())
 		}
-		c.endStream(ex)
+		c.endResponse(ex)
 		close(ex.ended)
 	}
 }
@@ -85,6 +88,11 @@
 
 func (c *conn) writeResponse(w *bufio.Writer, ex *exchange) error {
 	resp := ex.response
+	if resp.expired != nil {
+		if replacement := resp.expired(); replacement != nil {
+			resp = replacement
+		}
+	}
 	method := ""
 	if ex.request != nil {
 		method = ex.request.httpRequest.Method
