Drop odd values, not the messages of peers

Cause: the header was taken without an upper limit, and a receiver rejected the whole message for one item out of range.

Change: a limit above balance.MaxRate is refused where it enters, from a target (event 536) or from a relay. A receiver drops items out of range and keeps the rest of the message (event 542); what cannot be decoded is still rejected.

Related fields, read: counts and slowdown of the load header, pause and cold time are bounded where they enter; evidence of capacity, suspicions, ages and the demand of ranks are clamped when they are decoded.

--- a/balance/limit.go
+++ b/balance/limit.go
@@ -42,6 +42,10 @@
 	Owner  string // Instance that admits requests to the target for all instances.
 }
 
+// MaxRate is the greatest valid rate in a statement or a message, in requests per
+// second. Sums of such rates are exact enough and far from overflowing.
+const MaxRate = 1e9
+
 const (
 	// limitReportTime is how long an instance reports a statement that it has
 	// received from the target itself. The owner of a target reports the limit
--- a/events/steering.go
+++ b/events/steering.go
@@ -121,6 +121,8 @@
 		Action:  "check the target's machine if the limit stays below the slots"})
 	PeerReadFailed = register(Event{Number: 541, Name: "peer-read-failed", Level: log.WarnLevel,
 		Message: "failed to read a message of a peer", Fields: []string{"error"}, Action: "check the network interface of the peer address if it occurs often"})
+	PeerItemsDropped = register(Event{Number: 542, Name: "peer-items-dropped", Level: log.WarnLevel,
+		Message: "values in messages of peers are out of range; the rest of the messages holds", Fields: []string{"peer", "items", "messages"}, Action: "compare the versions of the instances"})
 	AccountRefused = register(Event{Number: 555, Name: "account-refused", Level: log.InfoLevel,
 		Message: "requests refused because of their account", Fields: []string{"reason", "request", "route", "account", "refused", "version"},
 		Action: "check the caller's key and the accounts of the configuration"})
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -45,11 +45,12 @@
 	rate, age, ok := strings.Cut(text, ";")
 	perSecond, err := strconv.ParseFloat(rate, 64)
 	ms, ageErr := strconv.ParseInt(age, 10, 32)
-	if !ok || err != nil || ageErr != nil || ms < 0 || math.IsNaN(perSecond) || perSecond < 0 {
+	limited := !math.IsInf(perSecond, 1)
+	if !ok || err != nil || ageErr != nil || ms < 0 || limited && !(perSecond >= 0 && perSecond <= balance.MaxRate) { // Also excludes NaN.
 		return nil
 	}
 	statement := balance.LimitStatement{Age: time.Duration(ms) * time.Millisecond}
-	if !math.IsInf(perSecond, 1) {
+	if limited {
 		statement.RateLimit = balance.RateLimit{Active: true, PerSecond: perSecond}
 	}
 	return &statement
--- a/gateway/relays_internal_test.go
+++ b/gateway/relays_internal_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/jacinthstall/jacinthstall/balance"
 	"github.com/jacinthstall/jacinthstall/steering"
 )
 
@@ -85,3 +87,17 @@
 	_, ok = set.choose(now.Add(4*time.Second+relayBackoff), "b1", "b", noConnection)
 	assert.True(t, ok)
 }
+
+// Guards against a limit from a relay that peers cannot read in this instance's messages.
+func TestLimitFromRelayIsInRange(t *testing.T) {
+	for _, perSecond := range []float64{0, 4.5, balance.MaxRate, math.Inf(1)} {
+		statement := balance.LimitStatement{RateLimit: balance.RateLimit{Active: !math.IsInf(perSecond, 1), PerSecond: perSecond}, Age: time.Second}
+		if !statement.Active {
+			statement.PerSecond = 0
+		}
+		assert.Equal(t, &statement, parseLimit(formatLimit(statement)))
+	}
+	for _, text := range []string{"", "5", "5;x", "5;-1", "-1;0", "NaN;0", "2e9;0", "-Inf;0"} {
+		assert.Nil(t, parseLimit(text), text)
+	}
+}
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -107,6 +107,7 @@
 	options     Options
 	conn        net.PacketConn
 	started     time.Time
+	dropLog     *events.RepeatLimit
 	domainIndex int // Index of this instance's domain among all domains, sorted by name.
 
 	mu              sync.Mutex
@@ -149,7 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	exchange := &Exchange{options: options, conn: conn, started: time.Now(), registered: map[string]steering.Instance{},
+	exchange := &Exchange{options: options, dropLog: events.NewRepeatLimit(dropLogInterval), conn: conn, started: time.Now(), registered: map[string]steering.Instance{},
 		peers: map[string]*peerState{}, remoteDomains: map[string]*remoteDomain{}}
 	for name := range options.Regions {
 		if name != options.Self.Domain {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -46,6 +46,9 @@
 	// Introduction set and lists them as Members.
 	Hello        bool
 	Introduction bool
+	// Dropped is the number of items of a received message that were dropped because
+	// their values are out of range. It is not sent.
+	Dropped int
 }
 
 // Member is an instance in a digest. Its addresses are empty in short digests.
@@ -98,11 +101,11 @@
 	fieldEra
 )
 
-// Upper bounds of values in a message. Messages that exceed them are rejected,
-// because their counts could overflow sums.
+// Upper bounds of values in a message. An item that exceeds them is dropped, because
+// sums of counts could overflow, and the rest of the message holds.
 const (
 	maxCount = 1 << 20
-	maxRate  = 1e9 // Requests per second.
+	maxRate  = balance.MaxRate
 	// maxLimitAge is the greatest age of a target's statement about its limit.
 	maxLimitAge = 24 * time.Hour
 	// capacityAgeUnit is the resolution of the age of evidence about the capacity of a
@@ -436,58 +439,63 @@
 		m.Members = append(m.Members, member)
 	case fieldSuspects:
 		m.Suspects = map[uint64]balance.Suspicion{}
-		return eachPair(v, protowire.ConsumeFixed64, consumeSuspicion, func(fingerprint uint64, suspicion balance.Suspicion) bool {
+		return eachPair(v, protowire.ConsumeFixed64, consumeSuspicion, func(fingerprint uint64, suspicion balance.Suspicion) {
 			m.Suspects[fingerprint] = suspicion
-			return true
 		})
 	case fieldQuotas:
 		m.Quotas = quota.Report{}
-		return eachPair(v, protowire.ConsumeFixed32, consumeQuota, func(hash uint32, rates quota.Rates) bool {
-			m.Quotas[hash] = rates
-			return rates.Demand <= maxRate && rates.Admitted >= 0
+		return eachPair(v, protowire.ConsumeFixed32, consumeQuota, func(hash uint32, rates quota.Rates) {
+			m.take(rates.Demand <= maxRate && rates.Admitted >= 0, func() { m.Quotas[hash] = rates })
 		})
 	case fieldInFlight:
-		return readCounts(v, m.Report.InFlight)
+		return m.readCounts(v, m.Report.InFlight)
 	case fieldFailing:
-		return readCounts(v, m.Report.FailureEvidence)
+		return m.readCounts(v, m.Report.FailureEvidence)
 	case fieldLimits:
-		return eachPair(v, protowire.ConsumeFixed32, consumeLimit, func(hash uint32, statement balance.LimitStatement) bool {
-			m.Report.Limits[hash] = statement
-			return statement.PerSecond >= 0 && statement.PerSecond <= maxRate // False for NaN.
+		return eachPair(v, protowire.ConsumeFixed32, consumeLimit, func(hash uint32, statement balance.LimitStatement) {
+			m.take(isRate(statement.PerSecond), func() { m.Report.Limits[hash] = statement })
 		})
 	case fieldRankDemand:
 		m.Report.RankDemand = map[balance.RankKey]balance.RankDemand{}
-		return eachPair(v, consumeRankKey, consumeRankDemand, func(key balance.RankKey, demand balance.RankDemand) bool {
-			m.Report.RankDemand[key] = demand
-			return demand.PerSecond >= 0 && demand.PerSecond <= maxRate // False for NaN.
+		return eachPair(v, consumeRankKey, consumeRankDemand, func(key balance.RankKey, demand balance.RankDemand) {
+			m.take(isRate(demand.PerSecond), func() { m.Report.RankDemand[key] = demand })
 		})
 	case fieldCapacities:
 		m.Report.Capacities = map[uint32]balance.CapacityEvidence{}
-		return eachPair(v, protowire.ConsumeFixed32, consumeCapacity, func(hash uint32, evidence balance.CapacityEvidence) bool {
+		return eachPair(v, protowire.ConsumeFixed32, consumeCapacity, func(hash uint32, evidence balance.CapacityEvidence) {
 			m.Report.Capacities[hash] = evidence
-			return true
 		})
 	case fieldRates:
-		return eachPair(v, protowire.ConsumeFixed32, protowire.ConsumeFixed32, func(hash, bits uint32) bool {
+		return eachPair(v, protowire.ConsumeFixed32, protowire.ConsumeFixed32, func(hash, bits uint32) {
 			rate := float64(math.Float32frombits(bits))
-			m.Report.CallerRates[hash] = rate
-			return rate >= 0 && rate <= maxRate // False for NaN.
+			m.take(isRate(rate), func() { m.Report.CallerRates[hash] = rate })
 		})
 	}
 	return true
 }
 
+// isRate reports whether a decoded number is a valid rate. It is false for NaN.
+func isRate(perSecond float64) bool { return perSecond >= 0 && perSecond <= maxRate }
+
+// take stores an item of the message, or counts it as dropped.
+func (m *Message) take(valid bool, store func()) {
+	if !valid {
+		m.Dropped++
+		return
+	}
+	store()
+}
+
 // readCounts decodes packed pairs of target hash and count.
-func readCounts(b []byte, into map[uint32]int) bool {
-	return eachPair(b, protowire.ConsumeFixed32, protowire.ConsumeVarint, func(hash uint32, n uint64) bool {
-		into[hash] = int(n)
-		return n <= maxCount
+func (m *Message) readCounts(b []byte, into map[uint32]int) bool {
+	return eachPair(b, protowire.ConsumeFixed32, protowire.ConsumeVarint, func(hash uint32, n uint64) {
+		m.take(n <= maxCount, func() { into[hash] = int(n) })
 	})
 }
 
-// eachPair calls accept for each of the packed pairs. It reports whether all of
-// them could be decoded and were accepted.
-func eachPair[K, V any](b []byte, key func([]byte) (K, int), value func([]byte) (V, int), accept func(K, V) bool) bool {
+// eachPair calls take for each of the packed pairs. It reports whether all of them
+// could be decoded.
+func eachPair[K, V any](b []byte, key func([]byte) (K, int), value func([]byte) (V, int), take func(K, V)) bool {
 	for len(b) > 0 {
 		k, n := key(b)
 		if n < 0 {
@@ -499,9 +507,7 @@
 			return false
 		}
 		b = b[n:]
-		if !accept(k, v) {
-			return false
-		}
+		take(k, v)
 	}
 	return true
 }
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -15,6 +15,9 @@
 // readRetryDelay is the pause after a failed read of a message.
 const readRetryDelay = 100 * time.Millisecond
 
+// dropLogInterval is the shortest time between log lines about dropped items.
+const dropLogInterval = 10 * time.Second
+
 // receive dispatches incoming messages until the socket is closed.
 func (exchange *Exchange) receive() {
 	buffer := make([]byte, maxMessageBytes)
@@ -29,6 +32,9 @@
 			continue
 		}
 		m, err := Parse(buffer[:n])
+		if err == nil && m.Dropped > 0 {
+			exchange.logDropped(time.Now(), m)
+		}
 		switch {
 		case err != nil || m.Name == exchange.options.Self.Name:
 		case m.Hello:
@@ -45,6 +51,14 @@
 	}
 }
 
+// logDropped logs that items of a message were dropped, at most once per
+// dropLogInterval.
+func (exchange *Exchange) logDropped(now time.Time, m *Message) {
+	if messages, write := exchange.dropLog.Record(now, ""); write {
+		exchange.options.Events.Emit(events.PeerItemsDropped, log.Fields{"peer": m.Name, "items": m.Dropped, "messages": messages})
+	}
+}
+
 // handlePeerMessage records the state that a peer of the same domain has sent.
 func (exchange *Exchange) handlePeerMessage(now time.Time, m *Message) {
 	exchange.mu.Lock()
