Test: an exchange has ended before its address is used again

TestCrashCountsOutliveTheirInstance failed once under load: "bind: address already in use".

Cause: the test starts an instance again at the address of one whose context it has ended, and the wait in between, for two live instances, may be satisfied before all have been heard. The old socket is then still open.

Change: ending a test instance waits until its exchange has closed the socket.

--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -32,7 +32,7 @@
 	revision       atomic.Uint64
 	era            atomic.Uint64
 	advanced       atomic.Int64
-	cancel         context.CancelFunc
+	cancel         func() // Returns when the exchange has ended and its address is free.
 }
 
 // startFleet starts instances that know each other's registrations.
@@ -68,9 +68,10 @@
 	instance.Exchange = exchange
 	exchange.SetRegistered(known)
 	ctx, cancel := context.WithCancel(context.Background())
-	instance.cancel = cancel
-	t.Cleanup(cancel)
-	go exchange.Run(ctx)
+	done := make(chan struct{})
+	go func() { defer close(done); exchange.Run(ctx) }()
+	instance.cancel = func() { cancel(); <-done }
+	t.Cleanup(instance.cancel)
 	return instance
 }
 
