Soak: targets state that they are leaving in raw responses, too

The check of leaving targets counts from the first response with the statement that an instance has passed on. The stand-in's responses without framing, and those that it cuts, did not carry it, so that the check began later than a target of the platform, which says so in all its answers, would have it.

Change: these responses have the header.

--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -403,16 +403,13 @@
 		target.writeRaw(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other-%s\r\n%s: %s\r\nContent-Length: 5\r\n\r\nextra",
 			platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp), false)
 	case FaultUnframed:
-		target.writeRaw(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n\r\n%s",
-			platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp, body), true)
+		target.writeRaw(c, target.rawHead(id, stamp)+"\r\n"+body, true)
 		return
 	case FaultTruncate:
-		target.writeRaw(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-			platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp, len(body)+500, body), true)
+		target.writeRaw(c, target.rawHead(id, stamp)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body)+500, body), true)
 		return
 	case FaultCutAfter:
-		response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-			platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp, len(body), body)
+		response := target.rawHead(id, stamp) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 		length, err := strconv.Atoi(string(c.Request.Header.Peek(HeaderFaultBytes)))
 		if err != nil || length < 0 {
 			length = 0
@@ -434,6 +431,18 @@
 	target.addNoise(c, id, stamp, body)
 }
 
+// rawHead returns the start of the head of a response that is written as raw bytes. A
+// target that is leaving says so in these, too.
+func (target *Target) rawHead(id, stamp string) string {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp)
+	if target.leaving {
+		head += platform.HeaderServerLeaving + ": 1\r\n"
+	}
+	return head
+}
+
 // writeRaw writes raw bytes to the connection, and closes it if closes is set.
 func (target *Target) writeRaw(c *app.RequestContext, raw string, closes bool) {
 	conn := c.GetConn()
