Soak: targets state their limit in raw responses, too

Cause: the stand-in's responses without framing, and those that it cuts, have a signature but not the limit that the target states in all others.

Change: these responses state the limit.

--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -431,12 +431,16 @@
 	target.addNoise(c, id, stamp, body)
 }
 
-// rawHead returns the start of the head of a response that is written as raw bytes. A
-// target that is leaving says so in these, too.
+// rawHead returns the start of the head of a response that is written as raw bytes. The
+// target states its limit and that it is leaving in these, too: a signed response
+// without a limit would end it.
 func (target *Target) rawHead(id, stamp string) string {
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp)
+	if target.rateLimit != "" {
+		head += platform.HeaderServerLimit + ": " + target.rateLimit + "\r\n"
+	}
 	if target.leaving {
 		head += platform.HeaderServerLeaving + ": 1\r\n"
 	}
