Stand-ins: one place for what a target states, and for silent connections

The raw responses of the stand-in repeated which headers a target adds to all its responses, and the proxy of the soak marked open connections as silent in two places. Both have one function now; nothing else changes.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -124,11 +124,11 @@
 	proxy.mu.Lock()
 	defer proxy.mu.Unlock()
 	proxy.mode = mode
-	for conn := range proxy.conns {
-		switch mode {
-		case modeSilence:
-			conn.discarding = true
-		case modeRefuse:
+	switch mode {
+	case modeSilence:
+		proxy.discardOpen()
+	case modeRefuse:
+		for conn := range proxy.conns {
 			resetConn(conn.client)
 			resetConn(conn.server)
 		}
@@ -140,6 +140,12 @@
 func (proxy *proxy) silenceOpen() {
 	proxy.mu.Lock()
 	defer proxy.mu.Unlock()
+	proxy.discardOpen()
+}
+
+// discardOpen makes the open connections discard their data for good. The caller must
+// hold mu.
+func (proxy *proxy) discardOpen() {
 	for conn := range proxy.conns {
 		conn.discarding = true
 	}
--- a/standin/wiretarget/target.go
+++ b/standin/wiretarget/target.go
@@ -379,13 +379,19 @@
 func (target *Target) setLoadHeader(c *app.RequestContext) {
 	target.mu.Lock()
 	defer target.mu.Unlock()
+	target.eachStatement(c.Response.Header.Set)
+	c.Response.Header.Set(platform.HeaderServerLoad, fmt.Sprintf("%d,%d,%d", target.running, target.waiting, target.options.Slots))
+}
+
+// eachStatement calls add for each header that the target adds to all its responses,
+// except for its load. The caller must hold mu.
+func (target *Target) eachStatement(add func(name, value string)) {
 	if target.rateLimit != "" {
-		c.Response.Header.Set(platform.HeaderServerLimit, target.rateLimit)
+		add(platform.HeaderServerLimit, target.rateLimit)
 	}
 	if target.leaving {
-		c.Response.Header.Set(platform.HeaderServerLeaving, "1")
+		add(platform.HeaderServerLeaving, "1")
 	}
-	c.Response.Header.Set(platform.HeaderServerLoad, fmt.Sprintf("%d,%d,%d", target.running, target.waiting, target.options.Slots))
 }
 
 // respond sends the response to an executed request, with the fault that the
@@ -438,12 +444,7 @@
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp)
-	if target.rateLimit != "" {
-		head += platform.HeaderServerLimit + ": " + target.rateLimit + "\r\n"
-	}
-	if target.leaving {
-		head += platform.HeaderServerLeaving + ": 1\r\n"
-	}
+	target.eachStatement(func(name, value string) { head += name + ": " + value + "\r\n" })
 	return head
 }
 
