Wait for the reset before an abandoned attempt ends

Cause: the end of the context closes the connection in a goroutine of its own. Reads and writes fail as soon as it begins, but the descriptor is closed, and the connection reset, only when it goes on. An attempt could end before that, and the host went on sending for as long as the goroutine did not run.

Change: the end of an exchange waits until that close has returned.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -91,7 +91,8 @@
 	ctx                 context.Context
 	target              Target
 	conn                *conn
-	stopWatchingContext func() bool // Prevents the end of ctx from closing the connection; see context.AfterFunc.
+	stopWatchingContext func() bool   // Prevents the end of ctx from closing the connection; see context.AfterFunc.
+	closedByContext     chan struct{} // Closed when the connection was closed at the end of ctx.
 	started             time.Time
 	requestDone         chan struct{} // Closed when writing the request has ended.
 	writeErr            error         // Valid after requestDone is closed.
@@ -113,7 +114,11 @@
 		return nil, &Error{Target: target.Address, Stage: StageConnect, Err: err}
 	}
 	ex := &exchange{forwarder: f, ctx: ctx, target: target, conn: c, started: time.Now(), requestDone: make(chan struct{}), interruptBody: request.InterruptBody}
-	ex.stopWatchingContext = context.AfterFunc(ctx, func() { _ = c.Close() })
+	ex.closedByContext = make(chan struct{})
+	ex.stopWatchingContext = context.AfterFunc(ctx, func() {
+		defer close(ex.closedByContext)
+		_ = c.Close()
+	})
 	c.addRequestID(request.ID)
 	ex.sendRequest(request)
 	response, match, err := ex.readResponse(request)
@@ -257,7 +262,12 @@
 // finish returns the connection to the pool or closes it. The connection of an
 // abandoned exchange is reset: the target must not receive the request later.
 func (ex *exchange) finish(end exchangeEnd) {
-	reuse := ex.stopWatchingContext() && end == reusable
+	watched := ex.stopWatchingContext()
+	if !watched {
+		// The descriptor may still be open, although reads and writes have failed.
+		<-ex.closedByContext
+	}
+	reuse := watched && end == reusable
 	switch {
 	case end == abandoned:
 		_ = ex.conn.Close()
