--- /dev/null
+++ b/review/testdata/kit3/backend.go
@@ -0,0 +1,280 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jacinthstall/jacinthstall/platform"
+	"github.com/jacinthstall/jacinthstall/standin/wiresite"
+)
+
+// backend is a stand-in for a backend, as the pages describe one.
+type backend struct {
+	w       *world
+	id      string
+	service string
+	zone    string
+	slots   int
+	work    time.Duration
+	born    int64
+	// readPause is the time between two parts of a body that the backend reads.
+	readPause time.Duration
+	listener  net.Listener
+	server    *http.Server
+
+	mu       sync.Mutex
+	state    string
+	sequence int
+	leaving  bool // Says so in all answers.
+	running  int
+	free     chan struct{}
+	beats    chan struct{} // Gets an element at each heartbeat.
+	gone     chan struct{} // Closed when the process ends.
+	arrivals []arrival
+}
+
+// arrival is a request that reached a backend.
+type arrival struct {
+	id, from string
+	at       time.Time
+	ran      bool
+	finished bool
+	cutAt    time.Time // When its body ended before its end; zero if it did not.
+	status   int
+}
+
+func (w *world) newBackend(id, service, zone string, slots int, work time.Duration) (*backend, error) {
+	listener, err := (&net.ListenConfig{Control: smallWindow}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	b := &backend{w: w, id: id, service: service, zone: zone, slots: slots, work: work, born: time.Now().UnixMilli(), listener: listener,
+		state: "ready", free: make(chan struct{}, slots), gone: make(chan struct{}), beats: make(chan struct{}, 1)}
+	for range slots {
+		b.free <- struct{}{}
+	}
+	b.server = &http.Server{Handler: b, IdleTimeout: 10 * time.Second}
+	go func() { _ = b.server.Serve(listener) }()
+	return b, nil
+}
+
+// smallWindow sets the receive buffer of a listener and of its connections: "small
+// windows, so a peer that does not read blocks the writer".
+func smallWindow(_, _ string, raw syscall.RawConn) error {
+	var err error
+	if controlErr := raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 64<<10) }); controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+// entry returns what the backend says of itself in the store.
+func (b *backend) entry() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sequence++
+	content, err := json.Marshal(map[string]any{"address": b.listener.Addr().String(), "born": b.born,
+		"details": map[string]any{"service": b.service, "zone": b.zone, "concurrency": b.slots, "version": "v1"},
+		"status":  map[string]any{"state": b.state, "sequence": b.sequence, coldField: "0ms"}})
+	if err != nil {
+		panic(err) // Unreachable: the values can be encoded.
+	}
+	return content
+}
+
+// coldField is the name of the field that says how much longer a backend is cold.
+const coldField = "cold" + "Left"
+
+// leavingHeader is the header in which a backend says that it leaves, as the users' news
+// name it.
+const leavingHeader = "Server-Leaving"
+
+// report writes the entry of the backend.
+func (b *backend) report() {
+	b.w.store.Put(wiresite.TargetKey(b.id), b.entry())
+}
+
+// beat writes the entry at every heartbeat. It skips those at which the store is away.
+func (b *backend) beat(away func() bool) {
+	tick := time.NewTicker(heartbeat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if !away() && !b.silent() {
+				b.report()
+				b.w.record.add("backend %s writes its entry", b.id)
+			}
+			select {
+			case b.beats <- struct{}{}:
+			default:
+			}
+		case <-b.gone:
+			return
+		}
+	}
+}
+
+// exit ends the backend as the end of its process does.
+func (b *backend) exit() {
+	close(b.gone)
+	_ = b.server.Close()
+}
+
+func (b *backend) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(platform.HeaderRequestID)
+	index := b.arrived(id, r)
+	out.Header().Set(platform.HeaderRequestID, id)
+	if expected := r.Header.Get(platform.HeaderExpectTarget); expected != "" && expected != b.id {
+		b.reject(out, index, http.StatusMisdirectedRequest)
+		return
+	}
+	deadline := time.NewTimer(time.Hour)
+	defer deadline.Stop()
+	if ms, err := strconv.Atoi(r.Header.Get(platform.HeaderDeadline)); err == nil {
+		deadline.Reset(time.Duration(ms) * time.Millisecond)
+	}
+	select {
+	case <-b.free:
+	case <-deadline.C:
+		b.reject(out, index, http.StatusServiceUnavailable)
+		return
+	case <-r.Context().Done():
+		return
+	case <-b.gone:
+		return
+	}
+	defer func() { b.free <- struct{}{} }()
+	b.mu.Lock()
+	b.arrivals[index].ran = true
+	b.running++
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.running--
+	}()
+	b.w.record.add("backend %s runs %s", b.id, id)
+	size, err := b.read(r.Body)
+	if err != nil {
+		b.w.record.add("backend %s: the body of %s ended after %d bytes: %s", b.id, id, size, err)
+		b.mu.Lock()
+		b.arrivals[index].cutAt = time.Now()
+		b.mu.Unlock()
+		return
+	}
+	select {
+	case <-time.After(b.work):
+	case <-deadline.C:
+		b.answer(out, index, http.StatusGatewayTimeout, "")
+		return
+	case <-r.Context().Done():
+		return
+	case <-b.gone:
+		return
+	}
+	b.answer(out, index, http.StatusOK, fmt.Sprintf("%s %s %d by %s", r.Method, r.RequestURI, size, b.id))
+}
+
+// read reads the body of a request, slowly if the backend has a pause between parts.
+func (b *backend) read(body io.Reader) (int64, error) {
+	var size int64
+	for {
+		n, err := io.CopyN(io.Discard, body, partBytes)
+		size += n
+		if err == io.EOF {
+			return size, nil
+		}
+		if err != nil {
+			return size, err
+		}
+		time.Sleep(b.readPause)
+	}
+}
+
+// partBytes is the size of the parts in which a backend reads.
+const partBytes = 64 << 10
+
+// arrived records a request.
+func (b *backend) arrived(id string, r *http.Request) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	b.arrivals = append(b.arrivals, arrival{id: id, from: host, at: time.Now()})
+	return len(b.arrivals) - 1
+}
+
+// say adds what the backend says of itself in all answers.
+func (b *backend) say(h http.Header) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.leaving {
+		h.Set(leavingHeader, "1")
+	}
+	h.Set(platform.HeaderServerLoad, fmt.Sprintf("%d,%d,%d", b.running, 0, b.slots))
+}
+
+func (b *backend) reject(out http.ResponseWriter, index, status int) {
+	b.say(out.Header())
+	out.Header().Set(platform.HeaderNotExecuted, "1")
+	out.WriteHeader(status)
+	b.mu.Lock()
+	b.arrivals[index].status = status
+	b.mu.Unlock()
+}
+
+func (b *backend) answer(out http.ResponseWriter, index, status int, body string) {
+	b.say(out.Header())
+	out.Header().Set(platform.HeaderServerStamp, "stamp-"+b.id+"-"+strconv.Itoa(index))
+	out.WriteHeader(status)
+	_, _ = io.Copy(out, strings.NewReader(body))
+	b.mu.Lock()
+	b.arrivals[index].status, b.arrivals[index].finished = status, true
+	b.mu.Unlock()
+}
+
+func (b *backend) seen() []arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]arrival(nil), b.arrivals...)
+}
+
+// leaveWhenIdle waits until no request runs. From then on the backend says in all its
+// answers that it leaves, and writes no entry any more.
+func (b *backend) leaveWhenIdle() {
+	for {
+		b.mu.Lock()
+		if b.running == 0 {
+			b.leaving = true
+			b.mu.Unlock()
+			return
+		}
+		b.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// awaitBeat waits for the next heartbeat.
+func (b *backend) awaitBeat() {
+	select {
+	case <-b.beats: // An earlier one.
+	default:
+	}
+	<-b.beats
+}
+
+// silent reports whether the backend leaves without reporting it.
+func (b *backend) silent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leaving && b.state == "ready"
+}
