--- a/review/testdata/kit3/backend.go
+++ b/review/testdata/kit3/backend.go
@@ -48,6 +48,7 @@
 	at       time.Time
 	ran      bool
 	finished bool
+	endedAt  time.Time // When the backend ended its work on it.
 	cutAt    time.Time // When its body ended before its end; zero if it did not.
 	status   int
 }
@@ -162,6 +163,7 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.running--
+		b.arrivals[index].endedAt = time.Now()
 	}()
 	b.w.record.add("backend %s runs %s", b.id, id)
 	size, err := b.read(r.Body)
