--- a/review/testdata/kit3/backend.go
+++ b/review/testdata/kit3/backend.go
@@ -54,7 +54,11 @@
 }
 
 func (w *world) newBackend(id, service, zone string, slots int, work time.Duration) (*backend, error) {
-	listener, err := (&net.ListenConfig{Control: smallWindow}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	return w.listen(id, service, zone, slots, work, "127.0.0.1:0")
+}
+
+func (w *world) listen(id, service, zone string, slots int, work time.Duration, address string) (*backend, error) {
+	listener, err := (&net.ListenConfig{Control: smallWindow}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -111,7 +115,7 @@
 	for {
 		select {
 		case <-tick.C:
-			if !away() && !b.silent() {
+			if !away() {
 				b.report()
 				b.w.record.add("backend %s writes its entry", b.id)
 			}
@@ -236,7 +240,7 @@
 
 func (b *backend) answer(out http.ResponseWriter, index, status int, body string) {
 	b.say(out.Header())
-	out.Header().Set(platform.HeaderServerStamp, "stamp-"+b.id+"-"+strconv.Itoa(index))
+	out.Header().Set(platform.HeaderServerStamp, "stamp."+b.id+"."+strconv.Itoa(index))
 	out.WriteHeader(status)
 	_, _ = io.Copy(out, strings.NewReader(body))
 	b.mu.Lock()
@@ -250,19 +254,18 @@
 	return append([]arrival(nil), b.arrivals...)
 }
 
-// leaveWhenIdle waits until no request runs. From then on the backend says in all its
-// answers that it leaves, and writes no entry any more.
-func (b *backend) leaveWhenIdle() {
-	for {
-		b.mu.Lock()
-		if b.running == 0 {
-			b.leaving = true
-			b.mu.Unlock()
-			return
-		}
-		b.mu.Unlock()
-		time.Sleep(time.Millisecond)
-	}
+// drain begins to leave: the backend reports draining, and says in all its answers that
+// it leaves.
+func (b *backend) drain() {
+	b.mu.Lock()
+	b.state, b.leaving = "draining", true
+	b.mu.Unlock()
+	b.report()
+}
+
+// restart starts a backend that has ended again, under its id and at its address.
+func (w *world) restart(ended *backend) (*backend, error) {
+	return w.listen(ended.id, ended.service, ended.zone, ended.slots, ended.work, ended.listener.Addr().String())
 }
 
 // awaitBeat waits for the next heartbeat.
@@ -273,10 +276,3 @@
 	}
 	<-b.beats
 }
-
-// silent reports whether the backend leaves without reporting it.
-func (b *backend) silent() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.leaving && b.state == "ready"
-}
--- a/review/testdata/kit3/client.go
+++ b/review/testdata/kit3/client.go
@@ -18,12 +18,18 @@
 
 // outcome is what a client saw of one attempt.
 type outcome struct {
-	id      string
-	node    string
-	sent    time.Time
-	ended   time.Time
+	id    string
+	node  string
+	sent  time.Time
+	ended time.Time
+	answer
+}
+
+// answer is what a client got.
+type answer struct {
 	status  int // 0: the connection ended without a whole answer.
 	stamped bool
+	leaving string // ID of the backend that says in its answer that it leaves, or "".
 	note    string
 }
 
@@ -34,7 +40,6 @@
 	body     string               // Of POST requests; empty for a short one.
 	deadline time.Duration        // Zero for clientDeadline.
 	left     atomic.Pointer[node] // Gets no requests any more.
-	quiet    atomic.Bool          // No requests are sent.
 	mu       sync.Mutex
 	outcomes []outcome
 	count    int
@@ -52,7 +57,7 @@
 		defer c.pending.Done()
 		o := outcome{id: id, node: n.name, sent: time.Now()}
 		c.w.record.add("client sends %s to %s", id, n.name)
-		o.status, o.stamped, o.note = exchange(n, wiresite.Request(method, path, id, object, body, c.timeLeft()), c.timeLeft())
+		o.answer = exchange(n, wiresite.Request(method, path, id, object, body, c.timeLeft()), c.timeLeft())
 		o.ended = time.Now()
 		c.w.record.add("client gets %d for %s from %s %s", o.status, id, n.name, o.note)
 		c.mu.Lock()
@@ -61,25 +66,32 @@
 	}()
 }
 
-func exchange(n *node, request string, within time.Duration) (status int, stamped bool, note string) {
+func exchange(n *node, request string, within time.Duration) answer {
 	raw, err := net.DialTimeout("tcp", n.frontAddress(), time.Second)
 	if err != nil {
-		return 0, false, "(no connection)"
+		return answer{note: "(no connection)"}
 	}
 	defer func() { _ = raw.Close() }()
 	_ = raw.SetDeadline(time.Now().Add(within))
 	if _, err := io.Copy(raw, strings.NewReader(request)); err != nil {
-		return 0, false, "(not sent)"
+		return answer{note: "(not sent)"}
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(raw), nil)
 	if err != nil {
-		return 0, false, "(" + err.Error() + ")"
+		return answer{note: "(" + err.Error() + ")"}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0, false, "(cut: " + err.Error() + ")"
+		return answer{note: "(cut: " + err.Error() + ")"}
+	}
+	got := answer{status: resp.StatusCode}
+	if parts := strings.Split(resp.Header.Get(platform.HeaderServerStamp), "."); len(parts) == 3 {
+		got.stamped = true
+		if resp.Header.Get(leavingHeader) == "1" {
+			got.leaving = parts[1]
+		}
 	}
-	return resp.StatusCode, resp.Header.Get(platform.HeaderServerStamp) != "", ""
+	return got
 }
 
 // run sends requests at a steady rate to the nodes in turn until stop is closed.
@@ -89,9 +101,6 @@
 	for i := 0; ; i++ {
 		select {
 		case <-tick.C:
-			if c.quiet.Load() {
-				continue
-			}
 			n := c.w.nodes[i%len(c.w.nodes)]
 			if n == c.left.Load() {
 				continue
--- a/review/testdata/kit3/world.go
+++ b/review/testdata/kit3/world.go
@@ -46,7 +46,6 @@
 	store   *metastore.Store
 	address string // Of the store.
 	nodes   []*node
-	told    storeLog
 	closing sync.Mutex
 }
 
@@ -54,7 +53,6 @@
 type node struct {
 	name, zone, host string
 	settings         string
-	store            string // Address at which it reaches the store.
 	command          *exec.Cmd
 	exited           chan struct{}
 }
@@ -126,7 +124,7 @@
 		"bounds": map[string]any{"seedLag": "3s", "reuseAfter": "2s", "stability": "3000ms", "ack": "4000ms", "catchUp": "4s", "drain": "2500ms",
 			"grace": "6s", "lossSlack": "200ms", "config": "2500ms", "rollbackSlack": "250ms", "maxStretch": "5000ms", "retryRatio": 0.2,
 			"retryWindow": "10s", "retrySlack": 56, "coldOver": 1.5, "coldSlack": 5, "evac": "5000ms", "recover": "15s", "ttl_max": "5s", "shiftMost": 0.15},
-		"platform": map[string]any{"address": n.store, "form": "kv", "writesPerS": 400, "readsPerS": 2000, "history": "20s", "valueBytes": 1 << 20, "ttlMin": "1000ms"},
+		"platform": map[string]any{"address": w.address, "form": "kv", "writesPerS": 400, "readsPerS": 2000, "history": "20s", "valueBytes": 1 << 20, "ttlMin": "1000ms"},
 	})
 	if err != nil {
 		panic(err) // Unreachable: the values can be encoded.
@@ -184,9 +182,6 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", host, ports[2]))
 	}
 	for _, n := range w.nodes {
-		if n.store, err = w.storeFor(n.name); err != nil {
-			return err
-		}
 		n.settings = filepath.Join(w.dir, n.name+".json")
 		if err := os.WriteFile(n.settings, w.settingsOf(n, ports, seeds, true), 0o600); err != nil {
 			return err
