--- a/review/testdata/kit3/case14.go
+++ b/review/testdata/kit3/case14.go
@@ -15,7 +15,7 @@
 	evacBound = 5 * time.Second
 	// rewriteDelay is the time from the store's return until the operator, who has seen
 	// the new era, has written its evacuation again.
-	rewriteDelay = 5 * time.Second
+	rewriteDelay = 4 * time.Second
 )
 
 // drillDuringEvacuation: a zone is evacuated, the store has accepted it and all machines
